--- /dev/null
+++ b/src/bin/bergamotspand.rs
@@ -0,0 +1,3 @@
+//! The daemon of one entry instance.
+
+fn main() {}
--- /dev/null
+++ b/src/final_answer.rs
@@ -0,0 +1,36 @@
+//! The final answer that every request gets.
+
+use serde::{Deserialize, Serialize};
+
+use crate::name::Name;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The whole answer was sent.
+    Done,
+    /// It ran and failed.
+    Failed,
+    /// It never reached a backend server and never will under this send.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// The final answer to a request that has no whole answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FinalAnswer {
+    /// HTTP status.
+    #[serde(skip)]
+    pub status: u16,
+    /// How the request ended.
+    pub outcome: Outcome,
+    /// Fixed word for the reason, for programs.
+    pub reason: Name,
+    /// What was wrong, as a short sentence.
+    pub message: String,
+    /// Time after which coming back makes sense, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' program.
+
+fn main() {}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,126 @@
+//! The settings of one instance.
+
+use std::net::SocketAddr;
+
+use crate::name::Name;
+
+/// Settings of one instance, one field per section of the settings file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// The interface for callers.
+    pub caller: CallerSettings,
+    /// Connections to backend servers.
+    pub dispatch: DispatchSettings,
+    /// The instance itself.
+    pub instance: InstanceSettings,
+    /// Idempotency keys.
+    pub keys: KeySettings,
+    /// Logs.
+    pub log: LogSettings,
+    /// Links to other instances.
+    pub peer: PeerSettings,
+    /// The platform's configuration service.
+    pub platform: PlatformSettings,
+    /// Planned stops.
+    pub shutdown: ShutdownSettings,
+    /// Traces and metrics.
+    pub telemetry: TelemetrySettings,
+}
+
+/// Section `[caller]`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallerSettings {
+    /// Largest accepted request body, in bytes.
+    pub body_limit_bytes: u64,
+    /// Address to listen on; port 0 takes any free port.
+    pub listen_address: SocketAddr,
+}
+
+/// Section `[dispatch]`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DispatchSettings {
+    /// Longest wait for a connection to a backend server, in milliseconds.
+    pub connect_timeout_ms: u64,
+    /// Silence after which a stream is resumed on a new connection, in milliseconds.
+    pub idle_limit_ms: u64,
+    /// Time between two load reports asked of a backend server, in milliseconds.
+    pub load_interval_ms: u64,
+    /// How many times one stream is resumed before its request is given up.
+    pub resume_limit: u32,
+}
+
+/// Section `[instance]`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct InstanceSettings {
+    /// Data centre of this instance.
+    pub data_centre: Name,
+    /// Name of this instance.
+    pub name: Name,
+}
+
+/// Section `[keys]`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KeySettings {
+    /// Most keys that are remembered at once.
+    pub capacity: u32,
+    /// Largest skew between the wall clocks of two instances, in milliseconds.
+    pub clock_margin_ms: u64,
+    /// Age at which a grant that arrives is void, in milliseconds.
+    pub grant_limit_ms: u64,
+    /// How long a key is remembered, in milliseconds.
+    pub lifetime_ms: u64,
+}
+
+/// Form of the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LogFormat {
+    /// One JSON object a line.
+    Json,
+    /// Plain text.
+    Text,
+}
+
+/// Section `[log]`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LogSettings {
+    /// Form of each line.
+    pub format: LogFormat,
+    /// Lowest level that is written: `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: Name,
+}
+
+/// Section `[peer]`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerSettings {
+    /// How long a confirmation of a key home holds, in milliseconds.
+    pub confirmation_window_ms: u64,
+    /// Time between two heartbeats, in milliseconds.
+    pub heartbeat_interval_ms: u64,
+    /// Address to listen on; port 0 takes any free port.
+    pub listen_address: SocketAddr,
+}
+
+/// Section `[platform]`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PlatformSettings {
+    /// Address of the platform's service.
+    pub address: SocketAddr,
+    /// Longest time that one watch waits, in milliseconds.
+    pub watch_timeout_ms: u64,
+}
+
+/// Section `[shutdown]`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ShutdownSettings {
+    /// Longest time that running requests get to finish, in milliseconds.
+    pub drain_limit_ms: u64,
+}
+
+/// Section `[telemetry]`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TelemetrySettings {
+    /// Time between two exports of metrics, in milliseconds.
+    pub export_interval_ms: u64,
+    /// Base address of an OTLP collector over HTTP; nothing is exported if absent.
+    pub otlp_address: Option<SocketAddr>,
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
--- /dev/null
+++ b/standins/src/main.rs
@@ -0,0 +1,3 @@
+//! The stand-ins' program.
+
+fn main() {}
