--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod now;
 pub mod peer_message;
 pub mod request_id;
+pub mod scheduler;
 pub mod scheduling;
 pub mod settings;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -45,6 +45,8 @@
     pub idle_limit_ms: u64,
     /// Time between two load reports asked of a backend server, in milliseconds.
     pub load_interval_ms: u64,
+    /// How a backend server is chosen.
+    pub policy: Policy,
     /// How many times one stream is resumed before its request is given up.
     pub resume_limit: u32,
 }
@@ -100,6 +102,18 @@
     pub listen_address: SocketAddr,
 }
 
+/// How a backend server is chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Policy {
+    /// Baseline: each instance takes the backend server with the fewest of its own requests and
+    /// the lowest reported load.
+    LeastOutstanding,
+    /// Baseline: each instance takes the backend servers in turn.
+    RoundRobin,
+    /// The steward of the service decides for all instances.
+    Steward,
+}
+
 /// Section `[platform]`.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PlatformSettings {
