--- /dev/null
+++ b/src/admit.rs
@@ -0,0 +1,205 @@
+//! Takes in a request: rules, key, claim.
+
+use crate::answers;
+use crate::core::Core;
+use crate::effect::Effect;
+use crate::event::Arrival;
+use crate::final_answer::FinalAnswer;
+use crate::inventory::ServiceKind;
+use crate::name::Name;
+use crate::now::Now;
+use crate::peer_message::{KeyClaim, KeyVerdict, PeerMessage};
+use crate::request::{Request, RequestState};
+use crate::rules::{RuleQuery, apply_rules};
+
+/// What the rules say about a request that is taken in.
+struct RequestClass {
+    deadline_ms: u64,
+    idempotent: bool,
+    tier: Name,
+    tier_rank: u8,
+}
+
+/// What to do with a request that arrived.
+enum Admission {
+    /// Answer it at once.
+    Answer(FinalAnswer),
+    /// Claim its key first.
+    Claim(RequestClass),
+    /// Take part in the answer of the request that holds its key here.
+    Join(u64),
+    /// Place a bid for it.
+    Schedule(RequestClass),
+}
+
+impl Core {
+    pub(crate) fn admit(&mut self, now: Now, arrival: Arrival) {
+        let sequence = arrival.sequence;
+        match self.admission(&arrival) {
+            Admission::Answer(answer) => self.effects.push(Effect::Answer { answer, sequence }),
+            Admission::Claim(class) => {
+                self.accept(now, arrival, class);
+                self.claim(now, sequence);
+            }
+            Admission::Join(holder) => self.effects.push(Effect::JoinLocal { holder, sequence }),
+            Admission::Schedule(class) => {
+                self.accept(now, arrival, class);
+                self.bid(now, sequence);
+            }
+        }
+    }
+
+    pub(crate) fn answer_claim(&mut self, now: Now, claim: &KeyClaim) -> KeyVerdict {
+        let standing = self.membership.standing(now);
+        let is_home = self.view.home(&claim.key) == self.own_name() && self.stop.is_none();
+        let list_version = self.view.list_version();
+        self.key_home.claim(now, claim, &standing, is_home, list_version)
+    }
+
+    pub(crate) fn take_verdict(
+        &mut self,
+        now: Now,
+        home: &Name,
+        key: &Name,
+        sequence: u64,
+        verdict: KeyVerdict,
+    ) {
+        let limit_ms = self.settings.keys.grant_limit_ms;
+        let state = self.requests.get_active_mut(sequence).map(|request| request.state.clone());
+        let Some(RequestState::Claiming { asked_ms, .. }) = state else {
+            self.give_back(home, key, sequence, &verdict);
+            return;
+        };
+        let elapsed_ms = now.monotonic_ms.saturating_sub(asked_ms);
+        if elapsed_ms > limit_ms {
+            self.give_back(home, key, sequence, &verdict);
+            self.end_with(now, sequence, answers::key_home_silent());
+            return;
+        }
+        self.note(now, sequence, format!("Key home {home} answered after {elapsed_ms} ms."));
+        self.apply_verdict(now, sequence, verdict);
+    }
+
+    fn accept(&mut self, now: Now, arrival: Arrival, class: RequestClass) {
+        let deadline_ms = arrival.deadline_ms.unwrap_or(class.deadline_ms);
+        let mut request = Request {
+            arrived_ms: now.monotonic_ms,
+            deadline_ms: now.monotonic_ms + deadline_ms,
+            excluded: Vec::new(),
+            id: self.request_id(arrival.sequence),
+            state: RequestState::Waiting { bid_ms: now.monotonic_ms, steward: None },
+            steps: Vec::new(),
+            tier: class.tier,
+            tier_rank: class.tier_rank,
+            arrival,
+        };
+        let text = format!(
+            "Arrived for service {} in tier {} with {deadline_ms} ms left.",
+            request.arrival.service, request.tier
+        );
+        request.note(now, text);
+        self.requests.insert(request);
+    }
+
+    fn admission(&self, arrival: &Arrival) -> Admission {
+        if self.stop.is_some() {
+            return Admission::Answer(answers::stopping());
+        }
+        if self.inventory.version == 0 {
+            return Admission::Answer(answers::not_ready());
+        }
+        let class = match self.classify(arrival) {
+            Ok(class) => class,
+            Err(answer) => return Admission::Answer(answer),
+        };
+        match &arrival.key {
+            Some(key) => self.admission_with_key(arrival, key, class),
+            None if class.idempotent => Admission::Schedule(class),
+            None => Admission::Answer(answers::missing_key()),
+        }
+    }
+
+    fn admission_with_key(&self, arrival: &Arrival, key: &Name, class: RequestClass) -> Admission {
+        let Some(holder) = self.requests.by_key(key) else { return Admission::Claim(class) };
+        if let RequestState::Ended { ran: false, .. } = holder.state {
+            return Admission::Claim(class);
+        }
+        if holder.arrival.fingerprint != arrival.fingerprint {
+            return Admission::Answer(answers::key_with_other_body());
+        }
+        Admission::Join(holder.arrival.sequence)
+    }
+
+    fn apply_verdict(&mut self, now: Now, sequence: u64, verdict: KeyVerdict) {
+        match verdict {
+            KeyVerdict::BodyDiffers => {
+                self.end_with(now, sequence, answers::key_with_other_body());
+            }
+            KeyVerdict::Granted => self.bid(now, sequence),
+            KeyVerdict::Held { by } => {
+                self.join_holder(now, sequence, &by);
+            }
+            KeyVerdict::Refused { reason, retry_after_ms } => {
+                self.end_with(now, sequence, answers::key_refused(reason, retry_after_ms));
+            }
+            KeyVerdict::Unknown => self.end_with(now, sequence, answers::key_unknown()),
+        }
+    }
+
+    fn claim(&mut self, now: Now, sequence: u64) {
+        let list_version = self.view.list_version();
+        let own_name = self.own_name();
+        let Some(request) = self.requests.get_active_mut(sequence) else { return };
+        let Some(key) = request.arrival.key.clone() else { return };
+        let home = self.view.home(&key);
+        request.state =
+            RequestState::Claiming { asked_ms: now.monotonic_ms, home: home.clone() };
+        request.note(now, format!("Asked key home {home}."));
+        let claim = KeyClaim {
+            fingerprint: request.arrival.fingerprint,
+            key: key.clone(),
+            list_version,
+            request: request.id.clone(),
+            tier_rank: request.tier_rank,
+        };
+        if home != own_name {
+            self.send(&home, PeerMessage::KeyClaim(claim));
+            return;
+        }
+        let verdict = self.answer_claim(now, &claim);
+        self.take_verdict(now, &home, &key, sequence, verdict);
+    }
+
+    fn classify(&self, arrival: &Arrival) -> Result<RequestClass, FinalAnswer> {
+        let query = RuleQuery {
+            customer: &arrival.customer,
+            path: &arrival.path,
+            requested_tier: arrival.tier.as_deref(),
+            service: &arrival.service,
+        };
+        let ruling =
+            apply_rules(&self.inventory, &query).map_err(|error| answers::against_rules(&error))?;
+        if ruling.service.kind != ServiceKind::Plain && arrival.prompt_tokens == 0 {
+            return Err(answers::missing_prompt());
+        }
+        Ok(RequestClass {
+            deadline_ms: ruling.tier.deadline_ms,
+            idempotent: ruling.idempotent,
+            tier: ruling.tier.name.clone(),
+            tier_rank: ruling.tier.rank,
+        })
+    }
+
+    /// Gives a key back whose grant came too late or for a request that is gone.
+    fn give_back(&mut self, home: &Name, key: &Name, sequence: u64, verdict: &KeyVerdict) {
+        let granted = matches!(verdict, KeyVerdict::Granted);
+        let ran = self.requests.get(sequence).is_some_and(|request| match request.state {
+            RequestState::Ended { ran, .. } => ran,
+            RequestState::Claiming { .. } => false,
+            _ => true,
+        });
+        if granted && !ran {
+            self.release_key_at(home, key, sequence);
+        }
+    }
+}
--- /dev/null
+++ b/src/answer_logs.rs
@@ -0,0 +1,67 @@
+//! The answers that are kept at this instance, within a bound of memory.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use crate::answer_log::AnswerLog;
+
+/// Most bytes of kept answers; beyond it the oldest ended ones go.
+pub const KEPT_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+
+/// Answers by the number of their request.
+#[derive(Debug, Default)]
+pub struct AnswerLogs {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    ended: VecDeque<u64>,
+    ended_bytes: usize,
+    logs: BTreeMap<u64, Arc<AnswerLog>>,
+}
+
+impl AnswerLogs {
+    /// Returns the answer of a request.
+    pub fn find(&self, sequence: u64) -> Option<Arc<AnswerLog>> {
+        self.lock().logs.get(&sequence).cloned()
+    }
+
+    /// Forgets the answer of a request.
+    pub fn forget(&self, sequence: u64) {
+        self.lock().forget(sequence);
+    }
+
+    /// Starts the answer of a request.
+    pub fn open(&self, sequence: u64) -> Arc<AnswerLog> {
+        let log = Arc::new(AnswerLog::default());
+        self.lock().logs.insert(sequence, log.clone());
+        log
+    }
+
+    /// Counts an answer that ended against the bound, and forgets the oldest ones beyond it.
+    pub fn settle(&self, sequence: u64) {
+        let mut state = self.lock();
+        let Some(bytes) = state.logs.get(&sequence).map(|log| log.bytes()) else { return };
+        state.ended_bytes += bytes;
+        state.ended.push_back(sequence);
+        while state.ended_bytes > KEPT_LIMIT_BYTES
+            && let Some(oldest) = state.ended.pop_front()
+        {
+            state.forget(oldest);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn forget(&mut self, sequence: u64) {
+        let Some(log) = self.logs.remove(&sequence) else { return };
+        if log.is_ended() {
+            self.ended_bytes = self.ended_bytes.saturating_sub(log.bytes());
+        }
+    }
+}
--- /dev/null
+++ b/src/answer_writer.rs
@@ -0,0 +1,200 @@
+//! Writes an answer to a caller, as server-sent events or as one JSON body.
+
+use std::io::{self, Write};
+use std::sync::Arc;
+
+use serde_json::{Value, json};
+
+use crate::answer_log::{AnswerEnd, AnswerTotals};
+use crate::final_answer::FinalAnswer;
+
+/// How an answer is written.
+pub trait AnswerWriter: Send {
+    /// Ends the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller is gone.
+    fn end(&mut self, end: &AnswerEnd) -> io::Result<()>;
+
+    /// Writes token events.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller is gone.
+    fn events(&mut self, events: &[Arc<str>]) -> io::Result<()>;
+
+    /// Shows a waiting caller that the instance lives, where the form allows it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller is gone.
+    fn keep_alive(&mut self) -> io::Result<()>;
+}
+
+/// Writes one JSON body at the end.
+pub struct JsonAnswerWriter {
+    events: Vec<Arc<str>>,
+    output: Box<dyn Write + Send>,
+}
+
+/// Writes server-sent events as they come, in HTTP chunks.
+pub struct StreamAnswerWriter {
+    output: Box<dyn Write + Send>,
+    started: bool,
+}
+
+impl JsonAnswerWriter {
+    /// Writes to a connection.
+    pub fn new(output: Box<dyn Write + Send>) -> Self {
+        Self { events: Vec::new(), output }
+    }
+}
+
+impl AnswerWriter for JsonAnswerWriter {
+    fn end(&mut self, end: &AnswerEnd) -> io::Result<()> {
+        match end {
+            AnswerEnd::Done(totals) => {
+                let mut body = done_body(totals);
+                body["tokens"] = self.events.iter().map(|data| token_value(data)).collect();
+                write_body(&mut self.output, 200, None, &body)
+            }
+            AnswerEnd::Final(answer) => write_final(&mut self.output, answer),
+        }
+    }
+
+    fn events(&mut self, events: &[Arc<str>]) -> io::Result<()> {
+        self.events.extend_from_slice(events);
+        Ok(())
+    }
+
+    fn keep_alive(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl StreamAnswerWriter {
+    /// Writes to a connection.
+    pub fn new(output: Box<dyn Write + Send>) -> Self {
+        Self { output, started: false }
+    }
+
+    fn chunk(&mut self, text: &str) -> io::Result<()> {
+        let mut bytes = String::new();
+        if !self.started {
+            bytes.push_str(
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+                 Cache-Control: no-store\r\nTransfer-Encoding: chunked\r\n\r\n",
+            );
+            self.started = true;
+        }
+        bytes.push_str(&format!("{:x}\r\n{text}\r\n", text.len()));
+        self.output.write_all(bytes.as_bytes())?;
+        self.output.flush()
+    }
+
+    fn last_chunk(&mut self) -> io::Result<()> {
+        self.output.write_all(b"0\r\n\r\n")?;
+        self.output.flush()
+    }
+}
+
+impl AnswerWriter for StreamAnswerWriter {
+    fn end(&mut self, end: &AnswerEnd) -> io::Result<()> {
+        let body = match end {
+            AnswerEnd::Done(totals) => done_body(totals),
+            AnswerEnd::Final(answer) if !self.started => {
+                return write_final(&mut self.output, answer);
+            }
+            AnswerEnd::Final(answer) => final_body(answer),
+        };
+        self.chunk(&format!("event: end\ndata: {body}\n\n"))?;
+        self.last_chunk()
+    }
+
+    fn events(&mut self, events: &[Arc<str>]) -> io::Result<()> {
+        let mut text = String::new();
+        for event in events {
+            text.push_str("event: token\n");
+            for line in event.split('\n') {
+                text.push_str(&format!("data: {line}\n"));
+            }
+            text.push('\n');
+        }
+        self.chunk(&text)
+    }
+
+    fn keep_alive(&mut self) -> io::Result<()> {
+        self.chunk(": alive\n\n")
+    }
+}
+
+/// Writes a final answer as a whole HTTP response with a JSON body.
+///
+/// # Errors
+///
+/// Returns an error if the caller is gone.
+pub fn write_final<W>(output: &mut W, answer: &FinalAnswer) -> io::Result<()>
+where
+    W: Write + ?Sized,
+{
+    write_body(output, answer.status, answer.retry_after_ms, &final_body(answer))
+}
+
+/// Writes a whole HTTP response with a JSON body.
+///
+/// # Errors
+///
+/// Returns an error if the caller is gone.
+pub fn write_body<W>(
+    output: &mut W,
+    status: u16,
+    retry_after_ms: Option<u64>,
+    body: &Value,
+) -> io::Result<()>
+where
+    W: Write + ?Sized,
+{
+    let body = body.to_string();
+    let retry = match retry_after_ms {
+        Some(retry_after_ms) => format!("Retry-After: {}\r\n", retry_after_ms.div_ceil(1_000)),
+        None => String::new(),
+    };
+    let reason = reason_phrase(status);
+    let head = format!(
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n\
+         Content-Length: {}\r\n{retry}\r\n",
+        body.len()
+    );
+    output.write_all(format!("{head}{body}").as_bytes())?;
+    output.flush()
+}
+
+fn done_body(totals: &AnswerTotals) -> Value {
+    json!({ "outcome": "done", "events": totals.events, "digest": totals.digest })
+}
+
+fn final_body(answer: &FinalAnswer) -> Value {
+    serde_json::to_value(answer).unwrap_or_default()
+}
+
+fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        422 => "Unprocessable Content",
+        428 => "Precondition Required",
+        499 => "Client Closed Request",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Answer",
+    }
+}
+
+fn token_value(data: &str) -> Value {
+    serde_json::from_str(data).unwrap_or_else(|_| Value::from(data))
+}
--- /dev/null
+++ b/src/core.rs
@@ -0,0 +1,152 @@
+//! The decision core of one instance: every decision, and nothing else.
+//!
+//! The core holds no clock, socket, thread or unseeded randomness. An adapter hands it each event
+//! with the time, and carries out the effects that it returns.
+
+use std::sync::Arc;
+
+use crate::config_adoption::ConfigAdoption;
+use crate::effect::Effect;
+use crate::event::Event;
+use crate::inventory::Inventory;
+use crate::key_home::KeyHome;
+use crate::membership::{HeartbeatSummary, Membership, MembershipEvent};
+use crate::name::Name;
+use crate::now::Now;
+use crate::peer_message::PeerMessage;
+use crate::quarantine::Quarantine;
+use crate::request_id::RequestId;
+use crate::requests::Requests;
+use crate::scheduler::{Scheduler, SchedulerEvent};
+use crate::settings::Settings;
+use crate::view::View;
+
+/// Time between two passes over the waiting requests, in milliseconds.
+const SWEEP_INTERVAL_MS: u64 = 20;
+
+/// The decision core of one instance.
+pub struct Core {
+    pub(crate) adoption: ConfigAdoption,
+    pub(crate) effects: Vec<Effect>,
+    pub(crate) incarnation: u64,
+    pub(crate) inventory: Arc<Inventory>,
+    pub(crate) key_home: KeyHome,
+    pub(crate) leaving: Vec<Name>,
+    pub(crate) membership: Membership,
+    pub(crate) platform_reachable: bool,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) quarantined: Vec<u64>,
+    pub(crate) requests: Requests,
+    pub(crate) schedulers: Vec<(Name, Box<dyn Scheduler>)>,
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) stop: Option<StopState>,
+    pub(crate) stopping_peers: Vec<Name>,
+    pub(crate) suspected: Vec<u64>,
+    pub(crate) sweep_ms: u64,
+    pub(crate) view: View,
+}
+
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct StopState {
+    /// Monotonic time at which the requests left are given up, in milliseconds.
+    pub limit_ms: u64,
+    /// Whether the end was told.
+    pub told: bool,
+}
+
+impl Core {
+    /// Takes in one event and returns what follows from it.
+    pub fn decide(&mut self, now: Now, event: Event) -> Vec<Effect> {
+        match event {
+            Event::Arrived(arrival) => self.admit(now, *arrival),
+            Event::CacheEvents { backend_server, events, service } => {
+                let event = SchedulerEvent::CacheEvents { backend_server, events };
+                self.schedule(now, &service, event);
+            }
+            Event::CallerGone { sequence } => self.cancel(now, sequence),
+            Event::CancelAsked { key } => self.cancel_key(now, &key),
+            Event::Dispatch { progress, sequence } => self.follow(now, sequence, progress),
+            Event::DocumentRead { parsed, peer, text, version } => {
+                self.read_document(now, parsed, peer, text, version);
+            }
+            Event::InstanceListRead { leaving } => self.read_instance_list(now, leaving),
+            Event::JoinAsked { sequence, key, from_peer } => {
+                self.join(now, sequence, key, from_peer);
+            }
+            Event::LoadReport { backend_server, report, service } => {
+                let event = SchedulerEvent::LoadReport { backend_server, report };
+                self.schedule(now, &service, event);
+            }
+            Event::PeerDown { peer } => self.lose_link(now, peer),
+            Event::PeerMessage { peer, message, .. } => self.route(now, peer, message),
+            Event::PeerUp { peer, .. } => self.meet(now, &peer),
+            Event::PlatformUnreachable => self.platform_reachable = false,
+            Event::Stop => self.begin_stop(now),
+            Event::Tick => self.tick(now),
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns whether the instance takes requests.
+    pub fn is_ready(&self) -> bool {
+        self.inventory.version > 0 && self.stop.is_none()
+    }
+
+    pub(crate) fn log<S>(&mut self, part: &'static str, text: S)
+    where
+        S: Into<String>,
+    {
+        self.effects.push(Effect::Log { part, text: text.into() });
+    }
+
+    pub(crate) fn own_name(&self) -> Name {
+        self.settings.instance.name.clone()
+    }
+
+    pub(crate) fn request_id(&self, sequence: u64) -> RequestId {
+        RequestId { instance: self.own_name(), incarnation: self.incarnation, sequence }
+    }
+
+    pub(crate) fn send(&mut self, to: &Name, message: PeerMessage) {
+        self.effects.push(Effect::SendPeer { message, to: to.clone() });
+    }
+
+    pub(crate) fn member(&mut self, now: Now, event: MembershipEvent) {
+        let effects = self.membership.decide(now, event);
+        for effect in effects {
+            self.apply_membership(now, effect);
+        }
+    }
+
+    fn heartbeat_summary(&self) -> HeartbeatSummary {
+        let lowest_waiting_ranks = self
+            .schedulers
+            .iter()
+            .filter_map(|(service, scheduler)| {
+                Some((service.clone(), scheduler.lowest_waiting_rank()?))
+            })
+            .collect();
+        HeartbeatSummary {
+            config_version: self.inventory.version,
+            lowest_waiting_ranks,
+            stopping: self.stop.is_some(),
+            suspects: self.quarantine.suspects(),
+        }
+    }
+
+    fn tick(&mut self, now: Now) {
+        let summary = self.heartbeat_summary();
+        self.member(now, MembershipEvent::Tick { summary });
+        self.tick_adoption(now);
+        if now.monotonic_ms < self.sweep_ms {
+            return;
+        }
+        self.sweep_ms = now.monotonic_ms + SWEEP_INTERVAL_MS;
+        self.refresh_quarantine(now);
+        self.tick_schedulers(now);
+        self.sweep_requests(now);
+        self.key_home.expire(now);
+        self.continue_stop(now);
+    }
+}
--- /dev/null
+++ b/src/effect.rs
@@ -0,0 +1,99 @@
+//! Everything that the decision core wants done.
+
+use std::net::SocketAddr;
+
+use crate::final_answer::FinalAnswer;
+use crate::name::Name;
+use crate::peer_message::PeerMessage;
+
+/// One thing that the decision core wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Give a request its final answer.
+    Answer {
+        /// The answer.
+        answer: FinalAnswer,
+        /// The request.
+        sequence: u64,
+    },
+    /// Stop a dispatched request and free its place at the backend server.
+    Cancel {
+        /// The request.
+        sequence: u64,
+    },
+    /// Send a request to a backend server, unless it is too late at the first byte.
+    Dispatch(Dispatch),
+    /// Answer from another instance that holds the key.
+    JoinPeer {
+        /// Caller address of that instance.
+        address: SocketAddr,
+        /// The key.
+        key: Name,
+        /// The request.
+        sequence: u64,
+    },
+    /// Answer from the kept answer of another request of this instance.
+    JoinLocal {
+        /// The request that holds the key.
+        holder: u64,
+        /// The request.
+        sequence: u64,
+    },
+    /// Forget the kept answer of a request.
+    ForgetAnswer {
+        /// The request.
+        sequence: u64,
+    },
+    /// Write a line to the log.
+    Log {
+        /// Part that it is about.
+        part: &'static str,
+        /// A short sentence.
+        text: String,
+    },
+    /// Ask these model engines for their load and cache events from now on.
+    PollLoad(Vec<PollTarget>),
+    /// Send a message to another instance.
+    SendPeer {
+        /// The message.
+        message: PeerMessage,
+        /// The instance.
+        to: Name,
+    },
+    /// Keep links to these instances and no others.
+    SetPeers(Vec<(Name, SocketAddr)>),
+    /// The planned stop is complete.
+    Stopped,
+}
+
+/// Where and until when a request may be sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Dispatch {
+    /// Address of the backend server.
+    pub address: SocketAddr,
+    /// Name of the backend server.
+    pub backend_server: Name,
+    /// Monotonic time after which the answer is late, in milliseconds.
+    pub deadline_ms: u64,
+    /// Monotonic time after which the first byte may no longer be sent, in milliseconds.
+    pub expires_ms: u64,
+    /// Whether the backend server streams tokens.
+    pub model: bool,
+    /// Path below the service.
+    pub path: Name,
+    /// Identity of the request, for the backend server.
+    pub request: String,
+    /// The request.
+    pub sequence: u64,
+}
+
+/// One model engine whose load is asked for.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct PollTarget {
+    /// Name of the engine.
+    pub backend_server: Name,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its service.
+    pub service: Name,
+}
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,131 @@
+//! Everything that the decision core learns.
+
+use std::sync::Arc;
+
+use crate::finding::Finding;
+use crate::inventory::Inventory;
+use crate::load_report::{CacheEvent, LoadReport};
+use crate::name::Name;
+use crate::peer_message::PeerMessage;
+use crate::scheduling::Progress;
+
+/// One thing that the decision core learns.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A caller sent a request.
+    Arrived(Box<Arrival>),
+    /// Cache events of a model engine arrived.
+    CacheEvents {
+        /// The engine.
+        backend_server: Name,
+        /// The events, in order.
+        events: Vec<CacheEvent>,
+        /// Service of the engine.
+        service: Name,
+    },
+    /// The caller of a request without a key went away, or its answer can't be delivered.
+    CallerGone {
+        /// The request.
+        sequence: u64,
+    },
+    /// A caller asked to cancel the request of a key.
+    CancelAsked {
+        /// The key.
+        key: Name,
+    },
+    /// A dispatched request goes on or ends.
+    Dispatch {
+        /// How.
+        progress: Progress,
+        /// The request.
+        sequence: u64,
+    },
+    /// A published document was read.
+    DocumentRead {
+        /// The inventory in it, or what is wrong with it.
+        parsed: Result<Arc<Inventory>, Vec<Finding>>,
+        /// Peer that it came from; the platform if absent.
+        peer: Option<Name>,
+        /// Its text.
+        text: Arc<str>,
+        /// Version that it was published under.
+        version: u64,
+    },
+    /// The platform's list of instances and backend servers was read.
+    InstanceListRead {
+        /// Names that are leaving, sorted.
+        leaving: Vec<Name>,
+    },
+    /// A caller asked for the running or kept answer of a key.
+    JoinAsked {
+        /// Number of the asking connection.
+        sequence: u64,
+        /// The key.
+        key: Name,
+        /// Whether another instance asks for its own caller.
+        from_peer: bool,
+    },
+    /// A load report of a model engine arrived.
+    LoadReport {
+        /// The engine.
+        backend_server: Name,
+        /// Its report.
+        report: LoadReport,
+        /// Service of the engine.
+        service: Name,
+    },
+    /// The link to a peer went down.
+    PeerDown {
+        /// The peer.
+        peer: Name,
+    },
+    /// A peer sent a message.
+    PeerMessage {
+        /// The peer.
+        peer: Name,
+        /// Incarnation of the peer, as its link announced it.
+        incarnation: u64,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// A link to a peer came up.
+    PeerUp {
+        /// The peer.
+        peer: Name,
+        /// Its incarnation.
+        incarnation: u64,
+    },
+    /// The platform did not answer.
+    PlatformUnreachable,
+    /// A planned stop begins.
+    Stop,
+    /// Time passed.
+    Tick,
+}
+
+/// A request as its caller sent it, without its body.
+#[derive(Clone, Debug, Default)]
+pub struct Arrival {
+    /// Customer named by the caller.
+    pub customer: Name,
+    /// Time for the whole answer asked for by the caller, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Hash of service, path and body.
+    pub fingerprint: u64,
+    /// Idempotency key.
+    pub key: Option<Name>,
+    /// Most tokens that the answer may have; 0 if the caller did not say.
+    pub max_output_tokens: u32,
+    /// Path below the service.
+    pub path: Name,
+    /// Hashes of the prompt's prefixes, a block longer each.
+    pub prefix_hashes: Vec<u64>,
+    /// Tokens of the prompt, by estimate.
+    pub prompt_tokens: u32,
+    /// Number of the request at this instance.
+    pub sequence: u64,
+    /// Service.
+    pub service: Name,
+    /// Tier named by the caller.
+    pub tier: Option<Name>,
+}
--- /dev/null
+++ b/src/follow.rs
@@ -0,0 +1,253 @@
+//! Follows a request from its grant to its end.
+
+use crate::answers;
+use crate::core::Core;
+use crate::effect::{Dispatch, Effect};
+use crate::final_answer::FinalAnswer;
+use crate::inventory::ServiceKind;
+use crate::name::Name;
+use crate::now::Now;
+use crate::peer_message::PeerMessage;
+use crate::request::{Request, RequestState};
+use crate::scheduler::SchedulerEvent;
+use crate::scheduling::{Grant, Progress, Refusal};
+
+/// What a grant means for the request as it stands.
+enum GrantUse {
+    /// The request may be dispatched.
+    Dispatch(Dispatch),
+    /// The request runs already, by an earlier grant.
+    RunsAlready,
+    /// The request is not waiting, or the backend server is gone.
+    Void,
+}
+
+impl Core {
+    /// Gives a request that has no whole answer its final answer, and ends it.
+    pub(crate) fn end_with(&mut self, now: Now, sequence: u64, answer: FinalAnswer) {
+        self.note(now, sequence, format!("Answered {}.", answer.reason));
+        self.effects.push(Effect::Answer { answer, sequence });
+        self.end(now, sequence);
+    }
+
+    /// Ends a request; its key is given back if it never ran, and kept otherwise.
+    pub(crate) fn end(&mut self, now: Now, sequence: u64) {
+        let Some(request) = self.requests.get_active_mut(sequence) else { return };
+        let ran = request.is_running();
+        let has_key = request.arrival.key.is_some();
+        request.state = RequestState::Ended { ran, ended_ms: now.monotonic_ms };
+        if has_key && !ran {
+            self.release_key(sequence);
+        }
+        let keep = has_key && ran;
+        let until_ms = now.monotonic_ms + self.settings.keys.lifetime_ms;
+        self.requests.end(sequence, keep.then_some(until_ms));
+        if !keep {
+            self.effects.push(Effect::ForgetAnswer { sequence });
+        }
+    }
+
+    /// Takes in how a dispatched request goes.
+    pub(crate) fn follow(&mut self, now: Now, sequence: u64, progress: Progress) {
+        self.report_progress(now, sequence, progress.clone());
+        match progress {
+            Progress::Abandoned => self.abandon(now, sequence),
+            Progress::Cancelled => self.end(now, sequence),
+            Progress::ConnectFailed => self.choose_again(now, sequence),
+            Progress::Died => {
+                self.note(now, sequence, "The backend server was lost.");
+                self.suspect(now, sequence);
+                self.end(now, sequence);
+            }
+            Progress::Finished { output_tokens, .. } => {
+                self.note(now, sequence, format!("Finished with {output_tokens} tokens."));
+                self.clear_suspicion(sequence);
+                self.end(now, sequence);
+            }
+            Progress::FirstToken { elapsed_ms } => {
+                self.note(now, sequence, format!("First token after {elapsed_ms} ms."));
+            }
+            Progress::Tokens { output_tokens, .. } => self.count_tokens(sequence, output_tokens),
+        }
+    }
+
+    /// Answers waiting requests whose time is over.
+    pub(crate) fn sweep_requests(&mut self, now: Now) {
+        let limit_ms = self.settings.keys.grant_limit_ms;
+        let is_late = |request: &Request| match &request.state {
+            RequestState::Claiming { .. } | RequestState::Waiting { .. } => {
+                request.deadline_ms <= now.monotonic_ms
+            }
+            _ => false,
+        };
+        for sequence in self.requests.sequences_where(is_late) {
+            self.withdraw_waiting(now, sequence);
+            self.end_with(now, sequence, answers::deadline_passed());
+        }
+        let is_silent = |request: &Request| match &request.state {
+            RequestState::Claiming { asked_ms, .. } => asked_ms + limit_ms < now.monotonic_ms,
+            _ => false,
+        };
+        for sequence in self.requests.sequences_where(is_silent) {
+            self.end_with(now, sequence, answers::key_home_silent());
+        }
+        self.repeat_bids(now);
+        for sequence in self.requests.expire(now.monotonic_ms) {
+            self.effects.push(Effect::ForgetAnswer { sequence });
+        }
+    }
+
+    pub(crate) fn note<S>(&mut self, now: Now, sequence: u64, text: S)
+    where
+        S: Into<String>,
+    {
+        if let Some(request) = self.requests.get_active_mut(sequence) {
+            request.note(now, text);
+        }
+    }
+
+    pub(crate) fn take_grant(&mut self, now: Now, steward: &Name, grant: Grant) {
+        let sequence = grant.request.sequence;
+        match self.use_of(now, &grant) {
+            GrantUse::Dispatch(dispatch) => {
+                let text = format!("Steward {steward} granted {}.", grant.backend_server);
+                self.note(now, sequence, text);
+                if let Some(request) = self.requests.get_active_mut(sequence) {
+                    request.state = RequestState::Running {
+                        backend_server: grant.backend_server,
+                        output_tokens: 0,
+                        steward: steward.clone(),
+                    };
+                }
+                self.effects.push(Effect::Dispatch(dispatch));
+            }
+            GrantUse::RunsAlready => self.report_running(now, sequence, steward.clone()),
+            GrantUse::Void => self.return_grant(now, steward, grant),
+        }
+    }
+
+    pub(crate) fn take_refusal(&mut self, now: Now, refusal: Refusal) {
+        if refusal.request != self.request_id(refusal.request.sequence) {
+            return;
+        }
+        let sequence = refusal.request.sequence;
+        let waits = self
+            .requests
+            .get(sequence)
+            .is_some_and(|request| matches!(request.state, RequestState::Waiting { .. }));
+        if waits {
+            let answer = answers::refused(refusal.reason, refusal.retry_after_ms);
+            self.end_with(now, sequence, answer);
+        }
+    }
+
+    pub(crate) fn withdraw_waiting(&mut self, now: Now, sequence: u64) {
+        let state = self.requests.get(sequence).map(|request| request.state.clone());
+        if let Some(RequestState::Waiting { steward: Some(steward), .. }) = state {
+            self.withdraw(now, &steward, sequence);
+        }
+    }
+
+    /// A grant was void at the first byte: the request waits again, unless its time is over.
+    fn abandon(&mut self, now: Now, sequence: u64) {
+        self.wait_again(now, sequence, None);
+    }
+
+    /// No connection could be made: the request waits for another backend server.
+    fn choose_again(&mut self, now: Now, sequence: u64) {
+        let Some(request) = self.requests.get(sequence) else { return };
+        let RequestState::Running { backend_server, .. } = &request.state else { return };
+        let backend_server = backend_server.clone();
+        self.note(now, sequence, format!("No connection to {backend_server}."));
+        self.wait_again(now, sequence, Some(backend_server));
+    }
+
+    fn count_tokens(&mut self, sequence: u64, tokens: u32) {
+        let Some(request) = self.requests.get_active_mut(sequence) else { return };
+        if let RequestState::Running { output_tokens, .. } = &mut request.state {
+            *output_tokens = tokens;
+        }
+    }
+
+    fn report_progress(&mut self, now: Now, sequence: u64, progress: Progress) {
+        let Some(request) = self.requests.get(sequence) else { return };
+        let RequestState::Running { steward, .. } = &request.state else { return };
+        let steward = steward.clone();
+        let service = request.arrival.service.clone();
+        let request = request.id.clone();
+        self.tell_progress(now, &steward, &service, request, progress);
+    }
+
+    fn return_grant(&mut self, now: Now, steward: &Name, grant: Grant) {
+        let Some(service) = self
+            .inventory
+            .backend_server(&grant.backend_server)
+            .map(|backend_server| backend_server.service.clone())
+        else {
+            return;
+        };
+        self.tell_progress(now, steward, &service, grant.request, Progress::Abandoned);
+    }
+
+    fn tell_progress(
+        &mut self,
+        now: Now,
+        steward: &Name,
+        service: &Name,
+        request: crate::request_id::RequestId,
+        progress: Progress,
+    ) {
+        if *steward == self.own_name() {
+            self.schedule(now, service, SchedulerEvent::Progress { progress, request });
+            return;
+        }
+        let service = service.clone();
+        self.send(steward, PeerMessage::Progress { progress, request, service });
+    }
+
+    fn use_of(&self, now: Now, grant: &Grant) -> GrantUse {
+        let sequence = grant.request.sequence;
+        let Some(request) = self.requests.get(sequence) else { return GrantUse::Void };
+        if grant.request != request.id {
+            return GrantUse::Void;
+        }
+        match request.state {
+            RequestState::Running { .. } => return GrantUse::RunsAlready,
+            RequestState::Waiting { .. } => {}
+            _ => return GrantUse::Void,
+        }
+        let Some(backend_server) = self.inventory.backend_server(&grant.backend_server) else {
+            return GrantUse::Void;
+        };
+        let is_leaving =
+            backend_server.leaving || self.leaving.binary_search(&backend_server.name).is_ok();
+        if is_leaving {
+            return GrantUse::Void;
+        }
+        let model = self
+            .inventory
+            .service(&backend_server.service)
+            .is_some_and(|service| service.kind != ServiceKind::Plain);
+        GrantUse::Dispatch(Dispatch {
+            address: backend_server.address,
+            backend_server: backend_server.name.clone(),
+            deadline_ms: request.deadline_ms,
+            expires_ms: (now.monotonic_ms + grant.expires_in_ms).min(request.deadline_ms),
+            model,
+            path: request.arrival.path.clone(),
+            request: request.id.to_string(),
+            sequence,
+        })
+    }
+
+    fn wait_again(&mut self, now: Now, sequence: u64, excluded: Option<Name>) {
+        let Some(request) = self.requests.get_active_mut(sequence) else { return };
+        request.excluded.extend(excluded);
+        request.state = RequestState::Waiting { bid_ms: now.monotonic_ms, steward: None };
+        if request.deadline_ms <= now.monotonic_ms {
+            self.end_with(now, sequence, answers::deadline_passed());
+            return;
+        }
+        self.bid(now, sequence);
+    }
+}
--- /dev/null
+++ b/src/join_answer.rs
@@ -0,0 +1,122 @@
+//! Writes the answer of another request: one of this instance, or one of another instance.
+
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::answer_log::{AnswerEnd, AnswerLog, AnswerRead, AnswerTotals};
+use crate::answer_writer::AnswerWriter;
+use crate::answers;
+use crate::backend_call::EventStream;
+use crate::final_answer::FinalAnswer;
+use crate::server_sent_events::{ServerSentEvent, read_event};
+use crate::settings::DispatchSettings;
+
+/// Header by which an instance asks another one for an answer that is there.
+pub const JOIN_HEADER: &str = "Bergamotspan-Join";
+
+/// Time between two signs of life to the caller, in milliseconds.
+const KEEP_ALIVE_INTERVAL_MS: u64 = 1_000;
+
+/// What to do after something was read from the other instance.
+enum Next {
+    End(AnswerEnd),
+    GiveUp,
+    Read,
+    Reconnect,
+}
+
+/// Writes an answer of this instance from an offset, until it ends or the caller is gone.
+pub fn join_local(log: &AnswerLog, offset: usize, writer: &mut dyn AnswerWriter) {
+    let mut offset = offset;
+    let interval = Duration::from_millis(KEEP_ALIVE_INTERVAL_MS);
+    loop {
+        let written = match log.read(offset, interval) {
+            AnswerRead::End(end) => {
+                // A caller that is gone needs no end.
+                let _ = writer.end(&end);
+                return;
+            }
+            AnswerRead::Events(events) => {
+                offset += events.len();
+                writer.events(&events)
+            }
+            AnswerRead::Nothing => writer.keep_alive(),
+        };
+        if written.is_err() {
+            return;
+        }
+    }
+}
+
+/// Writes an answer of the instance at `address` from an offset.
+pub fn join_peer(
+    address: SocketAddr,
+    key: &str,
+    offset: usize,
+    settings: &DispatchSettings,
+    writer: &mut dyn AnswerWriter,
+) {
+    let mut offset = offset;
+    let mut attempts = 0;
+    while attempts < settings.resume_limit {
+        attempts += 1;
+        let Ok(mut stream) = connect(address, key, offset, settings) else { continue };
+        loop {
+            match read(&mut stream, &mut offset, writer) {
+                Next::End(end) => {
+                    let _ = writer.end(&end);
+                    return;
+                }
+                Next::GiveUp => return,
+                Next::Read => attempts = 0,
+                Next::Reconnect => break,
+            }
+        }
+    }
+    let _ = writer.end(&AnswerEnd::Final(answers::holder_unreachable()));
+}
+
+fn connect(
+    address: SocketAddr,
+    key: &str,
+    offset: usize,
+    settings: &DispatchSettings,
+) -> attohttpc::Result<EventStream> {
+    let url = format!("http://{address}/v1/requests/{key}?offset={offset}");
+    let response = attohttpc::get(url)
+        .header(JOIN_HEADER, "1")
+        .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
+        .read_timeout(Duration::from_millis(settings.idle_limit_ms))
+        .send()?;
+    let (_, _, reader) = response.split();
+    Ok(BufReader::new(reader))
+}
+
+fn read(stream: &mut EventStream, offset: &mut usize, writer: &mut dyn AnswerWriter) -> Next {
+    let written = match read_event(stream) {
+        Ok(ServerSentEvent::Comment) => writer.keep_alive(),
+        Ok(ServerSentEvent::Event { data, name }) if name == "token" => {
+            *offset += 1;
+            writer.events(&[Arc::from(data)])
+        }
+        Ok(ServerSentEvent::Event { data, .. }) => return Next::End(read_end(&data)),
+        Ok(ServerSentEvent::EndOfStream) | Err(_) => return Next::Reconnect,
+    };
+    match written {
+        Ok(()) => Next::Read,
+        Err(_) => Next::GiveUp,
+    }
+}
+
+fn read_end(data: &str) -> AnswerEnd {
+    if let Ok(answer) = serde_json::from_str::<FinalAnswer>(data) {
+        return AnswerEnd::Final(answer);
+    }
+    let value: serde_json::Value = serde_json::from_str(data).unwrap_or_default();
+    AnswerEnd::Done(AnswerTotals {
+        digest: value["digest"].as_str().unwrap_or_default().to_string(),
+        events: usize::try_from(value["events"].as_u64().unwrap_or_default()).unwrap_or_default(),
+    })
+}
--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -36,6 +36,22 @@
     KeyClaim(KeyClaim),
     /// Hands the keys of a stopping home to its successors.
     KeyHandover(Vec<KeyRecord>),
+    /// Answers a query.
+    KeyHolder {
+        /// The request that holds the key, if the home knows one.
+        holder: Option<RequestId>,
+        /// The key.
+        key: Name,
+        /// Number of the query at the asking instance.
+        sequence: u64,
+    },
+    /// Asks the home of a key which request holds it.
+    KeyQuery {
+        /// The key.
+        key: Name,
+        /// Number of the query at the asking instance.
+        sequence: u64,
+    },
     /// Gives a key back: its holder did not run the request and never will.
     KeyRelease {
         /// The key.
@@ -58,13 +74,22 @@
         progress: Progress,
         /// The request.
         request: RequestId,
+        /// Its service.
+        service: Name,
     },
     /// Tells a receiver that a request gets no backend server.
     Refusal(Refusal),
     /// Tells a new steward what already runs.
     Running(RunningRequest),
+    /// Tells at once which requests were running at a backend server that died.
+    Suspects(Vec<Suspect>),
     /// Takes back a bid.
-    Withdraw(RequestId),
+    Withdraw {
+        /// The request.
+        request: RequestId,
+        /// Its service.
+        service: Name,
+    },
 }
 
 /// Tells that the sender lives and what it knows.
--- /dev/null
+++ b/src/request.rs
@@ -0,0 +1,115 @@
+//! One request at the instance that received it.
+
+use crate::event::Arrival;
+use crate::name::Name;
+use crate::now::Now;
+use crate::request_id::RequestId;
+use crate::scheduling::Bid;
+
+/// Most steps that are kept of one request.
+const STEP_LIMIT: usize = 24;
+
+/// One request at the instance that received it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The request as its caller sent it.
+    pub arrival: Arrival,
+    /// Monotonic time of its arrival, in milliseconds.
+    pub arrived_ms: u64,
+    /// Monotonic time of its deadline, in milliseconds.
+    pub deadline_ms: u64,
+    /// Backend servers that refused a connection for it.
+    pub excluded: Vec<Name>,
+    /// Identity.
+    pub id: RequestId,
+    /// Where it stands.
+    pub state: RequestState,
+    /// What happened to it, for operators.
+    pub steps: Vec<Step>,
+    /// Name of its tier.
+    pub tier: Name,
+    /// Rank of its tier; 0 is the highest.
+    pub tier_rank: u8,
+}
+
+/// Where a request stands.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RequestState {
+    /// It waits for the home of its key.
+    Claiming {
+        /// Monotonic time of the claim, in milliseconds.
+        asked_ms: u64,
+        /// The home.
+        home: Name,
+    },
+    /// It waits at the steward of its service.
+    Waiting {
+        /// Monotonic time of the last bid, in milliseconds.
+        bid_ms: u64,
+        /// The steward.
+        steward: Option<Name>,
+    },
+    /// It was given to a backend server.
+    Running {
+        /// The backend server.
+        backend_server: Name,
+        /// Tokens so far.
+        output_tokens: u32,
+        /// The steward that follows it.
+        steward: Name,
+    },
+    /// It ended.
+    Ended {
+        /// Whether it was ever given to a backend server.
+        ran: bool,
+        /// Monotonic time of its end, in milliseconds.
+        ended_ms: u64,
+    },
+}
+
+/// One thing that happened to a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Step {
+    /// Monotonic time, in milliseconds.
+    pub at_ms: u64,
+    /// A short sentence.
+    pub text: String,
+}
+
+impl Request {
+    /// Builds the bid for this request.
+    pub fn bid(&self, now: Now) -> Bid {
+        Bid {
+            customer: self.arrival.customer.clone(),
+            excluded: self.excluded.clone(),
+            fingerprint: self.arrival.fingerprint,
+            max_output_tokens: self.arrival.max_output_tokens,
+            prefix_hashes: self.arrival.prefix_hashes.clone(),
+            prompt_tokens: self.arrival.prompt_tokens,
+            request: self.id.clone(),
+            service: self.arrival.service.clone(),
+            tier_rank: self.tier_rank,
+            time_left_ms: self.deadline_ms.saturating_sub(now.monotonic_ms),
+        }
+    }
+
+    /// Returns whether the request ended.
+    pub fn is_ended(&self) -> bool {
+        matches!(self.state, RequestState::Ended { .. })
+    }
+
+    /// Returns whether the request was given to a backend server and has not ended.
+    pub fn is_running(&self) -> bool {
+        matches!(self.state, RequestState::Running { .. })
+    }
+
+    /// Notes a step.
+    pub fn note<S>(&mut self, now: Now, text: S)
+    where
+        S: Into<String>,
+    {
+        if self.steps.len() < STEP_LIMIT {
+            self.steps.push(Step { at_ms: now.monotonic_ms, text: text.into() });
+        }
+    }
+}
--- /dev/null
+++ b/src/route.rs
@@ -0,0 +1,133 @@
+//! Routes the messages of other instances to the part that they are for.
+
+use crate::core::Core;
+use crate::membership::{MembershipEffect, MembershipEvent};
+use crate::name::Name;
+use crate::now::Now;
+use crate::peer_message::{Heartbeat, KeyRecord, PeerMessage};
+use crate::scheduler::SchedulerEvent;
+
+impl Core {
+    /// Takes in a message of another instance.
+    pub(crate) fn route(&mut self, now: Now, peer: Name, message: PeerMessage) {
+        match message {
+            PeerMessage::Bid(bid) => {
+                let service = bid.service.clone();
+                self.schedule(now, &service, SchedulerEvent::Bid(bid));
+            }
+            PeerMessage::ConfigDocument { text, version } => {
+                self.read_peer_document(now, peer, text, version);
+            }
+            PeerMessage::ConfigFetch { have_version } => self.serve_document(&peer, have_version),
+            PeerMessage::Confirmation(confirmation) => {
+                self.member(now, MembershipEvent::Confirmation { from: peer, confirmation });
+            }
+            PeerMessage::Grant(grant) => self.take_grant(now, &peer, grant),
+            PeerMessage::Heartbeat(heartbeat) => self.take_heartbeat(now, peer, heartbeat),
+            PeerMessage::KeyClaim(claim) => {
+                let verdict = self.answer_claim(now, &claim);
+                let (key, request) = (claim.key, claim.request);
+                self.send(&peer, PeerMessage::KeyVerdict { key, request, verdict });
+            }
+            PeerMessage::KeyHandover(records) => self.key_home.accept_handover(now, records),
+            PeerMessage::KeyHolder { holder, key, sequence } => {
+                self.take_holder(now, sequence, key, holder);
+            }
+            PeerMessage::KeyQuery { key, sequence } => {
+                let holder = self.key_home.holder(&key);
+                self.send(&peer, PeerMessage::KeyHolder { holder, key, sequence });
+            }
+            PeerMessage::KeyRelease { key, request } => self.key_home.release(&key, &request),
+            PeerMessage::KeyVerdict { key, request, verdict } => {
+                if request == self.request_id(request.sequence) {
+                    self.take_verdict(now, &peer, &key, request.sequence, verdict);
+                }
+            }
+            PeerMessage::Progress { progress, request, service } => {
+                self.schedule(now, &service, SchedulerEvent::Progress { progress, request });
+            }
+            PeerMessage::Refusal(refusal) => self.take_refusal(now, refusal),
+            PeerMessage::Running(running) => {
+                let service = running.bid.service.clone();
+                self.schedule(now, &service, SchedulerEvent::Running(running));
+            }
+            PeerMessage::Suspects(suspects) => {
+                self.quarantine.merge(now, &peer, &suspects);
+                self.refresh_quarantine(now);
+            }
+            PeerMessage::Withdraw { request, service } => {
+                self.schedule(now, &service, SchedulerEvent::Withdraw { request });
+            }
+        }
+    }
+
+    /// Applies what the membership decided.
+    pub(crate) fn apply_membership(&mut self, now: Now, effect: MembershipEffect) {
+        match effect {
+            MembershipEffect::ConfigAhead { peer, version } => {
+                self.hear_of_document(now, peer, version);
+            }
+            MembershipEffect::ListAhead { peer, .. } => {
+                self.log("peer", format!("Instance {peer} has a newer list of instances."));
+            }
+            MembershipEffect::PeerAlive { peer, .. } => {
+                self.log("peer", format!("Instance {peer} is alive."));
+                self.assign_stewards(now);
+                self.move_bids(now, Some(&peer));
+            }
+            MembershipEffect::PeerLost { peer } => self.lose_peer(now, &peer),
+            MembershipEffect::Send { to, message } => self.send(&to, message),
+        }
+    }
+
+    pub(crate) fn hand_over_keys(&mut self) {
+        let records = self.key_home.hand_over();
+        let own_name = self.own_name();
+        let mut handovers: Vec<(Name, Vec<KeyRecord>)> = Vec::new();
+        for record in records {
+            let Some(successor) = self.view.successor(&record.key, &own_name) else { continue };
+            match handovers.binary_search_by(|(name, _)| name.cmp(&successor)) {
+                Ok(index) => handovers[index].1.push(record),
+                Err(index) => handovers.insert(index, (successor, vec![record])),
+            }
+        }
+        for (successor, records) in handovers {
+            self.send(&successor, PeerMessage::KeyHandover(records));
+        }
+    }
+
+    pub(crate) fn lose_link(&mut self, now: Now, peer: Name) {
+        self.member(now, MembershipEvent::LinkLost { peer });
+    }
+
+    /// A link came up: what was sent before it may be lost, so it is sent again.
+    pub(crate) fn meet(&mut self, now: Now, peer: &Name) {
+        self.move_bids(now, Some(peer));
+    }
+
+    fn lose_peer(&mut self, now: Now, peer: &Name) {
+        self.log("peer", format!("Instance {peer} is lost."));
+        self.stopping_peers.retain(|name| name != peer);
+        let event = SchedulerEvent::InstanceLost { instance: peer.clone() };
+        self.schedule_all(now, &event);
+        self.assign_stewards(now);
+        self.move_bids(now, None);
+    }
+
+    fn take_heartbeat(&mut self, now: Now, peer: Name, heartbeat: Heartbeat) {
+        let stopping = heartbeat.stopping;
+        if !heartbeat.suspects.is_empty() {
+            self.quarantine.merge(now, &peer, &heartbeat.suspects);
+        }
+        self.member(now, MembershipEvent::Heartbeat { from: peer.clone(), heartbeat });
+        match (self.stopping_peers.binary_search(&peer), stopping) {
+            (Err(index), true) => self.stopping_peers.insert(index, peer),
+            (Ok(index), false) => {
+                self.stopping_peers.remove(index);
+            }
+            _ => return,
+        }
+        self.assign_stewards(now);
+        self.move_bids(now, None);
+    }
+}
--- /dev/null
+++ b/src/run_model.rs
@@ -0,0 +1,197 @@
+//! Runs a request at a model engine: one send, then as many resumes as it takes.
+
+use std::time::{Duration, Instant};
+
+use serde::Deserialize;
+
+use crate::answer_log::{AnswerEnd, AnswerTotals};
+use crate::answers;
+use crate::backend_call::{
+    BackendRequest, CallFailure, EventStream, cancel_stream, resume_stream, start_stream,
+};
+use crate::effect::Dispatch;
+use crate::runners::RunnerCommand;
+use crate::scheduling::Progress;
+use crate::serve_request::{RequestRunner, RunEnd};
+use crate::server_sent_events::{ServerSentEvent, read_event};
+
+/// Wait before the first resume, in milliseconds; doubled for each further one.
+const RESUME_BACKOFF_MS: u64 = 100;
+
+/// Time between two reports of tokens to the steward, in milliseconds.
+const TOKEN_REPORT_INTERVAL_MS: u64 = 500;
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct EndData {
+    cached_tokens: u32,
+    output_tokens: u32,
+}
+
+/// What to do after something was read from the stream.
+enum Next {
+    End(RunEnd),
+    Read,
+    Resume,
+}
+
+struct ModelRun<'a> {
+    dispatch: &'a Dispatch,
+    failed_resumes: u32,
+    reported: Instant,
+    reported_tokens: usize,
+    runner: &'a mut RequestRunner,
+    started: Instant,
+    tokens: usize,
+}
+
+/// Runs the request of `runner` at a model engine.
+pub fn run_model(runner: &mut RequestRunner, dispatch: &Dispatch) -> RunEnd {
+    let started = Instant::now();
+    let settings = runner.traffic.settings.clone();
+    let request = BackendRequest {
+        body: &runner.request.body,
+        key: runner.request.arrival.key.as_deref(),
+        traceparent: runner.request.traceparent.as_deref(),
+    };
+    let first = start_stream(runner.traffic.clock, dispatch, &request, &settings.dispatch);
+    let stream = match first {
+        Ok(stream) => Some(stream),
+        Err(CallFailure::Expired) => return RunEnd::WaitAgain(Progress::Abandoned),
+        Err(CallFailure::NotSent) => return RunEnd::WaitAgain(Progress::ConnectFailed),
+        Err(CallFailure::Status(status)) => return failed(&format!("status {status}")),
+        Err(CallFailure::Lost | CallFailure::Unknown) => None,
+    };
+    let mut run = ModelRun {
+        dispatch,
+        failed_resumes: 0,
+        reported: started,
+        reported_tokens: 0,
+        runner,
+        started,
+        tokens: 0,
+    };
+    run.follow(stream)
+}
+
+fn failed(detail: &str) -> RunEnd {
+    let answer = answers::run_failed(detail);
+    RunEnd::Ended(AnswerEnd::Final(answer), Progress::Cancelled)
+}
+
+fn lost(progress: Progress) -> RunEnd {
+    RunEnd::Ended(AnswerEnd::Final(answers::stream_lost()), progress)
+}
+
+impl ModelRun<'_> {
+    fn follow(&mut self, mut stream: Option<EventStream>) -> RunEnd {
+        loop {
+            let next = match &mut stream {
+                Some(open) => self.read(open),
+                None => Next::Resume,
+            };
+            match next {
+                Next::End(run_end) => return run_end,
+                Next::Read => {}
+                Next::Resume => match self.resume() {
+                    Ok(resumed) => stream = resumed,
+                    Err(run_end) => return run_end,
+                },
+            }
+            if let Some(run_end) = self.cancelled() {
+                return run_end;
+            }
+        }
+    }
+
+    fn cancelled(&self) -> Option<RunEnd> {
+        match self.runner.commands.try_recv() {
+            Ok(RunnerCommand::Cancel) => {
+                cancel_stream(self.dispatch);
+                let end = AnswerEnd::Final(answers::cancelled());
+                Some(RunEnd::Ended(end, Progress::Cancelled))
+            }
+            _ => None,
+        }
+    }
+
+    fn finish(&self, data: &str) -> RunEnd {
+        let end: EndData = serde_json::from_str(data).unwrap_or_default();
+        let progress = Progress::Finished {
+            cached_tokens: end.cached_tokens,
+            output_tokens: end.output_tokens,
+        };
+        let totals = AnswerTotals { digest: String::new(), events: self.tokens };
+        RunEnd::Ended(AnswerEnd::Done(totals), progress)
+    }
+
+    fn read(&mut self, stream: &mut EventStream) -> Next {
+        match read_event(stream) {
+            Ok(ServerSentEvent::Comment) => {
+                self.runner.keep_alive();
+                Next::Read
+            }
+            Ok(ServerSentEvent::Event { data, name }) => self.take(&name, data),
+            Ok(ServerSentEvent::EndOfStream) | Err(_) => Next::Resume,
+        }
+    }
+
+    fn report_tokens(&mut self) {
+        let elapsed = self.reported.elapsed();
+        if elapsed < Duration::from_millis(TOKEN_REPORT_INTERVAL_MS) {
+            return;
+        }
+        let new_tokens = u64::try_from(self.tokens - self.reported_tokens).unwrap_or(1).max(1);
+        let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        self.runner.report(Progress::Tokens {
+            between_tokens_ms: elapsed_ms / new_tokens,
+            output_tokens: u32::try_from(self.tokens).unwrap_or(u32::MAX),
+        });
+        self.reported = Instant::now();
+        self.reported_tokens = self.tokens;
+    }
+
+    fn resume(&mut self) -> Result<Option<EventStream>, RunEnd> {
+        let settings = self.runner.traffic.settings.clone();
+        if self.failed_resumes >= settings.dispatch.resume_limit {
+            return Err(lost(Progress::Lost));
+        }
+        let backoff_ms = RESUME_BACKOFF_MS << self.failed_resumes.min(6);
+        self.failed_resumes += 1;
+        match resume_stream(self.dispatch, self.tokens, &settings.dispatch) {
+            Ok(stream) => Ok(Some(stream)),
+            Err(CallFailure::Unknown) if self.failed_resumes >= 2 => Err(lost(Progress::Died)),
+            Err(CallFailure::Status(status)) => Err(failed(&format!("status {status}"))),
+            Err(_) => {
+                std::thread::sleep(Duration::from_millis(backoff_ms));
+                Ok(None)
+            }
+        }
+    }
+
+    fn take(&mut self, name: &str, data: String) -> Next {
+        match name {
+            "end" => Next::End(self.finish(&data)),
+            "error" => Next::End(failed(&data)),
+            "token" => {
+                self.take_token(data);
+                Next::Read
+            }
+            _ => Next::Read,
+        }
+    }
+
+    fn take_token(&mut self, data: String) {
+        self.failed_resumes = 0;
+        self.tokens += 1;
+        if self.tokens == 1 {
+            let elapsed = self.started.elapsed().as_millis();
+            let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX);
+            self.runner.report(Progress::FirstToken { elapsed_ms });
+            self.reported = Instant::now();
+            self.reported_tokens = 1;
+        }
+        self.runner.emit(data.into());
+        self.report_tokens();
+    }
+}
--- /dev/null
+++ b/src/run_plain.rs
@@ -0,0 +1,39 @@
+//! Runs a request at a plain service: one send, no repeat.
+
+use crate::answer_log::{AnswerEnd, AnswerTotals};
+use crate::answers;
+use crate::backend_call::{BackendRequest, CallFailure, call_plain, is_listening};
+use crate::effect::Dispatch;
+use crate::scheduling::Progress;
+use crate::serve_request::{RequestRunner, RunEnd};
+
+/// Runs the request of `runner` at a plain service.
+pub fn run_plain(runner: &mut RequestRunner, dispatch: &Dispatch) -> RunEnd {
+    let settings = runner.traffic.settings.clone();
+    let request = BackendRequest {
+        body: &runner.request.body,
+        key: runner.request.arrival.key.as_deref(),
+        traceparent: runner.request.traceparent.as_deref(),
+    };
+    match call_plain(runner.traffic.clock, dispatch, &request, &settings.dispatch) {
+        Ok(answer) => {
+            runner.emit(answer.into());
+            let totals = AnswerTotals { digest: String::new(), events: 1 };
+            let progress = Progress::Finished { cached_tokens: 0, output_tokens: 0 };
+            RunEnd::Ended(AnswerEnd::Done(totals), progress)
+        }
+        Err(CallFailure::Expired) => RunEnd::WaitAgain(Progress::Abandoned),
+        Err(CallFailure::NotSent) => RunEnd::WaitAgain(Progress::ConnectFailed),
+        Err(CallFailure::Status(status)) => {
+            let answer = answers::run_failed(&format!("status {status}"));
+            RunEnd::Ended(AnswerEnd::Final(answer), Progress::Cancelled)
+        }
+        Err(CallFailure::Lost | CallFailure::Unknown) => {
+            let progress = match is_listening(dispatch.address, &settings.dispatch) {
+                true => Progress::Lost,
+                false => Progress::Died,
+            };
+            RunEnd::Ended(AnswerEnd::Final(answers::stream_lost()), progress)
+        }
+    }
+}
--- /dev/null
+++ b/src/schedule.rs
@@ -0,0 +1,146 @@
+//! Runs the schedulers that this instance holds.
+
+use crate::core::Core;
+use crate::effect::{Effect, PollTarget};
+use crate::inventory::ServiceKind;
+use crate::least_outstanding::LeastOutstanding;
+use crate::name::Name;
+use crate::now::Now;
+use crate::peer_message::PeerMessage;
+use crate::round_robin::RoundRobin;
+use crate::scheduler::{Scheduler, SchedulerEffect, SchedulerEvent};
+use crate::scheduling::{Grant, Refusal};
+use crate::settings::Policy;
+use crate::steward::Steward;
+
+impl Core {
+    /// Creates the schedulers that this instance should hold, and ends idle ones that it should
+    /// not.
+    pub(crate) fn assign_stewards(&mut self, now: Now) {
+        let services: Vec<Name> =
+            self.inventory.services.iter().map(|service| service.name.clone()).collect();
+        for service in services {
+            if self.steward_of(&service) == self.own_name() {
+                self.ensure_scheduler(now, &service);
+            }
+        }
+        self.end_idle_schedulers(now);
+        let targets = self.poll_targets();
+        self.effects.push(Effect::PollLoad(targets));
+    }
+
+    /// Hands an event to the scheduler of a service, which is created if this instance has none:
+    /// another instance may see fewer of the fleet and take this one for the steward.
+    pub(crate) fn schedule(&mut self, now: Now, service: &Name, event: SchedulerEvent) {
+        if self.inventory.service(service).is_none() {
+            return;
+        }
+        let index = self.ensure_scheduler(now, service);
+        let effects = self.schedulers[index].1.decide(now, event);
+        self.apply_scheduler(now, effects);
+    }
+
+    /// Hands an event to all schedulers of this instance.
+    pub(crate) fn schedule_all(&mut self, now: Now, event: &SchedulerEvent) {
+        let mut effects = Vec::new();
+        for (_, scheduler) in &mut self.schedulers {
+            effects.extend(scheduler.decide(now, event.clone()));
+        }
+        self.apply_scheduler(now, effects);
+    }
+
+    pub(crate) fn tick_schedulers(&mut self, now: Now) {
+        self.schedule_all(now, &SchedulerEvent::Tick);
+    }
+
+    pub(crate) fn fleet_event(&self) -> SchedulerEvent {
+        SchedulerEvent::Fleet { inventory: self.inventory.clone(), leaving: self.leaving.clone() }
+    }
+
+    fn apply_scheduler(&mut self, now: Now, effects: Vec<SchedulerEffect>) {
+        for effect in effects {
+            match effect {
+                SchedulerEffect::Grant(grant) => self.pass_grant(now, grant),
+                SchedulerEffect::Refuse(refusal) => self.pass_refusal(now, refusal),
+            }
+        }
+    }
+
+    fn end_idle_schedulers(&mut self, now: Now) {
+        let own_name = self.own_name();
+        let (kept, ended): (Vec<_>, Vec<_>) = std::mem::take(&mut self.schedulers)
+            .into_iter()
+            .partition(|(service, scheduler)| {
+                self.steward_of(service) == own_name || !is_idle(scheduler.as_ref(), now)
+            });
+        self.schedulers = kept;
+        for (service, _) in ended {
+            self.log("steward", format!("Service {service} has another steward."));
+        }
+    }
+
+    fn ensure_scheduler(&mut self, now: Now, service: &Name) -> usize {
+        let index = match self.schedulers.binary_search_by(|(name, _)| name.cmp(service)) {
+            Ok(index) => return index,
+            Err(index) => index,
+        };
+        let mut scheduler: Box<dyn Scheduler> = match self.settings.dispatch.policy {
+            Policy::LeastOutstanding => Box::new(LeastOutstanding::new(service.clone())),
+            Policy::RoundRobin => Box::new(RoundRobin::new(service.clone())),
+            Policy::Steward => Box::new(Steward::new(service.clone())),
+        };
+        let mut effects = scheduler.decide(now, self.fleet_event());
+        effects.extend(scheduler.decide(now, self.quarantine_event()));
+        self.schedulers.insert(index, (service.clone(), scheduler));
+        self.log("steward", format!("This instance is steward of service {service}."));
+        self.apply_scheduler(now, effects);
+        let targets = self.poll_targets();
+        self.effects.push(Effect::PollLoad(targets));
+        index
+    }
+
+    fn pass_grant(&mut self, now: Now, grant: Grant) {
+        if grant.request.instance == self.own_name() {
+            let own_name = self.own_name();
+            self.take_grant(now, &own_name, grant);
+            return;
+        }
+        let to = grant.request.instance.clone();
+        self.send(&to, PeerMessage::Grant(grant));
+    }
+
+    fn pass_refusal(&mut self, now: Now, refusal: Refusal) {
+        if refusal.request.instance == self.own_name() {
+            self.take_refusal(now, refusal);
+            return;
+        }
+        let to = refusal.request.instance.clone();
+        self.send(&to, PeerMessage::Refusal(refusal));
+    }
+
+    fn poll_targets(&self) -> Vec<PollTarget> {
+        let is_polled = |service: &Name| {
+            let is_model = self
+                .inventory
+                .service(service)
+                .is_some_and(|service| service.kind != ServiceKind::Plain);
+            is_model && self.schedulers.binary_search_by(|(name, _)| name.cmp(service)).is_ok()
+        };
+        self.inventory
+            .backend_servers
+            .iter()
+            .filter(|backend_server| is_polled(&backend_server.service))
+            .map(|backend_server| PollTarget {
+                address: backend_server.address,
+                backend_server: backend_server.name.clone(),
+                service: backend_server.service.clone(),
+            })
+            .collect()
+    }
+}
+
+fn is_idle(scheduler: &dyn Scheduler, now: Now) -> bool {
+    let report = scheduler.report(now);
+    let running = report.backend_servers.iter().any(|server| server.running_requests > 0);
+    scheduler.lowest_waiting_rank().is_none() && !running
+}
--- /dev/null
+++ b/src/stop.rs
@@ -0,0 +1,45 @@
+//! A planned stop: no new requests, the running ones finish, the keys are handed over.
+
+use crate::answers;
+use crate::core::{Core, StopState};
+use crate::effect::Effect;
+use crate::now::Now;
+use crate::request::Request;
+
+impl Core {
+    pub(crate) fn begin_stop(&mut self, now: Now) {
+        if self.stop.is_some() {
+            return;
+        }
+        let limit_ms = now.monotonic_ms + self.settings.shutdown.drain_limit_ms;
+        self.stop = Some(StopState { limit_ms, told: false });
+        self.log("stop", "Stopping: no new requests are taken.");
+        self.hand_over_keys();
+        self.move_bids(now, None);
+    }
+
+    pub(crate) fn continue_stop(&mut self, now: Now) {
+        let Some(stop) = self.stop else { return };
+        if stop.told {
+            return;
+        }
+        if now.monotonic_ms >= stop.limit_ms {
+            self.give_up_waiting(now);
+        }
+        let is_empty = self.requests.active().next().is_none();
+        if !is_empty && now.monotonic_ms < stop.limit_ms {
+            return;
+        }
+        self.stop = Some(StopState { told: true, ..stop });
+        self.log("stop", "All requests ended.");
+        self.effects.push(Effect::Stopped);
+    }
+
+    fn give_up_waiting(&mut self, now: Now) {
+        let waits = |request: &Request| !request.is_running();
+        for sequence in self.requests.sequences_where(waits) {
+            self.withdraw_waiting(now, sequence);
+            self.end_with(now, sequence, answers::stopping());
+        }
+    }
+}
--- /dev/null
+++ b/src/suspect.rs
@@ -0,0 +1,56 @@
+//! Notes requests that were running at a backend server that died, and tells the other instances.
+
+use crate::core::Core;
+use crate::name::Name;
+use crate::now::Now;
+use crate::peer_message::PeerMessage;
+use crate::request::RequestState;
+use crate::scheduler::SchedulerEvent;
+
+impl Core {
+    /// Notes that a request was running at a backend server that died.
+    pub(crate) fn suspect(&mut self, now: Now, sequence: u64) {
+        let Some(request) = self.requests.get(sequence) else { return };
+        let RequestState::Running { backend_server, .. } = &request.state else { return };
+        let backend_server = backend_server.clone();
+        let fingerprint = request.arrival.fingerprint;
+        self.quarantine.death(now, &backend_server, &[fingerprint]);
+        let suspects = self.quarantine.suspects();
+        let peers: Vec<Name> = self.membership.alive();
+        let own_name = self.own_name();
+        for peer in peers.iter().filter(|peer| **peer != own_name) {
+            self.send(peer, PeerMessage::Suspects(suspects.clone()));
+        }
+        self.refresh_quarantine(now);
+    }
+
+    pub(crate) fn clear_suspicion(&mut self, sequence: u64) {
+        let Some(request) = self.requests.get(sequence) else { return };
+        self.quarantine.finished(request.arrival.fingerprint);
+    }
+
+    pub(crate) fn quarantine_event(&self) -> SchedulerEvent {
+        SchedulerEvent::Quarantine {
+            quarantined: self.quarantined.clone(),
+            suspects: self.suspected.clone(),
+        }
+    }
+
+    /// Tells the schedulers if the quarantined or suspected fingerprints changed.
+    pub(crate) fn refresh_quarantine(&mut self, now: Now) {
+        let quarantined = self.quarantine.quarantined(now);
+        let mut suspected: Vec<u64> =
+            self.quarantine.suspects().iter().map(|suspect| suspect.fingerprint).collect();
+        suspected.sort_unstable();
+        if quarantined == self.quarantined && suspected == self.suspected {
+            return;
+        }
+        if quarantined.len() > self.quarantined.len() {
+            self.log("quarantine", format!("{} requests are held back.", quarantined.len()));
+        }
+        self.quarantined = quarantined;
+        self.suspected = suspected;
+        let event = self.quarantine_event();
+        self.schedule_all(now, &event);
+    }
+}
--- /dev/null
+++ b/src/traffic.rs
@@ -0,0 +1,51 @@
+//! What the threads that serve requests share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use crate::answer_logs::AnswerLogs;
+use crate::clock::Clock;
+use crate::control::ControlInput;
+use crate::event::Event;
+use crate::runners::Runners;
+use crate::settings::Settings;
+
+/// What the threads that serve requests share.
+pub struct Traffic {
+    /// Answers that others may read.
+    pub answer_logs: AnswerLogs,
+    /// The clock.
+    pub clock: Clock,
+    /// The way to the decision core.
+    pub control: flume::Sender<ControlInput>,
+    /// Commands to the threads.
+    pub runners: Runners,
+    /// The settings.
+    pub settings: Arc<Settings>,
+    sequence: AtomicU64,
+}
+
+impl Traffic {
+    /// Builds the shared part.
+    pub fn new(clock: Clock, control: flume::Sender<ControlInput>, settings: Arc<Settings>) -> Self {
+        Self {
+            answer_logs: AnswerLogs::default(),
+            clock,
+            control,
+            runners: Runners::default(),
+            settings,
+            sequence: AtomicU64::new(1),
+        }
+    }
+
+    /// Returns the number of the next request.
+    pub fn next_sequence(&self) -> u64 {
+        self.sequence.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Tells the decision core.
+    pub fn tell(&self, event: Event) {
+        // The core only goes away when the process ends.
+        let _ = self.control.send(ControlInput::Event(event));
+    }
+}
