--- /dev/null
+++ b/standins/src/command.rs
@@ -0,0 +1,42 @@
+//! The command line of the stand-ins.
+
+use std::io;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use crate::engine::EngineCommand;
+use crate::plain_service::PlainServiceCommand;
+use crate::platform::PlatformCommand;
+
+/// Stand-ins for the systems around bergamotspan.
+#[derive(Debug, FromArgs)]
+pub struct Command {
+    #[argh(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Verb {
+    Engine(EngineCommand),
+    PlainService(PlainServiceCommand),
+    Platform(PlatformCommand),
+}
+
+/// Runs the command given on the command line.
+pub fn run() -> ExitCode {
+    let command: Command = argh::from_env();
+    match dispatch(command.verb) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => crate::failure(&error),
+    }
+}
+
+fn dispatch(verb: Verb) -> io::Result<()> {
+    match verb {
+        Verb::Engine(command) => command.run(),
+        Verb::PlainService(command) => command.run(),
+        Verb::Platform(command) => command.run(),
+    }
+}
--- /dev/null
+++ b/standins/src/engine/cache.rs
@@ -0,0 +1,141 @@
+//! Bounded prefix cache with least-recently-used eviction, and its events.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+
+/// Most events kept for readers.
+const EVENTS_LIMIT: usize = 65_536;
+
+/// A change of the cache.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub(super) struct CacheEvent {
+    pub sequence: u64,
+    pub prefix_hash: u64,
+    pub stored: bool,
+}
+
+/// A cached block, named by the hash of the prefix that it ends.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub(super) struct Block {
+    pub prefix_hash: u64,
+    pub parent_hash: u64,
+    #[serde(skip)]
+    used: u64,
+}
+
+pub(super) struct Cache {
+    blocks: Vec<Block>,
+    blocks_limit: usize,
+    event_lag: Duration,
+    event_loss: f64,
+    events: VecDeque<(Instant, CacheEvent)>,
+    rng: ChaCha8Rng,
+    sequence: u64,
+    uses: u64,
+}
+
+impl Cache {
+    pub(super) fn new(
+        blocks_limit: usize,
+        event_lag: Duration,
+        event_loss: f64,
+        seed: u64,
+    ) -> Self {
+        Self {
+            blocks: Vec::new(),
+            blocks_limit,
+            event_lag,
+            event_loss,
+            events: VecDeque::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            sequence: 0,
+            uses: 0,
+        }
+    }
+
+    /// Returns how many leading blocks are cached, and marks them as used.
+    pub(super) fn touch(&mut self, hashes: &[u64]) -> usize {
+        self.uses += 1;
+        for (count, hash) in hashes.iter().enumerate() {
+            match self.position(*hash) {
+                Ok(at) => self.blocks[at].used = self.uses,
+                Err(_) => return count,
+            }
+        }
+        hashes.len()
+    }
+
+    /// Stores the blocks of a prefix.
+    pub(super) fn store(&mut self, hashes: &[u64], now: Instant) {
+        let mut parent_hash = 0;
+        for &prefix_hash in hashes {
+            self.insert(prefix_hash, parent_hash, now);
+            parent_hash = prefix_hash;
+        }
+    }
+
+    /// Returns the blocks of a prefix, shortest first, or `None` if one is missing.
+    pub(super) fn export(&self, prefix_hash: u64) -> Option<Vec<Block>> {
+        let mut chain = Vec::new();
+        let mut hash = prefix_hash;
+        while hash != 0 {
+            let block = self.blocks[self.position(hash).ok()?];
+            chain.push(block);
+            hash = block.parent_hash;
+        }
+        chain.reverse();
+        Some(chain)
+    }
+
+    /// Returns the visible events after a sequence number.
+    pub(super) fn events_after(&self, after: u64, now: Instant) -> Vec<CacheEvent> {
+        let visible = self.events.iter().filter(|(at, _)| *at + self.event_lag <= now);
+        visible.map(|(_, event)| *event).filter(|event| event.sequence > after).collect()
+    }
+
+    fn position(&self, prefix_hash: u64) -> Result<usize, usize> {
+        self.blocks.binary_search_by_key(&prefix_hash, |block| block.prefix_hash)
+    }
+
+    fn insert(&mut self, prefix_hash: u64, parent_hash: u64, now: Instant) {
+        self.uses += 1;
+        let used = self.uses;
+        if let Ok(at) = self.position(prefix_hash) {
+            self.blocks[at].used = used;
+            return;
+        }
+        if self.blocks_limit == 0 {
+            return;
+        }
+        if self.blocks.len() == self.blocks_limit {
+            self.evict(now);
+        }
+        let at = self.position(prefix_hash).unwrap_or_else(|at| at);
+        self.blocks.insert(at, Block { prefix_hash, parent_hash, used });
+        self.record(prefix_hash, true, now);
+    }
+
+    fn evict(&mut self, now: Instant) {
+        let oldest = self.blocks.iter().enumerate().min_by_key(|(_, block)| block.used);
+        if let Some((at, _)) = oldest {
+            let block = self.blocks.remove(at);
+            self.record(block.prefix_hash, false, now);
+        }
+    }
+
+    fn record(&mut self, prefix_hash: u64, stored: bool, now: Instant) {
+        self.sequence += 1;
+        if self.rng.random::<f64>() < self.event_loss {
+            return;
+        }
+        if self.events.len() == EVENTS_LIMIT {
+            self.events.pop_front();
+        }
+        let event = CacheEvent { sequence: self.sequence, prefix_hash, stored };
+        self.events.push_back((now, event));
+    }
+}
--- /dev/null
+++ b/standins/src/engine/pages.rs
@@ -0,0 +1,213 @@
+//! The pages of the engine.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use tiny_http::{Method, Request};
+
+use super::cache::Block;
+use super::state::{Engine, Load};
+use super::stream::{End, Generate, Phase};
+use super::tokens;
+use crate::Name;
+use crate::http::{self, EventWriter, Reply};
+
+/// Longest silence of a stream.
+const ALIVE_INTERVAL_MS: u64 = 400;
+
+#[derive(Deserialize)]
+struct Order {
+    fencing: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct Speed {
+    speed: f64,
+}
+
+#[derive(Deserialize, Serialize)]
+struct Exported {
+    blocks: Vec<Block>,
+}
+
+#[derive(Serialize)]
+struct Token {
+    index: u64,
+    text: String,
+}
+
+/// What a reader of a stream sends next.
+enum Next {
+    Alive,
+    Broken,
+    End(End),
+    Error,
+    Tokens { prompt_hash: u64, to: u64 },
+}
+
+/// Answers one request.
+pub(super) fn answer(engine: &Engine, mut request: Request) {
+    let url = request.url().to_owned();
+    let (path, query) = http::split_url(&url);
+    let parts: Vec<&str> = path.split('/').skip(1).collect();
+    let reply = match (request.method(), parts.as_slice()) {
+        (Method::Post, ["v1", "generate"]) => return generate(engine, request),
+        (Method::Get, ["v1", "streams", name]) => {
+            return resume(engine, name, http::query_number(query, "offset"), request);
+        }
+        (Method::Delete, ["v1", "streams", name]) => cancel(engine, name),
+        (Method::Get, ["v1", "load"]) => load(engine),
+        (Method::Get, ["v1", "cache-events"]) => {
+            let after = http::query_number(query, "after").unwrap_or(0);
+            Reply::json(&engine.lock().cache.events_after(after, Instant::now()))
+        }
+        (Method::Get, ["v1", "kv", hash]) => export(engine, hash),
+        (Method::Put, ["v1", "kv", _]) => import(engine, &mut request),
+        (Method::Post, ["v1", "orders"]) => order(engine, &mut request),
+        (Method::Get, ["v1", "statistics"]) => Reply::json(&engine.lock().statistics),
+        (Method::Post, ["v1", "admin", "speed"]) => set_speed(engine, &mut request),
+        _ => Reply::status(404),
+    };
+    reply.send(request);
+}
+
+fn generate(engine: &Engine, mut request: Request) {
+    let body: Generate = match http::read_json(&mut request) {
+        Ok(body) => body,
+        Err(reply) => return reply.send(request),
+    };
+    let name = http::header(&request, "Bergamotspan-Request")
+        .unwrap_or_else(|| uuid::Uuid::now_v7().to_string());
+    let number = {
+        let mut state = engine.lock();
+        let number = state.push(Name::from(name), body, Instant::now());
+        engine.changed.notify_all();
+        number
+    };
+    read(engine, number, 0, request);
+}
+
+fn resume(engine: &Engine, name: &str, offset: Option<u64>, request: Request) {
+    let newest = engine.lock().newest(name);
+    match newest {
+        Some(number) => read(engine, number, offset.unwrap_or(0), request),
+        None => Reply::status(404).send(request),
+    }
+}
+
+fn read(engine: &Engine, number: u64, offset: u64, request: Request) {
+    if let Some(stream) = engine.lock().stream(number) {
+        stream.readers += 1;
+    }
+    // A reader that has gone can resume.
+    let _ = send_stream(engine, number, offset, request);
+    if let Some(stream) = engine.lock().stream(number) {
+        stream.readers -= 1;
+        stream.unread_since = Instant::now();
+    }
+}
+
+fn send_stream(engine: &Engine, number: u64, offset: u64, request: Request) -> io::Result<()> {
+    let mut writer = EventWriter::start(request)?;
+    let mut from = offset;
+    loop {
+        match next(engine, number, from) {
+            Next::Alive => writer.comment("alive")?,
+            Next::Broken => return writer.finish(),
+            Next::End(end) => {
+                writer.event("end", &Reply::json(&end).body)?;
+                return writer.finish();
+            }
+            Next::Error => {
+                writer.event("error", r#"{"message":"the request failed"}"#)?;
+                return writer.finish();
+            }
+            Next::Tokens { prompt_hash, to } => {
+                for index in from..to {
+                    let token = Token { index, text: tokens::text_at(prompt_hash, index) };
+                    writer.event("token", &Reply::json(&token).body)?;
+                }
+                from = to;
+            }
+        }
+    }
+}
+
+fn next(engine: &Engine, number: u64, from: u64) -> Next {
+    let alive_at = Instant::now() + Duration::from_millis(ALIVE_INTERVAL_MS);
+    let mut state = engine.lock();
+    loop {
+        let Some(stream) = state.stream(number) else { return Next::Broken };
+        if stream.produced_tokens > from {
+            let to = stream.produced_tokens;
+            return Next::Tokens { prompt_hash: stream.prompt_hash, to };
+        }
+        match stream.phase {
+            Phase::Cancelled => return Next::Broken,
+            Phase::Ended => return Next::End(stream.end()),
+            Phase::Failed => return Next::Error,
+            Phase::Queued | Phase::Running => {}
+        }
+        let left = alive_at.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Next::Alive;
+        }
+        state = engine.changed.wait_timeout(state, left).expect("no thread panics").0;
+    }
+}
+
+fn cancel(engine: &Engine, name: &str) -> Reply {
+    let mut state = engine.lock();
+    let Some(number) = state.newest(name) else { return Reply::status(404) };
+    state.cancel(number);
+    engine.changed.notify_all();
+    Reply::status(200)
+}
+
+fn load(engine: &Engine) -> Reply {
+    let state = engine.lock();
+    let age_ms = state.load_at.elapsed().as_millis() as u64;
+    Reply::json(&Load { age_ms, ..state.load })
+}
+
+fn export(engine: &Engine, hash: &str) -> Reply {
+    let blocks = hash.parse().ok().and_then(|hash| engine.lock().cache.export(hash));
+    blocks.map_or(Reply::status(404), |blocks| Reply::json(&Exported { blocks }))
+}
+
+fn import(engine: &Engine, request: &mut Request) -> Reply {
+    let exported: Exported = match http::read_json(request) {
+        Ok(exported) => exported,
+        Err(reply) => return reply,
+    };
+    let hashes: Vec<u64> = exported.blocks.iter().map(|block| block.prefix_hash).collect();
+    engine.lock().cache.store(&hashes, Instant::now());
+    Reply::status(200)
+}
+
+fn order(engine: &Engine, request: &mut Request) -> Reply {
+    let order: Order = match http::read_json(request) {
+        Ok(order) => order,
+        Err(reply) => return reply,
+    };
+    let mut state = engine.lock();
+    let fencing = order.fencing.unwrap_or(0);
+    if engine.options.fencing && fencing < state.fencing {
+        return Reply::status(409);
+    }
+    state.fencing = state.fencing.max(fencing);
+    state.statistics.orders += 1;
+    Reply::status(200)
+}
+
+fn set_speed(engine: &Engine, request: &mut Request) -> Reply {
+    match http::read_json::<Speed>(request) {
+        Ok(body) if body.speed > 0.0 => {
+            engine.lock().speed = body.speed;
+            Reply::status(200)
+        }
+        Ok(_) => Reply::status(400),
+        Err(reply) => reply,
+    }
+}
--- /dev/null
+++ b/standins/src/engine/state.rs
@@ -0,0 +1,140 @@
+//! State shared by the stepping thread and the pages.
+
+use std::collections::BTreeMap;
+use std::sync::{Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use super::cache::Cache;
+use super::command::EngineCommand;
+use super::stream::{Generate, Phase, Stream};
+use crate::Name;
+
+/// Finished streams kept for late readers.
+const FINISHED_LIMIT: usize = 1024;
+
+/// A load report.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub(super) struct Load {
+    pub age_ms: u64,
+    pub queued_tokens: u64,
+    pub running_requests: u64,
+    pub running_tokens: u64,
+}
+
+/// Counts for tests.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(super) struct Statistics {
+    pub prefilled_tokens: u64,
+    pub cached_tokens: u64,
+    pub wasted_tokens: u64,
+    pub executions: BTreeMap<Name, u64>,
+    pub orders: u64,
+}
+
+pub(super) struct State {
+    pub cache: Cache,
+    pub fencing: u64,
+    pub load: Load,
+    pub load_at: Instant,
+    pub next_number: u64,
+    pub speed: f64,
+    pub statistics: Statistics,
+    pub streams: Vec<Stream>,
+}
+
+pub(super) struct Engine {
+    pub options: EngineCommand,
+    pub changed: Condvar,
+    state: Mutex<State>,
+}
+
+impl Engine {
+    pub(super) fn new(options: EngineCommand) -> Self {
+        let cache = Cache::new(
+            options.cache_blocks,
+            Duration::from_millis(options.cache_event_lag_ms),
+            options.cache_event_loss,
+            options.seed,
+        );
+        let state = State {
+            cache,
+            fencing: 0,
+            load: Load::default(),
+            load_at: Instant::now(),
+            next_number: 0,
+            speed: options.speed,
+            statistics: Statistics::default(),
+            streams: Vec::new(),
+        };
+        Self { options, changed: Condvar::new(), state: Mutex::new(state) }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics with the lock")
+    }
+}
+
+impl State {
+    /// Queues a stream and returns its number.
+    pub(super) fn push(&mut self, request: Name, body: Generate, now: Instant) -> u64 {
+        let number = self.next_number;
+        self.next_number += 1;
+        self.streams.push(Stream::new(number, request, body, now));
+        number
+    }
+
+    pub(super) fn stream(&mut self, number: u64) -> Option<&mut Stream> {
+        let at = self.streams.binary_search_by_key(&number, |stream| stream.number).ok()?;
+        Some(&mut self.streams[at])
+    }
+
+    /// Returns the newest stream of a request.
+    pub(super) fn newest(&self, request: &str) -> Option<u64> {
+        let found = self.streams.iter().rev().find(|stream| &*stream.request == request)?;
+        Some(found.number)
+    }
+
+    /// Cancels a stream that is queued or running.
+    pub(super) fn cancel(&mut self, number: u64) {
+        let Some(stream) = self.stream(number) else { return };
+        if stream.is_active() {
+            stream.phase = Phase::Cancelled;
+            let wasted_tokens = stream.prefilled_tokens;
+            self.statistics.wasted_tokens += wasted_tokens;
+        }
+    }
+
+    /// Forgets the oldest finished streams that nobody reads.
+    pub(super) fn forget(&mut self) {
+        let done = |stream: &Stream| !stream.is_active() && stream.readers == 0;
+        let finished = self.streams.iter().filter(|stream| done(stream)).count();
+        let mut excess = finished.saturating_sub(FINISHED_LIMIT);
+        self.streams.retain(|stream| {
+            let forget = excess > 0 && done(stream);
+            excess -= usize::from(forget);
+            !forget
+        });
+    }
+
+    /// Takes a load sample if the last one is old enough.
+    pub(super) fn sample(&mut self, interval: Duration, now: Instant) {
+        if now.duration_since(self.load_at) < interval {
+            return;
+        }
+        let mut load = Load::default();
+        for stream in &self.streams {
+            match stream.phase {
+                Phase::Queued => load.queued_tokens += stream.left_tokens(),
+                Phase::Running => {
+                    load.running_requests += 1;
+                    load.running_tokens += stream.left_tokens();
+                }
+                Phase::Cancelled | Phase::Ended | Phase::Failed => {}
+            }
+        }
+        self.load = load;
+        self.load_at = now;
+    }
+}
--- /dev/null
+++ b/standins/src/engine/tokens.rs
@@ -0,0 +1,50 @@
+//! Tokens, prefix hashes and the deterministic text of an answer.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Bytes of prompt in a token.
+const TOKEN_BYTES: usize = 4;
+
+/// Tokens in a cache block.
+pub const BLOCK_TOKENS: u64 = 256;
+
+/// Bytes of prompt in a cache block.
+pub const BLOCK_BYTES: usize = 1024;
+
+/// Longest answer of a request that doesn't ask for an exact length.
+const FREE_OUTPUT_TOKENS: u64 = 256;
+
+/// Returns the number of tokens in `prompt`.
+pub fn prompt_tokens(prompt: &str) -> u64 {
+    prompt.len().div_ceil(TOKEN_BYTES) as u64
+}
+
+/// Returns the hash of each prefix of whole blocks, shortest first.
+pub fn prefix_hashes(prompt: &str) -> Vec<u64> {
+    let mut seed = 0;
+    let blocks = prompt.as_bytes().chunks_exact(BLOCK_BYTES);
+    blocks
+        .map(|block| {
+            seed = xxh3_64_with_seed(block, seed);
+            seed
+        })
+        .collect()
+}
+
+/// Returns the text of token `index` of the answer to `prompt`.
+pub fn token_text(prompt: &str, index: u64) -> String {
+    text_at(xxh3_64(prompt.as_bytes()), index)
+}
+
+pub(super) fn prompt_hash(prompt: &str) -> u64 {
+    xxh3_64(prompt.as_bytes())
+}
+
+pub(super) fn text_at(prompt_hash: u64, index: u64) -> String {
+    format!("{:08x} ", xxh3_64_with_seed(&index.to_le_bytes(), prompt_hash) as u32)
+}
+
+pub(super) fn output_tokens(prompt_hash: u64, exact: Option<u64>, limit: Option<u64>) -> u64 {
+    let free = 1 + prompt_hash % FREE_OUTPUT_TOKENS;
+    exact.unwrap_or_else(|| limit.map_or(free, |limit| free.min(limit))).max(1)
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,22 @@
-//! Stand-ins.
+//! Small stand-ins for the systems around bergamotspan, and the tools that drive them.
+
+pub mod command;
+pub mod engine;
+pub mod http;
+pub mod plain_service;
+pub mod platform;
+pub mod process;
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+pub use command::run;
+
+/// A shared name.
+pub type Name = Arc<str>;
+
+/// Exit code of a command that failed.
+pub(crate) fn failure(error: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("standins: {error}");
+    ExitCode::FAILURE
+}
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -1,3 +1,7 @@
-//! The stand-ins' program.
+//! Runs one stand-in.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    standins::run()
+}
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,222 @@
+//! Stand-in for the platform's configuration service and instance list.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use serde::{Deserialize, Serialize};
+use tiny_http::{Method, Request};
+
+use crate::http::{self, Reply};
+use crate::process;
+
+/// Longest wait of a watch.
+const WATCH_LIMIT_MS: u64 = 60_000;
+
+/// Runs a stand-in for the platform.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "platform")]
+pub struct PlatformCommand {
+    /// address to listen on
+    #[argh(option, default = "([127, 0, 0, 1], 0).into()")]
+    pub listen: SocketAddr,
+}
+
+/// A published document.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Document {
+    /// Version named in the document.
+    pub version: u64,
+    /// The INI text.
+    pub text: String,
+}
+
+/// One entry of the instance list.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ListedInstance {
+    /// Name of an instance or a backend server.
+    pub name: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+/// The lagging list.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct InstanceList {
+    /// Entries in the order published.
+    pub instances: Vec<ListedInstance>,
+}
+
+/// Numbers of calls served.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub struct Counters {
+    /// Calls that answered at once.
+    pub reads: u64,
+    /// Calls that could wait.
+    pub watches: u64,
+}
+
+/// Faults of the platform.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct PlatformFaults {
+    /// Every read and watch fails.
+    pub outage: bool,
+    /// Highest version shown.
+    pub stale_version: Option<u64>,
+    /// Delay until a change shows, in milliseconds.
+    pub lag_ms: u64,
+}
+
+#[derive(Default)]
+struct State {
+    counters: Counters,
+    documents: Vec<(Instant, Document)>,
+    faults: PlatformFaults,
+    lists: Vec<(Instant, InstanceList)>,
+}
+
+#[derive(Default)]
+struct Platform {
+    changed: Condvar,
+    state: Mutex<State>,
+}
+
+impl PlatformCommand {
+    /// Runs the platform until SIGTERM.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound.
+    pub fn run(self) -> io::Result<()> {
+        let listener = http::listen(self.listen)?;
+        let address = listener.local_addr()?;
+        let platform = Arc::new(Platform::default());
+        http::serve(listener, move |request| answer(&platform, request))?;
+        process::announce_and_wait(address)
+    }
+}
+
+impl Platform {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics with the lock")
+    }
+}
+
+impl State {
+    /// Returns the newest document that is visible now.
+    fn document(&self, now: Instant) -> Option<&Document> {
+        let lag = Duration::from_millis(self.faults.lag_ms);
+        let limit = self.faults.stale_version.unwrap_or(u64::MAX);
+        let visible = self.documents.iter().rev().filter(|(at, _)| *at + lag <= now);
+        visible.map(|(_, document)| document).find(|document| document.version <= limit)
+    }
+
+    fn list(&self, now: Instant) -> InstanceList {
+        let lag = Duration::from_millis(self.faults.lag_ms);
+        let visible = self.lists.iter().rev().find(|(at, _)| *at + lag <= now);
+        visible.map(|(_, list)| list.clone()).unwrap_or_default()
+    }
+}
+
+fn answer(platform: &Platform, mut request: Request) {
+    let url = request.url().to_owned();
+    let (path, query) = http::split_url(&url);
+    let reply = match (request.method(), path) {
+        (Method::Get, "/v1/config") => match http::query_number(query, "wait_ms") {
+            Some(wait_ms) => watch(platform, http::query_number(query, "after"), wait_ms),
+            None => read(platform),
+        },
+        (Method::Get, "/v1/instances") => instances(platform),
+        (Method::Get, "/v1/counters") => Reply::json(&platform.lock().counters),
+        (Method::Put, "/v1/admin/config") => publish(platform, &mut request),
+        (Method::Put, "/v1/admin/instances") => set_instances(platform, &mut request),
+        (Method::Put, "/v1/admin/faults") => set_faults(platform, &mut request),
+        _ => Reply::status(404),
+    };
+    reply.send(request);
+}
+
+fn read(platform: &Platform) -> Reply {
+    let mut state = platform.lock();
+    state.counters.reads += 1;
+    if state.faults.outage {
+        return Reply::status(503);
+    }
+    state.document(Instant::now()).map_or(Reply::status(404), Reply::json)
+}
+
+fn watch(platform: &Platform, after: Option<u64>, wait_ms: u64) -> Reply {
+    /// Longest time until a lagging change is looked at again.
+    const LOOK_INTERVAL_MS: u64 = 50;
+    let until = Instant::now() + Duration::from_millis(wait_ms.min(WATCH_LIMIT_MS));
+    let mut state = platform.lock();
+    state.counters.watches += 1;
+    loop {
+        let now = Instant::now();
+        if state.faults.outage {
+            return Reply::status(503);
+        }
+        let newer = state.document(now).filter(|found| after.is_none_or(|n| found.version > n));
+        if let Some(document) = newer {
+            return Reply::json(document);
+        }
+        if now >= until {
+            return Reply::status(304);
+        }
+        let wait = (until - now).min(Duration::from_millis(LOOK_INTERVAL_MS));
+        state = platform.changed.wait_timeout(state, wait).expect("no thread panics").0;
+    }
+}
+
+fn instances(platform: &Platform) -> Reply {
+    let mut state = platform.lock();
+    state.counters.reads += 1;
+    if state.faults.outage {
+        return Reply::status(503);
+    }
+    Reply::json(&state.list(Instant::now()))
+}
+
+fn publish(platform: &Platform, request: &mut Request) -> Reply {
+    let mut text = String::new();
+    if request.as_reader().read_to_string(&mut text).is_err() {
+        return Reply::status(400);
+    }
+    let Some(version) = version_of(&text) else { return Reply::status(400) };
+    platform.lock().documents.push((Instant::now(), Document { version, text }));
+    platform.changed.notify_all();
+    Reply::status(200)
+}
+
+/// Returns the version that the document's `[inventory]` section names.
+fn version_of(text: &str) -> Option<u64> {
+    let mut lines = text.lines().map(str::trim).skip_while(|line| *line != "[inventory]").skip(1);
+    let pairs = lines.by_ref().take_while(|line| !line.starts_with('['));
+    let mut pairs = pairs.filter_map(|line| line.split_once('='));
+    let (_, value) = pairs.find(|(key, _)| key.trim() == "version")?;
+    value.trim().parse().ok()
+}
+
+fn set_instances(platform: &Platform, request: &mut Request) -> Reply {
+    match http::read_json(request) {
+        Ok(list) => {
+            platform.lock().lists.push((Instant::now(), list));
+            Reply::status(200)
+        }
+        Err(reply) => reply,
+    }
+}
+
+fn set_faults(platform: &Platform, request: &mut Request) -> Reply {
+    match http::read_json(request) {
+        Ok(faults) => {
+            platform.lock().faults = faults;
+            platform.changed.notify_all();
+            Reply::status(200)
+        }
+        Err(reply) => reply,
+    }
+}
