Add the decisions of membership and key homes

A key sent again through another instance must not run twice although nothing is written down. Each key gets one home by rendezvous hashing; a home is lawful only while a majority of the published list confirms it.

A restarted instance waits until it has heard a majority of established others, since it has forgotten which later list it confirmed and could otherwise help an outdated home to a majority. And a retirement counts only confirmations of one window, since an older one may come from an incarnation that is gone.

A key has to be minted two clock margins after the home became lawful: one margin covers skew, the other the future keys that the predecessor accepts.

--- /dev/null
+++ b/src/home_standing.rs
@@ -0,0 +1,43 @@
+//! Whether an instance may act as the home of keys.
+
+use crate::now::Now;
+
+/// Whether an instance may act as the home of keys.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HomeStanding {
+    /// It may grant keys that were minted late enough after `since`.
+    Lawful {
+        /// End of the first unbroken confirmation window.
+        since: Now,
+    },
+    /// It may grant nothing.
+    NotLawful {
+        /// Why.
+        reason: NotLawfulReason,
+    },
+}
+
+/// Why an instance may not act as the home of keys.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NotLawfulReason {
+    /// An earlier list version is not known to be retired.
+    EarlierListInUse {
+        /// Lowest such version.
+        version: u64,
+    },
+    /// The list version in force is itself retired; a later one has to be fetched.
+    ListRetired,
+    /// Too few instances confirm it.
+    NoMajority {
+        /// How many confirm it, itself included.
+        confirmed: usize,
+        /// How many the published list has.
+        of: usize,
+    },
+    /// The published list does not have it.
+    NotMember,
+    /// The process was paused.
+    Paused,
+    /// A majority confirms it, but not yet for a whole window.
+    Settling,
+}
--- /dev/null
+++ b/src/key_home.rs
@@ -0,0 +1,240 @@
+//! The home of idempotency keys: which request holds which key.
+//!
+//! A key is granted only by its lawful home, only on equal lists, and only if it was minted after
+//! the home became lawful plus twice the clock margin: once for the skew between this clock and
+//! the predecessor's, once for a key that the predecessor took although it was minted in the
+//! future by up to the margin. A key without a time of minting counts as minted before until the
+//! home has been lawful for one key lifetime plus the clock margin.
+//!
+//! Records handed over by a stopping home answer claims of their own keys with what holds them.
+//! They never make a key grantable to another request: a key without a record may still have been
+//! granted by a home before the one that handed over.
+
+use std::collections::BTreeMap;
+
+use crate::home_standing::HomeStanding;
+use crate::key_home_builder::KeyHomeBuilder;
+use crate::key_minting::minted_ms;
+use crate::name::Name;
+use crate::now::Now;
+use crate::peer_message::{KeyClaim, KeyRecord, KeyRefusal, KeyVerdict};
+use crate::request_id::RequestId;
+
+const NOT_HOME_RETRY_AFTER_MS: u64 = 1_000;
+const OTHER_LIST_RETRY_AFTER_MS: u64 = 500;
+/// Part of the capacity, as a divisor, that tiers below the highest share less and less of.
+const RESERVE_DIVISOR: u64 = 10;
+const SKEW_MARGINS: u64 = 2;
+
+/// Remembers which request holds which key, in bounded memory.
+///
+/// Keys are kept in two B-trees, by key and by time of forgetting. An insert into a sorted vector
+/// would move half of the entries, and a node at the design size holds tens of thousands.
+#[derive(Clone, Debug)]
+pub struct KeyHome {
+    by_forget_time: BTreeMap<(u64, Name), ()>,
+    handed_over: bool,
+    records: BTreeMap<Name, Remembered>,
+    settings: KeyHomeBuilder,
+    wall_clock_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Remembered {
+    forget_wall_clock_ms: u64,
+    record: KeyRecord,
+}
+
+enum Step {
+    Answer(KeyVerdict),
+    Continue,
+}
+
+impl KeyHome {
+    pub(crate) fn new(settings: KeyHomeBuilder) -> Self {
+        Self {
+            by_forget_time: BTreeMap::new(),
+            handed_over: false,
+            records: BTreeMap::new(),
+            settings,
+            wall_clock_ms: 0,
+        }
+    }
+
+    /// Takes in the records that a stopping home handed over.
+    ///
+    /// A record for a key that is held here already is ignored. Records beyond the capacity are
+    /// dropped, which is safe: without its record an earlier key is answered with `Unknown`.
+    pub fn accept_handover(&mut self, now: Now, records: Vec<KeyRecord>) {
+        self.expire(now);
+        for record in records {
+            let has_room = (self.records.len() as u64) < u64::from(self.settings.capacity);
+            if has_room && !self.records.contains_key(&record.key) {
+                self.remember(record);
+            }
+        }
+        self.expire(now);
+    }
+
+    /// Answers a claim.
+    ///
+    /// A claim repeated by the request that holds the key is granted again.
+    pub fn claim(
+        &mut self,
+        now: Now,
+        claim: &KeyClaim,
+        standing: &HomeStanding,
+        is_home: bool,
+        list_version: u64,
+    ) -> KeyVerdict {
+        self.expire(now);
+        let since = match self.check_home(claim, standing, is_home, list_version) {
+            Ok(since) => since,
+            Err(verdict) => return verdict,
+        };
+        if let Step::Answer(verdict) = self.check_record(claim) {
+            return verdict;
+        }
+        if let Step::Answer(verdict) = self.check_minting(now, &claim.key, since) {
+            return verdict;
+        }
+        if let Step::Answer(verdict) = self.check_room(claim.tier_rank) {
+            return verdict;
+        }
+        self.remember(KeyRecord {
+            fingerprint: claim.fingerprint,
+            granted_wall_clock_ms: self.wall_clock_ms,
+            key: claim.key.clone(),
+            request: claim.request.clone(),
+        });
+        KeyVerdict::Granted
+    }
+
+    /// Forgets the keys whose lifetime has passed.
+    ///
+    /// The wall clock that is used here never goes back.
+    pub fn expire(&mut self, now: Now) {
+        self.wall_clock_ms = self.wall_clock_ms.max(now.wall_clock_ms);
+        while let Some(((forget_wall_clock_ms, _), ())) = self.by_forget_time.first_key_value() {
+            if *forget_wall_clock_ms >= self.wall_clock_ms {
+                return;
+            }
+            if let Some(((_, key), ())) = self.by_forget_time.pop_first() {
+                self.records.remove(&key);
+            }
+        }
+    }
+
+    /// Gives the memory away for the successors; this home grants nothing from now on.
+    pub fn hand_over(&mut self) -> Vec<KeyRecord> {
+        self.handed_over = true;
+        self.by_forget_time.clear();
+        let records = std::mem::take(&mut self.records);
+        records.into_values().map(|remembered| remembered.record).collect()
+    }
+
+    /// Returns whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns how many keys are remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Frees a key if the request holds it.
+    pub fn release(&mut self, key: &Name, request: &RequestId) {
+        let held = self.records.get(key).filter(|held| held.record.request == *request);
+        if let Some(held) = held {
+            self.by_forget_time.remove(&(held.forget_wall_clock_ms, key.clone()));
+            self.records.remove(key);
+        }
+    }
+
+    fn check_home(
+        &self,
+        claim: &KeyClaim,
+        standing: &HomeStanding,
+        is_home: bool,
+        list_version: u64,
+    ) -> Result<Now, KeyVerdict> {
+        if self.settings.rules.equal_list && claim.list_version != list_version {
+            return Err(refused(KeyRefusal::OtherList, OTHER_LIST_RETRY_AFTER_MS));
+        }
+        match standing {
+            HomeStanding::Lawful { since } if is_home && !self.handed_over => Ok(*since),
+            _ => Err(refused(KeyRefusal::NotHome, NOT_HOME_RETRY_AFTER_MS)),
+        }
+    }
+
+    fn check_minting(&self, now: Now, key: &str, since: Now) -> Step {
+        let Some(minted_ms) = minted_ms(key) else {
+            return self.check_unminted(now, since);
+        };
+        let settings = self.settings;
+        if minted_ms + settings.lifetime_ms < self.wall_clock_ms {
+            return Step::Answer(refused(KeyRefusal::TooOld, settings.lifetime_ms));
+        }
+        if settings.rules.future && minted_ms > now.wall_clock_ms + settings.clock_margin_ms {
+            let early_ms = minted_ms - now.wall_clock_ms - settings.clock_margin_ms;
+            return Step::Answer(refused(KeyRefusal::MintedInFuture, early_ms));
+        }
+        let margin_ms = SKEW_MARGINS * settings.clock_margin_ms;
+        let is_after = minted_ms > since.wall_clock_ms + margin_ms;
+        answer_unknown_unless(is_after || !settings.rules.minted_after)
+    }
+
+    fn check_record(&self, claim: &KeyClaim) -> Step {
+        let Some(Remembered { record, .. }) = self.records.get(&claim.key) else {
+            return Step::Continue;
+        };
+        if record.fingerprint != claim.fingerprint {
+            return Step::Answer(KeyVerdict::BodyDiffers);
+        }
+        if record.request == claim.request {
+            return Step::Answer(KeyVerdict::Granted);
+        }
+        Step::Answer(KeyVerdict::Held { by: record.request.clone() })
+    }
+
+    /// Answers `Full` once the room for a tier is used up: the whole capacity for the highest
+    /// tier, nine tenths for the lowest, in equal steps between.
+    fn check_room(&self, tier_rank: u8) -> Step {
+        let capacity = u64::from(self.settings.capacity);
+        let lowest_rank = u64::from(self.settings.tier_count.saturating_sub(1)).max(1);
+        let rank = u64::from(tier_rank).min(lowest_rank);
+        let reserve = capacity.div_ceil(RESERVE_DIVISOR) * rank / lowest_rank;
+        if (self.records.len() as u64) < capacity.saturating_sub(reserve) {
+            return Step::Continue;
+        }
+        Step::Answer(refused(KeyRefusal::Full, self.time_to_room_ms()))
+    }
+
+    fn check_unminted(&self, now: Now, since: Now) -> Step {
+        let lawful_ms = now.monotonic_ms.saturating_sub(since.monotonic_ms);
+        let wait_ms = self.settings.lifetime_ms + self.settings.clock_margin_ms;
+        answer_unknown_unless(lawful_ms > wait_ms || !self.settings.rules.minted_after)
+    }
+
+    fn remember(&mut self, record: KeyRecord) {
+        let begin_ms = minted_ms(&record.key).unwrap_or(0).max(record.granted_wall_clock_ms);
+        let forget_wall_clock_ms = begin_ms + self.settings.lifetime_ms;
+        self.by_forget_time.insert((forget_wall_clock_ms, record.key.clone()), ());
+        self.records.insert(record.key.clone(), Remembered { forget_wall_clock_ms, record });
+    }
+
+    fn time_to_room_ms(&self) -> u64 {
+        let first = self.by_forget_time.first_key_value();
+        let forget_wall_clock_ms = first.map_or(0, |((time_ms, _), ())| *time_ms);
+        forget_wall_clock_ms.saturating_sub(self.wall_clock_ms).max(1)
+    }
+}
+
+fn answer_unknown_unless(is_safe: bool) -> Step {
+    if is_safe { Step::Continue } else { Step::Answer(KeyVerdict::Unknown) }
+}
+
+fn refused(reason: KeyRefusal, retry_after_ms: u64) -> KeyVerdict {
+    KeyVerdict::Refused { reason, retry_after_ms }
+}
--- /dev/null
+++ b/src/key_home_builder.rs
@@ -0,0 +1,75 @@
+//! Builds the memory of a key home.
+
+use crate::key_home::KeyHome;
+use crate::membership_builder::{CLOCK_MARGIN_MS, KEY_LIFETIME_MS};
+use crate::rules::Rules;
+
+/// Default number of keys that are remembered at once.
+pub const CAPACITY: u32 = 200_000;
+/// Default number of tiers.
+pub const TIER_COUNT: u8 = 3;
+
+/// Builds the memory of a key home.
+#[derive(Clone, Copy, Debug)]
+pub struct KeyHomeBuilder {
+    pub(crate) capacity: u32,
+    pub(crate) clock_margin_ms: u64,
+    pub(crate) lifetime_ms: u64,
+    pub(crate) rules: Rules,
+    pub(crate) tier_count: u8,
+}
+
+impl Default for KeyHomeBuilder {
+    fn default() -> Self {
+        Self {
+            capacity: CAPACITY,
+            clock_margin_ms: CLOCK_MARGIN_MS,
+            lifetime_ms: KEY_LIFETIME_MS,
+            rules: Rules::default(),
+            tier_count: TIER_COUNT,
+        }
+    }
+}
+
+impl KeyHomeBuilder {
+    /// Sets how many keys are remembered at once.
+    #[must_use]
+    pub fn capacity(mut self, capacity: u32) -> Self {
+        self.capacity = capacity;
+        self
+    }
+
+    /// Sets the largest skew between the wall clocks of two instances, in milliseconds.
+    #[must_use]
+    pub fn clock_margin_ms(mut self, clock_margin_ms: u64) -> Self {
+        self.clock_margin_ms = clock_margin_ms;
+        self
+    }
+
+    /// Sets the time for which a key is remembered, in milliseconds.
+    #[must_use]
+    pub fn lifetime_ms(mut self, lifetime_ms: u64) -> Self {
+        self.lifetime_ms = lifetime_ms;
+        self
+    }
+
+    /// Switches rules off for tests.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn rules(mut self, rules: Rules) -> Self {
+        self.rules = rules;
+        self
+    }
+
+    /// Sets the number of tiers.
+    #[must_use]
+    pub fn tier_count(mut self, tier_count: u8) -> Self {
+        self.tier_count = tier_count;
+        self
+    }
+
+    /// Builds an empty memory.
+    pub fn build(self) -> KeyHome {
+        KeyHome::new(self)
+    }
+}
--- /dev/null
+++ b/src/member_record.rs
@@ -0,0 +1,47 @@
+//! What an instance knows of one other instance.
+
+use crate::name::Name;
+
+/// The latest confirmation of a peer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct ConfirmationRecord {
+    /// Whether the peer may confirm.
+    pub(crate) confirms: bool,
+    /// Time from which it counts, on the own monotonic clock, in milliseconds.
+    pub(crate) counts_from_ms: u64,
+    /// Version of the list in force at the peer.
+    pub(crate) list_version: u64,
+}
+
+/// What an instance knows of one other instance.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct MemberRecord {
+    /// Latest confirmation.
+    pub(crate) confirmation: Option<ConfirmationRecord>,
+    /// Time of the last heartbeat, on the own monotonic clock, in milliseconds.
+    pub(crate) heard_ms: u64,
+    /// Incarnation while it is alive.
+    pub(crate) incarnation: Option<u64>,
+    /// Name.
+    pub(crate) name: Name,
+    /// Highest list version that it ever confirmed.
+    pub(crate) seen_version: u64,
+}
+
+impl MemberRecord {
+    /// Starts with nothing known.
+    pub(crate) fn new(name: Name) -> Self {
+        Self { confirmation: None, heard_ms: 0, incarnation: None, name, seen_version: 0 }
+    }
+
+    /// Takes in a confirmation unless a later one is known.
+    pub(crate) fn confirm(&mut self, confirmation: ConfirmationRecord) {
+        if confirmation.confirms {
+            self.seen_version = self.seen_version.max(confirmation.list_version);
+        }
+        let later = |known: ConfirmationRecord| known.counts_from_ms > confirmation.counts_from_ms;
+        if !self.confirmation.is_some_and(later) {
+            self.confirmation = Some(confirmation);
+        }
+    }
+}
--- /dev/null
+++ b/src/membership.rs
@@ -0,0 +1,457 @@
+//! Membership: who lives, and whether this instance may act as the home of keys.
+//!
+//! An instance is a lawful home while more than half of the published list, itself included, has
+//! confirmed its list version and incarnation within one confirmation window, for an unbroken
+//! window, and every earlier list version is retired. A confirmation counts from the time at
+//! which the heartbeat that it answers was sent.
+//!
+//! A version is retired once more than half of its members have confirmed a later one within one
+//! window; that is passed on in heartbeats. An earlier list that is not known here counts as
+//! retired one key lifetime plus the clock margin after the present version was first seen.
+//! The first version is 1.
+//!
+//! A restarted instance has lost what it confirmed. So it confirms nobody for two windows, and
+//! then not before it has heard, in the second of these or later, more than half of its list
+//! among established others, or all others, and none of them on a later list; or before one key
+//! lifetime plus the clock margin has passed. (Compare recovery in viewstamped replication:
+//! Liskov and Cowling, "Viewstamped Replication Revisited", 2012, where a replica also waits for
+//! a majority before it takes part again.)
+//!
+//! Not covered: a list of several cells, whose keys move between cells when the list changes;
+//! instances that left the list longer ago, restart together and read a list that is as old.
+
+use std::cmp::Ordering;
+
+use crate::home_standing::{HomeStanding, NotLawfulReason};
+use crate::member_record::{ConfirmationRecord, MemberRecord};
+use crate::membership_builder::MembershipBuilder;
+use crate::membership_event::{HeartbeatSummary, MembershipEffect, MembershipEvent};
+use crate::name::Name;
+use crate::now::Now;
+use crate::peer_message::{Confirmation, Heartbeat, PeerMessage};
+use crate::view::View;
+
+const ABSTENTION_WINDOWS: u64 = 2;
+const SILENT_INTERVALS: u64 = 3;
+
+/// Decides who lives and whether this instance may act as the home of keys.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    earlier_lists: Vec<EarlierList>,
+    established: bool,
+    first_seen_ms: u64,
+    heartbeat_sent_ms: Option<u64>,
+    lawful_since: Option<Now>,
+    records: Vec<MemberRecord>,
+    retired_version: u64,
+    settings: MembershipBuilder,
+    started_ms: u64,
+    summary: HeartbeatSummary,
+    tick_ms: u64,
+    unbroken_since: Option<Now>,
+    view: View,
+}
+
+#[derive(Clone, Debug)]
+struct EarlierList {
+    members: Vec<Name>,
+    version: u64,
+}
+
+impl Membership {
+    pub(crate) fn start(settings: MembershipBuilder, now: Now, view: View) -> Self {
+        Self {
+            earlier_lists: Vec::new(),
+            established: !settings.rules.abstention && !settings.rules.recovery,
+            first_seen_ms: now.monotonic_ms,
+            heartbeat_sent_ms: None,
+            lawful_since: None,
+            records: Vec::new(),
+            retired_version: 0,
+            settings,
+            started_ms: now.monotonic_ms,
+            summary: HeartbeatSummary::default(),
+            tick_ms: now.monotonic_ms,
+            unbroken_since: None,
+            view,
+        }
+    }
+
+    /// Returns the members that live, sorted, with this instance.
+    pub fn alive(&self) -> Vec<Name> {
+        let alive = self.records.iter().filter(|record| record.incarnation.is_some());
+        let mut names: Vec<Name> = alive.map(|record| record.name.clone()).collect();
+        if let Err(index) = names.binary_search(self.view.own_name()) {
+            names.insert(index, self.view.own_name().clone());
+        }
+        names
+    }
+
+    /// Takes in an event and returns what to do next, in order.
+    pub fn decide(&mut self, now: Now, event: MembershipEvent) -> Vec<MembershipEffect> {
+        self.observe(now);
+        let effects = match event {
+            MembershipEvent::Confirmation { confirmation, from } => {
+                self.confirmed(now, from, &confirmation)
+            }
+            MembershipEvent::Heartbeat { from, heartbeat } => self.heard(now, from, &heartbeat),
+            MembershipEvent::LinkLost { peer } => self.lose(&peer),
+            MembershipEvent::ListAdopted { view } => self.adopt(now, view),
+            MembershipEvent::Tick { summary } => self.tick(now, summary),
+        };
+        self.observe(now);
+        effects
+    }
+
+    /// Returns whether this instance may confirm others.
+    pub fn is_established(&self) -> bool {
+        self.established
+    }
+
+    /// Returns the highest list version that is known to be retired with all before it.
+    pub fn retired_version(&self) -> u64 {
+        self.retired_version
+    }
+
+    /// Returns whether this instance may act as the home of keys.
+    pub fn standing(&self, now: Now) -> HomeStanding {
+        if let Some(reason) = self.obstacle(now) {
+            return HomeStanding::NotLawful { reason };
+        }
+        match self.lawful_since {
+            Some(since) => HomeStanding::Lawful { since },
+            None => HomeStanding::NotLawful { reason: NotLawfulReason::Settling },
+        }
+    }
+
+    /// Returns the view in force.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    fn adopt(&mut self, now: Now, view: View) -> Vec<MembershipEffect> {
+        if view.list_version() <= self.view.list_version() {
+            return Vec::new();
+        }
+        self.earlier_lists.push(EarlierList {
+            members: self.view.members().to_vec(),
+            version: self.view.list_version(),
+        });
+        self.view = view;
+        self.first_seen_ms = now.monotonic_ms;
+        self.break_standing();
+        self.drop_strangers()
+    }
+
+    fn break_standing(&mut self) {
+        self.lawful_since = None;
+        self.unbroken_since = None;
+    }
+
+    fn confirmed(
+        &mut self,
+        now: Now,
+        from: Name,
+        confirmation: &Confirmation,
+    ) -> Vec<MembershipEffect> {
+        let mut effects = Vec::new();
+        self.retired_version = self.retired_version.max(confirmation.retired_version);
+        self.compare_list(&from, confirmation.list_version, &mut effects);
+        let sent_ms = confirmation.heartbeat_sent_ms;
+        let answers_this = confirmation.heartbeat_incarnation == self.settings.incarnation;
+        if !answers_this || sent_ms > now.monotonic_ms || !self.is_known(&from) {
+            return effects;
+        }
+        let send_time = self.settings.rules.send_time;
+        self.record(from).confirm(ConfirmationRecord {
+            confirms: confirmation.confirms,
+            counts_from_ms: if send_time { sent_ms } else { now.monotonic_ms },
+            list_version: confirmation.list_version,
+        });
+        effects
+    }
+
+    fn compare_list(&self, peer: &Name, version: u64, effects: &mut Vec<MembershipEffect>) {
+        if version > self.view.list_version() {
+            effects.push(MembershipEffect::ListAhead { peer: peer.clone(), version });
+        }
+    }
+
+    fn confirmed_count(&self, now: Now) -> usize {
+        let own_vote = usize::from(self.established);
+        let version = self.view.list_version();
+        let confirms = |record: &&ConfirmationRecord| {
+            record.list_version == version && self.is_in_window(now, record)
+        };
+        let others = self.view.members().iter().filter_map(|name| self.confirmation_of(name));
+        own_vote + others.filter(confirms).count()
+    }
+
+    fn confirmation_of(&self, name: &Name) -> Option<&ConfirmationRecord> {
+        let index = self.records.binary_search_by(|record| record.name.cmp(name)).ok()?;
+        self.records[index].confirmation.as_ref()
+    }
+
+    fn drop_strangers(&mut self) -> Vec<MembershipEffect> {
+        let members = self.view.members();
+        let mut effects = Vec::new();
+        for record in &mut self.records {
+            let is_member = members.binary_search(&record.name).is_ok();
+            if !is_member && record.incarnation.take().is_some() {
+                effects.push(MembershipEffect::PeerLost { peer: record.name.clone() });
+            }
+        }
+        effects
+    }
+
+    fn forget_retired_lists(&mut self) {
+        let retired_version = self.retired_version;
+        self.earlier_lists.retain(|list| list.version > retired_version);
+        let known = self.heartbeat_targets();
+        self.records.retain(|record| known.binary_search(&record.name).is_ok());
+    }
+
+    fn has_recovered(&self, now: Now) -> bool {
+        let rules = self.settings.rules;
+        if !rules.recovery || self.is_past_lifetime(now, self.started_ms) {
+            return true;
+        }
+        let version = self.view.list_version();
+        let evidence_from_ms = self.started_ms + self.settings.confirmation_window_ms;
+        let is_evidence = |record: &&ConfirmationRecord| {
+            record.counts_from_ms >= evidence_from_ms && record.list_version <= version
+        };
+        let others = self.view.members().iter().filter_map(|name| self.confirmation_of(name));
+        let heard: Vec<&ConfirmationRecord> = others.filter(is_evidence).collect();
+        let established = heard.iter().filter(|record| record.confirms).count();
+        let of = self.view.members().len();
+        is_majority(established, of) || heard.len() + 1 >= of
+    }
+
+    fn heard(&mut self, now: Now, from: Name, heartbeat: &Heartbeat) -> Vec<MembershipEffect> {
+        let mut effects = Vec::new();
+        self.retired_version = self.retired_version.max(heartbeat.retired_version);
+        self.compare_list(&from, heartbeat.list_version, &mut effects);
+        if heartbeat.config_version > self.summary.config_version {
+            let version = heartbeat.config_version;
+            effects.push(MembershipEffect::ConfigAhead { peer: from.clone(), version });
+        }
+        if self.view.members().binary_search(&from).is_ok() {
+            self.mark_alive(now, &from, heartbeat.incarnation, &mut effects);
+        }
+        let message = PeerMessage::Confirmation(Confirmation {
+            confirms: self.established,
+            heartbeat_incarnation: heartbeat.incarnation,
+            heartbeat_sent_ms: heartbeat.sent_ms,
+            list_version: self.view.list_version(),
+            retired_version: self.retired_version,
+        });
+        effects.push(MembershipEffect::Send { message, to: from });
+        effects
+    }
+
+    fn heartbeat(&self, now: Now) -> Heartbeat {
+        Heartbeat {
+            config_version: self.summary.config_version,
+            incarnation: self.settings.incarnation,
+            list_version: self.view.list_version(),
+            lowest_waiting_ranks: self.summary.lowest_waiting_ranks.clone(),
+            retired_version: self.retired_version,
+            sent_ms: now.monotonic_ms,
+            stopping: self.summary.stopping,
+            suspects: self.summary.suspects.clone(),
+        }
+    }
+
+    fn heartbeat_targets(&self) -> Vec<Name> {
+        let earlier = self.earlier_lists.iter().flat_map(|list| list.members.iter());
+        let mut names: Vec<Name> = self.view.members().iter().chain(earlier).cloned().collect();
+        names.sort();
+        names.dedup();
+        names.retain(|name| name != self.view.own_name());
+        names
+    }
+
+    fn is_in_window(&self, now: Now, record: &ConfirmationRecord) -> bool {
+        let age_ms = now.monotonic_ms.saturating_sub(record.counts_from_ms);
+        record.confirms && age_ms < self.settings.confirmation_window_ms
+    }
+
+    fn is_known(&self, name: &Name) -> bool {
+        self.heartbeat_targets().binary_search(name).is_ok()
+    }
+
+    fn is_past_lifetime(&self, now: Now, since_ms: u64) -> bool {
+        let wait_ms = self.settings.key_lifetime_ms + self.settings.clock_margin_ms;
+        now.monotonic_ms.saturating_sub(since_ms) >= wait_ms
+    }
+
+    fn is_paused(&self, now: Now) -> bool {
+        let gap_ms = now.monotonic_ms.saturating_sub(self.tick_ms);
+        self.settings.rules.pause && gap_ms > self.settings.confirmation_window_ms
+    }
+
+    fn is_retired(&self, now: Now, version: u64) -> bool {
+        let known = self.earlier_lists.iter().find(|list| list.version == version);
+        match known {
+            Some(list) => self.is_left(now, list),
+            None => self.is_past_lifetime(now, self.first_seen_ms),
+        }
+    }
+
+    fn is_left(&self, now: Now, list: &EarlierList) -> bool {
+        let has_left = |name: &&Name| self.has_left(now, name, list.version);
+        is_majority(list.members.iter().filter(has_left).count(), list.members.len())
+    }
+
+    fn has_left(&self, now: Now, name: &Name, version: u64) -> bool {
+        if name == self.view.own_name() {
+            return self.established;
+        }
+        let Ok(index) = self.records.binary_search_by(|record| record.name.cmp(name)) else {
+            return false;
+        };
+        let record = &self.records[index];
+        if !self.settings.rules.retirement_window {
+            return record.seen_version > version;
+        }
+        let later = |known: &ConfirmationRecord| known.list_version > version;
+        record.confirmation.as_ref().is_some_and(|it| later(it) && self.is_in_window(now, it))
+    }
+
+    fn list_obstacle(&self) -> Option<NotLawfulReason> {
+        if !self.settings.rules.retirement {
+            return None;
+        }
+        let version = self.retired_version + 1;
+        match version.cmp(&self.view.list_version()) {
+            Ordering::Equal => None,
+            Ordering::Greater => Some(NotLawfulReason::ListRetired),
+            Ordering::Less => Some(NotLawfulReason::EarlierListInUse { version }),
+        }
+    }
+
+    fn lose(&mut self, peer: &Name) -> Vec<MembershipEffect> {
+        let Ok(index) = self.records.binary_search_by(|record| record.name.cmp(peer)) else {
+            return Vec::new();
+        };
+        match self.records[index].incarnation.take() {
+            Some(_) => vec![MembershipEffect::PeerLost { peer: peer.clone() }],
+            None => Vec::new(),
+        }
+    }
+
+    fn mark_alive(
+        &mut self,
+        now: Now,
+        peer: &Name,
+        incarnation: u64,
+        effects: &mut Vec<MembershipEffect>,
+    ) {
+        let record = self.record(peer.clone());
+        record.heard_ms = now.monotonic_ms;
+        let before = record.incarnation.replace(incarnation);
+        if before == Some(incarnation) {
+            return;
+        }
+        if before.is_some() {
+            effects.push(MembershipEffect::PeerLost { peer: peer.clone() });
+        }
+        effects.push(MembershipEffect::PeerAlive { incarnation, peer: peer.clone() });
+    }
+
+    fn observe(&mut self, now: Now) {
+        if self.is_paused(now) {
+            self.break_standing();
+        }
+        self.establish(now);
+        self.retire(now);
+        if self.obstacle(now).is_some() {
+            self.break_standing();
+            return;
+        }
+        let unbroken_since = *self.unbroken_since.get_or_insert(now);
+        let unbroken_ms = now.monotonic_ms.saturating_sub(unbroken_since.monotonic_ms);
+        let settled = unbroken_ms >= self.settings.confirmation_window_ms;
+        if settled || !self.settings.rules.unbroken_window {
+            self.lawful_since.get_or_insert(now);
+        }
+    }
+
+    fn establish(&mut self, now: Now) {
+        let abstention_ms = ABSTENTION_WINDOWS * self.settings.confirmation_window_ms;
+        let age_ms = now.monotonic_ms.saturating_sub(self.started_ms);
+        let abstains = self.settings.rules.abstention && age_ms < abstention_ms;
+        self.established |= !abstains && self.has_recovered(now);
+    }
+
+    fn obstacle(&self, now: Now) -> Option<NotLawfulReason> {
+        if !self.view.contains_self() {
+            return Some(NotLawfulReason::NotMember);
+        }
+        if self.is_paused(now) {
+            return Some(NotLawfulReason::Paused);
+        }
+        if let Some(reason) = self.list_obstacle() {
+            return Some(reason);
+        }
+        let (confirmed, of) = (self.confirmed_count(now), self.view.members().len());
+        if self.settings.rules.majority && !is_majority(confirmed, of) {
+            return Some(NotLawfulReason::NoMajority { confirmed, of });
+        }
+        None
+    }
+
+    fn record(&mut self, name: Name) -> &mut MemberRecord {
+        let found = self.records.binary_search_by(|record| record.name.cmp(&name));
+        let index = found.unwrap_or_else(|index| {
+            self.records.insert(index, MemberRecord::new(name));
+            index
+        });
+        &mut self.records[index]
+    }
+
+    fn retire(&mut self, now: Now) {
+        while self.retired_version + 1 < self.view.list_version()
+            && self.is_retired(now, self.retired_version + 1)
+        {
+            self.retired_version += 1;
+        }
+        self.forget_retired_lists();
+    }
+
+    fn tick(&mut self, now: Now, summary: HeartbeatSummary) -> Vec<MembershipEffect> {
+        self.tick_ms = now.monotonic_ms;
+        self.summary = summary;
+        let mut effects = self.lose_silent(now);
+        effects.extend(self.send_heartbeats(now));
+        effects
+    }
+
+    fn lose_silent(&mut self, now: Now) -> Vec<MembershipEffect> {
+        let limit_ms = SILENT_INTERVALS * self.settings.heartbeat_interval_ms;
+        let mut effects = Vec::new();
+        for record in &mut self.records {
+            let is_silent = now.monotonic_ms.saturating_sub(record.heard_ms) >= limit_ms;
+            if is_silent && record.incarnation.take().is_some() {
+                effects.push(MembershipEffect::PeerLost { peer: record.name.clone() });
+            }
+        }
+        effects
+    }
+
+    fn send_heartbeats(&mut self, now: Now) -> Vec<MembershipEffect> {
+        let next_ms = self.heartbeat_sent_ms.map(|ms| ms + self.settings.heartbeat_interval_ms);
+        if next_ms.is_some_and(|next_ms| now.monotonic_ms < next_ms) {
+            return Vec::new();
+        }
+        self.heartbeat_sent_ms = Some(now.monotonic_ms);
+        let message = PeerMessage::Heartbeat(self.heartbeat(now));
+        let targets = self.heartbeat_targets().into_iter();
+        targets.map(|to| MembershipEffect::Send { message: message.clone(), to }).collect()
+    }
+}
+
+fn is_majority(count: usize, of: usize) -> bool {
+    count * 2 > of
+}
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,46 @@
+//! Switches for the rules of key homes, so that tests can show what each rule prevents.
+
+/// Which rules of key homes are in force; every rule is in force by default.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Rules {
+    /// A newly started instance confirms nobody for two windows.
+    pub abstention: bool,
+    /// A claim made on another list version is refused.
+    pub equal_list: bool,
+    /// A key minted in the future beyond the margin is refused.
+    pub future: bool,
+    /// A majority of the published list has to confirm a home.
+    pub majority: bool,
+    /// A key minted before the home became lawful is not granted.
+    pub minted_after: bool,
+    /// A gap between ticks longer than the window breaks the standing.
+    pub pause: bool,
+    /// A newly started instance confirms nobody before it has heard enough of its list.
+    pub recovery: bool,
+    /// Every earlier list version has to be retired.
+    pub retirement: bool,
+    /// Retirement counts only members that confirmed within the window.
+    pub retirement_window: bool,
+    /// A confirmation counts from the time at which its heartbeat was sent.
+    pub send_time: bool,
+    /// A home becomes lawful only after an unbroken window.
+    pub unbroken_window: bool,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            abstention: true,
+            equal_list: true,
+            future: true,
+            majority: true,
+            minted_after: true,
+            pause: true,
+            recovery: true,
+            retirement: true,
+            retirement_window: true,
+            send_time: true,
+            unbroken_window: true,
+        }
+    }
+}
--- /dev/null
+++ b/src/view.rs
@@ -0,0 +1,115 @@
+//! The group of instances with which an instance shares key homes and heartbeats.
+//!
+//! Up to [`CELL_LIMIT`] instances are one cell. A longer list is cut into cells by data centre
+//! and hash. Homes and stewards are chosen by highest random weight (rendezvous hashing: Thaler
+//! and Ravishankar, "Using name-based mappings to increase hit rates", IEEE/ACM Transactions on
+//! Networking, 1998), so that a change of one member moves only that member's share.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::inventory::Inventory;
+use crate::name::Name;
+
+/// Most instances in one cell.
+pub const CELL_LIMIT: usize = 9;
+
+/// The published instances as one of them sees them.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct View {
+    cells: Vec<Vec<Name>>,
+    list_version: u64,
+    own_cell: Option<usize>,
+    own_name: Name,
+}
+
+impl View {
+    /// Builds the view that an instance has of an inventory.
+    pub fn of(inventory: &Inventory, own_name: Name) -> Self {
+        let cells = cut(inventory);
+        let own_cell = cells.iter().position(|cell| cell.binary_search(&own_name).is_ok());
+        Self { cells, list_version: inventory.instances_version, own_cell, own_name }
+    }
+
+    /// Returns the members of the cell that a key belongs to, sorted.
+    pub fn cell_of_key(&self, key: &str) -> &[Name] {
+        let index = (0..self.cells.len()).max_by_key(|index| cell_weight(key, *index));
+        index.map_or(&[], |index| self.cells[index].as_slice())
+    }
+
+    /// Returns whether the published list has this instance.
+    pub fn contains_self(&self) -> bool {
+        self.own_cell.is_some()
+    }
+
+    /// Returns the home of a key; this instance if the list is empty.
+    pub fn home(&self, key: &str) -> Name {
+        highest(key, self.cell_of_key(key).iter()).unwrap_or(&self.own_name).clone()
+    }
+
+    /// Returns the version of the published list.
+    pub fn list_version(&self) -> u64 {
+        self.list_version
+    }
+
+    /// Returns the members of this instance's cell, sorted; none if the list lacks it.
+    pub fn members(&self) -> &[Name] {
+        self.own_cell.map_or(&[], |index| self.cells[index].as_slice())
+    }
+
+    /// Returns this instance's name.
+    pub fn own_name(&self) -> &Name {
+        &self.own_name
+    }
+
+    /// Returns the steward of a service: the highest of the live instances.
+    pub fn steward(&self, service: &str, live: &[Name]) -> Option<Name> {
+        highest(service, live.iter()).cloned()
+    }
+
+    /// Returns the home that a key has once an instance is gone; none if nobody else is there.
+    pub fn successor(&self, key: &str, without: &Name) -> Option<Name> {
+        highest(key, self.cell_of_key(key).iter().filter(|name| *name != without)).cloned()
+    }
+}
+
+fn cell_weight(key: &str, index: usize) -> u64 {
+    xxh3_64_with_seed(key.as_bytes(), xxh3_64(&(index as u64).to_le_bytes()))
+}
+
+fn cut(inventory: &Inventory) -> Vec<Vec<Name>> {
+    if inventory.instances.len() <= CELL_LIMIT {
+        return vec![sorted(inventory.instances.iter().map(|instance| instance.name.clone()))];
+    }
+    let data_centres = sorted(inventory.instances.iter().map(|item| item.data_centre.clone()));
+    data_centres.iter().flat_map(|data_centre| cut_data_centre(inventory, data_centre)).collect()
+}
+
+fn cut_data_centre(inventory: &Inventory, data_centre: &Name) -> Vec<Vec<Name>> {
+    let here = inventory.instances.iter().filter(|item| item.data_centre == *data_centre);
+    let mut names: Vec<Name> = here.map(|instance| instance.name.clone()).collect();
+    names.sort_by_key(|name| (xxh3_64(name.as_bytes()), name.clone()));
+    let cell_count = names.len().div_ceil(CELL_LIMIT);
+    let cell_size = names.len().div_ceil(cell_count);
+    names.chunks(cell_size).map(|cell| sorted(cell.iter().cloned())).collect()
+}
+
+fn highest<'a, I>(key: &str, names: I) -> Option<&'a Name>
+where
+    I: Iterator<Item = &'a Name>,
+{
+    names.max_by_key(|name| (weight(key, name), *name))
+}
+
+fn sorted<I>(names: I) -> Vec<Name>
+where
+    I: Iterator<Item = Name>,
+{
+    let mut names: Vec<Name> = names.collect();
+    names.sort();
+    names.dedup();
+    names
+}
+
+fn weight(key: &str, name: &str) -> u64 {
+    xxh3_64_with_seed(key.as_bytes(), xxh3_64(name.as_bytes()))
+}
