Split the membership decision by job

The state machine had grown past what reads well in one file; records of the others and the count of their confirmations stand on their own now.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! A request scheduler for unlike inference engines.
 
+mod earlier_list;
 pub mod error;
 pub mod final_answer;
 pub mod finding;
@@ -10,6 +11,7 @@
 pub mod key_minting;
 pub mod load_report;
 mod member_record;
+mod member_records;
 pub mod membership;
 pub mod membership_builder;
 pub mod membership_event;
@@ -22,3 +24,4 @@
 pub mod scheduling;
 pub mod settings;
 pub mod view;
+mod vote_count;
--- /dev/null
+++ b/src/member_records.rs
@@ -0,0 +1,87 @@
+//! What an instance knows of the others, sorted by name.
+
+use crate::member_record::{ConfirmationRecord, MemberRecord};
+use crate::membership_event::MembershipEffect;
+use crate::name::Name;
+use crate::now::Now;
+
+/// What an instance knows of the others, sorted by name.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct MemberRecords {
+    sorted: Vec<MemberRecord>,
+}
+
+impl MemberRecords {
+    /// Returns the names of those that live, sorted.
+    pub(crate) fn alive(&self) -> Vec<Name> {
+        let alive = self.sorted.iter().filter(|record| record.incarnation.is_some());
+        alive.map(|record| record.name.clone()).collect()
+    }
+
+    /// Takes in a confirmation.
+    pub(crate) fn confirm(&mut self, name: Name, confirmation: ConfirmationRecord) {
+        self.get_or_insert(name).confirm(confirmation);
+    }
+
+    /// Returns the latest confirmation of an instance.
+    pub(crate) fn confirmation(&self, name: &Name) -> Option<&ConfirmationRecord> {
+        self.get(name)?.confirmation.as_ref()
+    }
+
+    /// Finds the record of an instance.
+    pub(crate) fn get(&self, name: &Name) -> Option<&MemberRecord> {
+        let index = self.sorted.binary_search_by(|record| record.name.cmp(name)).ok()?;
+        self.sorted.get(index)
+    }
+
+    /// Marks an instance as lost.
+    pub(crate) fn lose(&mut self, name: &Name) -> Vec<MembershipEffect> {
+        self.lose_where(|record| record.name == *name)
+    }
+
+    /// Marks those as lost that a condition holds for.
+    pub(crate) fn lose_where<F>(&mut self, condition: F) -> Vec<MembershipEffect>
+    where
+        F: Fn(&MemberRecord) -> bool,
+    {
+        let mut effects = Vec::new();
+        for record in self.sorted.iter_mut().filter(|record| condition(record)) {
+            if record.incarnation.take().is_some() {
+                effects.push(MembershipEffect::PeerLost { peer: record.name.clone() });
+            }
+        }
+        effects
+    }
+
+    /// Takes in that an instance lives.
+    pub(crate) fn mark_alive(
+        &mut self,
+        now: Now,
+        peer: &Name,
+        incarnation: u64,
+    ) -> Vec<MembershipEffect> {
+        let record = self.get_or_insert(peer.clone());
+        record.heard_ms = now.monotonic_ms;
+        let before = record.incarnation.replace(incarnation);
+        if before == Some(incarnation) {
+            return Vec::new();
+        }
+        let lost = before.map(|_| MembershipEffect::PeerLost { peer: peer.clone() });
+        let alive = MembershipEffect::PeerAlive { incarnation, peer: peer.clone() };
+        lost.into_iter().chain([alive]).collect()
+    }
+
+    /// Forgets all but the given instances, which are sorted.
+    pub(crate) fn retain(&mut self, known: &[Name]) {
+        self.sorted.retain(|record| known.binary_search(&record.name).is_ok());
+    }
+
+    fn get_or_insert(&mut self, name: Name) -> &mut MemberRecord {
+        let found = self.sorted.binary_search_by(|record| record.name.cmp(&name));
+        let index = found.unwrap_or_else(|index| {
+            self.sorted.insert(index, MemberRecord::new(name));
+            index
+        });
+        &mut self.sorted[index]
+    }
+}
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -22,14 +22,17 @@
 
 use std::cmp::Ordering;
 
+use crate::earlier_list::EarlierList;
 use crate::home_standing::{HomeStanding, NotLawfulReason};
-use crate::member_record::{ConfirmationRecord, MemberRecord};
+use crate::member_record::ConfirmationRecord;
+use crate::member_records::MemberRecords;
 use crate::membership_builder::MembershipBuilder;
 use crate::membership_event::{HeartbeatSummary, MembershipEffect, MembershipEvent};
 use crate::name::Name;
 use crate::now::Now;
 use crate::peer_message::{Confirmation, Heartbeat, PeerMessage};
 use crate::view::View;
+use crate::vote_count::{VoteCount, is_majority};
 
 const ABSTENTION_WINDOWS: u64 = 2;
 const SILENT_INTERVALS: u64 = 3;
@@ -42,7 +45,7 @@
     first_seen_ms: u64,
     heartbeat_sent_ms: Option<u64>,
     lawful_since: Option<Now>,
-    records: Vec<MemberRecord>,
+    records: MemberRecords,
     retired_version: u64,
     settings: MembershipBuilder,
     started_ms: u64,
@@ -52,12 +55,6 @@
     view: View,
 }
 
-#[derive(Clone, Debug)]
-struct EarlierList {
-    members: Vec<Name>,
-    version: u64,
-}
-
 impl Membership {
     pub(crate) fn start(settings: MembershipBuilder, now: Now, view: View) -> Self {
         Self {
@@ -66,7 +63,7 @@
             first_seen_ms: now.monotonic_ms,
             heartbeat_sent_ms: None,
             lawful_since: None,
-            records: Vec::new(),
+            records: MemberRecords::default(),
             retired_version: 0,
             settings,
             started_ms: now.monotonic_ms,
@@ -79,8 +76,7 @@
 
     /// Returns the members that live, sorted, with this instance.
     pub fn alive(&self) -> Vec<Name> {
-        let alive = self.records.iter().filter(|record| record.incarnation.is_some());
-        let mut names: Vec<Name> = alive.map(|record| record.name.clone()).collect();
+        let mut names = self.records.alive();
         if let Err(index) = names.binary_search(self.view.own_name()) {
             names.insert(index, self.view.own_name().clone());
         }
@@ -95,7 +91,7 @@
                 self.confirmed(now, from, &confirmation)
             }
             MembershipEvent::Heartbeat { from, heartbeat } => self.heard(now, from, &heartbeat),
-            MembershipEvent::LinkLost { peer } => self.lose(&peer),
+            MembershipEvent::LinkLost { peer } => self.records.lose(&peer),
             MembershipEvent::ListAdopted { view } => self.adopt(now, view),
             MembershipEvent::Tick { summary } => self.tick(now, summary),
         };
@@ -140,7 +136,8 @@
         self.view = view;
         self.first_seen_ms = now.monotonic_ms;
         self.break_standing();
-        self.drop_strangers()
+        let members = self.view.members();
+        self.records.lose_where(|record| members.binary_search(&record.name).is_err())
     }
 
     fn break_standing(&mut self) {
@@ -163,11 +160,12 @@
             return effects;
         }
         let send_time = self.settings.rules.send_time;
-        self.record(from).confirm(ConfirmationRecord {
+        let confirmation = ConfirmationRecord {
             confirms: confirmation.confirms,
             counts_from_ms: if send_time { sent_ms } else { now.monotonic_ms },
             list_version: confirmation.list_version,
-        });
+        };
+        self.records.confirm(from, confirmation);
         effects
     }
 
@@ -177,55 +175,17 @@
         }
     }
 
-    fn confirmed_count(&self, now: Now) -> usize {
-        let own_vote = usize::from(self.established);
-        let version = self.view.list_version();
-        let confirms = |record: &&ConfirmationRecord| {
-            record.list_version == version && self.is_in_window(now, record)
-        };
-        let others = self.view.members().iter().filter_map(|name| self.confirmation_of(name));
-        own_vote + others.filter(confirms).count()
-    }
-
-    fn confirmation_of(&self, name: &Name) -> Option<&ConfirmationRecord> {
-        let index = self.records.binary_search_by(|record| record.name.cmp(name)).ok()?;
-        self.records[index].confirmation.as_ref()
-    }
-
-    fn drop_strangers(&mut self) -> Vec<MembershipEffect> {
-        let members = self.view.members();
-        let mut effects = Vec::new();
-        for record in &mut self.records {
-            let is_member = members.binary_search(&record.name).is_ok();
-            if !is_member && record.incarnation.take().is_some() {
-                effects.push(MembershipEffect::PeerLost { peer: record.name.clone() });
-            }
-        }
-        effects
-    }
-
     fn forget_retired_lists(&mut self) {
         let retired_version = self.retired_version;
         self.earlier_lists.retain(|list| list.version > retired_version);
         let known = self.heartbeat_targets();
-        self.records.retain(|record| known.binary_search(&record.name).is_ok());
+        self.records.retain(&known);
     }
 
     fn has_recovered(&self, now: Now) -> bool {
-        let rules = self.settings.rules;
-        if !rules.recovery || self.is_past_lifetime(now, self.started_ms) {
-            return true;
-        }
-        let version = self.view.list_version();
-        let evidence_from_ms = self.started_ms + self.settings.confirmation_window_ms;
-        let is_evidence = |record: &&ConfirmationRecord| {
-            record.counts_from_ms >= evidence_from_ms && record.list_version <= version
-        };
-        let others = self.view.members().iter().filter_map(|name| self.confirmation_of(name));
-        let heard: Vec<&ConfirmationRecord> = others.filter(is_evidence).collect();
-        let established = heard.iter().filter(|record| record.confirms).count();
-        let of = self.view.members().len();
-        is_majority(established, of) || heard.len() + 1 >= of
+        !self.settings.rules.recovery
+            || self.is_past_lifetime(now, self.started_ms)
+            || self.votes(now).has_heard_enough(self.started_ms)
     }
 
     fn heard(&mut self, now: Now, from: Name, heartbeat: &Heartbeat) -> Vec<MembershipEffect> {
@@ -237,7 +197,7 @@
             effects.push(MembershipEffect::ConfigAhead { peer: from.clone(), version });
         }
         if self.view.members().binary_search(&from).is_ok() {
-            self.mark_alive(now, &from, heartbeat.incarnation, &mut effects);
+            effects.extend(self.records.mark_alive(now, &from, heartbeat.incarnation));
         }
         let message = PeerMessage::Confirmation(Confirmation {
             confirms: self.established,
@@ -272,11 +232,6 @@
         names
     }
 
-    fn is_in_window(&self, now: Now, record: &ConfirmationRecord) -> bool {
-        let age_ms = now.monotonic_ms.saturating_sub(record.counts_from_ms);
-        record.confirms && age_ms < self.settings.confirmation_window_ms
-    }
-
     fn is_known(&self, name: &Name) -> bool {
         self.heartbeat_targets().binary_search(name).is_ok()
     }
@@ -294,31 +249,11 @@
     fn is_retired(&self, now: Now, version: u64) -> bool {
         let known = self.earlier_lists.iter().find(|list| list.version == version);
         match known {
-            Some(list) => self.is_left(now, list),
+            Some(list) => self.votes(now).is_left(list),
             None => self.is_past_lifetime(now, self.first_seen_ms),
         }
     }
 
-    fn is_left(&self, now: Now, list: &EarlierList) -> bool {
-        let has_left = |name: &&Name| self.has_left(now, name, list.version);
-        is_majority(list.members.iter().filter(has_left).count(), list.members.len())
-    }
-
-    fn has_left(&self, now: Now, name: &Name, version: u64) -> bool {
-        if name == self.view.own_name() {
-            return self.established;
-        }
-        let Ok(index) = self.records.binary_search_by(|record| record.name.cmp(name)) else {
-            return false;
-        };
-        let record = &self.records[index];
-        if !self.settings.rules.retirement_window {
-            return record.seen_version > version;
-        }
-        let later = |known: &ConfirmationRecord| known.list_version > version;
-        record.confirmation.as_ref().is_some_and(|it| later(it) && self.is_in_window(now, it))
-    }
-
     fn list_obstacle(&self) -> Option<NotLawfulReason> {
         if !self.settings.rules.retirement {
             return None;
@@ -331,35 +266,6 @@
         }
     }
 
-    fn lose(&mut self, peer: &Name) -> Vec<MembershipEffect> {
-        let Ok(index) = self.records.binary_search_by(|record| record.name.cmp(peer)) else {
-            return Vec::new();
-        };
-        match self.records[index].incarnation.take() {
-            Some(_) => vec![MembershipEffect::PeerLost { peer: peer.clone() }],
-            None => Vec::new(),
-        }
-    }
-
-    fn mark_alive(
-        &mut self,
-        now: Now,
-        peer: &Name,
-        incarnation: u64,
-        effects: &mut Vec<MembershipEffect>,
-    ) {
-        let record = self.record(peer.clone());
-        record.heard_ms = now.monotonic_ms;
-        let before = record.incarnation.replace(incarnation);
-        if before == Some(incarnation) {
-            return;
-        }
-        if before.is_some() {
-            effects.push(MembershipEffect::PeerLost { peer: peer.clone() });
-        }
-        effects.push(MembershipEffect::PeerAlive { incarnation, peer: peer.clone() });
-    }
-
     fn observe(&mut self, now: Now) {
         if self.is_paused(now) {
             self.break_standing();
@@ -395,22 +301,13 @@
         if let Some(reason) = self.list_obstacle() {
             return Some(reason);
         }
-        let (confirmed, of) = (self.confirmed_count(now), self.view.members().len());
+        let (confirmed, of) = (self.votes(now).confirmed(), self.view.members().len());
         if self.settings.rules.majority && !is_majority(confirmed, of) {
             return Some(NotLawfulReason::NoMajority { confirmed, of });
         }
         None
     }
 
-    fn record(&mut self, name: Name) -> &mut MemberRecord {
-        let found = self.records.binary_search_by(|record| record.name.cmp(&name));
-        let index = found.unwrap_or_else(|index| {
-            self.records.insert(index, MemberRecord::new(name));
-            index
-        });
-        &mut self.records[index]
-    }
-
     fn retire(&mut self, now: Now) {
         while self.retired_version + 1 < self.view.list_version()
             && self.is_retired(now, self.retired_version + 1)
@@ -423,20 +320,10 @@
     fn tick(&mut self, now: Now, summary: HeartbeatSummary) -> Vec<MembershipEffect> {
         self.tick_ms = now.monotonic_ms;
         self.summary = summary;
-        let mut effects = self.lose_silent(now);
-        effects.extend(self.send_heartbeats(now));
-        effects
-    }
-
-    fn lose_silent(&mut self, now: Now) -> Vec<MembershipEffect> {
         let limit_ms = SILENT_INTERVALS * self.settings.heartbeat_interval_ms;
-        let mut effects = Vec::new();
-        for record in &mut self.records {
-            let is_silent = now.monotonic_ms.saturating_sub(record.heard_ms) >= limit_ms;
-            if is_silent && record.incarnation.take().is_some() {
-                effects.push(MembershipEffect::PeerLost { peer: record.name.clone() });
-            }
-        }
+        let silent_ms = |heard_ms| now.monotonic_ms.saturating_sub(heard_ms);
+        let mut effects = self.records.lose_where(|record| silent_ms(record.heard_ms) >= limit_ms);
+        effects.extend(self.send_heartbeats(now));
         effects
     }
 
@@ -450,8 +337,14 @@
         let targets = self.heartbeat_targets().into_iter();
         targets.map(|to| MembershipEffect::Send { message: message.clone(), to }).collect()
     }
-}
 
-fn is_majority(count: usize, of: usize) -> bool {
-    count * 2 > of
+    fn votes(&self, now: Now) -> VoteCount<'_> {
+        VoteCount {
+            established: self.established,
+            now,
+            records: &self.records,
+            settings: &self.settings,
+            view: &self.view,
+        }
+    }
 }
--- /dev/null
+++ b/src/vote_count.rs
@@ -0,0 +1,86 @@
+//! Counts what the others have confirmed.
+
+use crate::earlier_list::EarlierList;
+use crate::member_record::ConfirmationRecord;
+use crate::member_records::MemberRecords;
+use crate::membership_builder::MembershipBuilder;
+use crate::name::Name;
+use crate::now::Now;
+use crate::view::View;
+
+/// Counts what the others have confirmed, as of one moment.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct VoteCount<'a> {
+    /// Whether this instance may confirm.
+    pub(crate) established: bool,
+    /// The moment.
+    pub(crate) now: Now,
+    /// What is known of the others.
+    pub(crate) records: &'a MemberRecords,
+    /// The times and rules.
+    pub(crate) settings: &'a MembershipBuilder,
+    /// The view in force.
+    pub(crate) view: &'a View,
+}
+
+impl VoteCount<'_> {
+    /// Returns how many members confirm this instance and its list, itself included.
+    pub(crate) fn confirmed(&self) -> usize {
+        let version = self.view.list_version();
+        let confirms = |record: &ConfirmationRecord| {
+            record.list_version == version && self.is_in_window(record)
+        };
+        usize::from(self.established) + self.count_members(confirms)
+    }
+
+    /// Returns whether enough others have been heard to make up for what a restart forgot.
+    pub(crate) fn has_heard_enough(&self, started_ms: u64) -> bool {
+        let version = self.view.list_version();
+        let evidence_from_ms = started_ms + self.settings.confirmation_window_ms;
+        let is_evidence = |record: &ConfirmationRecord| {
+            record.counts_from_ms >= evidence_from_ms && record.list_version <= version
+        };
+        let heard = self.count_members(is_evidence);
+        let established = self.count_members(|record| is_evidence(record) && record.confirms);
+        let of = self.view.members().len();
+        is_majority(established, of) || heard + 1 >= of
+    }
+
+    /// Returns whether more than half of an earlier list has confirmed a later one.
+    pub(crate) fn is_left(&self, list: &EarlierList) -> bool {
+        let has_left = |name: &&Name| self.has_left(name, list.version);
+        is_majority(list.members.iter().filter(has_left).count(), list.members.len())
+    }
+
+    fn count_members<F>(&self, condition: F) -> usize
+    where
+        F: Fn(&ConfirmationRecord) -> bool,
+    {
+        let others = self.view.members().iter().filter_map(|name| self.records.confirmation(name));
+        others.filter(|record| condition(record)).count()
+    }
+
+    fn has_left(&self, name: &Name, version: u64) -> bool {
+        if name == self.view.own_name() {
+            return self.established;
+        }
+        let Some(record) = self.records.get(name) else {
+            return false;
+        };
+        if !self.settings.rules.retirement_window {
+            return record.seen_version > version;
+        }
+        let later = |known: &ConfirmationRecord| known.list_version > version;
+        record.confirmation.as_ref().is_some_and(|known| later(known) && self.is_in_window(known))
+    }
+
+    fn is_in_window(&self, record: &ConfirmationRecord) -> bool {
+        let age_ms = self.now.monotonic_ms.saturating_sub(record.counts_from_ms);
+        record.confirms && age_ms < self.settings.confirmation_window_ms
+    }
+}
+
+/// Returns whether a count is more than half.
+pub(crate) fn is_majority(count: usize, of: usize) -> bool {
+    count * 2 > of
+}
