--- /dev/null
+++ b/src/backend_choice.rs
@@ -0,0 +1,59 @@
+//! The choice of a backend server for one request, by expected completion.
+//!
+//! A request that has no room anywhere reserves one server, so that smaller requests behind it
+//! can't keep it waiting: backfilling after Lifka, "The ANL/IBM SP scheduling system", 1995.
+
+use crate::engine_state::EngineState;
+use crate::scheduling::Bid;
+
+/// What to do with one waiting request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Choice {
+    /// Pass over it: no server that it may use takes work.
+    Hold,
+    /// Keep this server free for it.
+    Reserve(usize),
+    /// Grant this server.
+    Take(usize),
+}
+
+/// A request as the choice sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// The bid.
+    pub bid: &'a Bid,
+    /// Tokens that it counts for.
+    pub cost_tokens: u64,
+    /// Tokens of the answer, by estimate.
+    pub output_tokens: u32,
+}
+
+/// Chooses among the servers that are not reserved.
+pub fn choose(
+    now_ms: u64,
+    engines: &[EngineState],
+    reserved: &[bool],
+    candidate: Candidate<'_>,
+) -> Choice {
+    let eligible = || {
+        engines.iter().enumerate().filter(|(index, engine)| {
+            !reserved[*index]
+                && engine.usable(now_ms)
+                && !candidate.bid.excluded.contains(&engine.name)
+        })
+    };
+    let best = eligible()
+        .filter(|(_, engine)| engine.fits(now_ms, candidate.cost_tokens))
+        .min_by_key(|(_, engine)| {
+            let completion_ms =
+                engine.expected_completion_ms(now_ms, candidate.bid, candidate.output_tokens);
+            (completion_ms, engine.running_tokens)
+        });
+    if let Some((index, _)) = best {
+        return Choice::Take(index);
+    }
+    match eligible().min_by_key(|(_, engine)| engine.running_tokens) {
+        Some((index, _)) => Choice::Reserve(index),
+        None => Choice::Hold,
+    }
+}
--- /dev/null
+++ b/src/engine_limit.rs
@@ -0,0 +1,76 @@
+//! Limit of the tokens in progress at one backend server, adapted from measured latency.
+//!
+//! Additive increase and multiplicative decrease after Chiu and Jain, "Analysis of the increase
+//! and decrease algorithms for congestion avoidance in computer networks", 1989.
+
+/// Tokens that are added for each measurement within its target.
+const INCREASE_TOKENS: u64 = 64;
+/// Share of the limit that is kept on a decrease, in percent.
+const DECREASE_PERCENT: u64 = 80;
+/// Shortest time between two decreases, in milliseconds.
+const DECREASE_INTERVAL_MS: u64 = 1_000;
+/// Factor between the starting limit and either bound.
+const BOUND_FACTOR: u64 = 8;
+/// Lowest bound of any limit, in tokens.
+const LEAST_LIMIT_TOKENS: u64 = 64;
+
+/// Limit of the tokens in progress at one backend server.
+#[derive(Clone, Debug)]
+pub struct EngineLimit {
+    initial_tokens: u64,
+    last_decrease_ms: Option<u64>,
+    limit_tokens: u64,
+}
+
+impl EngineLimit {
+    /// Starts at a limit, in tokens.
+    pub fn new(initial_tokens: u64) -> Self {
+        let initial_tokens = initial_tokens.max(LEAST_LIMIT_TOKENS);
+        Self { initial_tokens, last_decrease_ms: None, limit_tokens: initial_tokens }
+    }
+
+    /// Returns the limit that the adaptation started at, in tokens.
+    pub fn initial_tokens(&self) -> u64 {
+        self.initial_tokens
+    }
+
+    /// Returns the limit in force, in tokens.
+    pub fn limit_tokens(&self) -> u64 {
+        self.limit_tokens
+    }
+
+    /// Returns the lowest limit, in tokens.
+    pub fn lower_bound_tokens(&self) -> u64 {
+        (self.initial_tokens / BOUND_FACTOR).max(LEAST_LIMIT_TOKENS)
+    }
+
+    /// Returns the highest limit, in tokens.
+    pub fn upper_bound_tokens(&self) -> u64 {
+        self.initial_tokens * BOUND_FACTOR
+    }
+
+    /// Takes in one measured latency; `running_tokens` tells whether the limit was in use.
+    pub fn measure(&mut self, now_ms: u64, measured_ms: u64, target_ms: u64, running_tokens: u64) {
+        if measured_ms > target_ms {
+            self.decrease(now_ms);
+        } else if running_tokens * 2 >= self.limit_tokens {
+            self.increase();
+        }
+    }
+
+    fn decrease(&mut self, now_ms: u64) {
+        let too_soon =
+            self.last_decrease_ms.is_some_and(|last_ms| now_ms < last_ms + DECREASE_INTERVAL_MS);
+        if too_soon {
+            return;
+        }
+        self.last_decrease_ms = Some(now_ms);
+        let lowered_tokens = self.limit_tokens * DECREASE_PERCENT / 100;
+        self.limit_tokens = lowered_tokens.max(self.lower_bound_tokens());
+    }
+
+    fn increase(&mut self) {
+        let raised_tokens = self.limit_tokens + INCREASE_TOKENS;
+        self.limit_tokens = raised_tokens.min(self.upper_bound_tokens());
+    }
+}
--- /dev/null
+++ b/src/engine_state.rs
@@ -0,0 +1,191 @@
+//! What a steward knows of one backend server.
+
+use std::collections::VecDeque;
+
+use crate::engine_limit::EngineLimit;
+use crate::inventory::BackendServer;
+use crate::load_report::LoadReport;
+use crate::name::Name;
+use crate::prefix_history::PrefixHistory;
+use crate::scheduling::Bid;
+use crate::server_health::{Health, ServerHealth};
+use crate::speed_estimate::SpeedEstimate;
+use crate::straggler::{PROBE_INTERVAL_MS, Pace, Straggler};
+
+/// Most recent grants that are kept to age a load report.
+const RECENT_GRANTS_LIMIT: usize = 256;
+/// Age at which a load report says nothing any more, in milliseconds.
+const REPORT_LIFETIME_MS: u64 = 10_000;
+
+/// One backend server as its steward sees it.
+#[derive(Clone, Debug)]
+pub struct EngineState {
+    /// Failures.
+    pub health: ServerHealth,
+    /// Time of the last grant, in milliseconds.
+    pub last_grant_ms: u64,
+    /// Whether it gets no new work.
+    pub leaving: bool,
+    /// Limit of tokens in progress.
+    pub limit: EngineLimit,
+    /// Name.
+    pub name: Name,
+    /// Prompt tokens of granted requests that have no first token yet.
+    pub pending_prefill_tokens: u64,
+    /// Cached prefixes.
+    pub prefixes: PrefixHistory,
+    /// Requests in progress.
+    pub running_requests: u32,
+    /// Tokens in progress.
+    pub running_tokens: u64,
+    /// Learned speed.
+    pub speed: SpeedEstimate,
+    /// Slowdown.
+    pub straggler: Straggler,
+    /// Whether a granted request was never heard of, and nothing since.
+    pub unheard: bool,
+    recent_grants: VecDeque<RecentGrant>,
+    recent_grants_tokens: u64,
+    report: Option<SampledLoad>,
+}
+
+#[derive(Clone, Debug)]
+struct RecentGrant {
+    at_ms: u64,
+    tokens: u64,
+}
+
+#[derive(Clone, Debug)]
+struct SampledLoad {
+    queued_tokens: u64,
+    sampled_ms: u64,
+}
+
+impl EngineState {
+    /// Starts from the inventory's entry.
+    pub fn new(server: &BackendServer) -> Self {
+        Self {
+            health: ServerHealth::default(),
+            last_grant_ms: 0,
+            leaving: server.leaving,
+            limit: EngineLimit::new(u64::from(server.token_limit_tokens)),
+            name: server.name.clone(),
+            pending_prefill_tokens: 0,
+            prefixes: PrefixHistory::default(),
+            recent_grants: VecDeque::new(),
+            recent_grants_tokens: 0,
+            report: None,
+            running_requests: 0,
+            running_tokens: 0,
+            speed: SpeedEstimate::new(server.prefill_tokens_per_s),
+            straggler: Straggler::default(),
+            unheard: false,
+        }
+    }
+
+    /// Returns whether the server takes any new work now or once it has room.
+    pub fn usable(&self, now_ms: u64) -> bool {
+        !self.leaving && self.health.health(now_ms) != Health::Down
+    }
+
+    /// Returns whether it has room for a request; an idle server has room for any one request.
+    pub fn fits(&self, now_ms: u64, cost_tokens: u64) -> bool {
+        let room = self.running_tokens + cost_tokens <= self.effective_limit_tokens(now_ms);
+        self.running_requests == 0 || room
+    }
+
+    /// Returns the limit in force after health and pace, in tokens.
+    pub fn effective_limit_tokens(&self, now_ms: u64) -> u64 {
+        let limit_tokens = self.limit.limit_tokens();
+        match (self.health.health(now_ms), self.straggler.pace()) {
+            _ if self.unheard => 0,
+            (Health::Down | Health::Probe, _) | (_, Pace::Probe) => 0,
+            (_, Pace::Share(percent)) => limit_tokens * percent / 100,
+            (_, Pace::Whole) => limit_tokens,
+        }
+    }
+
+    /// Returns the time until a request would be complete, in milliseconds.
+    pub fn expected_completion_ms(&self, now_ms: u64, bid: &Bid, output_tokens: u32) -> u64 {
+        let cached_tokens = self.prefixes.cached_tokens(&bid.prefix_hashes);
+        let uncached_tokens = u64::from(bid.prompt_tokens).saturating_sub(cached_tokens);
+        let prefill_tokens = self.queued_tokens(now_ms) + uncached_tokens;
+        let decode_ms = self.between_tokens_ms(now_ms) * f64::from(output_tokens);
+        self.speed.prefill_ms(prefill_tokens) + decode_ms as u64
+    }
+
+    /// Takes in a load report.
+    pub fn reported(&mut self, now_ms: u64, report: &LoadReport) {
+        let sampled_ms = now_ms.saturating_sub(report.age_ms);
+        self.report = Some(SampledLoad { queued_tokens: report.queued_tokens, sampled_ms });
+        while self.recent_grants.front().is_some_and(|grant| grant.at_ms < sampled_ms) {
+            self.forget_recent_grant();
+        }
+    }
+
+    /// Starts the limit anew if the inventory's figure changed.
+    pub fn restart_limit(&mut self, initial_tokens: u64) {
+        let restarted = EngineLimit::new(initial_tokens);
+        if restarted.initial_tokens() != self.limit.initial_tokens() {
+            self.limit = restarted;
+        }
+    }
+
+    /// Counts a request in.
+    pub fn start(&mut self, now_ms: u64, cost_tokens: u64, prefill_tokens: u64) {
+        self.running_requests += 1;
+        self.running_tokens += cost_tokens;
+        self.pending_prefill_tokens += prefill_tokens;
+        self.last_grant_ms = now_ms;
+        if self.recent_grants.len() >= RECENT_GRANTS_LIMIT {
+            self.forget_recent_grant();
+        }
+        self.recent_grants.push_back(RecentGrant { at_ms: now_ms, tokens: prefill_tokens });
+        self.recent_grants_tokens += prefill_tokens;
+    }
+
+    /// Counts a prefill as done.
+    pub fn prefilled(&mut self, prefill_tokens: u64) {
+        self.pending_prefill_tokens = self.pending_prefill_tokens.saturating_sub(prefill_tokens);
+    }
+
+    /// Counts a request out.
+    pub fn end(&mut self, cost_tokens: u64) {
+        self.running_requests = self.running_requests.saturating_sub(1);
+        self.running_tokens = self.running_tokens.saturating_sub(cost_tokens);
+    }
+
+    /// Returns one word for its state, for operators.
+    pub fn state(&self, now_ms: u64) -> &'static str {
+        match self.health.health(now_ms) {
+            _ if self.leaving => "leaving",
+            Health::Down => "down",
+            _ if self.unheard || self.straggler.pace() != Pace::Whole => "straggler",
+            _ => "in_use",
+        }
+    }
+
+    fn between_tokens_ms(&self, now_ms: u64) -> f64 {
+        let idle = self.running_requests == 0 && now_ms >= self.last_grant_ms + PROBE_INTERVAL_MS;
+        match self.straggler.pace() {
+            Pace::Whole => self.speed.between_tokens_ms(),
+            _ if idle => self.straggler.usual_ms(),
+            _ => self.straggler.recent_ms(),
+        }
+        .unwrap_or(0.0)
+    }
+
+    fn forget_recent_grant(&mut self) {
+        if let Some(grant) = self.recent_grants.pop_front() {
+            self.recent_grants_tokens -= grant.tokens;
+        }
+    }
+
+    fn queued_tokens(&self, now_ms: u64) -> u64 {
+        let Some(report) = &self.report else { return self.pending_prefill_tokens };
+        if now_ms > report.sampled_ms + REPORT_LIFETIME_MS {
+            return self.pending_prefill_tokens;
+        }
+        self.pending_prefill_tokens.max(report.queued_tokens + self.recent_grants_tokens)
+    }
+}
--- /dev/null
+++ b/src/granting.rs
@@ -0,0 +1,123 @@
+//! Which waiting requests are granted a backend server now.
+
+use crate::backend_choice::{Candidate, Choice, choose};
+use crate::name::Name;
+use crate::running_requests::RunningRequests;
+use crate::scheduler::SchedulerEffect;
+use crate::scheduling::{Bid, Grant};
+use crate::steward::Steward;
+use crate::waiting_queue::Turn;
+
+/// Time for which a grant holds after its arrival, in milliseconds.
+pub const GRANT_EXPIRES_MS: u64 = 1_000;
+/// Most requests that one decision passes over in one tier.
+const PASSED_LIMIT_REQUESTS: usize = 256;
+/// Room below which a busy backend server is not considered, in tokens.
+const LEAST_ROOM_TOKENS: u64 = 1;
+
+/// What follows from looking at one waiting request.
+enum Step {
+    /// It was granted.
+    Granted,
+    /// It waits on; others may be granted.
+    PassedOver(Turn),
+    /// Nothing more of this tier can be granted now.
+    TierDone,
+}
+
+impl Steward {
+    /// Refuses what must be refused and grants what has room.
+    pub(crate) fn settle_queue(&mut self, now_ms: u64, effects: &mut Vec<SchedulerEffect>) {
+        self.refuse_expired(now_ms, effects);
+        self.refuse_hopeless(now_ms, effects);
+        if self.settled_ms.is_some_and(|settled_ms| settled_ms <= now_ms) {
+            self.grant_waiting(now_ms, effects);
+        }
+    }
+
+    fn grant_waiting(&mut self, now_ms: u64, effects: &mut Vec<SchedulerEffect>) {
+        let has_room = |engine: &crate::engine_state::EngineState| {
+            engine.usable(now_ms) && engine.fits(now_ms, LEAST_ROOM_TOKENS)
+        };
+        let mut reserved: Vec<bool> = self.engines.iter().map(|e| !has_room(e)).collect();
+        for rank in self.queue.ranks() {
+            let mut passed = Vec::new();
+            while reserved.contains(&false) && passed.len() < PASSED_LIMIT_REQUESTS {
+                match self.grant_next(now_ms, rank, &passed, &mut reserved, effects) {
+                    Step::Granted => {}
+                    Step::PassedOver(turn) => passed.push(turn),
+                    Step::TierDone => break,
+                }
+            }
+        }
+    }
+
+    fn grant_next(
+        &mut self,
+        now_ms: u64,
+        rank: u8,
+        passed: &[Turn],
+        reserved: &mut [bool],
+        effects: &mut Vec<SchedulerEffect>,
+    ) -> Step {
+        let Some((turn, waiting)) = self.queue.next(rank, passed) else { return Step::TierDone };
+        let candidate = Candidate {
+            bid: &waiting.bid,
+            cost_tokens: waiting.cost_tokens,
+            output_tokens: waiting.output_tokens,
+        };
+        if waits_for_twin(&self.suspects, &self.running, candidate.bid) {
+            return Step::PassedOver(turn);
+        }
+        match choose(now_ms, &self.engines, reserved, candidate) {
+            Choice::Hold => Step::PassedOver(turn),
+            Choice::Reserve(index) => {
+                reserved[index] = true;
+                Step::PassedOver(turn)
+            }
+            Choice::Take(index) => {
+                let request = waiting.bid.request.clone();
+                let backend_server = self.engines[index].name.clone();
+                effects.push(self.grant(now_ms, request, backend_server));
+                Step::Granted
+            }
+        }
+    }
+
+    fn grant(
+        &mut self,
+        now_ms: u64,
+        request: crate::request_id::RequestId,
+        backend_server: Name,
+    ) -> SchedulerEffect {
+        if let Some(waiting) = self.queue.grant(&request) {
+            let prefill_tokens = self.prefill_tokens(&waiting.bid, &backend_server);
+            let first_token_ms = self.first_token_ms(prefill_tokens, &waiting.bid, &backend_server);
+            let forget_ms = if self.is_plain() {
+                RunningRequests::overdue_ms(waiting.deadline_ms)
+            } else {
+                RunningRequests::unheard_ms(now_ms, GRANT_EXPIRES_MS, first_token_ms)
+            };
+            self.start(now_ms, &backend_server, waiting, prefill_tokens, forget_ms);
+        }
+        SchedulerEffect::Grant(Grant { backend_server, expires_in_ms: GRANT_EXPIRES_MS, request })
+    }
+
+    fn prefill_tokens(&self, bid: &Bid, backend_server: &Name) -> u64 {
+        let engine = self.engines.iter().find(|engine| engine.name == *backend_server);
+        let cached_tokens = engine.map_or(0, |e| e.prefixes.cached_tokens(&bid.prefix_hashes));
+        u64::from(bid.prompt_tokens).saturating_sub(cached_tokens)
+    }
+
+    fn first_token_ms(&self, prefill_tokens: u64, bid: &Bid, backend_server: &Name) -> u64 {
+        let engine = self.engines.iter().find(|engine| engine.name == *backend_server);
+        let backlog_ms =
+            engine.map_or(0, |e| e.speed.prefill_ms(e.pending_prefill_tokens + prefill_tokens));
+        let target_ms = self.tier(bid.tier_rank).map_or(0, |tier| tier.first_token_ms);
+        backlog_ms.max(target_ms) * 2
+    }
+}
+
+fn waits_for_twin(suspects: &[u64], running: &RunningRequests, bid: &Bid) -> bool {
+    suspects.binary_search(&bid.fingerprint).is_ok() && running.runs_fingerprint(bid.fingerprint)
+}
--- /dev/null
+++ b/src/learning.rs
@@ -0,0 +1,124 @@
+//! What a steward learns from the progress of granted requests.
+
+use crate::name::Name;
+use crate::request_id::RequestId;
+use crate::running_requests::{Running, RunningRequests};
+use crate::scheduling::Progress;
+use crate::steward::Steward;
+
+/// Factor over the bare time of its own prefill within which a first token is in time.
+const PREFILL_TOLERANCE: u64 = 2;
+
+impl Steward {
+    /// Takes in how a granted request goes.
+    pub(crate) fn learn(&mut self, now_ms: u64, request: &RequestId, progress: &Progress) {
+        match progress {
+            Progress::Abandoned | Progress::Cancelled => {
+                self.end(request);
+            }
+            Progress::ConnectFailed => self.learn_failure(now_ms, request),
+            Progress::Died => self.learn_death(now_ms, request),
+            Progress::Finished { output_tokens, .. } => {
+                self.learn_finish(now_ms, request, *output_tokens);
+            }
+            Progress::FirstToken { elapsed_ms } => {
+                self.hear(now_ms, request);
+                self.learn_first_token(now_ms, request, *elapsed_ms);
+            }
+            Progress::Tokens { between_tokens_ms, .. } => {
+                self.hear(now_ms, request);
+                self.learn_tokens(now_ms, request, *between_tokens_ms);
+            }
+        }
+    }
+
+    fn hear(&mut self, now_ms: u64, request: &RequestId) {
+        let Some(running) = self.running.get(request) else { return };
+        let backend_server = running.backend_server.clone();
+        if !running.heard {
+            let forget_ms = RunningRequests::overdue_ms(running.deadline_ms);
+            self.running.hear(request, forget_ms);
+        }
+        self.succeed(now_ms, &backend_server);
+    }
+
+    fn succeed(&mut self, now_ms: u64, backend_server: &Name) {
+        if let Some(engine) = self.engine_mut(backend_server) {
+            engine.health.succeeded(now_ms);
+            engine.unheard = false;
+        }
+    }
+
+    fn learn_death(&mut self, now_ms: u64, request: &RequestId) {
+        let backend_server = self.running.get(request).map(|r| r.backend_server.clone());
+        self.learn_failure(now_ms, request);
+        if let Some(engine) = backend_server.and_then(|name| self.engine_mut(&name)) {
+            engine.prefixes.clear();
+        }
+    }
+
+    fn learn_failure(&mut self, now_ms: u64, request: &RequestId) {
+        let Some(running) = self.end(request) else { return };
+        if let Some(engine) = self.engine_mut(&running.backend_server) {
+            engine.health.failed(now_ms, &running.backend_server);
+        }
+    }
+
+    fn learn_finish(&mut self, now_ms: u64, request: &RequestId, output_tokens: u32) {
+        let Some(running) = self.end(request) else { return };
+        self.succeed(now_ms, &running.backend_server);
+        if self.is_plain() {
+            self.learn_plain_answer(now_ms, &running);
+        } else {
+            self.lengths.learn(&running.bid.customer, output_tokens);
+        }
+    }
+
+    fn learn_plain_answer(&mut self, now_ms: u64, running: &Running) {
+        let Some(target_ms) = self.tier(running.bid.tier_rank).map(|tier| tier.first_token_ms)
+        else {
+            return;
+        };
+        let elapsed_ms = now_ms.saturating_sub(running.granted_ms);
+        if let Some(engine) = self.engine_mut(&running.backend_server) {
+            let running_tokens = engine.running_tokens + running.cost_tokens;
+            engine.limit.measure(now_ms, elapsed_ms, target_ms, running_tokens);
+        }
+    }
+
+    fn learn_first_token(&mut self, now_ms: u64, request: &RequestId, elapsed_ms: u64) {
+        let Some(running) = self.running.get_mut(request) else { return };
+        let prefill_tokens = std::mem::take(&mut running.prefill_tokens);
+        let backlog_tokens = running.prefill_backlog_tokens;
+        let backend_server = running.backend_server.clone();
+        let tier_rank = running.bid.tier_rank;
+        let target_ms = self.tier(tier_rank).map_or(u64::MAX, |tier| tier.first_token_ms);
+        let Some(engine) = self.engine_mut(&backend_server) else { return };
+        engine.prefilled(prefill_tokens);
+        engine.speed.learn_prefill(backlog_tokens, elapsed_ms);
+        let bare_ms = engine.speed.prefill_ms(prefill_tokens) * PREFILL_TOLERANCE;
+        let running_tokens = engine.running_tokens;
+        engine.limit.measure(now_ms, elapsed_ms, target_ms.max(bare_ms), running_tokens);
+    }
+
+    fn learn_tokens(&mut self, now_ms: u64, request: &RequestId, between_tokens_ms: u64) {
+        let Some(running) = self.running.get(request) else { return };
+        let backend_server = running.backend_server.clone();
+        let tier = self.tier(running.bid.tier_rank);
+        let target_ms = tier.map_or(u64::MAX, |tier| tier.between_tokens_ms);
+        let peers_ms = self.peers_between_ms(&backend_server);
+        let Some(engine) = self.engine_mut(&backend_server) else { return };
+        engine.speed.learn_decode(between_tokens_ms);
+        engine.straggler.measure(between_tokens_ms, peers_ms);
+        let running_tokens = engine.running_tokens;
+        engine.limit.measure(now_ms, between_tokens_ms, target_ms, running_tokens);
+    }
+
+    /// Returns the median of the other servers' recent time between tokens, in milliseconds.
+    fn peers_between_ms(&self, backend_server: &Name) -> Option<f64> {
+        let peers = self.engines.iter().filter(|engine| engine.name != *backend_server);
+        let mut between_ms: Vec<f64> = peers.filter_map(|e| e.straggler.recent_ms()).collect();
+        between_ms.sort_by(f64::total_cmp);
+        between_ms.get(between_ms.len() / 2).copied()
+    }
+}
--- /dev/null
+++ b/src/length_estimate.rs
@@ -0,0 +1,112 @@
+//! Estimate of the length of answers, learned per customer of one service.
+//!
+//! Mean and mean deviation are smoothed after Jacobson, "Congestion avoidance and control", 1988.
+
+use crate::name::Name;
+
+/// Most customers that are remembered.
+pub const CUSTOMER_LIMIT: usize = 256;
+/// Length that is assumed before anything was learned, in tokens.
+const DEFAULT_OUTPUT_TOKENS: u32 = 256;
+/// Answers after which an estimate may be used to refuse a request.
+const TRUSTED_ANSWERS: u32 = 8;
+const MEAN_WEIGHT: f64 = 0.125;
+const DEVIATION_WEIGHT: f64 = 0.25;
+
+/// Learned lengths of the answers of one service.
+#[derive(Clone, Debug, Default)]
+pub struct LengthEstimates {
+    customers: Vec<CustomerLength>,
+    uses: u64,
+}
+
+#[derive(Clone, Debug)]
+struct CustomerLength {
+    answers: u32,
+    deviation_tokens: f64,
+    last_use: u64,
+    mean_tokens: f64,
+    name: Name,
+}
+
+impl LengthEstimates {
+    /// Takes in the length of one whole answer, in tokens.
+    pub fn learn(&mut self, customer: &Name, output_tokens: u32) {
+        self.uses += 1;
+        let measured_tokens = f64::from(output_tokens);
+        match self.find(customer) {
+            Ok(index) => self.customers[index].update(measured_tokens, self.uses),
+            Err(_) => self.add(customer, measured_tokens),
+        }
+    }
+
+    /// Returns a length that few answers go beyond, in tokens.
+    pub fn upper_tokens(&self, customer: &Name, max_output_tokens: u32) -> u32 {
+        let estimate_tokens = match self.find(customer) {
+            Ok(index) => self.customers[index].bound(1.0),
+            Err(_) => DEFAULT_OUTPUT_TOKENS,
+        };
+        estimate_tokens.min(max_output_tokens)
+    }
+
+    /// Returns a length that few answers stay below, in tokens, or nothing before enough answers
+    /// were seen.
+    pub fn lower_tokens(&self, customer: &Name, max_output_tokens: u32) -> Option<u32> {
+        let index = self.find(customer).ok()?;
+        let length = &self.customers[index];
+        if length.answers < TRUSTED_ANSWERS {
+            return None;
+        }
+        Some(length.bound(-2.0).min(max_output_tokens))
+    }
+
+    /// Returns the number of customers remembered.
+    pub fn len(&self) -> usize {
+        self.customers.len()
+    }
+
+    /// Returns whether nothing was learned.
+    pub fn is_empty(&self) -> bool {
+        self.customers.is_empty()
+    }
+
+    fn add(&mut self, customer: &Name, measured_tokens: f64) {
+        if self.customers.len() >= CUSTOMER_LIMIT {
+            self.forget_least_recent();
+        }
+        let length = CustomerLength {
+            answers: 1,
+            deviation_tokens: measured_tokens / 2.0,
+            last_use: self.uses,
+            mean_tokens: measured_tokens,
+            name: customer.clone(),
+        };
+        let index = self.find(customer).unwrap_or_else(|index| index);
+        self.customers.insert(index, length);
+    }
+
+    fn find(&self, customer: &Name) -> Result<usize, usize> {
+        self.customers.binary_search_by(|length| length.name.cmp(customer))
+    }
+
+    fn forget_least_recent(&mut self) {
+        let oldest = self.customers.iter().enumerate().min_by_key(|(_, length)| length.last_use);
+        if let Some((index, _)) = oldest {
+            self.customers.remove(index);
+        }
+    }
+}
+
+impl CustomerLength {
+    fn bound(&self, deviations: f64) -> u32 {
+        (self.mean_tokens + deviations * self.deviation_tokens).max(1.0) as u32
+    }
+
+    fn update(&mut self, measured_tokens: f64, uses: u64) {
+        let error_tokens = measured_tokens - self.mean_tokens;
+        self.mean_tokens += MEAN_WEIGHT * error_tokens;
+        self.deviation_tokens += DEVIATION_WEIGHT * (error_tokens.abs() - self.deviation_tokens);
+        self.answers = self.answers.saturating_add(1);
+        self.last_use = uses;
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,14 +1,33 @@
 //! A request scheduler for unlike inference engines.
 
+pub mod backend_choice;
+pub mod baseline_fleet;
+pub mod engine_limit;
+pub mod engine_state;
 pub mod error;
 pub mod final_answer;
 pub mod finding;
+pub mod granting;
 pub mod inventory;
+pub mod learning;
+pub mod least_outstanding;
+pub mod length_estimate;
 pub mod load_report;
 pub mod name;
 pub mod now;
 pub mod peer_message;
+pub mod prefix_history;
 pub mod request_id;
+pub mod retry_budget;
+pub mod round_robin;
+pub mod running_requests;
 pub mod scheduler;
 pub mod scheduling;
+pub mod server_health;
 pub mod settings;
+pub mod shedding;
+pub mod speed_estimate;
+pub mod steward;
+pub mod straggler;
+pub mod tier_queue;
+pub mod waiting_queue;
--- /dev/null
+++ b/src/prefix_history.rs
@@ -0,0 +1,109 @@
+//! Which prompt prefixes one model engine has cached, by own dispatch history and cache events.
+//!
+//! Memory is bounded; the least recently used prefix is forgotten first. Each event that a gap
+//! swallowed may have evicted one prefix, and engines evict the least recently used ones first:
+//! a gap of n events forgets the n least recently used prefixes. A batch that ends before the
+//! last event seen comes from a restarted engine, whose cache is empty.
+
+use std::collections::BTreeMap;
+
+use crate::load_report::CacheEvent;
+
+/// Most prefixes that are remembered for one engine.
+pub const PREFIX_LIMIT: usize = 4_096;
+/// Tokens of one block of a prefix.
+pub const BLOCK_TOKENS: u64 = 256;
+
+/// Prefixes that one engine is believed to have cached.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixHistory {
+    by_use: BTreeMap<u64, u64>,
+    last_sequence: Option<u64>,
+    uses: u64,
+    use_by_hash: BTreeMap<u64, u64>,
+}
+
+impl PrefixHistory {
+    /// Notes that a request with these prefixes, shortest first, was dispatched to the engine.
+    ///
+    /// The longest is noted first, so that a prefix is forgotten before those it extends.
+    pub fn dispatched(&mut self, prefix_hashes: &[u64]) {
+        for prefix_hash in prefix_hashes.iter().take(PREFIX_LIMIT).rev() {
+            self.store(*prefix_hash);
+        }
+    }
+
+    /// Takes in cache events in the order in which the engine listed them.
+    pub fn apply(&mut self, events: &[CacheEvent]) {
+        self.forget_if_restarted(events);
+        for event in events {
+            self.apply_one(event);
+        }
+    }
+
+    /// Returns how many tokens of a prompt are believed cached.
+    pub fn cached_tokens(&self, prefix_hashes: &[u64]) -> u64 {
+        let cached = prefix_hashes.partition_point(|hash| self.use_by_hash.contains_key(hash));
+        cached as u64 * BLOCK_TOKENS
+    }
+
+    /// Forgets everything, as after the engine's death.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Returns the number of prefixes remembered.
+    pub fn len(&self) -> usize {
+        self.use_by_hash.len()
+    }
+
+    /// Returns whether no prefix is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.use_by_hash.is_empty()
+    }
+
+    fn apply_one(&mut self, event: &CacheEvent) {
+        if let Some(last) = self.last_sequence {
+            if event.sequence <= last {
+                return;
+            }
+            self.forget_oldest(event.sequence - last - 1);
+        }
+        self.last_sequence = Some(event.sequence);
+        if event.stored {
+            self.store(event.prefix_hash);
+        } else {
+            self.forget(event.prefix_hash);
+        }
+    }
+
+    fn forget(&mut self, prefix_hash: u64) {
+        if let Some(stamp) = self.use_by_hash.remove(&prefix_hash) {
+            self.by_use.remove(&stamp);
+        }
+    }
+
+    fn forget_if_restarted(&mut self, events: &[CacheEvent]) {
+        let highest = events.iter().map(|event| event.sequence).max();
+        if highest.is_some() && highest < self.last_sequence {
+            self.clear();
+        }
+    }
+
+    fn forget_oldest(&mut self, count: u64) {
+        for _ in 0..count {
+            let Some((_, prefix_hash)) = self.by_use.pop_first() else { return };
+            self.use_by_hash.remove(&prefix_hash);
+        }
+    }
+
+    fn store(&mut self, prefix_hash: u64) {
+        self.forget(prefix_hash);
+        self.uses += 1;
+        self.use_by_hash.insert(prefix_hash, self.uses);
+        self.by_use.insert(self.uses, prefix_hash);
+        if self.use_by_hash.len() > PREFIX_LIMIT {
+            self.forget_oldest(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/shedding.rs
@@ -0,0 +1,135 @@
+//! Which requests a steward refuses, and when.
+//!
+//! Requests are shed from the lowest waiting tier upwards only, and among equals the one that can
+//! least make its deadline goes first. Nothing is refused on an estimate before enough answers
+//! were measured.
+
+use crate::request_id::RequestId;
+use crate::scheduler::SchedulerEffect;
+use crate::scheduling::{Bid, Refusal, RefusalReason};
+use crate::steward::Steward;
+
+/// Most requests that wait at one steward.
+pub const QUEUE_LIMIT_REQUESTS: usize = 4_096;
+/// Share of an estimated time that must be missing before a request is refused, in percent.
+const ESTIMATE_PERCENT: u64 = 80;
+const RETRY_AFTER_NO_BACKEND_SERVER_MS: u64 = 1_000;
+const RETRY_AFTER_OVERLOAD_MS: u64 = 2_000;
+const RETRY_AFTER_QUARANTINE_MS: u64 = 60_000;
+
+/// Whether a bid may wait.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// It may.
+    Admitted,
+    /// It is refused.
+    Refused(RefusalReason),
+}
+
+/// Makes the effect that tells of a refusal.
+pub fn refusal(request: RequestId, reason: RefusalReason) -> SchedulerEffect {
+    let retry_after_ms = match reason {
+        RefusalReason::CannotFinishInTime | RefusalReason::NoRoom => RETRY_AFTER_OVERLOAD_MS,
+        RefusalReason::NoBackendServer => RETRY_AFTER_NO_BACKEND_SERVER_MS,
+        RefusalReason::Quarantined => RETRY_AFTER_QUARANTINE_MS,
+    };
+    SchedulerEffect::Refuse(Refusal { reason, request, retry_after_ms })
+}
+
+impl Steward {
+    /// Checks what doesn't depend on the other waiting requests.
+    pub(crate) fn admit(&mut self, bid: &Bid) -> Admission {
+        if self.quarantined.binary_search(&bid.fingerprint).is_ok() {
+            return Admission::Refused(RefusalReason::Quarantined);
+        }
+        if bid.time_left_ms == 0 {
+            return Admission::Refused(RefusalReason::CannotFinishInTime);
+        }
+        if self.inventory.is_some() && !self.has_candidate(bid) {
+            return Admission::Refused(RefusalReason::NoBackendServer);
+        }
+        self.admit_retry(bid)
+    }
+
+    /// Refuses the requests that no backend server is left for.
+    pub(crate) fn refuse_without_candidates(&mut self, effects: &mut Vec<SchedulerEffect>) {
+        let queue = std::mem::take(&mut self.queue);
+        let mut kept = queue;
+        let removed = kept.remove_where(|bid| !self.has_candidate(bid));
+        self.queue = kept;
+        for waiting in removed {
+            effects.push(refusal(waiting.bid.request, RefusalReason::NoBackendServer));
+        }
+    }
+
+    /// Refuses from the lowest tier upwards while too many wait.
+    pub(crate) fn make_room(&mut self, effects: &mut Vec<SchedulerEffect>) {
+        while self.queue.len() > QUEUE_LIMIT_REQUESTS {
+            let Some(waiting) = self.queue.least_hopeful() else { return };
+            let request = waiting.bid.request.clone();
+            self.queue.remove(&request);
+            effects.push(refusal(request, RefusalReason::NoRoom));
+        }
+    }
+
+    /// Refuses the requests whose deadline has passed.
+    pub(crate) fn refuse_expired(&mut self, now_ms: u64, effects: &mut Vec<SchedulerEffect>) {
+        while let Some(request) = self.queue.expired(now_ms) {
+            self.queue.remove(&request);
+            effects.push(refusal(request, RefusalReason::CannotFinishInTime));
+        }
+    }
+
+    /// Refuses the requests of the lowest waiting tier that can't finish in time.
+    pub(crate) fn refuse_hopeless(&mut self, now_ms: u64, effects: &mut Vec<SchedulerEffect>) {
+        while let Some(waiting) = self.queue.least_hopeful() {
+            if waiting.latest_start_ms >= now_ms {
+                return;
+            }
+            let request = waiting.bid.request.clone();
+            let Some(waiting) = self.queue.remove(&request) else { return };
+            let deadline_ms = waiting.deadline_ms;
+            let mut bid = waiting.bid;
+            bid.time_left_ms = deadline_ms.saturating_sub(now_ms);
+            let weighed = self.weigh(now_ms, bid);
+            if weighed.latest_start_ms < now_ms {
+                effects.push(refusal(request, RefusalReason::CannotFinishInTime));
+            } else {
+                let weight = self.weight(&weighed.bid.customer);
+                self.queue.insert(weighed, weight);
+            }
+        }
+    }
+
+    /// Estimates the least time that a request takes at the best backend server, in milliseconds,
+    /// or nothing before enough was measured.
+    pub(crate) fn least_service_ms(&self, bid: &Bid) -> Option<u64> {
+        let output_tokens = self.lengths.lower_tokens(&bid.customer, bid.max_output_tokens)?;
+        let measured = self.engines.iter().filter(|engine| !engine.leaving);
+        let between_ms =
+            measured.filter_map(|engine| engine.speed.between_tokens_ms()).reduce(f64::min)?;
+        let prefill_ms = self.engines.iter().map(|engine| {
+            let cached_tokens = engine.prefixes.cached_tokens(&bid.prefix_hashes);
+            engine.speed.prefill_ms(u64::from(bid.prompt_tokens).saturating_sub(cached_tokens))
+        });
+        let service_ms = prefill_ms.min()? + (between_ms * f64::from(output_tokens)) as u64;
+        Some(service_ms * ESTIMATE_PERCENT / 100)
+    }
+
+    fn admit_retry(&mut self, bid: &Bid) -> Admission {
+        if bid.excluded.is_empty() {
+            self.retry_budget.earn();
+            return Admission::Admitted;
+        }
+        let lower_waits = self.queue.lowest_rank().is_some_and(|rank| rank > bid.tier_rank);
+        if self.queue.contains(&bid.request) || self.retry_budget.spend() || lower_waits {
+            return Admission::Admitted;
+        }
+        Admission::Refused(RefusalReason::NoBackendServer)
+    }
+
+    fn has_candidate(&self, bid: &Bid) -> bool {
+        let mut candidates = self.engines.iter().filter(|engine| !engine.leaving);
+        candidates.any(|engine| !bid.excluded.contains(&engine.name))
+    }
+}
--- /dev/null
+++ b/src/steward.rs
@@ -0,0 +1,337 @@
+//! The steward of one service: it decides for all instances which request goes where, and when.
+
+use std::sync::Arc;
+
+use crate::engine_state::EngineState;
+use crate::inventory::{Inventory, ServiceKind, Tier};
+use crate::length_estimate::LengthEstimates;
+use crate::name::Name;
+use crate::now::Now;
+use crate::request_id::RequestId;
+use crate::retry_budget::RetryBudget;
+use crate::running_requests::{Running, RunningRequests};
+use crate::scheduler::{
+    BackendServerReport, Scheduler, SchedulerEffect, SchedulerEvent, SchedulerReport,
+};
+use crate::scheduling::{Bid, RefusalReason, RunningRequest};
+use crate::shedding::{Admission, refusal};
+use crate::waiting_queue::{Waiting, WaitingQueue};
+
+/// Time for which a new steward only listens, so that it knows what runs, in milliseconds.
+pub const SETTLE_MS: u64 = 500;
+
+/// Decides in strict tier order, with fair shares between customers and earliest deadline first
+/// within one, inside each backend server's limit of tokens in progress.
+#[derive(Debug)]
+pub struct Steward {
+    pub(crate) engines: Vec<EngineState>,
+    pub(crate) inventory: Option<Arc<Inventory>>,
+    pub(crate) lengths: LengthEstimates,
+    pub(crate) quarantined: Vec<u64>,
+    pub(crate) queue: WaitingQueue,
+    pub(crate) retry_budget: RetryBudget,
+    pub(crate) running: RunningRequests,
+    pub(crate) service: Name,
+    pub(crate) settled_ms: Option<u64>,
+    pub(crate) suspects: Vec<u64>,
+}
+
+impl Scheduler for Steward {
+    fn decide(&mut self, now: Now, event: SchedulerEvent) -> Vec<SchedulerEffect> {
+        let now_ms = now.monotonic_ms;
+        self.settled_ms.get_or_insert(now_ms + SETTLE_MS);
+        let mut effects = Vec::new();
+        match self.take_in(now_ms, event, &mut effects) {
+            Next::Nothing => {}
+            Next::Grant => self.settle_queue(now_ms, &mut effects),
+        }
+        effects
+    }
+
+    fn lowest_waiting_rank(&self) -> Option<u8> {
+        self.queue.lowest_rank()
+    }
+
+    fn report(&self, now: Now) -> SchedulerReport {
+        let describe = |engine: &EngineState| BackendServerReport {
+            limit_tokens: engine.limit.limit_tokens(),
+            name: engine.name.to_string(),
+            running_requests: engine.running_requests,
+            running_tokens: engine.running_tokens,
+            state: engine.state(now.monotonic_ms).to_owned(),
+        };
+        SchedulerReport {
+            backend_servers: self.engines.iter().map(describe).collect(),
+            service: self.service.to_string(),
+            waiting: self.queue.counts(),
+        }
+    }
+}
+
+/// What an event calls for.
+enum Next {
+    /// Room or a request may have come.
+    Grant,
+    /// Nothing that could be granted changed.
+    Nothing,
+}
+
+impl Steward {
+    /// Starts without requests and backend servers; the first event starts the settle time.
+    pub fn new(service: Name) -> Self {
+        Self {
+            engines: Vec::new(),
+            inventory: None,
+            lengths: LengthEstimates::default(),
+            quarantined: Vec::new(),
+            queue: WaitingQueue::default(),
+            retry_budget: RetryBudget::default(),
+            running: RunningRequests::default(),
+            service,
+            settled_ms: None,
+            suspects: Vec::new(),
+        }
+    }
+
+    pub(crate) fn engine_mut(&mut self, name: &Name) -> Option<&mut EngineState> {
+        let index = self.engines.binary_search_by(|engine| engine.name.cmp(name)).ok()?;
+        self.engines.get_mut(index)
+    }
+
+    pub(crate) fn is_plain(&self) -> bool {
+        let service =
+            self.inventory.as_ref().and_then(|inventory| inventory.service(&self.service));
+        service.is_some_and(|service| service.kind == ServiceKind::Plain)
+    }
+
+    pub(crate) fn tier(&self, rank: u8) -> Option<&Tier> {
+        let tiers = &self.inventory.as_ref()?.tiers;
+        let index = tiers.binary_search_by_key(&rank, |tier| tier.rank).ok()?;
+        tiers.get(index)
+    }
+
+    fn take_in(
+        &mut self,
+        now_ms: u64,
+        event: SchedulerEvent,
+        effects: &mut Vec<SchedulerEffect>,
+    ) -> Next {
+        match event {
+            SchedulerEvent::Bid(bid) => return self.bid(now_ms, bid, effects),
+            SchedulerEvent::CacheEvents { backend_server, events } => {
+                if let Some(engine) = self.engine_mut(&backend_server) {
+                    engine.prefixes.apply(&events);
+                }
+                return Next::Nothing;
+            }
+            SchedulerEvent::Fleet { inventory, leaving } => {
+                self.set_fleet(now_ms, inventory, &leaving);
+                self.refuse_without_candidates(effects);
+            }
+            SchedulerEvent::InstanceLost { instance } => self.lose_instance(&instance),
+            SchedulerEvent::LoadReport { backend_server, report } => {
+                if let Some(engine) = self.engine_mut(&backend_server) {
+                    engine.reported(now_ms, &report);
+                }
+                return Next::Nothing;
+            }
+            SchedulerEvent::Progress { progress, request } => {
+                self.learn(now_ms, &request, &progress);
+            }
+            SchedulerEvent::Quarantine { quarantined, suspects } => {
+                self.quarantined = quarantined;
+                self.suspects = suspects;
+                self.refuse_quarantined(effects);
+            }
+            SchedulerEvent::Running(running) => self.report_running(now_ms, running),
+            SchedulerEvent::Tick => self.tick(now_ms, effects),
+            SchedulerEvent::Withdraw { request } => self.withdraw(&request),
+        }
+        Next::Grant
+    }
+
+    fn bid(&mut self, now_ms: u64, bid: Bid, effects: &mut Vec<SchedulerEffect>) -> Next {
+        if let Some(running) = self.running.get_mut(&bid.request) {
+            if !running.heard {
+                running.bid_again = Some((now_ms, bid));
+            }
+            return Next::Nothing;
+        }
+        match self.admit(&bid) {
+            Admission::Refused(reason) => {
+                self.queue.remove(&bid.request);
+                effects.push(refusal(bid.request, reason));
+            }
+            Admission::Admitted => self.enqueue(now_ms, bid, effects),
+        }
+        Next::Grant
+    }
+
+    /// Lets a bid wait, and makes room for it from the lowest tier upwards.
+    pub(crate) fn enqueue(&mut self, now_ms: u64, bid: Bid, effects: &mut Vec<SchedulerEffect>) {
+        let weight = self.weight(&bid.customer);
+        let waiting = self.weigh(now_ms, bid);
+        self.queue.insert(waiting, weight);
+        self.make_room(effects);
+    }
+
+    /// Estimates what a bid counts for and by when it must start.
+    pub(crate) fn weigh(&self, now_ms: u64, bid: Bid) -> Waiting {
+        let deadline_ms = now_ms.saturating_add(bid.time_left_ms);
+        let output_tokens = self.output_tokens(&bid);
+        let cost_tokens = (u64::from(bid.prompt_tokens) + u64::from(output_tokens)).max(1);
+        let service_ms = self.least_service_ms(&bid).unwrap_or(0);
+        let latest_start_ms = deadline_ms.saturating_sub(service_ms);
+        Waiting { bid, cost_tokens, deadline_ms, latest_start_ms, output_tokens }
+    }
+
+    fn output_tokens(&self, bid: &Bid) -> u32 {
+        if self.is_plain() {
+            return 0;
+        }
+        self.lengths.upper_tokens(&bid.customer, bid.max_output_tokens)
+    }
+
+    pub(crate) fn weight(&self, customer: &Name) -> u32 {
+        let customer = self.inventory.as_ref().and_then(|inventory| inventory.customer(customer));
+        customer.map_or(1, |customer| customer.weight)
+    }
+
+    fn set_fleet(&mut self, now_ms: u64, inventory: Arc<Inventory>, leaving: &[Name]) {
+        let mut engines = Vec::new();
+        for server in &inventory.backend_servers {
+            if server.service != self.service {
+                continue;
+            }
+            let kept = self.engines.iter().find(|engine| engine.name == server.name);
+            let mut engine = match kept {
+                Some(engine) => engine.clone(),
+                None => self.counted_engine(now_ms, EngineState::new(server)),
+            };
+            engine.restart_limit(u64::from(server.token_limit_tokens));
+            engine.leaving = server.leaving || leaving.binary_search(&server.name).is_ok();
+            engines.push(engine);
+        }
+        engines.sort_by(|a, b| a.name.cmp(&b.name));
+        self.engines = engines;
+        self.inventory = Some(inventory);
+    }
+
+    fn counted_engine(&self, now_ms: u64, mut engine: EngineState) -> EngineState {
+        let requests = self.running.matching(|_, running| running.backend_server == engine.name);
+        for request in requests {
+            if let Some(running) = self.running.get(&request) {
+                engine.start(now_ms, running.cost_tokens, running.prefill_tokens);
+            }
+        }
+        engine
+    }
+
+    fn lose_instance(&mut self, instance: &Name) {
+        self.queue.remove_instance(instance);
+        let lost = self.running.matching(|request, _| request.instance == *instance);
+        for request in lost {
+            self.end(&request);
+        }
+    }
+
+    fn report_running(&mut self, now_ms: u64, reported: RunningRequest) {
+        let request = reported.bid.request.clone();
+        self.queue.remove(&request);
+        if let Some(running) = self.running.get(&request) {
+            let forget_ms = RunningRequests::overdue_ms(running.deadline_ms);
+            self.running.hear(&request, forget_ms);
+            return;
+        }
+        let waiting = self.weigh(now_ms, reported.bid);
+        let prefilled = reported.output_tokens > 0;
+        let prefill_tokens = if prefilled { 0 } else { u64::from(waiting.bid.prompt_tokens) };
+        let forget_ms = RunningRequests::overdue_ms(waiting.deadline_ms);
+        self.start(now_ms, &reported.backend_server, waiting, prefill_tokens, forget_ms);
+        self.running.hear(&request, forget_ms);
+    }
+
+    /// Counts a request in at a backend server.
+    pub(crate) fn start(
+        &mut self,
+        now_ms: u64,
+        backend_server: &Name,
+        waiting: Waiting,
+        prefill_tokens: u64,
+        forget_ms: u64,
+    ) {
+        let mut prefill_backlog_tokens = prefill_tokens;
+        if let Some(engine) = self.engine_mut(backend_server) {
+            engine.start(now_ms, waiting.cost_tokens, prefill_tokens);
+            engine.prefixes.dispatched(&waiting.bid.prefix_hashes);
+            prefill_backlog_tokens = engine.pending_prefill_tokens;
+        }
+        self.running.insert(Running {
+            backend_server: backend_server.clone(),
+            bid: waiting.bid,
+            bid_again: None,
+            cost_tokens: waiting.cost_tokens,
+            deadline_ms: waiting.deadline_ms,
+            forget_ms,
+            granted_ms: now_ms,
+            heard: false,
+            prefill_backlog_tokens,
+            prefill_tokens,
+        });
+    }
+
+    /// Counts a request out; returns what was known of it.
+    pub(crate) fn end(&mut self, request: &RequestId) -> Option<Running> {
+        let running = self.running.remove(request)?;
+        if let Some(engine) = self.engine_mut(&running.backend_server) {
+            engine.end(running.cost_tokens);
+            engine.prefilled(running.prefill_tokens);
+        }
+        Some(running)
+    }
+
+    fn tick(&mut self, now_ms: u64, effects: &mut Vec<SchedulerEffect>) {
+        while let Some(request) = self.running.forgettable(now_ms) {
+            let Some(running) = self.end(&request) else { return };
+            if !running.heard
+                && let Some(engine) = self.engine_mut(&running.backend_server)
+            {
+                engine.unheard = true;
+            }
+            if let Some((bid_ms, bid)) = running.bid_again {
+                self.bid_again(now_ms, bid_ms, bid, effects);
+            }
+        }
+    }
+
+    fn bid_again(
+        &mut self,
+        now_ms: u64,
+        bid_ms: u64,
+        mut bid: Bid,
+        effects: &mut Vec<SchedulerEffect>,
+    ) {
+        bid.time_left_ms = (bid_ms + bid.time_left_ms).saturating_sub(now_ms);
+        match self.admit(&bid) {
+            Admission::Refused(reason) => effects.push(refusal(bid.request, reason)),
+            Admission::Admitted => self.enqueue(now_ms, bid, effects),
+        }
+    }
+
+    fn withdraw(&mut self, request: &RequestId) {
+        self.queue.remove(request);
+        let unheard = self.running.get(request).is_some_and(|running| !running.heard);
+        if unheard {
+            self.end(request);
+        }
+    }
+
+    fn refuse_quarantined(&mut self, effects: &mut Vec<SchedulerEffect>) {
+        let quarantined = std::mem::take(&mut self.quarantined);
+        let is_quarantined = |bid: &Bid| quarantined.binary_search(&bid.fingerprint).is_ok();
+        for waiting in self.queue.remove_where(is_quarantined) {
+            effects.push(refusal(waiting.bid.request, RefusalReason::Quarantined));
+        }
+        self.quarantined = quarantined;
+    }
+}
--- /dev/null
+++ b/src/waiting_queue.rs
@@ -0,0 +1,174 @@
+//! The waiting requests of one service, by tier, customer and deadline.
+
+use std::collections::BTreeMap;
+
+use crate::name::Name;
+use crate::request_id::RequestId;
+use crate::scheduling::Bid;
+use crate::tier_queue::TierQueue;
+
+/// One waiting request.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// The bid.
+    pub bid: Bid,
+    /// Tokens that it counts for.
+    pub cost_tokens: u64,
+    /// Deadline, in milliseconds of monotonic time.
+    pub deadline_ms: u64,
+    /// Latest time at which it can start and be in time by the estimate, in milliseconds.
+    pub latest_start_ms: u64,
+    /// Tokens of the answer, by estimate.
+    pub output_tokens: u32,
+}
+
+/// Order of a waiting request within its customer: earliest deadline, then first come.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Turn {
+    /// Deadline, in milliseconds of monotonic time.
+    pub deadline_ms: u64,
+    /// Counts the bids of the queue.
+    pub order: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Place {
+    customer: Name,
+    latest_start_ms: u64,
+    tier_rank: u8,
+    turn: Turn,
+}
+
+/// The waiting requests of one service.
+#[derive(Clone, Debug, Default)]
+pub struct WaitingQueue {
+    orders: u64,
+    places: BTreeMap<RequestId, Place>,
+    tiers: Vec<TierQueue>,
+}
+
+impl WaitingQueue {
+    /// Adds a request; one with the same identity is replaced.
+    pub fn insert(&mut self, waiting: Waiting, weight: u32) {
+        self.remove(&waiting.bid.request);
+        self.orders += 1;
+        let turn = Turn { deadline_ms: waiting.deadline_ms, order: self.orders };
+        let place = Place {
+            customer: waiting.bid.customer.clone(),
+            latest_start_ms: waiting.latest_start_ms,
+            tier_rank: waiting.bid.tier_rank,
+            turn,
+        };
+        self.places.insert(waiting.bid.request.clone(), place);
+        let index = self.tier_index(waiting.bid.tier_rank);
+        self.tiers[index].insert(turn, waiting, weight);
+    }
+
+    /// Takes a request out.
+    pub fn remove(&mut self, request: &RequestId) -> Option<Waiting> {
+        let place = self.places.remove(request)?;
+        let index = self.find_tier(place.tier_rank).ok()?;
+        let waiting = self.tiers[index].remove(&place.customer, place.turn, place.latest_start_ms);
+        if self.tiers[index].is_empty() {
+            self.tiers.remove(index);
+        }
+        waiting
+    }
+
+    /// Takes a request out because it was granted, which its customer's share pays for.
+    pub fn grant(&mut self, request: &RequestId) -> Option<Waiting> {
+        let place = self.places.get(request)?;
+        let index = self.find_tier(place.tier_rank).ok()?;
+        self.tiers[index].charge(&place.customer, place.turn);
+        self.remove(request)
+    }
+
+    /// Returns whether a request waits.
+    pub fn contains(&self, request: &RequestId) -> bool {
+        self.places.contains_key(request)
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Returns the rank of the lowest waiting tier.
+    pub fn lowest_rank(&self) -> Option<u8> {
+        self.tiers.last().map(|tier| tier.rank)
+    }
+
+    /// Returns the ranks of the waiting tiers, highest tier first.
+    pub fn ranks(&self) -> Vec<u8> {
+        self.tiers.iter().map(|tier| tier.rank).collect()
+    }
+
+    /// Returns the waiting requests by tier rank.
+    pub fn counts(&self) -> Vec<(u8, u32)> {
+        self.tiers.iter().map(|tier| (tier.rank, tier.len() as u32)).collect()
+    }
+
+    /// Returns the tokens that wait in tiers above a rank.
+    pub fn tokens_above(&self, rank: u8) -> u64 {
+        self.tiers.iter().filter(|tier| tier.rank < rank).map(|tier| tier.tokens).sum()
+    }
+
+    /// Returns the request whose turn it is in a tier, but for those passed over.
+    pub fn next(&mut self, rank: u8, passed: &[Turn]) -> Option<(Turn, &Waiting)> {
+        let index = self.find_tier(rank).ok()?;
+        self.tiers[index].next(passed)
+    }
+
+    /// Returns the request of the lowest tier that can least make its deadline.
+    pub fn least_hopeful(&self) -> Option<&Waiting> {
+        self.tiers.last()?.least_hopeful()
+    }
+
+    /// Returns a request whose deadline has passed.
+    pub fn expired(&self, now_ms: u64) -> Option<RequestId> {
+        self.tiers.iter().find_map(|tier| tier.expired(now_ms)).cloned()
+    }
+
+    /// Takes out the requests of one instance.
+    pub fn remove_instance(&mut self, instance: &Name) {
+        let requests: Vec<RequestId> =
+            self.places.keys().filter(|request| request.instance == *instance).cloned().collect();
+        for request in requests {
+            self.remove(&request);
+        }
+    }
+
+    /// Takes out the requests that a condition holds for.
+    pub fn remove_where<P>(&mut self, condition: P) -> Vec<Waiting>
+    where
+        P: Fn(&Bid) -> bool,
+    {
+        let requests: Vec<RequestId> = self
+            .tiers
+            .iter()
+            .flat_map(TierQueue::iter)
+            .filter(|waiting| condition(&waiting.bid))
+            .map(|waiting| waiting.bid.request.clone())
+            .collect();
+        requests.iter().filter_map(|request| self.remove(request)).collect()
+    }
+
+    fn find_tier(&self, rank: u8) -> Result<usize, usize> {
+        self.tiers.binary_search_by_key(&rank, |tier| tier.rank)
+    }
+
+    fn tier_index(&mut self, rank: u8) -> usize {
+        match self.find_tier(rank) {
+            Ok(index) => index,
+            Err(index) => {
+                self.tiers.insert(index, TierQueue::new(rank));
+                index
+            }
+        }
+    }
+}
