--- a/src/membership_builder.rs
+++ b/src/membership_builder.rs
@@ -2,7 +2,7 @@
 
 use crate::membership::Membership;
 use crate::now::Now;
-use crate::rules::Rules;
+use crate::home_rules::Rules;
 use crate::view::View;
 
 /// Default time for which a confirmation holds, in milliseconds.
