--- /dev/null
+++ b/src/finding_list.rs
@@ -0,0 +1,45 @@
+//! Collects the findings of one document, so that they are reported together.
+
+use crate::error::Error;
+use crate::finding::Finding;
+use crate::name::Name;
+
+/// The findings of one document so far.
+#[derive(Clone, Debug)]
+pub struct FindingList {
+    file: Name,
+    findings: Vec<Finding>,
+}
+
+impl FindingList {
+    /// Starts an empty list for the document `file`.
+    pub fn new(file: &str) -> Self {
+        Self { file: file.into(), findings: Vec::new() }
+    }
+
+    /// Adds what is wrong on `line`; line 0 means the document as a whole.
+    pub fn add<S>(&mut self, line: u32, message: S)
+    where
+        S: Into<String>,
+    {
+        self.findings.push(Finding { file: self.file.clone(), line, message: message.into() });
+    }
+
+    /// Returns `value` if there are no findings.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings, sorted by line, if there are any.
+    pub fn finish<T>(self, value: Option<T>) -> Result<T, Error> {
+        match value {
+            Some(value) if self.findings.is_empty() => Ok(value),
+            _ => Err(Error::Findings(self.into_sorted())),
+        }
+    }
+
+    /// Returns all findings, sorted by line.
+    pub fn into_sorted(mut self) -> Vec<Finding> {
+        self.findings.sort();
+        self.findings
+    }
+}
--- /dev/null
+++ b/src/ini_document.rs
@@ -0,0 +1,166 @@
+//! Sections and keys of an INI document, each with its line.
+
+use ini_core::{Item, Parser};
+
+use crate::finding_list::FindingList;
+
+/// An INI document in the order of its text.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct IniDocument {
+    /// Sections in the order of the document.
+    pub sections: Vec<IniSection>,
+}
+
+/// One key of a section.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct IniKey {
+    /// Line that it stands on, counted from 1.
+    pub line: u32,
+    /// Name.
+    pub name: String,
+    /// Value without the white space around it.
+    pub value: String,
+}
+
+/// One section: `[kind]` or `[kind name]`.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct IniSection {
+    /// Keys in the order of the document.
+    pub keys: Vec<IniKey>,
+    /// First word of the header.
+    pub kind: String,
+    /// Line of the header, counted from 1.
+    pub line: u32,
+    /// Rest of the header; empty if there is none.
+    pub name: String,
+}
+
+impl IniDocument {
+    /// Reads `text` and adds what is wrong with its form to `findings`.
+    ///
+    /// Of a repeated section or key the first one counts.
+    pub fn parse(text: &str, findings: &mut FindingList) -> Self {
+        let text = normalize(text);
+        let mut builder = DocumentBuilder { findings, place: Place::Start, sections: Vec::new() };
+        let mut parser = Parser::new(&text).auto_trim(true);
+        while let Some(item) = parser.next() {
+            builder.take(&item, parser.line());
+        }
+        Self { sections: builder.sections }
+    }
+
+    /// Returns the first section `kind`, whatever its name.
+    pub fn section(&self, kind: &str) -> Option<&IniSection> {
+        self.sections.iter().find(|section| section.kind == kind)
+    }
+
+    /// Iterates over the sections `kind` in the order of the document.
+    pub fn sections_of<'a>(&'a self, kind: &'a str) -> impl Iterator<Item = &'a IniSection> {
+        self.sections.iter().filter(move |section| section.kind == kind)
+    }
+}
+
+impl IniSection {
+    /// Returns the header as it is written.
+    pub fn header(&self) -> String {
+        if self.name.is_empty() {
+            format!("[{}]", self.kind)
+        } else {
+            format!("[{} {}]", self.kind, self.name)
+        }
+    }
+
+    /// Returns a key by name.
+    pub fn key(&self, name: &str) -> Option<&IniKey> {
+        self.keys.iter().find(|key| key.name == name)
+    }
+
+    /// Returns the line of a key, or of the header if the key is absent.
+    pub fn line_of(&self, name: &str) -> u32 {
+        self.key(name).map_or(self.line, |key| key.line)
+    }
+}
+
+/// Where the next key belongs.
+enum Place {
+    /// In the last section.
+    Section,
+    /// Nowhere, since the section was found wrong already.
+    Skipped,
+    /// Nowhere, since no section has begun.
+    Start,
+}
+
+struct DocumentBuilder<'a> {
+    findings: &'a mut FindingList,
+    place: Place,
+    sections: Vec<IniSection>,
+}
+
+impl DocumentBuilder<'_> {
+    fn take(&mut self, item: &Item<'_>, line: u32) {
+        match *item {
+            Item::Error(text) => self.malformed_header(text, line),
+            Item::Property(key, Some(value)) => self.key(key, value, line),
+            Item::Property(text, None) => self.no_value(text, line),
+            Item::Section(header) => self.section(header, line),
+            Item::Blank | Item::Comment(_) | Item::SectionEnd => {}
+        }
+    }
+
+    fn malformed_header(&mut self, text: &str, line: u32) {
+        self.findings.add(line, format!("Section header '{text}' doesn't end with ']'."));
+        self.place = Place::Skipped;
+    }
+
+    fn no_value(&mut self, text: &str, line: u32) {
+        if text.starts_with('#') {
+            self.findings.add(line, "A comment starts with ';', not with '#'.");
+        } else {
+            self.findings.add(line, format!("'{text}' has no '='."));
+        }
+    }
+
+    fn section(&mut self, header: &str, line: u32) {
+        let (kind, name) = header.split_once(char::is_whitespace).unwrap_or((header, ""));
+        let section = IniSection {
+            keys: Vec::new(),
+            kind: kind.into(),
+            line,
+            name: name.trim_start().into(),
+        };
+        let earlier =
+            self.sections.iter().find(|other| other.kind == kind && other.name == section.name);
+        if let Some(earlier) = earlier {
+            let message =
+                format!("Section '{}' already stands on line {}.", section.header(), earlier.line);
+            self.findings.add(line, message);
+            self.place = Place::Skipped;
+            return;
+        }
+        self.sections.push(section);
+        self.place = Place::Section;
+    }
+
+    fn key(&mut self, name: &str, value: &str, line: u32) {
+        match (&self.place, self.sections.last_mut()) {
+            (Place::Section, Some(section)) => {
+                if let Some(earlier) = section.key(name) {
+                    let message = format!("Key '{name}' already stands on line {}.", earlier.line);
+                    self.findings.add(line, message);
+                    return;
+                }
+                section.keys.push(IniKey { line, name: name.into(), value: value.into() });
+            }
+            (Place::Skipped, _) => {}
+            _ => self.findings.add(line, format!("Key '{name}' stands before any section.")),
+        }
+    }
+}
+
+/// Trims each line and ends the last one, since the parser takes neither indented headers nor the
+/// number of an open last line.
+fn normalize(text: &str) -> String {
+    let text = text.trim_start_matches('\u{feff}');
+    text.lines().flat_map(|line| [line.trim(), "\n"]).collect()
+}
--- /dev/null
+++ b/src/nearest_name.rs
@@ -0,0 +1,26 @@
+//! The hint that a finding gives on a misspelt name.
+
+/// Largest edit distance, in parts of the longer name, at which a name is proposed.
+const LARGEST_DISTANCE_DIVISOR: usize = 2;
+
+/// Returns `; did you mean '…'?` with the nearest of `known`, or a full stop if none is near.
+pub fn hint<I, S>(name: &str, known: I) -> String
+where
+    I: IntoIterator<Item = S>,
+    S: AsRef<str>,
+{
+    let nearest = known
+        .into_iter()
+        .map(|candidate| (strsim::damerau_levenshtein(name, candidate.as_ref()), candidate))
+        .min_by_key(|(distance, _)| *distance)
+        .filter(|(distance, candidate)| is_near(*distance, name, candidate.as_ref()));
+    match nearest {
+        Some((_, candidate)) => format!("; did you mean '{}'?", candidate.as_ref()),
+        None => ".".into(),
+    }
+}
+
+fn is_near(distance: usize, name: &str, candidate: &str) -> bool {
+    let longer = name.chars().count().max(candidate.chars().count());
+    distance <= longer / LARGEST_DISTANCE_DIVISOR
+}
--- /dev/null
+++ b/src/parse_inventory.rs
@@ -0,0 +1,133 @@
+//! Reads the inventory from INI.
+
+use crate::error::Error;
+use crate::finding_list::FindingList;
+use crate::ini_document::IniDocument;
+use crate::ini_value::number;
+use crate::inventory::Inventory;
+use crate::inventory_checks::check_inventory;
+use crate::inventory_sections::{
+    DeclaredNames, read_backend_server, read_customer, read_instance, read_rule, read_service,
+    read_tier,
+};
+use crate::name::Name;
+use crate::section_reader::SectionReader;
+use crate::section_schema::{SectionSchema, check_schema};
+
+const SCHEMAS: &[SectionSchema] = &[
+    named(
+        "backend_server",
+        &[
+            "address",
+            "data_centre",
+            "fencing",
+            "leaving",
+            "prefill_tokens_per_s",
+            "service",
+            "token_limit_tokens",
+        ],
+    ),
+    named("customer", &["tier", "weight"]),
+    named("data_centre", &[]),
+    named("instance", &["caller_address", "data_centre", "peer_address"]),
+    SectionSchema { keys: &["instances_version", "version"], kind: "inventory", named: false },
+    named("model", &[]),
+    named("rule", &["customer", "idempotent", "path", "service", "tier"]),
+    named("service", &["idempotent", "kind", "model"]),
+    named("tier", &["between_tokens_ms", "deadline_ms", "first_token_ms", "rank"]),
+];
+
+/// Reads the inventory from the INI `text` of `file`.
+///
+/// # Errors
+///
+/// Returns [`Error::Findings`] with all findings, sorted by line, if there are any.
+pub fn parse_inventory(file: &str, text: &str) -> Result<Inventory, Error> {
+    let mut findings = FindingList::new(file);
+    let document = IniDocument::parse(text, &mut findings);
+    check_schema(&document, SCHEMAS, &mut findings);
+    let inventory = read(&document, &mut findings);
+    check_inventory(&inventory, &document, &mut findings);
+    findings.finish(Some(inventory))
+}
+
+const fn named(kind: &'static str, keys: &'static [&'static str]) -> SectionSchema {
+    SectionSchema { keys, kind, named: true }
+}
+
+fn read(document: &IniDocument, findings: &mut FindingList) -> Inventory {
+    let names = DeclaredNames::of(document);
+    let (version, instances_version) = read_versions(document, findings).unwrap_or_default();
+    let mut reader = InventoryReader { document, findings };
+    let mut inventory = Inventory {
+        backend_servers: reader
+            .all("backend_server", |section| read_backend_server(section, &names)),
+        customers: reader.all("customer", |section| read_customer(section, &names)),
+        data_centres: names.data_centres.clone(),
+        instances: reader.all("instance", |section| read_instance(section, &names)),
+        instances_version,
+        models: names.models.clone(),
+        rules: reader.all("rule", |section| read_rule(section, &names)),
+        services: reader.all("service", |section| read_service(section, &names)),
+        tiers: reader.all("tier", read_tier),
+        version,
+    };
+    sort(&mut inventory);
+    inventory
+}
+
+struct InventoryReader<'a> {
+    document: &'a IniDocument,
+    findings: &'a mut FindingList,
+}
+
+impl InventoryReader<'_> {
+    fn all<T, R>(&mut self, kind: &str, read: R) -> Vec<T>
+    where
+        R: Fn(&mut SectionReader<'_>) -> Option<T>,
+    {
+        self.document
+            .sections_of(kind)
+            .filter_map(|section| read(&mut SectionReader::new(section, self.findings)))
+            .collect()
+    }
+}
+
+fn read_versions(document: &IniDocument, findings: &mut FindingList) -> Option<(u64, u64)> {
+    let Some(section) = document.section("inventory") else {
+        findings.add(0, "Section '[inventory]' is missing.");
+        return None;
+    };
+    let mut section = SectionReader::new(section, findings);
+    let version = section.required("version", number(1..=u64::MAX));
+    let instances_version = section.required("instances_version", number(1..=u64::MAX));
+    Some((version?, instances_version?))
+}
+
+fn sort(inventory: &mut Inventory) {
+    inventory.backend_servers.sort_by(|a, b| a.name.cmp(&b.name));
+    inventory.customers.sort_by(|a, b| a.name.cmp(&b.name));
+    inventory.instances.sort_by(|a, b| a.name.cmp(&b.name));
+    inventory.services.sort_by(|a, b| a.name.cmp(&b.name));
+    inventory.tiers.sort_by_key(|tier| tier.rank);
+}
+
+impl DeclaredNames {
+    /// Collects the names of all sections, also of those that have findings.
+    pub fn of(document: &IniDocument) -> Self {
+        Self {
+            customers: declared(document, "customer"),
+            data_centres: declared(document, "data_centre"),
+            models: declared(document, "model"),
+            services: declared(document, "service"),
+            tiers: declared(document, "tier"),
+        }
+    }
+}
+
+fn declared(document: &IniDocument, kind: &str) -> Vec<Name> {
+    let mut names: Vec<Name> =
+        document.sections_of(kind).map(|section| section.name.as_str().into()).collect();
+    names.sort();
+    names
+}
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,190 @@
+//! What the operators' rules say about one request: its tier, and whether it is idempotent.
+
+use thiserror::Error;
+
+use crate::inventory::{Customer, Inventory, Rule, Service, Tier};
+use crate::name::Name;
+use crate::nearest_name::hint;
+
+/// Encoded forms of the characters that structure a path, in lower case.
+const STRUCTURE_ENCODED: [&str; 3] = ["%2e", "%2f", "%5c"];
+
+/// What the rules are asked about.
+#[derive(Clone, Copy, Debug)]
+pub struct RuleQuery<'a> {
+    /// Customer that sent the request.
+    pub customer: &'a str,
+    /// Path below the service; a query after `?` doesn't count.
+    pub path: &'a str,
+    /// Tier that the caller asks for, if it asks for one.
+    pub requested_tier: Option<&'a str>,
+    /// Service that the request is for.
+    pub service: &'a str,
+}
+
+/// What the rules say about one request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Ruling<'a> {
+    /// Customer that sent the request.
+    pub customer: &'a Customer,
+    /// Whether the request may be repeated.
+    pub idempotent: bool,
+    /// Service that the request is for.
+    pub service: &'a Service,
+    /// Tier that the request gets.
+    pub tier: &'a Tier,
+}
+
+/// Why the rules can't be applied to a request.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum RuleError {
+    /// The path isn't in normal form, so rules could be passed by.
+    #[error("Path '{path}' isn't in normal form.")]
+    PathNotNormal {
+        /// The path.
+        path: String,
+    },
+    /// The caller asks for a tier above the one that the rules give.
+    #[error("Tier '{requested}' is above tier '{given}', which the rules give.")]
+    TierRaised {
+        /// Tier that the rules give.
+        given: Name,
+        /// Tier that the caller asks for.
+        requested: Name,
+    },
+    /// There is no such customer.
+    #[error("Unknown customer '{customer}'{hint}")]
+    UnknownCustomer {
+        /// The customer.
+        customer: String,
+        /// End of the message with the nearest name.
+        hint: String,
+    },
+    /// There is no such service.
+    #[error("Unknown service '{service}'{hint}")]
+    UnknownService {
+        /// End of the message with the nearest name.
+        hint: String,
+        /// The service.
+        service: String,
+    },
+    /// There is no such tier.
+    #[error("Unknown tier '{tier}'{hint}")]
+    UnknownTier {
+        /// End of the message with the nearest name.
+        hint: String,
+        /// The tier.
+        tier: String,
+    },
+}
+
+impl RuleError {
+    /// Returns the HTTP status that the caller gets.
+    pub fn http_status(&self) -> u16 {
+        match self {
+            Self::PathNotNormal { .. } | Self::TierRaised { .. } | Self::UnknownTier { .. } => 400,
+            Self::UnknownCustomer { .. } => 403,
+            Self::UnknownService { .. } => 404,
+        }
+    }
+}
+
+/// Applies the rules of `inventory` to one request.
+///
+/// Tier and idempotence are decided each by the first matching rule that sets it, else by customer
+/// and service. The caller may ask for a lower tier. Asking for a higher one is an error rather
+/// than ignored, so that no caller believes in a tier that it doesn't have.
+///
+/// # Errors
+///
+/// Returns a [`RuleError`] if service, customer or requested tier don't exist, the requested tier
+/// is too high, or the path isn't in normal form.
+pub fn apply_rules<'a>(
+    inventory: &'a Inventory,
+    query: &RuleQuery<'_>,
+) -> Result<Ruling<'a>, RuleError> {
+    let service = inventory.service(query.service).ok_or_else(|| RuleError::UnknownService {
+        hint: hint(query.service, inventory.services.iter().map(|service| &service.name)),
+        service: query.service.into(),
+    })?;
+    let customer =
+        inventory.customer(query.customer).ok_or_else(|| RuleError::UnknownCustomer {
+            customer: query.customer.into(),
+            hint: hint(query.customer, inventory.customers.iter().map(|customer| &customer.name)),
+        })?;
+    let path = normal_path(query.path)?;
+    let matching = || inventory.rules.iter().filter(|rule| matches(rule, query, path));
+    let idempotent = matching().find_map(|rule| rule.idempotent).unwrap_or(service.idempotent);
+    let tier_name = matching().find_map(|rule| rule.tier.as_ref()).unwrap_or(&customer.tier);
+    let given = find_tier(inventory, tier_name)?;
+    let tier = lower_tier(inventory, given, query.requested_tier)?;
+    Ok(Ruling { customer, idempotent, service, tier })
+}
+
+/// Whether `path` is `start` or lies below it, by whole segments.
+pub fn path_matches(start: &str, path: &str) -> bool {
+    match path.strip_prefix(start) {
+        Some(rest) => rest.is_empty() || rest.starts_with('/'),
+        None => false,
+    }
+}
+
+fn find_tier<'a>(inventory: &'a Inventory, name: &str) -> Result<&'a Tier, RuleError> {
+    inventory.tier(name).ok_or_else(|| RuleError::UnknownTier {
+        hint: hint(name, inventory.tiers.iter().map(|tier| &tier.name)),
+        tier: name.into(),
+    })
+}
+
+fn lower_tier<'a>(
+    inventory: &'a Inventory,
+    given: &'a Tier,
+    requested: Option<&str>,
+) -> Result<&'a Tier, RuleError> {
+    let Some(requested) = requested else {
+        return Ok(given);
+    };
+    let requested = find_tier(inventory, requested)?;
+    if requested.rank < given.rank {
+        return Err(RuleError::TierRaised {
+            given: given.name.clone(),
+            requested: requested.name.clone(),
+        });
+    }
+    Ok(requested)
+}
+
+fn matches(rule: &Rule, query: &RuleQuery<'_>, path: &str) -> bool {
+    rule.customer.as_deref().is_none_or(|customer| customer == query.customer)
+        && rule.service.as_deref().is_none_or(|service| service == query.service)
+        && rule.path.as_deref().is_none_or(|start| path_matches(start, path))
+}
+
+/// Cuts the query and the slashes around the path, and refuses what servers could read as another
+/// path.
+fn normal_path(path: &str) -> Result<&str, RuleError> {
+    let without_query = path.split(['?', '#']).next().unwrap_or_default();
+    let trimmed = without_query.strip_prefix('/').unwrap_or(without_query);
+    let trimmed = trimmed.strip_suffix('/').unwrap_or(trimmed);
+    if trimmed.is_empty() || is_normal(trimmed) {
+        return Ok(trimmed);
+    }
+    Err(RuleError::PathNotNormal { path: path.into() })
+}
+
+fn is_normal(path: &str) -> bool {
+    let segments_normal = path.split('/').all(|segment| !matches!(segment, "" | "." | ".."));
+    segments_normal && !path.contains('\\') && !has_needless_encoding(path)
+}
+
+/// Whether a character is percent-encoded that has no need of it or that structures the path.
+fn has_needless_encoding(path: &str) -> bool {
+    let lower = path.to_ascii_lowercase();
+    if STRUCTURE_ENCODED.iter().any(|encoded| lower.contains(encoded)) {
+        return true;
+    }
+    lower.split('%').skip(1).any(|rest| match rest.get(..2).map(|d| u8::from_str_radix(d, 16)) {
+        Some(Ok(byte)) => byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'~'),
+        _ => true,
+    })
+}
--- /dev/null
+++ b/src/section_reader.rs
@@ -0,0 +1,76 @@
+//! Reads the keys of one section as typed values and collects findings on the way.
+
+use crate::finding_list::FindingList;
+use crate::ini_document::IniSection;
+use crate::name::Name;
+
+/// Reads the keys of one section.
+///
+/// Each method returns nothing once it added a finding, so that reading can go on.
+#[derive(Debug)]
+pub struct SectionReader<'a> {
+    findings: &'a mut FindingList,
+    section: &'a IniSection,
+}
+
+impl<'a> SectionReader<'a> {
+    /// Starts to read `section`.
+    pub fn new(section: &'a IniSection, findings: &'a mut FindingList) -> Self {
+        Self { findings, section }
+    }
+
+    /// Adds what is wrong with `key`, or with the header if the key is absent.
+    pub fn add<S>(&mut self, key: &str, message: S)
+    where
+        S: Into<String>,
+    {
+        self.findings.add(self.section.line_of(key), message);
+    }
+
+    /// Returns the name in the header.
+    pub fn name(&self) -> Name {
+        self.section.name.as_str().into()
+    }
+
+    /// Reads a key that may be absent.
+    pub fn optional<T, P>(&mut self, key: &str, parse: P) -> Option<Option<T>>
+    where
+        P: Fn(&str, &str) -> Result<T, String>,
+    {
+        let Some(found) = self.section.key(key) else {
+            return Some(None);
+        };
+        if found.value.is_empty() {
+            self.findings.add(found.line, format!("'{key}' has no value."));
+            return None;
+        }
+        match parse(key, &found.value) {
+            Ok(value) => Some(Some(value)),
+            Err(message) => {
+                self.findings.add(found.line, message);
+                None
+            }
+        }
+    }
+
+    /// Reads a key that has a default.
+    pub fn or_default<T, P>(&mut self, key: &str, default: T, parse: P) -> Option<T>
+    where
+        P: Fn(&str, &str) -> Result<T, String>,
+    {
+        self.optional(key, parse).map(|value| value.unwrap_or(default))
+    }
+
+    /// Reads a key that must be there.
+    pub fn required<T, P>(&mut self, key: &str, parse: P) -> Option<T>
+    where
+        P: Fn(&str, &str) -> Result<T, String>,
+    {
+        let value = self.optional(key, parse)?;
+        if value.is_none() {
+            let header = self.section.header();
+            self.findings.add(self.section.line, format!("Key '{key}' is missing in '{header}'."));
+        }
+        value
+    }
+}
--- /dev/null
+++ b/tests/examples.rs
@@ -0,0 +1,82 @@
+//! Tests that the example documents check clean and have the sizes that they stand for.
+
+use std::fs;
+
+use bergamotspan::inventory::Inventory;
+use bergamotspan::parse_inventory::parse_inventory;
+use bergamotspan::parse_settings::parse_settings;
+use bergamotspan::rules::{RuleQuery, apply_rules};
+
+fn inventory(name: &str) -> Inventory {
+    let file = format!("{}/examples/{name}", env!("CARGO_MANIFEST_DIR"));
+    parse_inventory(&file, &fs::read_to_string(&file).unwrap()).unwrap()
+}
+
+fn servers_of(inventory: &Inventory, service: &str) -> usize {
+    inventory.backend_servers.iter().filter(|server| &*server.service == service).count()
+}
+
+#[test]
+fn norrland_has_its_sizes() {
+    let norrland = inventory("norrland.ini");
+
+    assert_eq!(norrland.instances.len(), 7);
+    assert_eq!(norrland.data_centres.len(), 3);
+    assert_eq!(norrland.customers.len(), 5);
+    assert_eq!(servers_of(&norrland, "plan-model"), 10);
+    assert_eq!(servers_of(&norrland, "order-desk"), 3);
+}
+
+#[test]
+fn sierra_norte_has_its_sizes() {
+    let sierra_norte = inventory("sierra-norte.ini");
+
+    assert_eq!(sierra_norte.instances.len(), 7);
+    assert_eq!(sierra_norte.data_centres.len(), 3);
+    assert_eq!(sierra_norte.customers.len(), 5);
+    assert_eq!(servers_of(&sierra_norte, "taller-voz"), 10);
+    assert_eq!(servers_of(&sierra_norte, "mesa-app"), 3);
+}
+
+#[test]
+fn bookings_may_not_be_repeated_and_status_lookups_may() {
+    let norrland = inventory("norrland.ini");
+    let idempotent = |path| {
+        let query = RuleQuery {
+            customer: "home-care-umea",
+            path,
+            requested_tier: None,
+            service: "order-desk",
+        };
+        apply_rules(&norrland, &query).unwrap().idempotent
+    };
+
+    assert!(!idempotent("bookings/17"));
+    assert!(idempotent("status/17"));
+}
+
+#[test]
+fn payments_may_not_be_repeated() {
+    let sierra_norte = inventory("sierra-norte.ini");
+    let query = RuleQuery {
+        customer: "club-quito",
+        path: "payments",
+        requested_tier: None,
+        service: "mesa-app",
+    };
+
+    assert!(!apply_rules(&sierra_norte, &query).unwrap().idempotent);
+}
+
+#[test]
+fn the_settings_of_entry_1_fit_its_inventory() {
+    let file = format!("{}/examples/entry-1-settings.ini", env!("CARGO_MANIFEST_DIR"));
+    let settings = parse_settings(&file, &fs::read_to_string(&file).unwrap()).unwrap();
+
+    let norrland = inventory("norrland.ini");
+    let instance = norrland.instance(&settings.instance.name).unwrap();
+
+    assert_eq!(instance.data_centre, settings.instance.data_centre);
+    assert_eq!(instance.caller_address, settings.caller.listen_address);
+    assert_eq!(instance.peer_address, settings.peer.listen_address);
+}
