Add the operators' command line

Operators check documents before they publish them, and ask instances for their state, the story of a request and a graceful stop. Exit codes tell findings, wrong usage and unreachable instances apart, so that scripts can act on them.

--- /dev/null
+++ b/src/ask_fleet.rs
@@ -0,0 +1,44 @@
+//! Asks every instance of the fleet for its state.
+
+use std::net::SocketAddr;
+use std::thread;
+
+use crate::error::Error;
+use crate::fleet_report::{FleetMember, FleetReport};
+use crate::operator_client::OperatorClient;
+
+/// Asks the instance at `address` which instances there are, and then all of them at once.
+///
+/// An instance that doesn't answer is in the report with the reason.
+///
+/// # Errors
+///
+/// Returns an error if the instance at `address` can't be reached, refuses, or can't be
+/// understood.
+pub fn ask_fleet(address: SocketAddr) -> Result<FleetReport, Error> {
+    let status = OperatorClient::new(address).status()?;
+    let peers: Vec<(String, SocketAddr)> =
+        status.peers.iter().map(|peer| (peer.name.to_string(), peer.caller_address)).collect();
+    let asked =
+        FleetMember { address, error: None, name: status.instance.clone(), status: Some(status) };
+    let mut instances = ask_all(&peers);
+    instances.push(asked);
+    instances.sort_by(|a, b| a.name.cmp(&b.name));
+    Ok(FleetReport { instances })
+}
+
+fn ask_all(peers: &[(String, SocketAddr)]) -> Vec<FleetMember> {
+    thread::scope(|scope| {
+        let threads: Vec<_> =
+            peers.iter().map(|(name, address)| scope.spawn(|| ask(name, *address))).collect();
+        threads.into_iter().filter_map(|thread| thread.join().ok()).collect()
+    })
+}
+
+fn ask(name: &str, address: SocketAddr) -> FleetMember {
+    let name = name.into();
+    match OperatorClient::new(address).status() {
+        Ok(status) => FleetMember { address, error: None, name, status: Some(status) },
+        Err(error) => FleetMember { address, error: Some(error.to_string()), name, status: None },
+    }
+}
--- /dev/null
+++ b/src/check_file.rs
@@ -0,0 +1,79 @@
+//! Checks a document before it is published or put in place.
+
+use std::fs;
+
+use crate::check_change::check_change;
+use crate::command_output::CommandOutput;
+use crate::document_kind::DocumentKind;
+use crate::error::Error;
+use crate::exit_status::ExitStatus;
+use crate::finding::Finding;
+use crate::inventory::Inventory;
+use crate::parse_inventory::parse_inventory;
+use crate::parse_settings::parse_settings;
+
+/// Checks `file` as `kind`, or as what its sections look like, and as the successor of the
+/// inventory `against`.
+pub fn check_file(file: &str, against: Option<&str>, kind: Option<DocumentKind>) -> CommandOutput {
+    check(file, against, kind).unwrap_or_else(CommandOutput::from)
+}
+
+fn check(
+    file: &str,
+    against: Option<&str>,
+    kind: Option<DocumentKind>,
+) -> Result<CommandOutput, Error> {
+    let text = read(file)?;
+    match (kind.or_else(|| DocumentKind::guess(&text)), against) {
+        (Some(DocumentKind::Inventory), Some(old)) => check_successor(file, &text, old),
+        (Some(DocumentKind::Inventory), None) => {
+            parse_inventory(file, &text).map(|inventory| fine_inventory(file, &inventory))
+        }
+        (Some(DocumentKind::Settings), Some(_)) => {
+            Ok(CommandOutput::usage("'--against' is for an inventory, not for settings."))
+        }
+        (Some(DocumentKind::Settings), None) => parse_settings(file, &text).map(|settings| {
+            let name = settings.instance.name;
+            CommandOutput::new(ExitStatus::Fine, format!("{file}: settings of '{name}', fine."))
+        }),
+        (None, _) => Ok(CommandOutput::usage(format!(
+            "{file} looks neither like an inventory nor like settings; say which by '--kind'."
+        ))),
+    }
+}
+
+fn check_successor(file: &str, text: &str, old: &str) -> Result<CommandOutput, Error> {
+    let old_text = read(old)?;
+    let parsed = (parse_inventory(old, &old_text), parse_inventory(file, text));
+    match parsed {
+        (Ok(before), Ok(after)) => {
+            let findings = check_change(&before, &after, file);
+            if findings.is_empty() {
+                return Ok(fine_inventory(file, &after));
+            }
+            Err(Error::Findings(findings))
+        }
+        (before, after) => {
+            let mut findings = findings_of(after)?;
+            findings.extend(findings_of(before)?);
+            Err(Error::Findings(findings))
+        }
+    }
+}
+
+fn findings_of(parsed: Result<Inventory, Error>) -> Result<Vec<Finding>, Error> {
+    match parsed {
+        Ok(_) => Ok(Vec::new()),
+        Err(Error::Findings(findings)) => Ok(findings),
+        Err(error) => Err(error),
+    }
+}
+
+fn fine_inventory(file: &str, inventory: &Inventory) -> CommandOutput {
+    let text = format!("{file}: inventory version {}, fine.", inventory.version);
+    CommandOutput::new(ExitStatus::Fine, text)
+}
+
+fn read(file: &str) -> Result<String, Error> {
+    fs::read_to_string(file).map_err(|error| Error::io(format!("Reading {file}"), error))
+}
--- /dev/null
+++ b/src/command_line.rs
@@ -0,0 +1,181 @@
+//! The command line of the operators' program.
+//!
+//! Exit codes are those of [`ExitStatus`]: 0 if all is well, 1 if a document has findings or an
+//! instance refused what was asked, 2 if the command line is wrong or a file can't be read, and 3
+//! if an instance can't be reached or its answer can't be read.
+
+use std::env;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use argh::{EarlyExit, FromArgs};
+use serde::Serialize;
+
+use crate::ask_fleet::ask_fleet;
+use crate::check_file::check_file;
+use crate::command_output::CommandOutput;
+use crate::document_kind::DocumentKind;
+use crate::drain_report::DrainReport;
+use crate::error::Error;
+use crate::exit_status::ExitStatus;
+use crate::operator_client::OperatorClient;
+use crate::render_explain::render_explain;
+use crate::render_fleet::render_fleet;
+use crate::render_status::render_status;
+
+const PROGRAM: &str = "bergamotspan";
+
+/// Checks documents and asks instances of bergamotspan.
+///
+/// Exit codes: 0 fine, 1 findings or refused, 2 wrong usage or unreadable file, 3 an instance
+/// can't be reached.
+#[derive(Debug, FromArgs)]
+struct CommandLine {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(CheckCommand),
+    Drain(DrainCommand),
+    Explain(ExplainCommand),
+    Fleet(FleetCommand),
+    Status(StatusCommand),
+}
+
+/// Checks an inventory or settings and prints all findings.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+struct CheckCommand {
+    /// inventory that is in force now, as whose successor the file is checked
+    #[argh(option, arg_name = "OLD")]
+    against: Option<String>,
+    /// file to check
+    #[argh(positional)]
+    file: String,
+    /// inventory or settings; guessed from the sections if left out
+    #[argh(option)]
+    kind: Option<DocumentKind>,
+}
+
+/// Lets an instance finish its requests and stop.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "drain")]
+struct DrainCommand {
+    /// IP address and port of the instance's interface for callers
+    #[argh(option)]
+    address: SocketAddr,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Tells why a request waits, was refused or went where it did.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct ExplainCommand {
+    /// IP address and port of the instance's interface for callers
+    #[argh(option)]
+    address: SocketAddr,
+    /// id or key of the request
+    #[argh(positional)]
+    id: String,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Shows the state of all instances.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "fleet")]
+struct FleetCommand {
+    /// IP address and port of one instance's interface for callers
+    #[argh(option)]
+    address: SocketAddr,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Shows the state of one instance.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+struct StatusCommand {
+    /// IP address and port of the instance's interface for callers
+    #[argh(option)]
+    address: SocketAddr,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Runs the operators' program with the arguments of the process.
+pub fn run() -> ExitCode {
+    let arguments: Vec<String> =
+        env::args_os().skip(1).map(|argument| argument.to_string_lossy().into_owned()).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let output = match CommandLine::from_args(&[PROGRAM], &arguments) {
+        Ok(command_line) => run_command(command_line.command),
+        Err(early_exit) => explain_usage(early_exit),
+    };
+    output.write()
+}
+
+fn explain_usage(early_exit: EarlyExit) -> CommandOutput {
+    match early_exit.status {
+        Ok(()) => CommandOutput::new(ExitStatus::Fine, early_exit.output),
+        Err(()) => CommandOutput::usage(early_exit.output),
+    }
+}
+
+fn run_command(command: Command) -> CommandOutput {
+    let output = match command {
+        Command::Check(check) => Ok(check_file(&check.file, check.against.as_deref(), check.kind)),
+        Command::Drain(drain) => run_drain(&drain),
+        Command::Explain(explain) => run_explain(&explain),
+        Command::Fleet(fleet) => run_fleet(&fleet),
+        Command::Status(status) => run_status(&status),
+    };
+    output.unwrap_or_else(CommandOutput::from)
+}
+
+fn run_drain(command: &DrainCommand) -> Result<CommandOutput, Error> {
+    let report = OperatorClient::new(command.address).drain()?;
+    Ok(CommandOutput::new(ExitStatus::Fine, form(&report, command.json, render_drain)))
+}
+
+fn run_explain(command: &ExplainCommand) -> Result<CommandOutput, Error> {
+    let report = OperatorClient::new(command.address).explain(&command.id)?;
+    Ok(CommandOutput::new(ExitStatus::Fine, form(&report, command.json, render_explain)))
+}
+
+fn run_fleet(command: &FleetCommand) -> Result<CommandOutput, Error> {
+    let report = ask_fleet(command.address)?;
+    let status = if report.is_whole() { ExitStatus::Fine } else { ExitStatus::Unreachable };
+    Ok(CommandOutput::new(status, form(&report, command.json, render_fleet)))
+}
+
+fn run_status(command: &StatusCommand) -> Result<CommandOutput, Error> {
+    let report = OperatorClient::new(command.address).status()?;
+    Ok(CommandOutput::new(ExitStatus::Fine, form(&report, command.json, render_status)))
+}
+
+fn form<T, R>(report: &T, json: bool, render: R) -> String
+where
+    T: Serialize,
+    R: Fn(&T) -> String,
+{
+    if json {
+        return serde_json::to_string_pretty(report).expect("a report has only string keys");
+    }
+    render(report)
+}
+
+fn render_drain(report: &DrainReport) -> String {
+    format!(
+        "{} stops after {} running requests; {} were waiting.",
+        report.instance, report.requests.running, report.requests.waiting
+    )
+}
--- /dev/null
+++ b/src/command_output.rs
@@ -0,0 +1,72 @@
+//! What a command of the operators' program has to say.
+
+use std::io::{self, Write};
+use std::process::ExitCode;
+
+use crate::error::Error;
+use crate::exit_status::ExitStatus;
+
+/// What a command has to say and how it ends.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CommandOutput {
+    /// Text for the standard error.
+    pub errors: String,
+    /// How the command ends.
+    pub status: ExitStatus,
+    /// Text for the standard output.
+    pub text: String,
+}
+
+impl CommandOutput {
+    /// Returns the output of a command that ends with `status` and prints `text`.
+    pub fn new<S>(status: ExitStatus, text: S) -> Self
+    where
+        S: Into<String>,
+    {
+        Self { errors: String::new(), status, text: text.into() }
+    }
+
+    /// Returns the output of a command that was called wrongly.
+    pub fn usage<S>(message: S) -> Self
+    where
+        S: Into<String>,
+    {
+        Self { errors: message.into(), status: ExitStatus::Usage, text: String::new() }
+    }
+
+    /// Writes both texts and returns the exit code.
+    ///
+    /// A reader that went away, such as `head`, is no error.
+    pub fn write(&self) -> ExitCode {
+        let _ = write_lines(&mut io::stdout(), &self.text);
+        let _ = write_lines(&mut io::stderr(), &self.errors);
+        self.status.into()
+    }
+}
+
+impl From<Error> for CommandOutput {
+    fn from(error: Error) -> Self {
+        let message = error.to_string();
+        match error {
+            Error::Findings(_) => Self::new(ExitStatus::Findings, message),
+            Error::Refused { .. } => {
+                Self { errors: message, status: ExitStatus::Findings, text: String::new() }
+            }
+            Error::AnswerUnreadable { .. } | Error::Unreachable { .. } => {
+                Self { errors: message, status: ExitStatus::Unreachable, text: String::new() }
+            }
+            Error::Io { .. } | Error::PeerMessage { .. } => Self::usage(message),
+        }
+    }
+}
+
+fn write_lines<W>(writer: &mut W, text: &str) -> io::Result<()>
+where
+    W: Write,
+{
+    if text.is_empty() {
+        return Ok(());
+    }
+    writeln!(writer, "{}", text.trim_end_matches('\n'))?;
+    writer.flush()
+}
--- /dev/null
+++ b/src/document_kind.rs
@@ -0,0 +1,55 @@
+//! Which kind of document a text is.
+
+use std::cmp::Ordering;
+use std::str::FromStr;
+
+use crate::finding_list::FindingList;
+use crate::ini_document::{IniDocument, IniSection};
+use crate::parse_inventory::INVENTORY_SCHEMAS;
+use crate::parse_settings::SETTINGS_SCHEMAS;
+use crate::section_schema::SectionSchema;
+
+/// Kind of a document.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DocumentKind {
+    /// The inventory with the operators' rules.
+    Inventory,
+    /// The settings of an instance.
+    Settings,
+}
+
+impl DocumentKind {
+    /// Guesses the kind from the sections of `text`; nothing if they speak for both or neither.
+    pub fn guess(text: &str) -> Option<Self> {
+        let document = IniDocument::parse(text, &mut FindingList::new(""));
+        let inventory = count(&document, INVENTORY_SCHEMAS);
+        let settings = count(&document, SETTINGS_SCHEMAS);
+        match inventory.cmp(&settings) {
+            Ordering::Equal => None,
+            Ordering::Greater => Some(Self::Inventory),
+            Ordering::Less => Some(Self::Settings),
+        }
+    }
+}
+
+impl FromStr for DocumentKind {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "inventory" => Ok(Self::Inventory),
+            "settings" => Ok(Self::Settings),
+            _ => Err(format!("the kind is inventory or settings, not '{text}'")),
+        }
+    }
+}
+
+fn count(document: &IniDocument, schemas: &[SectionSchema]) -> usize {
+    document.sections.iter().filter(|section| fits(section, schemas)).count()
+}
+
+fn fits(section: &IniSection, schemas: &[SectionSchema]) -> bool {
+    schemas
+        .iter()
+        .any(|schema| schema.kind == section.kind && schema.named != section.name.is_empty())
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,6 +1,7 @@
 //! The one error type of the crate.
 
 use std::io;
+use std::net::SocketAddr;
 
 use thiserror::Error;
 
@@ -9,6 +10,14 @@
 /// Everything that can go wrong outside a single request.
 #[derive(Debug, Error)]
 pub enum Error {
+    /// An instance answered, but not as it should.
+    #[error("The answer of {address} can't be read: {detail}.")]
+    AnswerUnreadable {
+        /// Address of the instance.
+        address: SocketAddr,
+        /// What is wrong.
+        detail: String,
+    },
     /// A document has findings.
     #[error("{}", list(.0))]
     Findings(Vec<Finding>),
@@ -28,6 +37,24 @@
         /// The sender.
         peer: String,
     },
+    /// An instance refused what was asked of it.
+    #[error("{address} refused with HTTP status {status}: {message}")]
+    Refused {
+        /// Address of the instance.
+        address: SocketAddr,
+        /// What it said.
+        message: String,
+        /// HTTP status.
+        status: u16,
+    },
+    /// An instance can't be reached.
+    #[error("{address} can't be reached: {detail}.")]
+    Unreachable {
+        /// Address of the instance.
+        address: SocketAddr,
+        /// The cause.
+        detail: String,
+    },
 }
 
 impl Error {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,19 @@
 //! A request scheduler for unlike inference engines.
 
+pub mod ask_fleet;
 pub mod check_change;
+pub mod check_file;
+pub mod command_line;
+pub mod command_output;
+pub mod document_kind;
+pub mod drain_report;
 pub mod error;
+pub mod exit_status;
+pub mod explain_report;
 pub mod final_answer;
 pub mod finding;
 pub mod finding_list;
+pub mod fleet_report;
 pub mod ini_document;
 pub mod ini_value;
 pub mod inventory;
@@ -14,9 +23,13 @@
 pub mod name;
 pub mod nearest_name;
 pub mod now;
+pub mod operator_client;
 pub mod parse_inventory;
 pub mod parse_settings;
 pub mod peer_message;
+pub mod render_explain;
+pub mod render_fleet;
+pub mod render_status;
 pub mod request_id;
 pub mod rules;
 pub mod scheduler;
@@ -24,3 +37,4 @@
 pub mod section_reader;
 pub mod section_schema;
 pub mod settings;
+pub mod status_report;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
 //! The operators' program.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bergamotspan::command_line::run()
+}
--- /dev/null
+++ b/src/operator_client.rs
@@ -0,0 +1,94 @@
+//! Asks an instance what operators want to know.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use attohttpc::{Method, ProxySettings, RequestBuilder};
+use serde::de::DeserializeOwned;
+
+use crate::drain_report::DrainReport;
+use crate::error::Error;
+use crate::explain_report::ExplainReport;
+use crate::status_report::StatusReport;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Asks one instance over its interface for callers.
+#[derive(Clone, Copy, Debug)]
+pub struct OperatorClient {
+    address: SocketAddr,
+}
+
+impl OperatorClient {
+    /// Makes a client of the instance at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address }
+    }
+
+    /// Asks the instance to finish its requests and stop.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the instance can't be reached, refuses, or can't be understood.
+    pub fn drain(&self) -> Result<DrainReport, Error> {
+        self.call(Method::POST, "/drain")
+    }
+
+    /// Asks what became of a request, given by its id or key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the instance can't be reached, refuses, or can't be understood.
+    pub fn explain(&self, id: &str) -> Result<ExplainReport, Error> {
+        self.call(Method::GET, &format!("/explain/{}", encode(id)))
+    }
+
+    /// Asks for the state of the instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the instance can't be reached, refuses, or can't be understood.
+    pub fn status(&self) -> Result<StatusReport, Error> {
+        self.call(Method::GET, "/status")
+    }
+
+    fn call<T>(&self, method: Method, path: &str) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let response = RequestBuilder::new(method, format!("http://{}{path}", self.address))
+            .connect_timeout(CONNECT_TIMEOUT)
+            .timeout(TIMEOUT)
+            .proxy_settings(ProxySettings::builder().build())
+            .send()
+            .map_err(|error| self.unreachable(&error))?;
+        let status = response.status();
+        let text = response.text_utf8().map_err(|error| self.unreachable(&error))?;
+        if !status.is_success() {
+            let message = text.trim().into();
+            return Err(Error::Refused { address: self.address, message, status: status.as_u16() });
+        }
+        serde_json::from_str(&text).map_err(|error| Error::AnswerUnreadable {
+            address: self.address,
+            detail: error.to_string(),
+        })
+    }
+
+    fn unreachable(&self, error: &attohttpc::Error) -> Error {
+        Error::Unreachable { address: self.address, detail: error.to_string() }
+    }
+}
+
+/// Encodes what can't stand in one segment of a path.
+fn encode(segment: &str) -> String {
+    segment.bytes().map(encode_byte).collect()
+}
+
+fn encode_byte(byte: u8) -> String {
+    if byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'.' | b'_' | b'~') {
+        char::from(byte).to_string()
+    } else {
+        format!("%{byte:02X}")
+    }
+}
--- a/src/parse_inventory.rs
+++ b/src/parse_inventory.rs
@@ -14,7 +14,8 @@
 use crate::section_reader::SectionReader;
 use crate::section_schema::{SectionSchema, check_schema};
 
-const SCHEMAS: &[SectionSchema] = &[
+/// Sections that the inventory may have.
+pub const INVENTORY_SCHEMAS: &[SectionSchema] = &[
     named(
         "backend_server",
         &[
@@ -45,7 +46,7 @@
 pub fn parse_inventory(file: &str, text: &str) -> Result<Inventory, Error> {
     let mut findings = FindingList::new(file);
     let document = IniDocument::parse(text, &mut findings);
-    check_schema(&document, SCHEMAS, &mut findings);
+    check_schema(&document, INVENTORY_SCHEMAS, &mut findings);
     let inventory = read(&document, &mut findings);
     check_inventory(&inventory, &document, &mut findings);
     findings.finish(Some(inventory))
--- a/src/parse_settings.rs
+++ b/src/parse_settings.rs
@@ -48,7 +48,8 @@
     ("steward", Policy::Steward),
 ];
 
-const SCHEMAS: &[SectionSchema] = &[
+/// Sections that the settings may have.
+pub const SETTINGS_SCHEMAS: &[SectionSchema] = &[
     section("caller", &["body_limit_bytes", "listen_address"]),
     section(
         "dispatch",
@@ -71,7 +72,7 @@
 pub fn parse_settings(file: &str, text: &str) -> Result<Settings, Error> {
     let mut findings = FindingList::new(file);
     let document = IniDocument::parse(text, &mut findings);
-    check_schema(&document, SCHEMAS, &mut findings);
+    check_schema(&document, SETTINGS_SCHEMAS, &mut findings);
     let settings = read(&mut SettingsReader { document, findings: &mut findings });
     findings.finish(settings)
 }
