Add links between instances

Instances need one connection per pair over which typed messages pass, and decisions that rest on Up, Down and Message must never see anything of an older link after its Down. All events therefore leave one thread, and a link that opens late is refused by its sequence number.

--- /dev/null
+++ b/src/back_off.rs
@@ -0,0 +1,30 @@
+//! Growing waits between attempts, with jitter.
+
+use rand::RngExt;
+
+/// Waits that double from a shortest to a longest one.
+#[derive(Clone, Debug)]
+pub struct BackOff {
+    longest_ms: u64,
+    next_ms: u64,
+    shortest_ms: u64,
+}
+
+impl BackOff {
+    /// Starts with waits of at most `shortest_ms` that grow up to `longest_ms`.
+    pub fn new(shortest_ms: u64, longest_ms: u64) -> Self {
+        Self { longest_ms, next_ms: shortest_ms, shortest_ms }
+    }
+
+    /// Returns the next wait in milliseconds: between half of the present limit and all of it.
+    pub fn next_wait_ms(&mut self) -> u64 {
+        let limit_ms = self.next_ms;
+        self.next_ms = limit_ms.saturating_mul(2).min(self.longest_ms);
+        rand::rng().random_range(limit_ms / 2..=limit_ms)
+    }
+
+    /// Goes back to the shortest wait.
+    pub fn reset(&mut self) {
+        self.next_ms = self.shortest_ms;
+    }
+}
--- /dev/null
+++ b/src/peer_event.rs
@@ -0,0 +1,36 @@
+//! What links report to the control thread.
+
+use crate::name::Name;
+use crate::peer_message::PeerMessage;
+
+/// Something that happened on the link to a peer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PeerEvent {
+    /// The link is closed; nothing more of it follows.
+    Down {
+        /// The peer.
+        peer: Name,
+    },
+    /// A message arrived on the present link.
+    Message {
+        /// Incarnation of the peer.
+        incarnation: u64,
+        /// The message.
+        message: PeerMessage,
+        /// The peer.
+        peer: Name,
+    },
+    /// A link is open.
+    Up {
+        /// Incarnation of the peer.
+        incarnation: u64,
+        /// The peer.
+        peer: Name,
+    },
+}
+
+/// Takes the events of all links.
+pub trait PeerSink: Send + Sync {
+    /// Takes one event. It is called on the thread of the links and must not block.
+    fn deliver(&self, event: PeerEvent);
+}
--- /dev/null
+++ b/src/peer_link.rs
@@ -0,0 +1,151 @@
+//! One link: the hello each way, then messages until it ends.
+
+use std::future::pending;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use log::warn;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::{Bytes, Message};
+
+use crate::error::Error;
+use crate::name::Name;
+use crate::peer_codec::{PEER_FRAME_LIMIT_BYTES, decode, encode};
+use crate::peer_hello::Hello;
+use crate::peer_outboxes::Inbox;
+use crate::peer_registry::{PeerRegistry, Registration};
+
+/// A WebSocket on which both ends have not said hello yet.
+pub(crate) type Socket = WebSocketStream<TcpStream>;
+
+/// Name that errors give a peer which has not said hello yet.
+const UNKNOWN_PEER: &str = "unknown";
+
+/// Returns the limits of every link.
+pub(crate) fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_frame_size(Some(PEER_FRAME_LIMIT_BYTES))
+        .max_message_size(Some(PEER_FRAME_LIMIT_BYTES))
+}
+
+/// Reads the peer's hello; `None` if the link ends or the hello can't be read.
+pub(crate) async fn read_hello(socket: &mut Socket) -> Option<Hello> {
+    let Some(Ok(Message::Binary(bytes))) = socket.next().await else { return None };
+    match decode(UNKNOWN_PEER, &bytes) {
+        Err(error) => {
+            warn!(target: "peer", "{error}");
+            None
+        }
+        Ok(hello) => Some(hello),
+    }
+}
+
+/// Writes a hello; `None` if the link ends.
+pub(crate) async fn write_hello(socket: &mut Socket, hello: &Hello) -> Option<()> {
+    let bytes = encode(&hello.name, hello).ok()?;
+    socket.send(Message::binary(bytes)).await.ok()
+}
+
+/// Carries messages until the link ends; tells whether it was ever the present one.
+pub(crate) async fn run(registry: &PeerRegistry, socket: Socket, hello: Hello) -> bool {
+    let Registration::Present { inbox, link } = registry.register(&hello) else { return false };
+    let _registered = Registered { link, peer: &hello.name, registry };
+    let (sink, stream) = socket.split();
+    tokio::select! {
+        () = inbox.cut.notified() => {}
+        () = read_messages(registry, stream, &hello, link) => {}
+        () = write_messages(registry, sink, &hello.name, &inbox) => {}
+    }
+    true
+}
+
+/// Unregisters a link when it ends, also when its task is aborted.
+struct Registered<'a> {
+    link: u64,
+    peer: &'a Name,
+    registry: &'a PeerRegistry,
+}
+
+impl Drop for Registered<'_> {
+    fn drop(&mut self) {
+        self.registry.unregister(self.peer, self.link);
+    }
+}
+
+/// What reading led to.
+enum Arrival {
+    Bytes(Bytes),
+    Control,
+    Ended,
+    Silent,
+}
+
+async fn read_messages(
+    registry: &PeerRegistry,
+    mut stream: SplitStream<Socket>,
+    hello: &Hello,
+    link: u64,
+) {
+    let silence_limit = Duration::from_millis(registry.settings.silence_limit_ms());
+    loop {
+        match next_arrival(&mut stream, silence_limit).await {
+            Arrival::Bytes(bytes) => match decode(&hello.name, &bytes) {
+                Err(error) => return warn!(target: "peer", "{error}"),
+                Ok(message) => registry.deliver(hello, link, bytes.len(), message),
+            },
+            Arrival::Control => {}
+            Arrival::Ended => return,
+            Arrival::Silent => {
+                return warn!(
+                    target: "peer",
+                    "Nothing came from '{}' for {} ms.",
+                    hello.name,
+                    silence_limit.as_millis()
+                );
+            }
+        }
+    }
+}
+
+async fn next_arrival(stream: &mut SplitStream<Socket>, silence_limit: Duration) -> Arrival {
+    match timeout(silence_limit, stream.next()).await {
+        Err(_) => Arrival::Silent,
+        Ok(Some(Ok(Message::Binary(bytes)))) => Arrival::Bytes(bytes),
+        Ok(Some(Ok(Message::Close(_)) | Err(_)) | None) => Arrival::Ended,
+        Ok(Some(Ok(_))) => Arrival::Control,
+    }
+}
+
+async fn write_messages(
+    registry: &PeerRegistry,
+    mut sink: SplitSink<Socket, Message>,
+    peer: &Name,
+    inbox: &Inbox,
+) {
+    while let Ok(message) = inbox.messages.recv_async().await {
+        let bytes = match encode(peer, &message) {
+            Err(error) => return log_unsent(&error),
+            Ok(bytes) => bytes,
+        };
+        let size_bytes = bytes.len() as u64;
+        if sink.feed(Message::binary(bytes)).await.is_err() {
+            return;
+        }
+        registry.bytes.sent_bytes.fetch_add(size_bytes, Ordering::Relaxed);
+        if inbox.messages.is_empty() && sink.flush().await.is_err() {
+            return;
+        }
+    }
+    if sink.close().await.is_ok() {
+        pending::<()>().await;
+    }
+}
+
+fn log_unsent(error: &Error) {
+    warn!(target: "peer", "A message was not sent. {error}");
+}
--- /dev/null
+++ b/src/peer_links.rs
@@ -0,0 +1,135 @@
+//! The links to all other instances, on a thread of their own.
+
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::{self, JoinHandle};
+
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::runtime::{Builder, Runtime};
+use tokio::task::LocalSet;
+
+use crate::error::Error;
+use crate::name::Name;
+use crate::peer_event::PeerSink;
+use crate::peer_links_settings::PeerLinksSettings;
+use crate::peer_message::PeerMessage;
+use crate::peer_outboxes::PeerOutboxes;
+use crate::peer_registry::{PeerBytes, PeerRegistry};
+use crate::peer_supervisor::{Command, supervise};
+
+const LISTEN_BACKLOG: i32 = 128;
+const THREAD_NAME: &str = "peer-links";
+
+/// Bytes of messages that went over all links since the start.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PeerTraffic {
+    /// Bytes that arrived.
+    pub received_bytes: u64,
+    /// Bytes that were written.
+    pub sent_bytes: u64,
+}
+
+/// The links to all other instances.
+///
+/// A link on which nothing arrives for three heartbeat intervals is closed, so its user must send
+/// heartbeats. Dropping this writes what waits and closes all links.
+pub struct PeerLinks {
+    bytes: Arc<PeerBytes>,
+    commands: flume::Sender<Command>,
+    listen_address: SocketAddr,
+    outboxes: Arc<PeerOutboxes>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl PeerLinks {
+    /// Listens for links and starts their thread; none is opened before [`PeerLinks::set_peers`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Io`] if the address can't be listened on or the thread can't start.
+    pub fn start(settings: PeerLinksSettings, sink: Arc<dyn PeerSink>) -> Result<Self, Error> {
+        let address = settings.listen_address;
+        let listener = listen(address)
+            .map_err(|source| Error::io(format!("listen for instances on {address}"), source))?;
+        let listen_address = listener
+            .local_addr()
+            .map_err(|source| Error::io("read the address of the peer listener", source))?;
+        let runtime = Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(|source| Error::io("start the runtime of the peer links", source))?;
+        let (commands, receiver) = flume::unbounded();
+        let (bytes, outboxes) = (Arc::default(), Arc::default());
+        let mut links = Self { bytes, commands, listen_address, outboxes, thread: None };
+        let (bytes, outboxes) = (links.bytes.clone(), links.outboxes.clone());
+        let thread = thread::Builder::new()
+            .name(THREAD_NAME.into())
+            .spawn(move || {
+                let registry = PeerRegistry::new(settings, sink, outboxes, bytes);
+                serve(&runtime, registry, listener, receiver);
+            })
+            .map_err(|source| Error::io("start the thread of the peer links", source))?;
+        links.thread = Some(thread);
+        Ok(links)
+    }
+
+    /// Closes the present link to a peer at once; it is opened anew while the peer is listed.
+    pub fn close(&self, peer: &Name) {
+        self.outboxes.cut(peer);
+    }
+
+    /// Returns the address that is listened on.
+    pub fn listen_address(&self) -> SocketAddr {
+        self.listen_address
+    }
+
+    /// Queues a message and never blocks.
+    ///
+    /// Without a link the message is dropped. A full queue closes the link.
+    pub fn send(&self, to: &Name, message: PeerMessage) {
+        self.outboxes.send(to, message);
+    }
+
+    /// Opens links to new peers and closes those to peers that are no longer listed.
+    pub fn set_peers(&self, peers: Vec<(Name, SocketAddr)>) {
+        let _ = self.commands.send(Command::SetPeers(peers));
+    }
+
+    /// Returns how many bytes went over all links.
+    pub fn traffic(&self) -> PeerTraffic {
+        PeerTraffic {
+            received_bytes: self.bytes.received_bytes.load(Ordering::Relaxed),
+            sent_bytes: self.bytes.sent_bytes.load(Ordering::Relaxed),
+        }
+    }
+}
+
+impl Drop for PeerLinks {
+    fn drop(&mut self) {
+        let _ = self.commands.send(Command::Stop);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(LISTEN_BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
+fn serve(
+    runtime: &Runtime,
+    registry: PeerRegistry,
+    listener: TcpListener,
+    commands: flume::Receiver<Command>,
+) {
+    let tasks = LocalSet::new();
+    tasks.block_on(runtime, supervise(Rc::new(registry), listener, commands));
+}
--- /dev/null
+++ b/src/peer_outboxes.rs
@@ -0,0 +1,91 @@
+//! The queues of messages that wait for the links, shared with the sending threads.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use log::warn;
+use tokio::sync::Notify;
+
+use crate::name::Name;
+use crate::peer_message::PeerMessage;
+
+/// The sending side of one link.
+struct Outbox {
+    cut: Arc<Notify>,
+    link: u64,
+    messages: flume::Sender<PeerMessage>,
+    peer: Name,
+}
+
+/// The receiving side of one link's queue.
+pub(crate) struct Inbox {
+    /// Told when the link must be closed at once.
+    pub(crate) cut: Arc<Notify>,
+    /// Messages to write.
+    pub(crate) messages: flume::Receiver<PeerMessage>,
+}
+
+/// The queues of all open links, sorted by peer.
+#[derive(Default)]
+pub(crate) struct PeerOutboxes {
+    sorted: Mutex<Vec<Outbox>>,
+}
+
+impl PeerOutboxes {
+    /// Lets all links write what waits and then end.
+    pub(crate) fn finish_all(&self) {
+        self.lock().clear();
+    }
+
+    /// Opens the queue of a link, in place of an older link's to the same peer.
+    pub(crate) fn open(&self, peer: &Name, link: u64, limit_messages: usize) -> Inbox {
+        let (sender, receiver) = flume::bounded(limit_messages);
+        let cut = Arc::new(Notify::new());
+        let outbox = Outbox { cut: cut.clone(), link, messages: sender, peer: peer.clone() };
+        let mut sorted = self.lock();
+        match find(&sorted, peer) {
+            Err(index) => sorted.insert(index, outbox),
+            Ok(index) => {
+                let old = std::mem::replace(&mut sorted[index], outbox);
+                old.cut.notify_one();
+            }
+        }
+        Inbox { cut, messages: receiver }
+    }
+
+    /// Closes the link to a peer at once, whichever it is.
+    pub(crate) fn cut(&self, peer: &Name) {
+        let mut sorted = self.lock();
+        if let Ok(index) = find(&sorted, peer) {
+            sorted.remove(index).cut.notify_one();
+        }
+    }
+
+    /// Forgets the queue of one link.
+    pub(crate) fn remove(&self, peer: &Name, link: u64) {
+        let mut sorted = self.lock();
+        if let Ok(index) = find(&sorted, peer)
+            && sorted[index].link == link
+        {
+            sorted.remove(index);
+        }
+    }
+
+    /// Queues a message; a full queue closes its link, and without a link the message is dropped.
+    pub(crate) fn send(&self, peer: &Name, message: PeerMessage) {
+        let mut sorted = self.lock();
+        let Ok(index) = find(&sorted, peer) else { return };
+        if sorted[index].messages.try_send(message).is_ok() {
+            return;
+        }
+        sorted.remove(index).cut.notify_one();
+        warn!(target: "peer", "The link to '{peer}' is closed: its queue is full.");
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Outbox>> {
+        self.sorted.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn find(sorted: &[Outbox], peer: &Name) -> Result<usize, usize> {
+    sorted.binary_search_by(|outbox| outbox.peer.cmp(peer))
+}
--- /dev/null
+++ b/src/peer_registry.rs
@@ -0,0 +1,186 @@
+//! The open links, as the thread of the links knows them.
+//!
+//! All events leave from here, on one thread, so that nothing of a link follows its `Down`.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use log::info;
+use tokio::sync::Notify;
+
+use crate::name::Name;
+use crate::peer_event::{PeerEvent, PeerSink};
+use crate::peer_hello::Hello;
+use crate::peer_links_settings::PeerLinksSettings;
+use crate::peer_message::PeerMessage;
+use crate::peer_outboxes::{Inbox, PeerOutboxes};
+
+/// Bytes that went over all links.
+#[derive(Debug, Default)]
+pub(crate) struct PeerBytes {
+    /// Bytes of messages that arrived.
+    pub(crate) received_bytes: AtomicU64,
+    /// Bytes of messages that were written.
+    pub(crate) sent_bytes: AtomicU64,
+}
+
+/// One open link.
+struct OpenLink {
+    hello: Hello,
+    link: u64,
+}
+
+/// What became of a link that wants to be registered.
+pub(crate) enum Registration {
+    /// A newer link of the same incarnation is open.
+    Outdated,
+    /// It is the present link.
+    Present {
+        /// Its queue.
+        inbox: Inbox,
+        /// Its number.
+        link: u64,
+    },
+}
+
+/// The open links.
+pub(crate) struct PeerRegistry {
+    /// Bytes that went over all links.
+    pub(crate) bytes: Arc<PeerBytes>,
+    /// Told when a link closes.
+    pub(crate) closed: Notify,
+    /// Queues of the links.
+    pub(crate) outboxes: Arc<PeerOutboxes>,
+    /// Settings.
+    pub(crate) settings: PeerLinksSettings,
+    /// Whether no further link is to be opened.
+    pub(crate) stopping: Cell<bool>,
+    links: RefCell<Vec<OpenLink>>,
+    next_link: Cell<u64>,
+    peers: RefCell<Vec<(Name, SocketAddr)>>,
+    sink: Arc<dyn PeerSink>,
+}
+
+impl PeerRegistry {
+    /// Makes a registry without links.
+    pub(crate) fn new(
+        settings: PeerLinksSettings,
+        sink: Arc<dyn PeerSink>,
+        outboxes: Arc<PeerOutboxes>,
+        bytes: Arc<PeerBytes>,
+    ) -> Self {
+        Self {
+            bytes,
+            closed: Notify::new(),
+            links: RefCell::default(),
+            next_link: Cell::new(1),
+            outboxes,
+            peers: RefCell::default(),
+            settings,
+            sink,
+            stopping: Cell::new(false),
+        }
+    }
+
+    /// Counts received bytes and delivers a message if its link is the present one.
+    pub(crate) fn deliver(
+        &self,
+        hello: &Hello,
+        link: u64,
+        size_bytes: usize,
+        message: PeerMessage,
+    ) {
+        self.bytes.received_bytes.fetch_add(size_bytes as u64, Ordering::Relaxed);
+        if !self.is_present(&hello.name, link) {
+            return;
+        }
+        self.sink.deliver(PeerEvent::Message {
+            incarnation: hello.incarnation,
+            message,
+            peer: hello.name.clone(),
+        });
+    }
+
+    /// Tells whether no link is open.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.links.borrow().is_empty()
+    }
+
+    /// Tells whether an instance is on the list of peers.
+    pub(crate) fn is_peer(&self, name: &Name) -> bool {
+        self.peers.borrow().binary_search_by(|(peer, _)| peer.cmp(name)).is_ok()
+    }
+
+    /// Returns the number of the next link that is tried.
+    pub(crate) fn next_link(&self) -> u64 {
+        let link = self.next_link.get();
+        self.next_link.set(link + 1);
+        link
+    }
+
+    /// Registers a link whose peer has said hello.
+    pub(crate) fn register(&self, hello: &Hello) -> Registration {
+        if self.is_outdated(hello) {
+            return Registration::Outdated;
+        }
+        let link = self.next_link();
+        let inbox = self.outboxes.open(&hello.name, link, self.settings.queue_limit_messages);
+        self.replace(OpenLink { hello: hello.clone(), link });
+        info!(target: "peer", "The link to '{}' is open.", hello.name);
+        let (peer, incarnation) = (hello.name.clone(), hello.incarnation);
+        self.sink.deliver(PeerEvent::Up { incarnation, peer });
+        Registration::Present { inbox, link }
+    }
+
+    /// Replaces the list of peers, sorted by name, and returns the one before.
+    pub(crate) fn set_peers(&self, peers: Vec<(Name, SocketAddr)>) -> Vec<(Name, SocketAddr)> {
+        self.peers.replace(peers)
+    }
+
+    /// Forgets a link that ended, and reports it if it was the present one.
+    pub(crate) fn unregister(&self, peer: &Name, link: u64) {
+        self.outboxes.remove(peer, link);
+        let index = self.find(peer);
+        match index {
+            Ok(index) if self.links.borrow()[index].link == link => {
+                self.links.borrow_mut().remove(index);
+            }
+            _ => return,
+        }
+        self.report_down(peer);
+        self.closed.notify_one();
+    }
+
+    fn find(&self, peer: &Name) -> Result<usize, usize> {
+        self.links.borrow().binary_search_by(|open| open.hello.name.cmp(peer))
+    }
+
+    fn is_outdated(&self, hello: &Hello) -> bool {
+        self.find(&hello.name).is_ok_and(|index| {
+            let present = &self.links.borrow()[index].hello;
+            present.incarnation == hello.incarnation && present.link_sequence >= hello.link_sequence
+        })
+    }
+
+    fn is_present(&self, peer: &Name, link: u64) -> bool {
+        self.find(peer).is_ok_and(|index| self.links.borrow()[index].link == link)
+    }
+
+    fn replace(&self, open: OpenLink) {
+        let peer = open.hello.name.clone();
+        match self.find(&peer) {
+            Err(index) => self.links.borrow_mut().insert(index, open),
+            Ok(index) => {
+                self.links.borrow_mut()[index] = open;
+                self.report_down(&peer);
+            }
+        }
+    }
+
+    fn report_down(&self, peer: &Name) {
+        info!(target: "peer", "The link to '{peer}' is closed.");
+        self.sink.deliver(PeerEvent::Down { peer: peer.clone() });
+    }
+}
--- /dev/null
+++ b/src/peer_supervisor.rs
@@ -0,0 +1,180 @@
+//! The thread of the links: accepts, opens and closes them as it is told.
+
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::{debug, warn};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+use tokio_tungstenite::{accept_async_with_config, client_async_with_config};
+
+use crate::back_off::BackOff;
+use crate::name::Name;
+use crate::peer_hello::Hello;
+use crate::peer_link::{Socket, read_hello, run, socket_config, write_hello};
+use crate::peer_registry::PeerRegistry;
+
+const ACCEPT_PAUSE_MS: u64 = 50;
+const BACK_OFF_LONGEST_MS: u64 = 1_000;
+const BACK_OFF_SHORTEST_MS: u64 = 50;
+const OPEN_TIMEOUT_MS: u64 = 1_000;
+const STOP_LIMIT_MS: u64 = 500;
+
+/// What the thread is told to do.
+pub(crate) enum Command {
+    /// Links to these peers and no others.
+    SetPeers(Vec<(Name, SocketAddr)>),
+    /// Writes what waits, then ends.
+    Stop,
+}
+
+/// Opens links to one peer, again and again.
+struct Opener {
+    address: SocketAddr,
+    peer: Name,
+    task: JoinHandle<()>,
+}
+
+/// Serves commands until it is told to stop.
+pub(crate) async fn supervise(
+    registry: Rc<PeerRegistry>,
+    listener: TcpListener,
+    commands: flume::Receiver<Command>,
+) {
+    let acceptor = spawn_local(accept_links(registry.clone(), listener));
+    let mut openers = Vec::new();
+    while let Ok(Command::SetPeers(peers)) = commands.recv_async().await {
+        set_peers(&registry, &mut openers, peers);
+    }
+    acceptor.abort();
+    stop(&registry).await;
+}
+
+async fn stop(registry: &PeerRegistry) {
+    registry.stopping.set(true);
+    registry.outboxes.finish_all();
+    let all_closed = async {
+        while !registry.is_empty() {
+            registry.closed.notified().await;
+        }
+    };
+    if timeout(Duration::from_millis(STOP_LIMIT_MS), all_closed).await.is_err() {
+        warn!(target: "peer", "Some links did not end within {STOP_LIMIT_MS} ms.");
+    }
+}
+
+fn set_peers(
+    registry: &Rc<PeerRegistry>,
+    openers: &mut Vec<Opener>,
+    mut peers: Vec<(Name, SocketAddr)>,
+) {
+    peers.retain(|(name, _)| *name != registry.settings.name);
+    peers.sort();
+    peers.dedup_by(|later, earlier| later.0 == earlier.0);
+    let before = registry.set_peers(peers.clone());
+    for (name, _) in before.iter().filter(|(name, _)| !registry.is_peer(name)) {
+        registry.outboxes.cut(name);
+    }
+    openers.retain(|opener| keep_opener(registry, opener, &peers));
+    for (name, address) in peers.into_iter().filter(|(name, _)| registry.settings.name < *name) {
+        if !openers.iter().any(|opener| opener.peer == name) {
+            let task = spawn_local(open_links(registry.clone(), name.clone(), address));
+            openers.push(Opener { address, peer: name, task });
+        }
+    }
+}
+
+fn keep_opener(registry: &PeerRegistry, opener: &Opener, peers: &[(Name, SocketAddr)]) -> bool {
+    let keep =
+        peers.iter().any(|(name, address)| *name == opener.peer && *address == opener.address);
+    if !keep {
+        opener.task.abort();
+        registry.outboxes.cut(&opener.peer);
+    }
+    keep
+}
+
+async fn accept_links(registry: Rc<PeerRegistry>, listener: TcpListener) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Err(error) => return warn!(target: "peer", "No links are accepted: {error}."),
+        Ok(listener) => listener,
+    };
+    loop {
+        match listener.accept().await {
+            Err(error) => {
+                warn!(target: "peer", "A link was not accepted: {error}.");
+                sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+            Ok((stream, _)) => {
+                spawn_local(serve_accepted(registry.clone(), stream));
+            }
+        }
+    }
+}
+
+async fn serve_accepted(registry: Rc<PeerRegistry>, stream: TcpStream) {
+    let greeting = timeout(Duration::from_millis(OPEN_TIMEOUT_MS), greet_opener(&registry, stream));
+    let Ok(Some((socket, hello))) = greeting.await else { return };
+    run(&registry, socket, hello).await;
+}
+
+async fn greet_opener(registry: &PeerRegistry, stream: TcpStream) -> Option<(Socket, Hello)> {
+    stream.set_nodelay(true).ok()?;
+    let mut socket = accept_async_with_config(stream, Some(socket_config())).await.ok()?;
+    let hello = read_hello(&mut socket).await?;
+    if !registry.is_peer(&hello.name) || hello.name > registry.settings.name {
+        debug!(target: "peer", "A link from '{}' is refused: it is not expected.", hello.name);
+        return None;
+    }
+    write_hello(&mut socket, &own_hello(registry, hello.link_sequence)).await?;
+    Some((socket, hello))
+}
+
+async fn open_links(registry: Rc<PeerRegistry>, peer: Name, address: SocketAddr) {
+    let mut back_off = BackOff::new(BACK_OFF_SHORTEST_MS, BACK_OFF_LONGEST_MS);
+    while !registry.stopping.get() {
+        let opening =
+            timeout(Duration::from_millis(OPEN_TIMEOUT_MS), open(&registry, &peer, address));
+        if let Ok(Some((socket, hello))) = opening.await
+            && run(&registry, socket, hello).await
+        {
+            back_off.reset();
+        }
+        sleep(Duration::from_millis(back_off.next_wait_ms())).await;
+    }
+}
+
+async fn open(
+    registry: &PeerRegistry,
+    peer: &Name,
+    address: SocketAddr,
+) -> Option<(Socket, Hello)> {
+    let stream = connect(registry.settings.listen_address, address).await.ok()?;
+    let url = format!("ws://{address}/");
+    let (mut socket, _) =
+        client_async_with_config(url, stream, Some(socket_config())).await.ok()?;
+    write_hello(&mut socket, &own_hello(registry, registry.next_link())).await?;
+    let hello = read_hello(&mut socket).await?;
+    if hello.name != *peer {
+        warn!(target: "peer", "At {address}, '{}' answers in place of '{peer}'.", hello.name);
+        return None;
+    }
+    Some((socket, hello))
+}
+
+async fn connect(own: SocketAddr, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if own.is_ipv4() == address.is_ipv4() {
+        socket.bind(SocketAddr::new(own.ip(), 0))?;
+    }
+    let stream = socket.connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+fn own_hello(registry: &PeerRegistry, link_sequence: u64) -> Hello {
+    let settings = &registry.settings;
+    Hello { incarnation: settings.incarnation, link_sequence, name: settings.name.clone() }
+}
