Add logs, spans and metrics

Operators see what an instance does only through its log lines, its metrics and a span for each hop of a request.

--- /dev/null
+++ b/src/otlp_metrics.rs
@@ -0,0 +1,89 @@
+//! The instruments behind the metrics.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter as Sum, Histogram, Meter};
+
+use crate::final_answer::Outcome;
+use crate::metric::{Counter, Quantity};
+use crate::scheduling::RefusalReason;
+
+/// One instrument for each metric.
+pub(crate) struct OtlpMetrics {
+    control_decision_us: Histogram<u64>,
+    control_decisions: Sum<u64>,
+    first_token_ms: Histogram<u64>,
+    grants: Sum<u64>,
+    peer_received_bytes: Sum<u64>,
+    peer_sent_bytes: Sum<u64>,
+    platform_reads: Sum<u64>,
+    prefill_tokens: Sum<u64>,
+    refusals: Sum<u64>,
+    requests: Sum<u64>,
+}
+
+impl OtlpMetrics {
+    /// Makes the instruments.
+    pub(crate) fn new(meter: &Meter) -> Self {
+        let sum = |name: &'static str| meter.u64_counter(name).build();
+        let histogram = |name: &'static str| meter.u64_histogram(name).build();
+        Self {
+            control_decision_us: histogram("bergamotspan.control_decision_us"),
+            control_decisions: sum("bergamotspan.control_decisions"),
+            first_token_ms: histogram("bergamotspan.first_token_ms"),
+            grants: sum("bergamotspan.grants"),
+            peer_received_bytes: sum("bergamotspan.peer_received_bytes"),
+            peer_sent_bytes: sum("bergamotspan.peer_sent_bytes"),
+            platform_reads: sum("bergamotspan.platform_reads"),
+            prefill_tokens: sum("bergamotspan.prefill_tokens"),
+            refusals: sum("bergamotspan.refusals"),
+            requests: sum("bergamotspan.requests"),
+        }
+    }
+
+    /// Adds to a counter.
+    pub(crate) fn count(&self, counter: Counter, amount: u64) {
+        match counter {
+            Counter::ControlDecisions => self.control_decisions.add(amount, &[]),
+            Counter::Grants => self.grants.add(amount, &[]),
+            Counter::PeerReceivedBytes => self.peer_received_bytes.add(amount, &[]),
+            Counter::PeerSentBytes => self.peer_sent_bytes.add(amount, &[]),
+            Counter::PlatformReads => self.platform_reads.add(amount, &[]),
+            Counter::PrefillTokens => self.prefill_tokens.add(amount, &[]),
+            Counter::Refusals { reason } => {
+                self.refusals.add(amount, &[KeyValue::new("reason", reason_name(reason))]);
+            }
+            Counter::Requests { outcome, tier } => {
+                let outcome = KeyValue::new("outcome", outcome_name(outcome));
+                self.requests.add(amount, &[outcome, KeyValue::new("tier", tier)]);
+            }
+        }
+    }
+
+    /// Records one value of a quantity.
+    pub(crate) fn measure(&self, quantity: Quantity, value: u64) {
+        match quantity {
+            Quantity::ControlDecisionUs => self.control_decision_us.record(value, &[]),
+            Quantity::FirstTokenMs { tier } => {
+                self.first_token_ms.record(value, &[KeyValue::new("tier", tier)]);
+            }
+        }
+    }
+}
+
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::Failed => "failed",
+        Outcome::NotRun => "not_run",
+        Outcome::Unknown => "unknown",
+    }
+}
+
+fn reason_name(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::CannotFinishInTime => "cannot_finish_in_time",
+        RefusalReason::NoBackendServer => "no_backend_server",
+        RefusalReason::NoRoom => "no_room",
+        RefusalReason::Quarantined => "quarantined",
+    }
+}
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -14,6 +14,7 @@
 use tokio_tungstenite::tungstenite::{Bytes, Message};
 
 use crate::error::Error;
+use crate::log_part::PEER;
 use crate::name::Name;
 use crate::peer_codec::{PEER_FRAME_LIMIT_BYTES, decode, encode};
 use crate::peer_hello::Hello;
@@ -38,7 +39,7 @@
     let Some(Ok(Message::Binary(bytes))) = socket.next().await else { return None };
     match decode(UNKNOWN_PEER, &bytes) {
         Err(error) => {
-            warn!(target: "peer", "{error}");
+            warn!(target: PEER, "{error}");
             None
         }
         Ok(hello) => Some(hello),
@@ -95,14 +96,14 @@
     loop {
         match next_arrival(&mut stream, silence_limit).await {
             Arrival::Bytes(bytes) => match decode(&hello.name, &bytes) {
-                Err(error) => return warn!(target: "peer", "{error}"),
+                Err(error) => return warn!(target: PEER, "{error}"),
                 Ok(message) => registry.deliver(hello, link, bytes.len(), message),
             },
             Arrival::Control => {}
             Arrival::Ended => return,
             Arrival::Silent => {
                 return warn!(
-                    target: "peer",
+                    target: PEER,
                     "Nothing came from '{}' for {} ms.",
                     hello.name,
                     silence_limit.as_millis()
@@ -147,5 +148,5 @@
 }
 
 fn log_unsent(error: &Error) {
-    warn!(target: "peer", "A message was not sent. {error}");
+    warn!(target: PEER, "A message was not sent. {error}");
 }
--- a/src/peer_outboxes.rs
+++ b/src/peer_outboxes.rs
@@ -5,6 +5,7 @@
 use log::warn;
 use tokio::sync::Notify;
 
+use crate::log_part::PEER;
 use crate::name::Name;
 use crate::peer_message::PeerMessage;
 
@@ -78,7 +79,7 @@
             return;
         }
         sorted.remove(index).cut.notify_one();
-        warn!(target: "peer", "The link to '{peer}' is closed: its queue is full.");
+        warn!(target: PEER, "The link to '{peer}' is closed: its queue is full.");
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<Outbox>> {
--- a/src/peer_registry.rs
+++ b/src/peer_registry.rs
@@ -10,6 +10,7 @@
 use log::info;
 use tokio::sync::Notify;
 
+use crate::log_part::PEER;
 use crate::name::Name;
 use crate::peer_event::{PeerEvent, PeerSink};
 use crate::peer_hello::Hello;
@@ -128,7 +129,7 @@
         let link = self.next_link();
         let inbox = self.outboxes.open(&hello.name, link, self.settings.queue_limit_messages);
         self.replace(OpenLink { hello: hello.clone(), link });
-        info!(target: "peer", "The link to '{}' is open.", hello.name);
+        info!(target: PEER, "The link to '{}' is open.", hello.name);
         let (peer, incarnation) = (hello.name.clone(), hello.incarnation);
         self.sink.deliver(PeerEvent::Up { incarnation, peer });
         Registration::Present { inbox, link }
@@ -180,7 +181,7 @@
     }
 
     fn report_down(&self, peer: &Name) {
-        info!(target: "peer", "The link to '{peer}' is closed.");
+        info!(target: PEER, "The link to '{peer}' is closed.");
         self.sink.deliver(PeerEvent::Down { peer: peer.clone() });
     }
 }
--- a/src/peer_supervisor.rs
+++ b/src/peer_supervisor.rs
@@ -11,6 +11,7 @@
 use tokio_tungstenite::{accept_async_with_config, client_async_with_config};
 
 use crate::back_off::BackOff;
+use crate::log_part::PEER;
 use crate::name::Name;
 use crate::peer_hello::Hello;
 use crate::peer_link::{Socket, read_hello, run, socket_config, write_hello};
@@ -61,7 +62,7 @@
         }
     };
     if timeout(Duration::from_millis(STOP_LIMIT_MS), all_closed).await.is_err() {
-        warn!(target: "peer", "Some links did not end within {STOP_LIMIT_MS} ms.");
+        warn!(target: PEER, "Some links did not end within {STOP_LIMIT_MS} ms.");
     }
 }
 
@@ -98,13 +99,13 @@
 
 async fn accept_links(registry: Rc<PeerRegistry>, listener: TcpListener) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
-        Err(error) => return warn!(target: "peer", "No links are accepted: {error}."),
+        Err(error) => return warn!(target: PEER, "No links are accepted: {error}."),
         Ok(listener) => listener,
     };
     loop {
         match listener.accept().await {
             Err(error) => {
-                warn!(target: "peer", "A link was not accepted: {error}.");
+                warn!(target: PEER, "A link was not accepted: {error}.");
                 sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
             }
             Ok((stream, _)) => {
@@ -125,7 +126,7 @@
     let mut socket = accept_async_with_config(stream, Some(socket_config())).await.ok()?;
     let hello = read_hello(&mut socket).await?;
     if !registry.is_peer(&hello.name) || hello.name > registry.settings.name {
-        debug!(target: "peer", "A link from '{}' is refused: it is not expected.", hello.name);
+        debug!(target: PEER, "A link from '{}' is refused: it is not expected.", hello.name);
         return None;
     }
     write_hello(&mut socket, &own_hello(registry, hello.link_sequence)).await?;
@@ -158,7 +159,7 @@
     write_hello(&mut socket, &own_hello(registry, registry.next_link())).await?;
     let hello = read_hello(&mut socket).await?;
     if hello.name != *peer {
-        warn!(target: "peer", "At {address}, '{}' answers in place of '{peer}'.", hello.name);
+        warn!(target: PEER, "At {address}, '{}' answers in place of '{peer}'.", hello.name);
         return None;
     }
     Some((socket, hello))
--- /dev/null
+++ b/src/span_record.rs
@@ -0,0 +1,55 @@
+//! One finished span.
+
+use crate::name::Name;
+use crate::trace_context::TraceContext;
+
+/// Hop of a request that a span covers.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Hop {
+    /// From the bid to the steward's answer.
+    Bid,
+    /// From the caller's request to its final answer.
+    Caller,
+    /// From the connection to the end of the backend server's answer.
+    Dispatch,
+    /// From dispatch to the first token.
+    FirstToken,
+    /// The grant, from its arrival to its use.
+    Grant,
+    /// From the claim of a key to its verdict.
+    KeyClaim,
+    /// One message to another instance and its answer.
+    PeerHop,
+}
+
+impl Hop {
+    /// Returns the name of the span.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Bid => "bid",
+            Self::Caller => "caller",
+            Self::Dispatch => "dispatch",
+            Self::FirstToken => "first_token",
+            Self::Grant => "grant",
+            Self::KeyClaim => "key_claim",
+            Self::PeerHop => "peer_hop",
+        }
+    }
+}
+
+/// One finished span.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SpanRecord {
+    /// Attributes.
+    pub attributes: Vec<(&'static str, Name)>,
+    /// Its place in the trace.
+    pub context: TraceContext,
+    /// End, in milliseconds since the Unix epoch.
+    pub end_wall_clock_ms: u64,
+    /// Hop that it covers.
+    pub hop: Hop,
+    /// Span above it; `None` for the first one of a trace.
+    pub parent_span_id: Option<u64>,
+    /// Start, in milliseconds since the Unix epoch.
+    pub start_wall_clock_ms: u64,
+}
--- /dev/null
+++ b/tests/logging.rs
@@ -0,0 +1,43 @@
+//! Tests of the log.
+
+use std::time::UNIX_EPOCH;
+
+use bergamotspan::logging::{TextLines, start};
+use bergamotspan::settings::{LogFormat, LogSettings};
+use logforth::Layout;
+use logforth::record::{Level, Record};
+
+#[test]
+fn a_text_line_has_time_level_part_and_message() {
+    let record = Record::builder()
+        .level(Level::Warn)
+        .payload(format_args!("The link to 'entry-2' is closed."))
+        .target("peer")
+        .build();
+
+    let line = String::from_utf8(TextLines.format(&record, &[]).unwrap()).unwrap();
+
+    let (time, rest) = line.split_once(' ').unwrap();
+    assert!(time.parse::<jiff::Timestamp>().unwrap() > UNIX_EPOCH.try_into().unwrap());
+    assert_eq!(rest, "WARN peer: The link to 'entry-2' is closed.");
+}
+
+#[test]
+fn an_unknown_level_is_an_error() {
+    let settings = LogSettings { format: LogFormat::Text, level: "loud".into() };
+
+    let error = start(&settings).unwrap_err();
+
+    assert_eq!(error.to_string(), "read the log level 'loud': no such level");
+}
+
+#[test]
+fn a_second_log_is_an_error() {
+    let settings = LogSettings { format: LogFormat::Json, level: "info".into() };
+
+    start(&settings).unwrap();
+    let error = start(&settings).unwrap_err();
+
+    assert!(error.to_string().starts_with("start the log: "), "{error}");
+    assert_eq!(log::max_level(), log::LevelFilter::Info);
+}
