--- a/src/adopt.rs
+++ b/src/adopt.rs
@@ -2,16 +2,18 @@
 
 use std::sync::Arc;
 
+use crate::build_core::build_membership;
 use crate::config_adoption::{AdoptionEffect, AdoptionEvent, DocumentSource};
 use crate::core::Core;
 use crate::effect::Effect;
 use crate::finding::Finding;
 use crate::inventory::Inventory;
-use crate::membership::MembershipEvent;
+use crate::membership_event::MembershipEvent;
 use crate::name::Name;
 use crate::now::Now;
 use crate::parse_inventory::parse_inventory;
 use crate::peer_message::PeerMessage;
+use crate::status_report::RefusedDocument;
 use crate::view::View;
 
 impl Core {
@@ -78,6 +80,7 @@
                 AdoptionEffect::Refused { version, findings } => {
                     let count = findings.len();
                     self.log("config", format!("Version {version} is refused: {count} findings."));
+                    self.refused_document = Some(RefusedDocument { findings, version });
                 }
             }
         }
@@ -85,9 +88,11 @@
 
     fn put_in_force(&mut self, now: Now, inventory: Arc<Inventory>) {
         self.log("config", format!("Version {} is in force.", inventory.version));
+        let is_first = self.inventory.version == 0;
         self.inventory = inventory;
+        self.refused_document = None;
         let own_name = self.own_name();
-        self.view = View::of(&self.inventory, &own_name);
+        self.view = View::of(&self.inventory, own_name.clone());
         let peers = self
             .inventory
             .instances
@@ -97,7 +102,10 @@
             .collect();
         self.effects.push(Effect::SetPeers(peers));
         let view = self.view.clone();
-        self.member(now, MembershipEvent::ListAdopted { view });
+        match is_first {
+            true => self.membership = build_membership(&self.settings, self.incarnation, now, view),
+            false => self.member(now, MembershipEvent::ListAdopted { view }),
+        }
         let event = self.fleet_event();
         self.schedule_all(now, &event);
         self.assign_stewards(now);
--- /dev/null
+++ b/src/apply_effects.rs
@@ -0,0 +1,50 @@
+//! Carries out the effects of decisions, without ever waiting.
+
+use std::sync::Arc;
+
+use crate::control::EffectSink;
+use crate::effect::Effect;
+use crate::load_poller::LoadPoller;
+use crate::peer_links::PeerLinks;
+use crate::runners::RunnerCommand;
+use crate::traffic::Traffic;
+
+/// Hands the effects of decisions to the parts that carry them out.
+pub struct EffectRouter {
+    /// Asks model engines for their load.
+    pub poller: LoadPoller,
+    /// Links to other instances.
+    pub peer_links: Arc<PeerLinks>,
+    /// Told when a planned stop is complete.
+    pub stopped: flume::Sender<()>,
+    /// What the threads that serve requests share.
+    pub traffic: Arc<Traffic>,
+}
+
+impl EffectSink for EffectRouter {
+    fn apply(&mut self, effect: Effect) {
+        let runners = &self.traffic.runners;
+        match effect {
+            Effect::Answer { answer, sequence } => {
+                runners.tell(sequence, RunnerCommand::Answer(answer));
+            }
+            Effect::Cancel { sequence } => runners.tell(sequence, RunnerCommand::Cancel),
+            Effect::Dispatch(dispatch) => {
+                runners.tell(dispatch.sequence, RunnerCommand::Dispatch(dispatch));
+            }
+            Effect::ForgetAnswer { sequence } => self.traffic.answer_logs.forget(sequence),
+            Effect::JoinLocal { holder, sequence } => {
+                runners.tell(sequence, RunnerCommand::JoinLocal { holder });
+            }
+            Effect::JoinPeer { address, key, sequence } => {
+                runners.tell(sequence, RunnerCommand::JoinPeer { address, key });
+            }
+            Effect::Log { part, text } => log::info!(target: part, "{text}"),
+            Effect::PollLoad(targets) => self.poller.set_targets(targets),
+            Effect::SendPeer { message, to } => self.peer_links.send(&to, message),
+            Effect::SetPeers(peers) => self.peer_links.set_peers(peers),
+            // Whoever waited for the stop may be gone already.
+            Effect::Stopped => drop(self.stopped.send(())),
+        }
+    }
+}
--- a/src/baseline_fleet.rs
+++ b/src/baseline_fleet.rs
@@ -142,7 +142,8 @@
             Progress::Abandoned
             | Progress::Cancelled
             | Progress::Died
-            | Progress::Finished { .. } => {}
+            | Progress::Finished { .. }
+            | Progress::Lost => {}
         }
         self.count_out(request);
     }
--- a/src/bin/bergamotspand.rs
+++ b/src/bin/bergamotspand.rs
@@ -1,3 +1,7 @@
 //! The daemon of one entry instance.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bergamotspan::daemon::run()
+}
--- /dev/null
+++ b/src/build_core.rs
@@ -0,0 +1,64 @@
+//! Builds the decision core from the settings.
+
+use std::sync::Arc;
+
+use crate::config_adoption::ConfigAdoption;
+use crate::core::Core;
+use crate::inventory::Inventory;
+use crate::key_home_builder::KeyHomeBuilder;
+use crate::membership::Membership;
+use crate::membership_builder::MembershipBuilder;
+use crate::now::Now;
+use crate::quarantine::Quarantine;
+use crate::requests::Requests;
+use crate::settings::Settings;
+use crate::view::View;
+
+/// Builds the decision core of one incarnation of an instance.
+pub fn build_core(settings: Arc<Settings>, incarnation: u64, now: Now) -> Core {
+    let inventory = Arc::new(Inventory::default());
+    let view = View::of(&inventory, settings.instance.name.clone());
+    let keys = &settings.keys;
+    let key_home = KeyHomeBuilder::default()
+        .capacity(keys.capacity)
+        .clock_margin_ms(keys.clock_margin_ms)
+        .lifetime_ms(keys.lifetime_ms)
+        .build();
+    Core {
+        adoption: ConfigAdoption::new(now),
+        effects: Vec::new(),
+        incarnation,
+        inventory,
+        key_home,
+        leaving: Vec::new(),
+        membership: build_membership(&settings, incarnation, now, view.clone()),
+        peer_versions: Vec::new(),
+        platform_reachable: false,
+        quarantine: Quarantine::default(),
+        quarantined: Vec::new(),
+        refused_document: None,
+        requests: Requests::default(),
+        schedulers: Vec::new(),
+        settings,
+        stop: None,
+        stopping_peers: Vec::new(),
+        suspected: Vec::new(),
+        sweep_ms: 0,
+        view,
+    }
+}
+
+/// Builds the membership that starts with the given view.
+pub fn build_membership(
+    settings: &Settings,
+    incarnation: u64,
+    now: Now,
+    view: View,
+) -> Membership {
+    MembershipBuilder::new(incarnation)
+        .clock_margin_ms(settings.keys.clock_margin_ms)
+        .confirmation_window_ms(settings.peer.confirmation_window_ms)
+        .heartbeat_interval_ms(settings.peer.heartbeat_interval_ms)
+        .key_lifetime_ms(settings.keys.lifetime_ms)
+        .build(now, view)
+}
--- /dev/null
+++ b/src/caller_edge.rs
@@ -0,0 +1,255 @@
+//! The interface for callers, the balancer and the operators' program.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use socket2::{Domain, Socket, TcpKeepalive, Type};
+use tiny_http::{Method, Request, Server};
+
+use crate::answer_log::AnswerEnd;
+use crate::answer_writer::{
+    AnswerWriter, JsonAnswerWriter, StreamAnswerWriter, write_body, write_final,
+};
+use crate::answers;
+use crate::control::ControlInput;
+use crate::error::Error;
+use crate::event::Event;
+use crate::final_answer::{FinalAnswer, Outcome};
+use crate::join_answer::{JOIN_HEADER, join_local, join_peer};
+use crate::read_request::{header, read_request, wants_json};
+use crate::runners::RunnerCommand;
+use crate::serve_request::RequestRunner;
+use crate::traffic::Traffic;
+
+/// Connections that may wait to be accepted.
+const BACKLOG_CONNECTIONS: i32 = 1_024;
+
+/// Time for a caller to take in what was written, in milliseconds.
+const CALLER_WRITE_TIMEOUT_MS: u64 = 10_000;
+
+/// Time for the control thread to answer a question, in milliseconds.
+const CONTROL_TIMEOUT_MS: u64 = 2_000;
+
+/// Silence after which the system probes a caller's connection, in seconds.
+const KEEPALIVE_TIME_S: u64 = 5;
+
+/// Time for the answer to a question about a key, in milliseconds.
+const JOIN_TIMEOUT_MS: u64 = 3_000;
+
+/// The interface for callers.
+pub struct CallerEdge {
+    server: Arc<Server>,
+    stopped: Arc<AtomicBool>,
+}
+
+/// What a caller asks for.
+enum Route {
+    Cancel(String),
+    Drain,
+    Explain(String),
+    Join { key: String, offset: usize },
+    Live,
+    NotFound,
+    Ready,
+    Request { path: String, service: String },
+    Status,
+}
+
+impl CallerEdge {
+    /// Listens, and serves each request on a thread of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be listened on.
+    pub fn start(traffic: Arc<Traffic>) -> Result<Self, Error> {
+        let listener = listen(traffic.settings.caller.listen_address)?;
+        let server = Server::from_listener(listener, None).map_err(|error| {
+            Error::io("Listening for callers failed", std::io::Error::other(error))
+        })?;
+        let edge = Self { server: Arc::new(server), stopped: Arc::default() };
+        let (server, stopped) = (edge.server.clone(), edge.stopped.clone());
+        std::thread::spawn(move || {
+            while !stopped.load(Ordering::Acquire) {
+                let Ok(request) = server.recv() else { continue };
+                let traffic = traffic.clone();
+                std::thread::spawn(move || serve(&traffic, request));
+            }
+        });
+        Ok(edge)
+    }
+
+    /// Returns the address that is listened on.
+    pub fn listen_address(&self) -> Option<SocketAddr> {
+        self.server.server_addr().to_ip()
+    }
+
+    /// Takes no more requests.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::Release);
+        self.server.unblock();
+    }
+}
+
+fn ask<T, F>(traffic: &Traffic, input: F) -> Option<T>
+where
+    F: FnOnce(flume::Sender<T>) -> ControlInput,
+{
+    let (reply, answer) = flume::bounded(1);
+    traffic.control.send(input(reply)).ok()?;
+    answer.recv_timeout(Duration::from_millis(CONTROL_TIMEOUT_MS)).ok()
+}
+
+fn answer_json<T>(request: Request, body: Option<T>)
+where
+    T: serde::Serialize,
+{
+    let (status, body) = match body {
+        Some(body) => (200, serde_json::to_value(body).unwrap_or_default()),
+        None => (503, json!({ "message": "The control thread did not answer." })),
+    };
+    respond(request, status, &body);
+}
+
+fn answer_ready(traffic: &Traffic, request: Request) {
+    let ready = ask(traffic, ControlInput::Status).is_some_and(|status| status.ready);
+    match ready {
+        true => respond(request, 200, &json!({ "ready": true })),
+        false => respond(request, 503, &json!({ "ready": false })),
+    }
+}
+
+fn explain(traffic: &Traffic, request: Request, id: String) {
+    match ask(traffic, |reply| ControlInput::Explain { id, reply }) {
+        Some(Some(report)) => answer_json(request, Some(report)),
+        Some(None) => {
+            let message = "No request of this id or key is known here.";
+            respond(request, 404, &json!({ "message": message }));
+        }
+        None => answer_json::<Value>(request, None),
+    }
+}
+
+fn join(traffic: &Arc<Traffic>, request: Request, key: String, offset: usize) {
+    let from_peer = header(&request, JOIN_HEADER).is_some();
+    let mut writer = writer_for(request);
+    let sequence = traffic.next_sequence();
+    let commands = traffic.runners.add(sequence);
+    traffic.tell(Event::JoinAsked { from_peer, key: key.clone().into(), sequence });
+    let end = match commands.recv_timeout(Duration::from_millis(JOIN_TIMEOUT_MS)) {
+        Ok(RunnerCommand::JoinLocal { holder }) => match traffic.answer_logs.find(holder) {
+            Some(log) => {
+                join_local(&log, offset, writer.as_mut());
+                None
+            }
+            None => Some(answers::answer_not_kept()),
+        },
+        Ok(RunnerCommand::JoinPeer { address, key }) => {
+            let settings = &traffic.settings.dispatch;
+            join_peer(address, &key, offset, settings, writer.as_mut());
+            None
+        }
+        Ok(RunnerCommand::Answer(answer)) => Some(answer),
+        _ => Some(answers::holder_unreachable()),
+    };
+    traffic.runners.remove(sequence);
+    if let Some(answer) = end {
+        // A caller that is gone needs no answer.
+        let _ = writer.end(&AnswerEnd::Final(answer));
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    let bind = || {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_tcp_nodelay(true)?;
+        let keepalive = TcpKeepalive::new()
+            .with_time(Duration::from_secs(KEEPALIVE_TIME_S))
+            .with_interval(Duration::from_secs(1));
+        socket.set_tcp_keepalive(&keepalive)?;
+        socket.set_write_timeout(Some(Duration::from_millis(CALLER_WRITE_TIMEOUT_MS)))?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG_CONNECTIONS)?;
+        Ok(TcpListener::from(socket))
+    };
+    bind().map_err(|error| Error::io(format!("Listening for callers on {address} failed"), error))
+}
+
+fn respond(request: Request, status: u16, body: &Value) {
+    // A caller that is gone needs no answer.
+    let _ = write_body(&mut request.into_writer(), status, None, body);
+}
+
+fn respond_final(request: Request, answer: &FinalAnswer) {
+    let _ = write_final(&mut request.into_writer(), answer);
+}
+
+fn route(method: &Method, url: &str) -> Route {
+    let (path, query) = url.split_once('?').unwrap_or((url, ""));
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (method, parts.as_slice()) {
+        (Method::Delete, ["v1", "requests", key]) => Route::Cancel((*key).into()),
+        (Method::Get, ["explain", id]) => Route::Explain((*id).into()),
+        (Method::Get, ["livez"]) => Route::Live,
+        (Method::Get, ["readyz"]) => Route::Ready,
+        (Method::Get, ["status"]) => Route::Status,
+        (Method::Get, ["v1", "requests", key]) => {
+            let offset = query.strip_prefix("offset=").and_then(|offset| offset.parse().ok());
+            Route::Join { key: (*key).into(), offset: offset.unwrap_or_default() }
+        }
+        (Method::Post, ["drain"]) => Route::Drain,
+        (Method::Post, ["v1", "services", service, "requests", path @ ..]) => {
+            Route::Request { path: path.join("/"), service: (*service).into() }
+        }
+        _ => Route::NotFound,
+    }
+}
+
+fn serve(traffic: &Arc<Traffic>, request: Request) {
+    match route(request.method(), request.url()) {
+        Route::Cancel(key) => {
+            traffic.tell(Event::CancelAsked { key: key.into() });
+            respond(request, 202, &json!({ "cancelling": true }));
+        }
+        Route::Drain => {
+            let report = ask(traffic, ControlInput::Drain);
+            answer_json(request, report);
+        }
+        Route::Explain(id) => explain(traffic, request, id),
+        Route::Join { key, offset } => join(traffic, request, key, offset),
+        Route::Live => respond(request, 200, &json!({ "live": true })),
+        Route::NotFound => {
+            let message = format!("There is no {} {}.", request.method(), request.url());
+            let answer = answers::answer(404, Outcome::NotRun, "no_such_path", message, None);
+            respond_final(request, &answer);
+        }
+        Route::Ready => answer_ready(traffic, request),
+        Route::Request { path, service } => serve_request(traffic, request, &service, &path),
+        Route::Status => {
+            let report = ask(traffic, ControlInput::Status);
+            answer_json(request, report);
+        }
+    }
+}
+
+fn serve_request(traffic: &Arc<Traffic>, mut request: Request, service: &str, path: &str) {
+    let sequence = traffic.next_sequence();
+    let limit_bytes = traffic.settings.caller.body_limit_bytes;
+    match read_request(&mut request, service, path, sequence, limit_bytes) {
+        Ok(read) => {
+            let writer = writer_for(request);
+            RequestRunner::new(traffic.clone(), read, writer).serve();
+        }
+        Err(answer) => respond_final(request, &answer),
+    }
+}
+
+fn writer_for(request: Request) -> Box<dyn AnswerWriter> {
+    match wants_json(&request) {
+        true => Box::new(JsonAnswerWriter::new(request.into_writer())),
+        false => Box::new(StreamAnswerWriter::new(request.into_writer())),
+    }
+}
--- a/src/command_output.rs
+++ b/src/command_output.rs
@@ -55,7 +55,9 @@
             Error::AnswerUnreadable { .. } | Error::Unreachable { .. } => {
                 Self { errors: message, status: ExitStatus::Unreachable, text: String::new() }
             }
-            Error::Io { .. } | Error::PeerMessage { .. } => Self::usage(message),
+            Error::Io { .. } | Error::PeerMessage { .. } | Error::ServiceMissing { .. } => {
+                Self::usage(message)
+            },
         }
     }
 }
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,103 @@
+//! The control thread: it alone holds the decision core, and does nothing slow.
+
+use std::time::Duration;
+
+use crate::clock::Clock;
+use crate::core::Core;
+use crate::drain_report::DrainReport;
+use crate::effect::Effect;
+use crate::event::Event;
+use crate::explain_report::ExplainReport;
+use crate::peer_event::{PeerEvent, PeerSink};
+use crate::status_report::StatusReport;
+
+/// Time between two ticks, in milliseconds.
+pub const TICK_INTERVAL_MS: u64 = 20;
+
+/// Something for the control thread.
+pub enum ControlInput {
+    /// Begin a planned stop, and tell what is left to do.
+    Drain(flume::Sender<DrainReport>),
+    /// Decide on an event.
+    Event(Event),
+    /// Tell what happened to a request.
+    Explain {
+        /// Id or key of the request.
+        id: String,
+        /// Where the answer goes.
+        reply: flume::Sender<Option<ExplainReport>>,
+    },
+    /// Tell the state of the instance.
+    Status(flume::Sender<StatusReport>),
+}
+
+/// Carries out the effects of decisions; it must not block.
+pub trait EffectSink: Send {
+    /// Carries out one effect.
+    fn apply(&mut self, effect: Effect);
+}
+
+/// Delivers the events of peer links to the control thread.
+pub struct ControlPeerSink {
+    /// The way to the control thread.
+    pub control: flume::Sender<ControlInput>,
+}
+
+impl PeerSink for ControlPeerSink {
+    fn deliver(&self, event: PeerEvent) {
+        let event = match event {
+            PeerEvent::Down { peer } => Event::PeerDown { peer },
+            PeerEvent::Message { incarnation, message, peer } => {
+                Event::PeerMessage { incarnation, message, peer }
+            }
+            PeerEvent::Up { incarnation, peer } => Event::PeerUp { incarnation, peer },
+        };
+        // The control thread only goes away when the process ends.
+        let _ = self.control.send(ControlInput::Event(event));
+    }
+}
+
+/// Runs the control thread until every sender of its inputs is gone.
+pub fn run_control(
+    clock: Clock,
+    mut core: Core,
+    inputs: &flume::Receiver<ControlInput>,
+    sink: &mut dyn EffectSink,
+) {
+    let interval = Duration::from_millis(TICK_INTERVAL_MS);
+    let mut tick_ms = 0;
+    loop {
+        match inputs.recv_timeout(interval) {
+            Ok(input) => take(clock, &mut core, input, sink),
+            Err(flume::RecvTimeoutError::Timeout) => {}
+            Err(flume::RecvTimeoutError::Disconnected) => return,
+        }
+        if clock.monotonic_ms() >= tick_ms {
+            tick_ms = clock.monotonic_ms() + TICK_INTERVAL_MS;
+            decide(clock, &mut core, Event::Tick, sink);
+        }
+    }
+}
+
+fn decide(clock: Clock, core: &mut Core, event: Event, sink: &mut dyn EffectSink) {
+    for effect in core.decide(clock.now(), event) {
+        sink.apply(effect);
+    }
+}
+
+fn take(clock: Clock, core: &mut Core, input: ControlInput, sink: &mut dyn EffectSink) {
+    // A reply that nobody waits for any more is dropped.
+    match input {
+        ControlInput::Drain(reply) => {
+            decide(clock, core, Event::Stop, sink);
+            let _ = reply.send(core.drain_report());
+        }
+        ControlInput::Event(event) => decide(clock, core, event, sink),
+        ControlInput::Explain { id, reply } => {
+            let _ = reply.send(core.explain(&id));
+        }
+        ControlInput::Status(reply) => {
+            let _ = reply.send(core.status(clock.now()));
+        }
+    }
+}
--- a/src/core.rs
+++ b/src/core.rs
@@ -10,7 +10,8 @@
 use crate::event::Event;
 use crate::inventory::Inventory;
 use crate::key_home::KeyHome;
-use crate::membership::{HeartbeatSummary, Membership, MembershipEvent};
+use crate::membership::Membership;
+use crate::membership_event::{HeartbeatSummary, MembershipEvent};
 use crate::name::Name;
 use crate::now::Now;
 use crate::peer_message::PeerMessage;
@@ -19,6 +20,7 @@
 use crate::requests::Requests;
 use crate::scheduler::{Scheduler, SchedulerEvent};
 use crate::settings::Settings;
+use crate::status_report::RefusedDocument;
 use crate::view::View;
 
 /// Time between two passes over the waiting requests, in milliseconds.
@@ -33,9 +35,11 @@
     pub(crate) key_home: KeyHome,
     pub(crate) leaving: Vec<Name>,
     pub(crate) membership: Membership,
+    pub(crate) peer_versions: Vec<(Name, u64, u64)>,
     pub(crate) platform_reachable: bool,
     pub(crate) quarantine: Quarantine,
     pub(crate) quarantined: Vec<u64>,
+    pub(crate) refused_document: Option<RefusedDocument>,
     pub(crate) requests: Requests,
     pub(crate) schedulers: Vec<(Name, Box<dyn Scheduler>)>,
     pub(crate) settings: Arc<Settings>,
--- a/src/error.rs
+++ b/src/error.rs
@@ -47,6 +47,12 @@
         /// HTTP status.
         status: u16,
     },
+    /// A part of the process looked for a service that is not there.
+    #[error("No service '{name}' is there.")]
+    ServiceMissing {
+        /// Name of the service.
+        name: &'static str,
+    },
     /// An instance can't be reached.
     #[error("{address} can't be reached: {detail}.")]
     Unreachable {
@@ -58,6 +64,16 @@
 }
 
 impl Error {
+    /// Returns the findings; an error of another kind becomes one.
+    pub fn into_findings(self) -> Vec<Finding> {
+        match self {
+            Self::Findings(findings) => findings,
+            error => {
+                vec![Finding { file: "".into(), line: 0, message: error.to_string() }]
+            }
+        }
+    }
+
     /// Wraps an I/O error with what was tried.
     pub fn io<S>(action: S, source: io::Error) -> Self
     where
--- a/src/final_answer.rs
+++ b/src/final_answer.rs
@@ -18,6 +18,18 @@
     Unknown,
 }
 
+impl Outcome {
+    /// Returns the fixed word for the outcome, for programs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// The final answer to a request that has no whole answer.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FinalAnswer {
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -3,7 +3,7 @@
 use crate::answers;
 use crate::core::Core;
 use crate::effect::{Dispatch, Effect};
-use crate::final_answer::FinalAnswer;
+use crate::final_answer::{FinalAnswer, Outcome};
 use crate::inventory::ServiceKind;
 use crate::name::Name;
 use crate::now::Now;
@@ -26,16 +26,17 @@
     /// Gives a request that has no whole answer its final answer, and ends it.
     pub(crate) fn end_with(&mut self, now: Now, sequence: u64, answer: FinalAnswer) {
         self.note(now, sequence, format!("Answered {}.", answer.reason));
+        let outcome = answer.outcome;
         self.effects.push(Effect::Answer { answer, sequence });
-        self.end(now, sequence);
+        self.end(sequence, now, outcome);
     }
 
     /// Ends a request; its key is given back if it never ran, and kept otherwise.
-    pub(crate) fn end(&mut self, now: Now, sequence: u64) {
+    pub(crate) fn end(&mut self, sequence: u64, now: Now, outcome: Outcome) {
         let Some(request) = self.requests.get_active_mut(sequence) else { return };
         let ran = request.is_running();
         let has_key = request.arrival.key.is_some();
-        request.state = RequestState::Ended { ran, ended_ms: now.monotonic_ms };
+        request.state = RequestState::Ended { outcome, ran };
         if has_key && !ran {
             self.release_key(sequence);
         }
@@ -52,17 +53,21 @@
         self.report_progress(now, sequence, progress.clone());
         match progress {
             Progress::Abandoned => self.abandon(now, sequence),
-            Progress::Cancelled => self.end(now, sequence),
+            Progress::Cancelled => self.end(sequence, now, Outcome::Failed),
             Progress::ConnectFailed => self.choose_again(now, sequence),
             Progress::Died => {
                 self.note(now, sequence, "The backend server was lost.");
                 self.suspect(now, sequence);
-                self.end(now, sequence);
+                self.end(sequence, now, Outcome::Unknown);
+            }
+            Progress::Lost => {
+                self.note(now, sequence, "The backend server can't be reached.");
+                self.end(sequence, now, Outcome::Unknown);
             }
             Progress::Finished { output_tokens, .. } => {
                 self.note(now, sequence, format!("Finished with {output_tokens} tokens."));
                 self.clear_suspicion(sequence);
-                self.end(now, sequence);
+                self.end(sequence, now, Outcome::Done);
             }
             Progress::FirstToken { elapsed_ms } => {
                 self.note(now, sequence, format!("First token after {elapsed_ms} ms."));
--- a/src/join.rs
+++ b/src/join.rs
@@ -61,7 +61,7 @@
         self.note(now, sequence, format!("Request {holder} holds the key."));
         self.join_at(sequence, key, holder);
         if let Some(request) = self.requests.get_active_mut(sequence) {
-            request.state = RequestState::Ended { ran: false, ended_ms: now.monotonic_ms };
+            request.state = RequestState::Ended { outcome: Outcome::NotRun, ran: false };
         }
         self.requests.end(sequence, None);
     }
--- a/src/key_home.rs
+++ b/src/key_home.rs
@@ -133,6 +133,11 @@
         records.into_values().map(|remembered| remembered.record).collect()
     }
 
+    /// Returns the request that holds a key.
+    pub fn holder(&self, key: &Name) -> Option<RequestId> {
+        self.records.get(key).map(|held| held.record.request.clone())
+    }
+
     /// Returns whether no key is remembered.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
--- a/src/learning.rs
+++ b/src/learning.rs
@@ -17,7 +17,7 @@
                 self.end(request);
             }
             Progress::ConnectFailed => self.learn_failure(now_ms, request),
-            Progress::Died => self.learn_death(now_ms, request),
+            Progress::Died | Progress::Lost => self.learn_death(now_ms, request),
             Progress::Finished { output_tokens, .. } => {
                 self.learn_finish(now_ms, request, *output_tokens);
             }
--- /dev/null
+++ b/src/load_poller.rs
@@ -0,0 +1,93 @@
+//! Asks model engines for their load and cache events, a thread for each engine.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use crate::control::ControlInput;
+use crate::effect::PollTarget;
+use crate::event::Event;
+use crate::load_report::{CacheEvent, LoadReport};
+
+/// Time for one question, in milliseconds.
+const POLL_TIMEOUT_MS: u64 = 1_000;
+
+/// Asks model engines for their load and cache events.
+pub struct LoadPoller {
+    control: flume::Sender<ControlInput>,
+    interval: Duration,
+    polls: Vec<(PollTarget, Arc<AtomicBool>)>,
+}
+
+impl LoadPoller {
+    /// Prepares to ask every `interval_ms` milliseconds.
+    pub fn new(control: flume::Sender<ControlInput>, interval_ms: u64) -> Self {
+        Self { control, interval: Duration::from_millis(interval_ms), polls: Vec::new() }
+    }
+
+    /// Asks these engines from now on, and no others.
+    pub fn set_targets(&mut self, targets: Vec<PollTarget>) {
+        self.polls.retain(|(target, active)| {
+            let kept = targets.contains(target);
+            active.store(kept, Ordering::Release);
+            kept
+        });
+        for target in targets {
+            if !self.polls.iter().any(|(known, _)| *known == target) {
+                self.start(target);
+            }
+        }
+    }
+
+    fn start(&mut self, target: PollTarget) {
+        let active = Arc::new(AtomicBool::new(true));
+        self.polls.push((target.clone(), active.clone()));
+        let control = self.control.clone();
+        let interval = self.interval;
+        std::thread::spawn(move || {
+            let mut sequence = 0;
+            while active.load(Ordering::Acquire) {
+                poll_load(&target, &control);
+                sequence = poll_cache(&target, sequence, &control);
+                std::thread::sleep(interval);
+            }
+        });
+    }
+}
+
+fn ask<T>(target: &PollTarget, path: &str) -> Option<T>
+where
+    T: serde::de::DeserializeOwned,
+{
+    let timeout = Duration::from_millis(POLL_TIMEOUT_MS);
+    let url = format!("http://{}{path}", target.address);
+    let response = attohttpc::get(url).connect_timeout(timeout).timeout(timeout).send().ok()?;
+    if !response.is_success() {
+        return None;
+    }
+    serde_json::from_slice(&response.bytes().ok()?).ok()
+}
+
+fn poll_cache(target: &PollTarget, after: u64, control: &flume::Sender<ControlInput>) -> u64 {
+    let path = format!("/v1/cache-events?after={after}");
+    let Some(events) = ask::<Vec<CacheEvent>>(target, &path) else { return after };
+    let Some(last) = events.last() else { return after };
+    let sequence = last.sequence;
+    let event = Event::CacheEvents {
+        backend_server: target.backend_server.clone(),
+        events,
+        service: target.service.clone(),
+    };
+    let _ = control.send(ControlInput::Event(event));
+    sequence
+}
+
+fn poll_load(target: &PollTarget, control: &flume::Sender<ControlInput>) {
+    let Some(report) = ask::<LoadReport>(target, "/v1/load") else { return };
+    let event = Event::LoadReport {
+        backend_server: target.backend_server.clone(),
+        report,
+        service: target.service.clone(),
+    };
+    let _ = control.send(ControlInput::Event(event));
+}
--- /dev/null
+++ b/src/report_status.rs
@@ -0,0 +1,132 @@
+//! Tells operators the state of the instance and what happened to a request.
+
+use crate::core::Core;
+use crate::drain_report::DrainReport;
+use crate::explain_report::{ExplainReport, ExplainStep};
+use crate::home_standing::{HomeStanding, NotLawfulReason};
+use crate::now::Now;
+use crate::request::{Request, RequestState};
+use crate::status_report::{
+    KeyStatus, PeerState, PeerStatus, PlatformStatus, RequestCounts, Standing, StatusReport,
+};
+
+impl Core {
+    /// Tells what is left to do before a planned stop is complete.
+    pub fn drain_report(&self) -> DrainReport {
+        DrainReport { instance: self.own_name().to_string(), requests: self.request_counts() }
+    }
+
+    /// Tells what happened to a request, by id or key.
+    pub fn explain(&self, id: &str) -> Option<ExplainReport> {
+        let by_id = id
+            .rsplit_once('-')
+            .and_then(|(_, sequence)| self.requests.get(sequence.parse().ok()?))
+            .filter(|request| request.id.to_string() == id);
+        let request = by_id.or_else(|| self.requests.by_key(id))?;
+        let steps = request
+            .steps
+            .iter()
+            .map(|step| ExplainStep {
+                sentence: step.text.clone(),
+                time_ms: step.at_ms.saturating_sub(request.arrived_ms),
+            })
+            .collect();
+        Some(ExplainReport {
+            request: request.id.to_string(),
+            state: state_word(request).into(),
+            steps,
+        })
+    }
+
+    /// Tells the state of the instance.
+    pub fn status(&self, now: Now) -> StatusReport {
+        StatusReport {
+            config_version: self.inventory.version,
+            data_centre: self.settings.instance.data_centre.to_string(),
+            incarnation: self.incarnation,
+            instance: self.own_name().to_string(),
+            keys: KeyStatus {
+                capacity: self.settings.keys.capacity,
+                remembered: count(self.key_home.len()),
+            },
+            list_version: self.view.list_version(),
+            peers: self.peer_statuses(),
+            platform: PlatformStatus { reachable: self.platform_reachable, reads: 0 },
+            quarantined: self.quarantined.iter().map(|print| format!("{print:016x}")).collect(),
+            ready: self.is_ready(),
+            refused_document: self.refused_document.clone(),
+            requests: self.request_counts(),
+            retired_version: self.membership.retired_version(),
+            schedulers: self
+                .schedulers
+                .iter()
+                .map(|(_, scheduler)| scheduler.report(now))
+                .collect(),
+            standing: standing(&self.membership.standing(now)),
+            stopping: self.stop.is_some(),
+        }
+    }
+
+    fn peer_statuses(&self) -> Vec<PeerStatus> {
+        let own_name = self.own_name();
+        let alive = self.membership.alive();
+        let state = |name| match alive.binary_search(name) {
+            Ok(_) if self.stopping_peers.binary_search(name).is_ok() => PeerState::Stopping,
+            Ok(_) => PeerState::Live,
+            Err(_) => PeerState::Silent,
+        };
+        self.inventory
+            .instances
+            .iter()
+            .filter(|instance| instance.name != own_name)
+            .map(|instance| {
+                let (config_version, incarnation) = self.peer_versions(&instance.name);
+                PeerStatus {
+                    caller_address: instance.caller_address,
+                    config_version,
+                    incarnation,
+                    name: instance.name.clone(),
+                    state: state(&instance.name),
+                }
+            })
+            .collect()
+    }
+
+    fn request_counts(&self) -> RequestCounts {
+        let running = self.requests.active().filter(|request| request.is_running()).count();
+        let waiting = self.requests.active().count() - running;
+        RequestCounts { running: count(running), waiting: count(waiting) }
+    }
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
+
+fn standing(standing: &HomeStanding) -> Standing {
+    let reason = match standing {
+        HomeStanding::Lawful { .. } => return Standing { lawful: true, reason: None },
+        HomeStanding::NotLawful { reason } => reason,
+    };
+    let reason = match reason {
+        NotLawfulReason::EarlierListInUse { version } => {
+            format!("List version {version} may still be in use.")
+        }
+        NotLawfulReason::ListRetired => "The list in force is retired.".into(),
+        NotLawfulReason::NoMajority { confirmed, of } => {
+            format!("{confirmed} of {of} instances confirm it.")
+        }
+        NotLawfulReason::NotMember => "The list does not have this instance.".into(),
+        NotLawfulReason::Paused => "The process was paused.".into(),
+        NotLawfulReason::Settling => "A majority confirms it, but not for long enough.".into(),
+    };
+    Standing { lawful: false, reason: Some(reason) }
+}
+
+fn state_word(request: &Request) -> &'static str {
+    match request.state {
+        RequestState::Claiming { .. } | RequestState::Waiting { .. } => "waiting",
+        RequestState::Ended { outcome, .. } => outcome.word(),
+        RequestState::Running { .. } => "running",
+    }
+}
--- a/src/request.rs
+++ b/src/request.rs
@@ -1,6 +1,7 @@
 //! One request at the instance that received it.
 
 use crate::event::Arrival;
+use crate::final_answer::Outcome;
 use crate::name::Name;
 use crate::now::Now;
 use crate::request_id::RequestId;
@@ -60,10 +61,10 @@
     },
     /// It ended.
     Ended {
+        /// How it ended.
+        outcome: Outcome,
         /// Whether it was ever given to a backend server.
         ran: bool,
-        /// Monotonic time of its end, in milliseconds.
-        ended_ms: u64,
     },
 }
 
--- a/src/route.rs
+++ b/src/route.rs
@@ -1,7 +1,7 @@
 //! Routes the messages of other instances to the part that they are for.
 
 use crate::core::Core;
-use crate::membership::{MembershipEffect, MembershipEvent};
+use crate::membership_event::{MembershipEffect, MembershipEvent};
 use crate::name::Name;
 use crate::now::Now;
 use crate::peer_message::{Heartbeat, KeyRecord, PeerMessage};
@@ -105,6 +105,22 @@
         self.move_bids(now, Some(peer));
     }
 
+    /// Returns configuration version and incarnation of a peer by its last heartbeat.
+    pub(crate) fn peer_versions(&self, peer: &Name) -> (u64, u64) {
+        match self.peer_versions.binary_search_by(|(name, _, _)| name.cmp(peer)) {
+            Ok(index) => (self.peer_versions[index].1, self.peer_versions[index].2),
+            Err(_) => (0, 0),
+        }
+    }
+
+    fn note_versions(&mut self, peer: &Name, config_version: u64, incarnation: u64) {
+        let entry = (peer.clone(), config_version, incarnation);
+        match self.peer_versions.binary_search_by(|(name, _, _)| name.cmp(peer)) {
+            Ok(index) => self.peer_versions[index] = entry,
+            Err(index) => self.peer_versions.insert(index, entry),
+        }
+    }
+
     fn lose_peer(&mut self, now: Now, peer: &Name) {
         self.log("peer", format!("Instance {peer} is lost."));
         self.stopping_peers.retain(|name| name != peer);
@@ -116,6 +132,7 @@
 
     fn take_heartbeat(&mut self, now: Now, peer: Name, heartbeat: Heartbeat) {
         let stopping = heartbeat.stopping;
+        self.note_versions(&peer, heartbeat.config_version, heartbeat.incarnation);
         if !heartbeat.suspects.is_empty() {
             self.quarantine.merge(now, &peer, &heartbeat.suspects);
         }
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -64,6 +64,8 @@
     },
     /// The caller went away or the deadline passed, and the backend server was told to stop.
     Cancelled,
+    /// The backend server can't be reached any more; the request may still run there.
+    Lost,
     /// Further tokens arrived.
     Tokens {
         /// Mean time between tokens since the last report, in milliseconds.
