Add fault proxy, fleet harness and caller client

Integration tests have to start real processes, break the links between them and check whole answers; the three pieces make that one short call each and leave no process behind.

--- /dev/null
+++ b/standins/src/caller/call.rs
@@ -0,0 +1,163 @@
+//! One call to an instance.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use attohttpc::{Method, ProxySettings, RequestBuilder};
+use serde_json::Value;
+use thiserror::Error;
+
+use super::answer::Answer;
+use super::events::Event;
+use super::reader;
+
+/// Longest time of a call unless told otherwise.
+const TIMEOUT_MS: u64 = 60_000;
+
+/// A call that got no response at all.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// The body has no JSON form.
+    #[error("the body has no JSON form: {0}")]
+    Body(attohttpc::Error),
+    /// The connection failed before the response's head; the request may have run.
+    #[error("{0}")]
+    Connection(attohttpc::Error),
+}
+
+/// Builds and sends one call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    address: SocketAddr,
+    body: Value,
+    headers: Vec<(&'static str, String)>,
+    path: String,
+    service: String,
+    timeout: Duration,
+}
+
+impl Call {
+    /// Describes a call to a service through the instance at `address`.
+    pub fn new(address: SocketAddr, service: &str, body: Value) -> Self {
+        Self {
+            address,
+            body,
+            headers: Vec::new(),
+            path: String::new(),
+            service: service.to_owned(),
+            timeout: Duration::from_millis(TIMEOUT_MS),
+        }
+    }
+
+    /// Sends it through another instance.
+    pub fn address(mut self, address: SocketAddr) -> Self {
+        self.address = address;
+        self
+    }
+
+    /// Sets the customer.
+    pub fn customer(self, customer: &str) -> Self {
+        self.header("Bergamotspan-Customer", customer)
+    }
+
+    /// Sets the deadline in milliseconds.
+    pub fn deadline_ms(self, deadline_ms: u64) -> Self {
+        self.header("Bergamotspan-Deadline-Ms", &deadline_ms.to_string())
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &'static str, value: &str) -> Self {
+        self.headers.push((name, value.to_owned()));
+        self
+    }
+
+    /// Asks for one JSON body instead of a stream.
+    pub fn json(self) -> Self {
+        self.header("Accept", "application/json")
+    }
+
+    /// Sets the idempotency key.
+    pub fn key(self, key: &str) -> Self {
+        self.header("Idempotency-Key", key)
+    }
+
+    /// Sets the path below the service.
+    pub fn path(mut self, path: &str) -> Self {
+        self.path = format!("/{}", path.trim_start_matches('/'));
+        self
+    }
+
+    /// Sets the tier.
+    pub fn tier(self, tier: &str) -> Self {
+        self.header("Bergamotspan-Tier", tier)
+    }
+
+    /// Sets the longest time of the call in milliseconds.
+    pub fn timeout_ms(mut self, timeout_ms: u64) -> Self {
+        self.timeout = Duration::from_millis(timeout_ms);
+        self
+    }
+
+    /// Sends the call and reads its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no response came.
+    pub fn send(&self) -> Result<Answer, CallError> {
+        self.send_observed(|_| {})
+    }
+
+    /// Sends the call and shows each event as it comes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no response came.
+    pub fn send_observed<F>(&self, observe: F) -> Result<Answer, CallError>
+    where
+        F: FnMut(&Event),
+    {
+        let Self { address, path, service, .. } = self;
+        let url = format!("http://{address}/v1/services/{service}/requests{path}");
+        let mut request = RequestBuilder::new(Method::POST, url);
+        for (name, value) in &self.headers {
+            request = request.header_append(*name, value.as_str());
+        }
+        let request = direct(request, self.timeout);
+        let sent = Instant::now();
+        let response = request.json(&self.body).map_err(CallError::Body)?.send();
+        Ok(reader::read(response.map_err(CallError::Connection)?, sent, 0, observe))
+    }
+}
+
+/// Joins a running request or fetches a kept answer, from event number `offset` on.
+///
+/// # Errors
+///
+/// Returns an error if no response came.
+pub fn join(address: SocketAddr, key: &str, offset: u64) -> Result<Answer, CallError> {
+    let url = format!("http://{address}/v1/requests/{key}?offset={offset}");
+    bare(Method::GET, url, offset)
+}
+
+/// Cancels a request.
+///
+/// # Errors
+///
+/// Returns an error if no response came.
+pub fn cancel(address: SocketAddr, key: &str) -> Result<Answer, CallError> {
+    bare(Method::DELETE, format!("http://{address}/v1/requests/{key}"), 0)
+}
+
+fn bare(method: Method, url: String, offset: u64) -> Result<Answer, CallError> {
+    let timeout = Duration::from_millis(TIMEOUT_MS);
+    let request = direct(RequestBuilder::new(method, url), timeout);
+    let sent = Instant::now();
+    let response = request.send().map_err(CallError::Connection)?;
+    Ok(reader::read(response, sent, offset, |_| {}))
+}
+
+/// Bounds a request and keeps it from any proxy named in the environment.
+fn direct<B>(request: RequestBuilder<B>, timeout: Duration) -> RequestBuilder<B> {
+    let no_proxy = ProxySettings::builder().build();
+    request.proxy_settings(no_proxy).timeout(timeout).read_timeout(timeout)
+}
--- a/standins/src/command.rs
+++ b/standins/src/command.rs
@@ -8,6 +8,7 @@
 use crate::engine::EngineCommand;
 use crate::plain_service::PlainServiceCommand;
 use crate::platform::PlatformCommand;
+use crate::proxy::ProxyCommand;
 
 /// Stand-ins for the systems around bergamotspan.
 #[derive(Debug, FromArgs)]
@@ -22,6 +23,7 @@
     Engine(EngineCommand),
     PlainService(PlainServiceCommand),
     Platform(PlatformCommand),
+    Proxy(ProxyCommand),
 }
 
 /// Runs the command given on the command line.
@@ -38,5 +40,6 @@
         Verb::Engine(command) => command.run(),
         Verb::PlainService(command) => command.run(),
         Verb::Platform(command) => command.run(),
+        Verb::Proxy(command) => command.run(),
     }
 }
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -9,4 +9,5 @@
 mod tokens;
 
 pub use command::EngineCommand;
+pub use state::EngineStatistics;
 pub use tokens::{BLOCK_BYTES, BLOCK_TOKENS, prefix_hashes, prompt_tokens, token_text};
--- a/standins/src/engine/state.rs
+++ b/standins/src/engine/state.rs
@@ -23,13 +23,18 @@
     pub running_tokens: u64,
 }
 
-/// Counts for tests.
-#[derive(Clone, Debug, Default, Serialize)]
-pub(super) struct Statistics {
+/// Counts of an engine, for tests.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct EngineStatistics {
+    /// Prompt tokens computed.
     pub prefilled_tokens: u64,
+    /// Prompt tokens found in the cache.
     pub cached_tokens: u64,
+    /// Prompt tokens computed for streams that were cancelled.
     pub wasted_tokens: u64,
+    /// Number of times that each request began to run.
     pub executions: BTreeMap<Name, u64>,
+    /// Orders taken.
     pub orders: u64,
 }
 
@@ -40,7 +45,7 @@
     pub load_at: Instant,
     pub next_number: u64,
     pub speed: f64,
-    pub statistics: Statistics,
+    pub statistics: EngineStatistics,
     pub streams: Vec<Stream>,
 }
 
@@ -65,7 +70,7 @@
             load_at: Instant::now(),
             next_number: 0,
             speed: options.speed,
-            statistics: Statistics::default(),
+            statistics: EngineStatistics::default(),
             streams: Vec::new(),
         };
         Self { options, changed: Condvar::new(), state: Mutex::new(state) }
--- /dev/null
+++ b/standins/src/fleet/builder.rs
@@ -0,0 +1,224 @@
+//! Description of a fleet before it starts.
+
+use std::fmt::Display;
+
+use super::error::FleetError;
+use super::inventory::{CustomerRow, RuleRow, TierRow};
+use super::running::Fleet;
+use super::settings::SettingsDocument;
+use super::start;
+
+/// Instances of a fleet unless told otherwise.
+const INSTANCES: usize = 3;
+
+/// Longest time until every instance is ready.
+const READY_LIMIT_MS: u64 = 20_000;
+
+/// A service and its backend servers.
+#[derive(Clone, Debug)]
+pub struct ServiceSpec {
+    pub(super) count: usize,
+    pub(super) idempotent: bool,
+    pub(super) model: Option<String>,
+    pub(super) name: String,
+    pub(super) options: Vec<String>,
+    pub(super) options_of: Vec<(usize, Vec<String>)>,
+    pub(super) prefill_tokens_per_s: Option<u32>,
+    pub(super) token_limit_tokens: Option<u32>,
+}
+
+impl ServiceSpec {
+    /// Describes a model service with `count` engines.
+    pub fn model(name: &str, model: &str, count: usize) -> Self {
+        Self { model: Some(model.to_owned()), ..Self::plain(name, count) }
+    }
+
+    /// Describes a plain service with `count` servers; its requests are idempotent.
+    pub fn plain(name: &str, count: usize) -> Self {
+        Self {
+            count,
+            idempotent: true,
+            model: None,
+            name: name.to_owned(),
+            options: Vec::new(),
+            options_of: Vec::new(),
+            prefill_tokens_per_s: None,
+            token_limit_tokens: None,
+        }
+    }
+
+    /// Says whether its requests are idempotent.
+    pub fn idempotent(mut self, idempotent: bool) -> Self {
+        self.idempotent = idempotent;
+        self
+    }
+
+    /// Adds command-line options for each of its backend servers.
+    pub fn options(mut self, options: &[&str]) -> Self {
+        self.options.extend(options.iter().map(ToString::to_string));
+        self
+    }
+
+    /// Adds command-line options for one backend server, counted from 1.
+    pub fn options_of(mut self, number: usize, options: &[&str]) -> Self {
+        self.options_of.push((number, options.iter().map(ToString::to_string).collect()));
+        self
+    }
+
+    /// Publishes the speed of prefill in tokens per second.
+    pub fn prefill_tokens_per_s(mut self, speed: u32) -> Self {
+        self.prefill_tokens_per_s = Some(speed);
+        self
+    }
+
+    /// Publishes the limit of tokens in progress.
+    pub fn token_limit_tokens(mut self, limit: u32) -> Self {
+        self.token_limit_tokens = Some(limit);
+        self
+    }
+}
+
+/// Builds a [`Fleet`].
+#[derive(Clone, Debug)]
+pub struct FleetBuilder {
+    pub(super) customers: Vec<CustomerRow>,
+    pub(super) data_centres: Vec<String>,
+    pub(super) instances: usize,
+    pub(super) proxied_backend_servers: bool,
+    pub(super) proxied_peers: bool,
+    pub(super) proxied_platform: bool,
+    pub(super) ready_limit_ms: u64,
+    pub(super) rules: Vec<RuleRow>,
+    pub(super) services: Vec<ServiceSpec>,
+    pub(super) settings: SettingsDocument,
+    pub(super) tiers: Vec<TierRow>,
+}
+
+impl Default for FleetBuilder {
+    fn default() -> Self {
+        Self {
+            customers: Vec::new(),
+            data_centres: ["dc-a", "dc-b", "dc-c"].map(String::from).to_vec(),
+            instances: INSTANCES,
+            proxied_backend_servers: false,
+            proxied_peers: false,
+            proxied_platform: false,
+            ready_limit_ms: READY_LIMIT_MS,
+            rules: Vec::new(),
+            services: Vec::new(),
+            settings: SettingsDocument::default(),
+            tiers: Vec::new(),
+        }
+    }
+}
+
+impl FleetBuilder {
+    /// Sets the number of instances, which are named `entry-1` and so on.
+    pub fn instances(mut self, count: usize) -> Self {
+        self.instances = count;
+        self
+    }
+
+    /// Adds a service; its backend servers are named `{service}-1` and so on.
+    pub fn service(mut self, service: ServiceSpec) -> Self {
+        self.services.push(service);
+        self
+    }
+
+    /// Adds a customer with weight 1.
+    pub fn customer(self, name: &str, tier: &str) -> Self {
+        self.customer_row(CustomerRow { name: name.to_owned(), weight: 1, tier: tier.to_owned() })
+    }
+
+    /// Adds a customer.
+    pub fn customer_row(mut self, row: CustomerRow) -> Self {
+        self.customers.push(row);
+        self
+    }
+
+    /// Adds a tier of the next rank with a deadline in milliseconds.
+    pub fn tier(self, name: &str, deadline_ms: u64) -> Self {
+        let rank = self.tiers.len() as u8;
+        self.tier_row(TierRow {
+            name: name.to_owned(),
+            rank,
+            deadline_ms,
+            first_token_ms: deadline_ms / 2,
+            between_tokens_ms: deadline_ms / 2,
+        })
+    }
+
+    /// Adds a tier.
+    pub fn tier_row(mut self, row: TierRow) -> Self {
+        self.tiers.push(row);
+        self
+    }
+
+    /// Adds a rule.
+    pub fn rule(mut self, row: RuleRow) -> Self {
+        self.rules.push(row);
+        self
+    }
+
+    /// Sets a value in the settings of every instance.
+    pub fn setting<V>(mut self, section: &str, key: &str, value: V) -> Self
+    where
+        V: Display,
+    {
+        self.settings.set(section, key, value);
+        self
+    }
+
+    /// Puts the fault proxy in front of the backend servers.
+    pub fn proxy_backend_servers(mut self) -> Self {
+        self.proxied_backend_servers = true;
+        self
+    }
+
+    /// Puts the fault proxy between the instances.
+    pub fn proxy_peers(mut self) -> Self {
+        self.proxied_peers = true;
+        self
+    }
+
+    /// Puts the fault proxy in front of the platform.
+    pub fn proxy_platform(mut self) -> Self {
+        self.proxied_platform = true;
+        self
+    }
+
+    /// Sets the longest time until every instance is ready, in milliseconds.
+    pub fn ready_limit_ms(mut self, limit_ms: u64) -> Self {
+        self.ready_limit_ms = limit_ms;
+        self
+    }
+
+    /// Starts every process, publishes the inventory and waits until each instance is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a program is absent, a process doesn't start or an instance does not
+    /// become ready in time. Processes started until then are killed.
+    pub fn start(self) -> Result<Fleet, FleetError> {
+        let ready_limit_ms = self.ready_limit_ms;
+        let fleet = self.start_unready()?;
+        fleet.wait_ready(ready_limit_ms)?;
+        Ok(fleet)
+    }
+
+    /// Starts every process and publishes the inventory, but waits for no instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a program is absent or a process doesn't start.
+    pub fn start_unready(mut self) -> Result<Fleet, FleetError> {
+        if self.tiers.is_empty() {
+            self = self.tier("high", 10_000).tier("low", 30_000);
+        }
+        if self.customers.is_empty() {
+            let lowest = self.tiers.last().map(|tier| tier.name.clone()).unwrap_or_default();
+            self = self.customer("customer-1", &lowest);
+        }
+        start::start(self)
+    }
+}
--- /dev/null
+++ b/standins/src/fleet/process.rs
@@ -0,0 +1,170 @@
+//! One process of the fleet.
+
+use std::fs::{self, File};
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
+use std::thread;
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde::de::DeserializeOwned;
+
+use super::error::FleetError;
+use super::wait::wait_until;
+
+/// Longest time until a process prints its addresses.
+const START_LIMIT_MS: u64 = 10_000;
+
+/// A child process; it is killed when this is dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    log: PathBuf,
+    name: String,
+}
+
+impl Process {
+    /// Starts a process and returns it with the line that it printed.
+    ///
+    /// Its standard error goes to a file `{name}.log` in `folder`, at whose end it is added.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process can't start or prints no such line in time.
+    pub fn start<T>(
+        name: &str,
+        command: &mut Command,
+        folder: &Path,
+    ) -> Result<(Self, T), FleetError>
+    where
+        T: DeserializeOwned,
+    {
+        let log = folder.join(format!("{name}.log"));
+        let child = spawn(command, &log).map_err(|error| FleetError::io(name, error))?;
+        let mut process = Self { child, log, name: name.to_owned() };
+        let lines = process.child.stdout.take().map(first_line);
+        let limit = Duration::from_millis(START_LIMIT_MS);
+        let line = lines.and_then(|lines| lines.recv_timeout(limit).ok());
+        match line.and_then(|line| serde_json::from_str(&line).ok()) {
+            Some(value) => Ok((process, value)),
+            None => {
+                Err(FleetError::NoAddress { process: process.name.clone(), log: process.log() })
+            }
+        }
+    }
+
+    /// Returns its name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns what it has written on its standard error.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Returns whether it runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Kills it with SIGKILL and collects it.
+    pub fn kill(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Pauses it with SIGSTOP.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn stop(&mut self) -> Result<(), FleetError> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets it go on with SIGCONT.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn cont(&mut self) -> Result<(), FleetError> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Asks it to end with SIGTERM and waits for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it has ended before or doesn't within `limit_ms` milliseconds.
+    pub fn terminate(&mut self, limit_ms: u64) -> Result<ExitStatus, FleetError> {
+        self.begin_terminate()?;
+        self.wait(limit_ms)
+    }
+
+    /// Asks it to end with SIGTERM and doesn't wait.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has ended.
+    pub fn begin_terminate(&mut self) -> Result<(), FleetError> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Waits until it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it doesn't within `limit_ms` milliseconds.
+    pub fn wait(&mut self, limit_ms: u64) -> Result<ExitStatus, FleetError> {
+        let mut status = None;
+        wait_until(&format!("end of {}", self.name), limit_ms, || {
+            status = self.child.try_wait().ok().flatten();
+            status.is_some()
+        })?;
+        status.ok_or_else(|| self.ended())
+    }
+
+    fn ended(&self) -> FleetError {
+        FleetError::Ended { name: self.name.clone() }
+    }
+
+    /// Signals the child, which keeps its id until it has been collected.
+    fn signal(&mut self, signal: Signal) -> Result<(), FleetError> {
+        if !self.is_running() {
+            return Err(self.ended());
+        }
+        kill_process(Pid::from_child(&self.child), signal)
+            .map_err(|error| FleetError::io(format!("signal to {}", self.name), error.into()))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn spawn(command: &mut Command, log: &Path) -> std::io::Result<Child> {
+    let log = File::options().append(true).create(true).open(log)?;
+    command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log).spawn()
+}
+
+/// Reads the output of a process to its end and passes on the first line.
+fn first_line(output: ChildStdout) -> flume::Receiver<String> {
+    let (sender, receiver) = flume::bounded(1);
+    thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            // Later lines have no reader.
+            let _ = sender.try_send(line);
+        }
+    });
+    receiver
+}
--- /dev/null
+++ b/standins/src/fleet/start.rs
@@ -0,0 +1,193 @@
+//! Start of a fleet, process by process.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
+
+use serde::{Deserialize, Serialize};
+use tempfile::TempDir;
+
+use super::admin::put_json;
+use super::binaries::{binary, standin};
+use super::builder::{FleetBuilder, ServiceSpec};
+use super::error::FleetError;
+use super::inventory::{BackendServerRow, InventoryDocument, ServiceRow};
+use super::process::Process;
+use super::running::{Fleet, Proxy, RunningBackend, RunningInstance};
+use super::settings::SettingsDocument;
+use crate::platform::InstanceList;
+use crate::process::Listening;
+
+/// Address at which a process picks a free port.
+const ANY_PORT: &str = "127.0.0.1:0";
+
+/// Line that a daemon prints once it listens.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub(super) struct DaemonAddresses {
+    pub caller: SocketAddr,
+    pub peer: SocketAddr,
+}
+
+#[derive(Serialize)]
+struct NewRoute {
+    listen: SocketAddr,
+    target: SocketAddr,
+}
+
+/// Starts all processes and publishes the inventory.
+pub(super) fn start(builder: FleetBuilder) -> Result<Fleet, FleetError> {
+    let folder = TempDir::new().map_err(|error| FleetError::io("temporary folder", error))?;
+    let mut backends = Vec::new();
+    for service in &builder.services {
+        for number in 1..=service.count {
+            backends.push(start_backend(service, number, folder.path())?);
+        }
+    }
+    let (platform, platform_address) = start_standin("platform", folder.path())?;
+    let mut fleet = Fleet {
+        instances: Vec::new(),
+        backends,
+        platform,
+        platform_address,
+        platform_seen_address: platform_address,
+        proxy: start_proxy(&builder, folder.path())?,
+        proxied_peers: builder.proxied_peers,
+        inventory: inventory(&builder),
+        list: InstanceList::default(),
+        published_instances: Vec::new(),
+        settings: builder.settings.clone(),
+        folder,
+    };
+    if builder.proxied_platform {
+        fleet.platform_seen_address = fleet.add_route("platform", platform_address)?;
+    }
+    fleet.list_backends(&builder)?;
+    for number in 1..=builder.instances {
+        fleet.add_instance(&format!("entry-{number}"))?;
+    }
+    fleet.publish()?;
+    fleet.publish_list()?;
+    Ok(fleet)
+}
+
+fn inventory(builder: &FleetBuilder) -> InventoryDocument {
+    let services = builder.services.iter().map(|service| ServiceRow {
+        name: service.name.clone(),
+        model: service.model.clone(),
+        idempotent: service.idempotent,
+    });
+    InventoryDocument {
+        data_centres: builder.data_centres.clone(),
+        services: services.collect(),
+        tiers: builder.tiers.clone(),
+        customers: builder.customers.clone(),
+        rules: builder.rules.clone(),
+        ..InventoryDocument::default()
+    }
+}
+
+fn start_proxy(builder: &FleetBuilder, folder: &Path) -> Result<Option<Proxy>, FleetError> {
+    if !(builder.proxied_backend_servers || builder.proxied_peers || builder.proxied_platform) {
+        return Ok(None);
+    }
+    let (process, address) = start_standin("proxy", folder)?;
+    Ok(Some(Proxy { _process: process, address }))
+}
+
+fn start_standin(verb: &str, folder: &Path) -> Result<(Process, SocketAddr), FleetError> {
+    let (process, line): (_, Listening) = Process::start(verb, &mut standin(verb)?, folder)?;
+    Ok((process, line.listening))
+}
+
+fn start_backend(
+    service: &ServiceSpec,
+    number: usize,
+    folder: &Path,
+) -> Result<RunningBackend, FleetError> {
+    let name = format!("{}-{number}", service.name);
+    let verb = if service.model.is_some() { "engine" } else { "plain-service" };
+    let mut options = service.options.clone();
+    let own = service.options_of.iter().filter(|(found, _)| *found == number);
+    options.extend(own.flat_map(|(_, options)| options.iter().cloned()));
+    let mut command = standin(verb)?;
+    command.args(&options).args(["--listen", ANY_PORT]);
+    let (process, line): (_, Listening) = Process::start(&name, &mut command, folder)?;
+    let service = service.name.clone();
+    Ok(RunningBackend { address: line.listening, name, options, process, service, verb })
+}
+
+/// Starts a backend server again at the address that it had.
+pub(super) fn restart_backend(
+    backend: &mut RunningBackend,
+    folder: &Path,
+) -> Result<(), FleetError> {
+    backend.process.kill();
+    let mut command = standin(backend.verb)?;
+    command.args(&backend.options).arg("--listen").arg(backend.address.to_string());
+    (backend.process, _) = Process::start::<Listening>(&backend.name, &mut command, folder)?;
+    Ok(())
+}
+
+/// Starts a daemon with its settings; it may pick free ports.
+pub(super) fn start_daemon(
+    name: &str,
+    settings: &SettingsDocument,
+    folder: &Path,
+) -> Result<(Process, DaemonAddresses), FleetError> {
+    let path = folder.join(format!("{name}.ini"));
+    fs::write(&path, settings.render()).map_err(|error| FleetError::io("settings", error))?;
+    let mut command = Command::new(binary("bergamotspand")?);
+    command.arg("--settings").arg(&path);
+    Process::start(name, &mut command, folder)
+}
+
+/// Starts a daemon again at the addresses that it had.
+pub(super) fn restart_instance(
+    instance: &mut RunningInstance,
+    folder: &Path,
+) -> Result<(), FleetError> {
+    instance.process.kill();
+    instance.settings.set("caller", "listen_address", instance.caller_address);
+    instance.settings.set("peer", "listen_address", instance.peer_address);
+    (instance.process, _) = start_daemon(&instance.name, &instance.settings, folder)?;
+    Ok(())
+}
+
+impl Fleet {
+    /// Adds a route to the proxy and returns the address that it listens on.
+    pub(super) fn add_route(
+        &self,
+        name: &str,
+        target: SocketAddr,
+    ) -> Result<SocketAddr, FleetError> {
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let path = format!("/v1/routes/{name}");
+        let line: Listening = put_json(self.proxy_address()?, &path, &NewRoute { listen, target })?;
+        Ok(line.listening)
+    }
+
+    fn list_backends(&mut self, builder: &FleetBuilder) -> Result<(), FleetError> {
+        let data_centres = builder.data_centres.iter().cycle();
+        let mut rows = Vec::new();
+        for (backend, data_centre) in self.backends.iter().zip(data_centres) {
+            let service = builder.services.iter().find(|service| service.name == backend.service);
+            let address = match builder.proxied_backend_servers {
+                true => self.add_route(&format!("backend-{}", backend.name), backend.address)?,
+                false => backend.address,
+            };
+            rows.push(BackendServerRow {
+                name: backend.name.clone(),
+                service: backend.service.clone(),
+                data_centre: data_centre.clone(),
+                address,
+                token_limit_tokens: service.and_then(|service| service.token_limit_tokens),
+                prefill_tokens_per_s: service.and_then(|service| service.prefill_tokens_per_s),
+                leaving: false,
+                fencing: backend.options.iter().any(|option| option == "--fencing"),
+            });
+        }
+        self.inventory.backend_servers = rows;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/standins/src/fleet/wait.rs
@@ -0,0 +1,28 @@
+//! Bounded waits for conditions.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use super::error::FleetError;
+
+/// Interval between two looks at a condition.
+const LOOK_INTERVAL_MS: u64 = 10;
+
+/// Waits until a condition holds.
+///
+/// # Errors
+///
+/// Returns an error if it doesn't hold within `limit_ms` milliseconds.
+pub fn wait_until<C>(condition: &str, limit_ms: u64, mut holds: C) -> Result<(), FleetError>
+where
+    C: FnMut() -> bool,
+{
+    let until = Instant::now() + Duration::from_millis(limit_ms);
+    while !holds() {
+        if Instant::now() >= until {
+            return Err(FleetError::Timeout { condition: condition.to_owned(), limit_ms });
+        }
+        thread::sleep(Duration::from_millis(LOOK_INTERVAL_MS));
+    }
+    Ok(())
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,11 +1,14 @@
 //! Small stand-ins for the systems around bergamotspan, and the tools that drive them.
 
+pub mod caller;
 pub mod command;
 pub mod engine;
+pub mod fleet;
 pub mod http;
 pub mod plain_service;
 pub mod platform;
 pub mod process;
+pub mod proxy;
 
 use std::process::ExitCode;
 use std::sync::Arc;
--- /dev/null
+++ b/standins/src/proxy/fault.rs
@@ -0,0 +1,117 @@
+//! Faults and what they mean for one connection.
+
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+/// What a fault does.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultMode {
+    /// Closes connections and refuses new ones.
+    Cut,
+    /// Holds each piece of data back for a time.
+    Delay,
+    /// Keeps connections open and silent.
+    Freeze,
+    /// Keeps connections open and silent towards the client.
+    FreezeToClient,
+    /// Keeps connections open and silent towards the target.
+    FreezeToTarget,
+    /// Silences existing connections for good; new ones work.
+    HalfOpen,
+    /// No fault.
+    #[default]
+    Pass,
+}
+
+/// A fault of a route.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub struct Fault {
+    /// What the fault does.
+    pub mode: FaultMode,
+    /// Delay of each piece of data in milliseconds, for `delay`.
+    #[serde(default)]
+    pub delay_ms: u64,
+    /// Address to whose connections the fault is limited.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub source: Option<IpAddr>,
+}
+
+/// Direction of data through the proxy.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Direction {
+    ToClient,
+    ToTarget,
+}
+
+/// What to do with a piece of data now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Gate {
+    Close,
+    Hold,
+    Open,
+}
+
+/// The faults of a route.
+#[derive(Debug, Default)]
+pub(super) struct Faults {
+    general: Fault,
+    half_opened: Vec<(Instant, Option<IpAddr>)>,
+    limited: Vec<(IpAddr, Fault)>,
+}
+
+impl Faults {
+    /// Sets a fault; `pass` without a source clears all of them.
+    pub(super) fn set(&mut self, fault: Fault, now: Instant) {
+        if fault.mode == FaultMode::HalfOpen {
+            self.half_opened.push((now, fault.source));
+        }
+        match fault.source {
+            Some(source) => {
+                self.limited.retain(|(limited, _)| *limited != source);
+                if fault.mode != FaultMode::Pass {
+                    self.limited.push((source, fault));
+                }
+            }
+            None => {
+                if fault.mode == FaultMode::Pass {
+                    self.limited.clear();
+                }
+                self.general = fault;
+            }
+        }
+    }
+
+    /// Decides on data of a connection from `source` that was opened at `opened`.
+    pub(super) fn gate(&self, source: IpAddr, opened: Instant, direction: Direction) -> Gate {
+        let mode = self.active(source).mode;
+        if mode == FaultMode::Cut {
+            return Gate::Close;
+        }
+        let silenced = self
+            .half_opened
+            .iter()
+            .any(|(at, limited)| opened < *at && limited.is_none_or(|limited| limited == source));
+        let frozen = match mode {
+            FaultMode::Freeze => true,
+            FaultMode::FreezeToClient => direction == Direction::ToClient,
+            FaultMode::FreezeToTarget => direction == Direction::ToTarget,
+            FaultMode::Cut | FaultMode::Delay | FaultMode::HalfOpen | FaultMode::Pass => false,
+        };
+        if silenced || frozen { Gate::Hold } else { Gate::Open }
+    }
+
+    /// Returns the delay of data from or to `source`.
+    pub(super) fn delay(&self, source: IpAddr) -> Duration {
+        let fault = self.active(source);
+        let delayed = fault.mode == FaultMode::Delay;
+        Duration::from_millis(if delayed { fault.delay_ms } else { 0 })
+    }
+
+    fn active(&self, source: IpAddr) -> Fault {
+        let limited = self.limited.iter().find(|(limited, _)| *limited == source);
+        limited.map_or(self.general, |(_, fault)| *fault)
+    }
+}
--- /dev/null
+++ b/standins/src/proxy/mod.rs
@@ -0,0 +1,10 @@
+//! TCP proxy that injects faults into the connections that it carries.
+
+mod command;
+mod fault;
+mod pages;
+mod pump;
+mod route;
+
+pub use command::ProxyCommand;
+pub use fault::{Fault, FaultMode};
--- /dev/null
+++ b/standins/src/proxy/route.rs
@@ -0,0 +1,104 @@
+//! One route: a listener whose connections go on to a target.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use socket2::{Domain, Socket, Type};
+
+use super::fault::{Direction, Fault, Faults, Gate};
+use super::pump;
+
+/// Longest time to connect to a target.
+const CONNECT_TIMEOUT_MS: u64 = 2_000;
+
+/// Interval at which held data looks at the faults again.
+pub(super) const HOLD_INTERVAL_MS: u64 = 5;
+
+/// A route and its faults.
+pub(super) struct Route {
+    pub name: String,
+    faults: Mutex<Faults>,
+    target: SocketAddr,
+}
+
+/// One connection through a route.
+pub(super) struct Connection {
+    opened: Instant,
+    route: Arc<Route>,
+    source: IpAddr,
+}
+
+impl Route {
+    /// Starts a route and returns it with the address that it listens on.
+    pub(super) fn start(
+        name: &str,
+        listen: SocketAddr,
+        target: SocketAddr,
+    ) -> io::Result<(Arc<Self>, SocketAddr)> {
+        let listener = crate::http::listen(listen)?;
+        let address = listener.local_addr()?;
+        let route =
+            Arc::new(Self { name: name.to_owned(), faults: Mutex::new(Faults::default()), target });
+        let accepting = Arc::clone(&route);
+        thread::spawn(move || accept(&accepting, &listener));
+        Ok((route, address))
+    }
+
+    pub(super) fn set(&self, fault: Fault) {
+        self.faults.lock().expect("no thread panics").set(fault, Instant::now());
+    }
+}
+
+impl Connection {
+    pub(super) fn gate(&self, direction: Direction) -> Gate {
+        let faults = self.route.faults.lock().expect("no thread panics");
+        faults.gate(self.source, self.opened, direction)
+    }
+
+    pub(super) fn delay(&self) -> Duration {
+        self.route.faults.lock().expect("no thread panics").delay(self.source)
+    }
+
+    /// Waits while data is held; returns whether it may pass.
+    pub(super) fn pass(&self, direction: Direction) -> bool {
+        loop {
+            match self.gate(direction) {
+                Gate::Close => return false,
+                Gate::Hold => thread::sleep(Duration::from_millis(HOLD_INTERVAL_MS)),
+                Gate::Open => return true,
+            }
+        }
+    }
+}
+
+fn accept(route: &Arc<Route>, listener: &TcpListener) {
+    while let Ok((client, from)) = listener.accept() {
+        let connection =
+            Connection { opened: Instant::now(), route: Arc::clone(route), source: from.ip() };
+        thread::spawn(move || carry(connection, client));
+    }
+}
+
+fn carry(connection: Connection, client: TcpStream) {
+    if !connection.pass(Direction::ToTarget) {
+        return pump::reset(&client);
+    }
+    match connect(connection.source, connection.route.target) {
+        Ok(target) => pump::start(Arc::new(connection), client, target),
+        Err(_) => pump::reset(&client),
+    }
+}
+
+/// Connects from the address of the client, so that the target sees who it is.
+fn connect(source: IpAddr, target: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(target), Type::STREAM, None)?;
+    if source.is_loopback() && source.is_ipv4() == target.is_ipv4() {
+        socket.bind(&SocketAddr::new(source, 0).into())?;
+    }
+    socket.set_tcp_nodelay(true)?;
+    socket.connect_timeout(&target.into(), Duration::from_millis(CONNECT_TIMEOUT_MS))?;
+    Ok(socket.into())
+}
