--- /dev/null
+++ b/tests/quarantine.rs
@@ -0,0 +1,240 @@
+//! Tests of the quarantine of requests that crash backend servers.
+
+use bergamotspan::name::Name;
+use bergamotspan::now::Now;
+use bergamotspan::peer_message::Suspect;
+use bergamotspan::quarantine::{QUARANTINE_MS, Quarantine, REPORTED_SUSPECT_LIMIT, SAME_DEATH_MS};
+use proptest::prelude::*;
+
+const INNOCENT: u64 = 1;
+const POISON: u64 = 9;
+
+fn at(monotonic_ms: u64) -> Now {
+    Now { monotonic_ms, wall_clock_ms: 0 }
+}
+
+fn name(text: &str) -> Name {
+    text.into()
+}
+
+fn suspect(fingerprint: u64, backend_servers: &[&str]) -> Suspect {
+    let backend_servers = backend_servers.iter().map(|text| name(text)).collect();
+    Suspect { backend_servers, fingerprint }
+}
+
+/// Builds a quarantine from what happened.
+#[derive(Default)]
+struct Given(Quarantine);
+
+impl Given {
+    fn death(mut self, at_ms: u64, backend_server: &str, fingerprints: &[u64]) -> Self {
+        self.0.death(at(at_ms), &name(backend_server), fingerprints);
+        self
+    }
+
+    fn finished(mut self, fingerprint: u64) -> Self {
+        self.0.finished(fingerprint);
+        self
+    }
+
+    fn heartbeat(mut self, at_ms: u64, from: &str, suspects: &[Suspect]) -> Self {
+        self.0.merge(at(at_ms), &name(from), suspects);
+        self
+    }
+
+    fn quarantined(&mut self, at_ms: u64) -> Vec<u64> {
+        self.0.quarantined(at(at_ms))
+    }
+}
+
+#[test]
+fn one_death_makes_suspects_only() {
+    let mut given = Given::default().death(0, "engine-1", &[POISON, INNOCENT]);
+
+    assert!(given.quarantined(1).is_empty());
+    assert_eq!(given.0.suspected(at(1)), [INNOCENT, POISON]);
+    assert_eq!(
+        given.0.suspects(),
+        [suspect(INNOCENT, &["engine-1"]), suspect(POISON, &["engine-1"])]
+    );
+}
+
+#[test]
+fn two_servers_quarantine_only_what_ran_at_both() {
+    let mut given = Given::default().death(0, "engine-1", &[POISON, INNOCENT]).death(
+        10,
+        "engine-2",
+        &[POISON, 5],
+    );
+
+    assert_eq!(given.quarantined(11), [POISON]);
+    assert_eq!(given.0.suspected(at(11)), [INNOCENT, 5]);
+}
+
+#[test]
+fn one_death_reported_twice_counts_once() {
+    let mut given = Given::default()
+        .death(0, "engine-1", &[POISON])
+        .death(SAME_DEATH_MS - 1, "engine-1", &[POISON])
+        .heartbeat(SAME_DEATH_MS - 1, "entry-2", &[suspect(POISON, &["engine-1"])]);
+
+    assert!(given.quarantined(SAME_DEATH_MS).is_empty());
+}
+
+#[test]
+fn a_later_death_of_the_same_server_counts() {
+    let mut given = Given::default().death(0, "engine-1", &[POISON]).death(
+        SAME_DEATH_MS,
+        "engine-1",
+        &[POISON],
+    );
+
+    assert_eq!(given.quarantined(SAME_DEATH_MS), [POISON]);
+    assert_eq!(given.0.suspects(), [suspect(POISON, &["engine-1", "engine-1"])]);
+}
+
+#[test]
+fn deaths_seen_by_different_instances_add_up() {
+    let mut given = Given::default().death(0, "engine-1", &[POISON]).heartbeat(
+        10,
+        "entry-2",
+        &[suspect(POISON, &["engine-2"])],
+    );
+
+    assert_eq!(given.quarantined(11), [POISON]);
+    assert_eq!(given.0.suspects(), [suspect(POISON, &["engine-1"])]);
+}
+
+#[test]
+fn deaths_seen_only_by_peers_add_up() {
+    let mut given = Given::default()
+        .heartbeat(0, "entry-2", &[suspect(POISON, &["engine-2"])])
+        .heartbeat(1, "entry-3", &[suspect(POISON, &["engine-3"])]);
+
+    assert_eq!(given.quarantined(2), [POISON]);
+    assert!(given.0.suspects().is_empty());
+}
+
+#[test]
+fn repeated_heartbeats_change_nothing() {
+    let mut given = Given::default();
+    for at_ms in (0..4 * SAME_DEATH_MS).step_by(100) {
+        given = given.heartbeat(at_ms, "entry-2", &[suspect(POISON, &["engine-1"])]);
+    }
+
+    assert!(given.quarantined(4 * SAME_DEATH_MS).is_empty());
+}
+
+#[test]
+fn a_peer_tells_of_two_deaths_of_one_server() {
+    let mut given = Given::default()
+        .heartbeat(0, "entry-2", &[suspect(POISON, &["engine-1"])])
+        .heartbeat(SAME_DEATH_MS, "entry-2", &[suspect(POISON, &["engine-1", "engine-1"])]);
+
+    assert_eq!(given.quarantined(SAME_DEATH_MS), [POISON]);
+}
+
+#[test]
+fn a_request_that_finished_is_no_longer_suspect() {
+    let mut given = Given::default()
+        .death(0, "engine-1", &[INNOCENT])
+        .heartbeat(1, "entry-2", &[suspect(INNOCENT, &["engine-1"])])
+        .finished(INNOCENT)
+        .heartbeat(2, "entry-2", &[suspect(INNOCENT, &["engine-1"])])
+        .death(10, "engine-2", &[INNOCENT]);
+
+    assert!(given.quarantined(11).is_empty());
+    assert_eq!(given.0.suspected(at(11)), [INNOCENT]);
+    assert_eq!(given.0.suspects(), [suspect(INNOCENT, &["engine-2"])]);
+}
+
+#[test]
+fn a_request_that_finished_leaves_quarantine() {
+    let mut given = Given::default()
+        .death(0, "engine-1", &[INNOCENT])
+        .death(1, "engine-2", &[INNOCENT])
+        .finished(INNOCENT);
+
+    assert!(given.quarantined(2).is_empty());
+    assert!(given.0.suspected(at(2)).is_empty());
+}
+
+#[test]
+fn quarantine_ends_a_fixed_time_after_the_last_death() {
+    let mut given =
+        Given::default().death(0, "engine-1", &[POISON]).death(100, "engine-2", &[POISON]);
+
+    assert_eq!(given.quarantined(QUARANTINE_MS + 99), [POISON]);
+    assert!(given.quarantined(QUARANTINE_MS + 100).is_empty());
+    assert!(given.0.suspects().is_empty());
+}
+
+#[test]
+fn a_suspect_is_forgotten_after_a_fixed_time() {
+    let mut given = Given::default().death(0, "engine-1", &[POISON]).death(
+        QUARANTINE_MS,
+        "engine-2",
+        &[POISON],
+    );
+
+    assert!(given.quarantined(QUARANTINE_MS).is_empty());
+}
+
+#[test]
+fn a_full_memory_forgets_the_oldest_suspect_before_any_quarantined_one() {
+    let mut given = Given(Quarantine::new(2))
+        .death(0, "engine-1", &[POISON])
+        .death(1, "engine-2", &[POISON])
+        .death(2, "engine-3", &[3])
+        .death(3, "engine-3", &[4]);
+
+    assert_eq!(given.quarantined(4), [POISON]);
+    assert_eq!(given.0.suspected(at(4)), [4]);
+}
+
+#[test]
+fn the_suspects_of_a_heartbeat_are_bounded_and_the_latest() {
+    let many = REPORTED_SUSPECT_LIMIT as u64 + 10;
+    let mut given = Given::default();
+    for fingerprint in 0..many {
+        given = given.death(fingerprint, "engine-1", &[fingerprint]);
+    }
+
+    let fingerprints: Vec<_> =
+        given.0.suspects().iter().map(|suspect| suspect.fingerprint).collect();
+    assert_eq!(fingerprints, (10..many).collect::<Vec<_>>());
+}
+
+proptest! {
+    #[test]
+    fn quarantine_needs_two_deaths_and_memory_stays_bounded(
+        steps in prop::collection::vec((0..4u8, 0..8u64, 0..3u8, 0..2_000u64), 0..200),
+    ) {
+        let mut quarantine = Quarantine::new(4);
+        let mut now_ms = 0;
+        let mut reports = [0_u32; 8];
+        for (kind, fingerprint, server, wait_ms) in steps {
+            now_ms += wait_ms;
+            let server = name(&format!("engine-{server}"));
+            match kind {
+                0 => quarantine.finished(fingerprint),
+                1 => {
+                    let suspects = [Suspect { backend_servers: vec![server], fingerprint }];
+                    quarantine.merge(at(now_ms), &name("entry-2"), &suspects);
+                }
+                _ => quarantine.death(at(now_ms), &server, &[fingerprint]),
+            }
+            reports[fingerprint as usize] = match kind {
+                0 => 0,
+                _ => reports[fingerprint as usize] + 1,
+            };
+            let quarantined = quarantine.quarantined(at(now_ms));
+            let suspected = quarantine.suspected(at(now_ms));
+            prop_assert!(quarantined.is_sorted());
+            prop_assert!(quarantined.len() + suspected.len() <= 4);
+            for fingerprint in quarantined {
+                prop_assert!(reports[fingerprint as usize] >= 2);
+            }
+        }
+    }
+}
