Add load driver and tests of the stand-ins

Measurements need seeded arrivals, and the stand-ins are only worth something as evidence when they are tested themselves. The cache now evicts a prefix from its end, as engines do.

--- a/standins/src/caller/call.rs
+++ b/standins/src/caller/call.rs
@@ -157,7 +157,7 @@
 }
 
 /// Bounds a request and keeps it from any proxy named in the environment.
-fn direct<B>(request: RequestBuilder<B>, timeout: Duration) -> RequestBuilder<B> {
+pub(crate) fn direct<B>(request: RequestBuilder<B>, timeout: Duration) -> RequestBuilder<B> {
     let no_proxy = ProxySettings::builder().build();
     request.proxy_settings(no_proxy).timeout(timeout).read_timeout(timeout)
 }
--- a/standins/src/command.rs
+++ b/standins/src/command.rs
@@ -6,6 +6,7 @@
 use argh::FromArgs;
 
 use crate::engine::EngineCommand;
+use crate::load::LoadCommand;
 use crate::plain_service::PlainServiceCommand;
 use crate::platform::PlatformCommand;
 use crate::proxy::ProxyCommand;
@@ -21,6 +22,7 @@
 #[argh(subcommand)]
 enum Verb {
     Engine(EngineCommand),
+    Load(LoadCommand),
     PlainService(PlainServiceCommand),
     Platform(PlatformCommand),
     Proxy(ProxyCommand),
@@ -38,6 +40,7 @@
 fn dispatch(verb: Verb) -> io::Result<()> {
     match verb {
         Verb::Engine(command) => command.run(),
+        Verb::Load(command) => command.run(),
         Verb::PlainService(command) => command.run(),
         Verb::Platform(command) => command.run(),
         Verb::Proxy(command) => command.run(),
--- a/standins/src/engine/cache.rs
+++ b/standins/src/engine/cache.rs
@@ -59,21 +59,23 @@
 
     /// Returns how many leading blocks are cached, and marks them as used.
     pub(super) fn touch(&mut self, hashes: &[u64]) -> usize {
-        self.uses += 1;
+        let newest = self.next_uses(hashes.len());
         for (count, hash) in hashes.iter().enumerate() {
             match self.position(*hash) {
-                Ok(at) => self.blocks[at].used = self.uses,
+                Ok(at) => self.blocks[at].used = newest - count as u64,
                 Err(_) => return count,
             }
         }
         hashes.len()
     }
 
-    /// Stores the blocks of a prefix.
+    /// Stores the blocks of a prefix, as far as they fit.
     pub(super) fn store(&mut self, hashes: &[u64], now: Instant) {
+        let newest = self.next_uses(hashes.len());
         let mut parent_hash = 0;
-        for &prefix_hash in hashes {
-            self.insert(prefix_hash, parent_hash, now);
+        for (count, &prefix_hash) in hashes.iter().take(self.blocks_limit).enumerate() {
+            let used = newest - count as u64;
+            self.insert(Block { prefix_hash, parent_hash, used }, now);
             parent_hash = prefix_hash;
         }
     }
@@ -101,22 +103,24 @@
         self.blocks.binary_search_by_key(&prefix_hash, |block| block.prefix_hash)
     }
 
-    fn insert(&mut self, prefix_hash: u64, parent_hash: u64, now: Instant) {
-        self.uses += 1;
-        let used = self.uses;
-        if let Ok(at) = self.position(prefix_hash) {
-            self.blocks[at].used = used;
-            return;
-        }
-        if self.blocks_limit == 0 {
+    /// Reserves a mark for each block of a prefix; a block's is older than that of its parent, so
+    /// that a prefix is evicted from its end.
+    fn next_uses(&mut self, blocks: usize) -> u64 {
+        self.uses += blocks as u64;
+        self.uses
+    }
+
+    fn insert(&mut self, block: Block, now: Instant) {
+        if let Ok(at) = self.position(block.prefix_hash) {
+            self.blocks[at].used = block.used;
             return;
         }
         if self.blocks.len() == self.blocks_limit {
             self.evict(now);
         }
-        let at = self.position(prefix_hash).unwrap_or_else(|at| at);
-        self.blocks.insert(at, Block { prefix_hash, parent_hash, used });
-        self.record(prefix_hash, true, now);
+        let at = self.position(block.prefix_hash).unwrap_or_else(|at| at);
+        self.blocks.insert(at, block);
+        self.record(block.prefix_hash, true, now);
     }
 
     fn evict(&mut self, now: Instant) {
--- a/standins/src/fleet/admin.rs
+++ b/standins/src/fleet/admin.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use attohttpc::{Method, ProxySettings, RequestBuilder};
+use attohttpc::{Method, RequestBuilder};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use super::error::FleetError;
+use crate::caller::direct;
 
 /// Longest time of a call.
 const CALL_TIMEOUT_MS: u64 = 5_000;
@@ -53,6 +54,13 @@
     send_json(Method::POST, address, path, body)
 }
 
+/// Posts an empty body to a page and passes over its answer.
+pub(super) fn post_empty(address: SocketAddr, path: &str) -> Result<(), FleetError> {
+    let url = format!("http://{address}{path}");
+    checked(&url, prepared(Method::POST, &url).send())?;
+    Ok(())
+}
+
 /// Puts a text to a page.
 pub(super) fn put_text(address: SocketAddr, path: &str, text: &str) -> Result<(), FleetError> {
     let url = format!("http://{address}{path}");
@@ -83,10 +91,7 @@
 }
 
 fn prepared(method: Method, url: &str) -> RequestBuilder {
-    let no_proxy = ProxySettings::builder().build();
-    RequestBuilder::new(method, url)
-        .proxy_settings(no_proxy)
-        .timeout(Duration::from_millis(CALL_TIMEOUT_MS))
+    direct(RequestBuilder::new(method, url), Duration::from_millis(CALL_TIMEOUT_MS))
 }
 
 fn checked(
--- a/standins/src/fleet/running.rs
+++ b/standins/src/fleet/running.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use tempfile::TempDir;
 
-use super::admin::{get_json, is_success, post_json, put_json, put_text};
+use super::admin::{get_json, is_success, post_empty, put_json, put_text};
 use super::builder::FleetBuilder;
 use super::error::FleetError;
 use super::inventory::{InstanceRow, InventoryDocument};
@@ -76,6 +76,7 @@
     /// Instance list that [`Fleet::publish_list`] publishes next.
     pub list: InstanceList,
     pub(super) folder: TempDir,
+    pub(super) instances_started: u8,
     pub(super) platform_seen_address: SocketAddr,
     pub(super) proxied_peers: bool,
     pub(super) proxy: Option<Proxy>,
@@ -142,9 +143,9 @@
     ///
     /// # Panics
     ///
-    /// Panics if more than 254 instances have been started.
+    /// Panics if more than 255 instances have been started.
     pub fn add_instance(&mut self, name: &str) -> Result<(), FleetError> {
-        let ip = self.free_ip();
+        let ip = self.next_ip();
         let at = self.instances.len() % self.inventory.data_centres.len();
         let data_centre = self.inventory.data_centres[at].clone();
         let settings = self.settings_of(name, &data_centre, ip);
@@ -258,8 +259,8 @@
     /// # Errors
     ///
     /// Returns an error if the instance is unknown or does not answer.
-    pub fn drain(&mut self, name: &str) -> Result<Value, FleetError> {
-        post_json(self.instance(name)?.caller_address, "/drain", &Value::Null)
+    pub fn drain(&mut self, name: &str) -> Result<(), FleetError> {
+        post_empty(self.instance(name)?.caller_address, "/drain")
     }
 
     /// Returns the counts of an engine.
@@ -296,9 +297,9 @@
     }
 
     /// Each instance has an address of its own, 127.0.1.k.
-    fn free_ip(&self) -> IpAddr {
-        let number = self.instances.len() + 1;
-        IpAddr::from([127, 0, 1, u8::try_from(number).expect("at most 254 instances")])
+    fn next_ip(&mut self) -> IpAddr {
+        self.instances_started += 1;
+        IpAddr::from([127, 0, 1, self.instances_started])
     }
 
     fn settings_of(&self, name: &str, data_centre: &str, ip: IpAddr) -> SettingsDocument {
--- a/standins/src/fleet/start.rs
+++ b/standins/src/fleet/start.rs
@@ -47,6 +47,7 @@
     let (platform, platform_address) = start_standin("platform", folder.path())?;
     let mut fleet = Fleet {
         instances: Vec::new(),
+        instances_started: 0,
         backends,
         platform,
         platform_address,
--- /dev/null
+++ b/standins/src/load/mix.rs
@@ -0,0 +1,88 @@
+//! Classes of requests and their shares.
+
+use serde::{Deserialize, Serialize};
+
+/// A kind of request that callers send.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Class {
+    /// Customer named in the request.
+    pub customer: String,
+    /// Time within which the whole answer counts, in milliseconds; also sent with the request.
+    pub deadline_ms: u64,
+    /// Time within which the first token has to come for the answer to count, in milliseconds.
+    pub first_token_ms: Option<u64>,
+    /// Whether the request carries an idempotency key.
+    pub keyed: bool,
+    /// Longest answer in tokens.
+    pub output_tokens_max: u64,
+    /// Shortest answer in tokens.
+    pub output_tokens_min: u64,
+    /// Path below the service.
+    pub path: String,
+    /// Number of shared prefixes from which each prompt takes one; 0 for none.
+    pub prefixes: u64,
+    /// Length of a shared prefix in tokens.
+    pub prefix_tokens: u64,
+    /// Longest part of the prompt after the prefix, in tokens.
+    pub prompt_tokens_max: u64,
+    /// Shortest part of the prompt after the prefix, in tokens.
+    pub prompt_tokens_min: u64,
+    /// Service called.
+    pub service: String,
+    /// Weight among the classes.
+    pub share: f64,
+    /// Tier named in the request, under which its results are counted.
+    pub tier: String,
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        Self {
+            customer: "customer-1".to_owned(),
+            deadline_ms: 10_000,
+            first_token_ms: None,
+            keyed: false,
+            output_tokens_max: 200,
+            output_tokens_min: 2,
+            path: String::new(),
+            prefixes: 4,
+            prefix_tokens: 512,
+            prompt_tokens_max: 3200,
+            prompt_tokens_min: 32,
+            service: "plan".to_owned(),
+            share: 1.0,
+            tier: "low".to_owned(),
+        }
+    }
+}
+
+/// The classes of a load.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Mix {
+    /// Classes in any order.
+    pub classes: Vec<Class>,
+}
+
+impl Default for Mix {
+    fn default() -> Self {
+        let high = Class { share: 0.3, tier: "high".to_owned(), ..Class::default() };
+        let low = Class { deadline_ms: 30_000, share: 0.7, ..Class::default() };
+        Self { classes: vec![high, low] }
+    }
+}
+
+impl Mix {
+    /// Returns the class at a point between 0 and 1 of the summed shares.
+    pub(super) fn class_at(&self, point: f64) -> usize {
+        let total: f64 = self.classes.iter().map(|class| class.share).sum();
+        let mut left = point * total;
+        for (at, class) in self.classes.iter().enumerate() {
+            left -= class.share;
+            if left < 0.0 {
+                return at;
+            }
+        }
+        self.classes.len().saturating_sub(1)
+    }
+}
--- /dev/null
+++ b/standins/src/load/mod.rs
@@ -0,0 +1,14 @@
+//! Load driver with seeded arrivals and a mix of request classes.
+
+mod command;
+mod direct;
+mod drive;
+mod mix;
+mod plan;
+mod report;
+
+pub use command::LoadCommand;
+pub use drive::{Target, drive};
+pub use mix::{Class, Mix};
+pub use plan::{Arrival, Plan};
+pub use report::{LoadReport, TierReport, TimesMs};
--- /dev/null
+++ b/standins/src/load/plan.rs
@@ -0,0 +1,82 @@
+//! The arrivals of a load, fixed by its seed.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp};
+
+use super::mix::{Class, Mix};
+
+/// Bytes of prompt in a token.
+const TOKEN_BYTES: usize = 4;
+
+/// One request and its time.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Arrival {
+    /// Time since the start of the load.
+    pub at: Duration,
+    /// Index of its class.
+    pub class: usize,
+    /// Exact length of the answer in tokens.
+    pub output_tokens: u64,
+    /// Prompt.
+    pub prompt: String,
+}
+
+/// A load: classes and arrivals in the order of time.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Requests.
+    pub arrivals: Vec<Arrival>,
+    /// Classes.
+    pub mix: Mix,
+}
+
+impl Plan {
+    /// Draws Poisson arrivals at `rate_per_s` requests per second.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the rate isn't positive or the mix has no class.
+    pub fn poisson(mix: Mix, rate_per_s: f64, duration: Duration, seed: u64) -> Self {
+        assert!(!mix.classes.is_empty(), "a mix has at least one class");
+        let gap = Exp::new(rate_per_s).expect("rate is positive");
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut arrivals = Vec::new();
+        let mut at_s = gap.sample(&mut rng);
+        while at_s < duration.as_secs_f64() {
+            let class = mix.class_at(rng.random());
+            let at = Duration::from_secs_f64(at_s);
+            arrivals.push(draw(&mix.classes[class], class, at, &mut rng));
+            at_s += gap.sample(&mut rng);
+        }
+        Self { arrivals, mix }
+    }
+}
+
+fn draw(class: &Class, index: usize, at: Duration, rng: &mut ChaCha8Rng) -> Arrival {
+    let mut prompt = String::new();
+    if class.prefixes > 0 {
+        let prefix = rng.random_range(0..class.prefixes);
+        let word = format!("{}/{}/{prefix:04} ", class.service, class.customer);
+        fill(&mut prompt, &word, class.prefix_tokens);
+    }
+    let own = format!("{:016x} ", rng.random::<u64>());
+    fill(&mut prompt, &own, log_uniform(class.prompt_tokens_min, class.prompt_tokens_max, rng));
+    let output_tokens = log_uniform(class.output_tokens_min, class.output_tokens_max, rng);
+    Arrival { at, class: index, output_tokens, prompt }
+}
+
+/// Appends `tokens` tokens of a repeated word.
+fn fill(prompt: &mut String, word: &str, tokens: u64) {
+    let length = tokens as usize * TOKEN_BYTES;
+    prompt.extend(word.chars().cycle().take(length));
+}
+
+/// Draws a length such that each order of magnitude is equally likely.
+fn log_uniform(min: u64, max: u64, rng: &mut ChaCha8Rng) -> u64 {
+    let (low, high) = ((min.max(1) as f64).ln(), (max.max(min).max(1) as f64).ln());
+    let drawn = (low + (high - low) * rng.random::<f64>()).exp();
+    (drawn.round() as u64).clamp(min, max.max(min))
+}
--- /dev/null
+++ b/standins/src/load/report.rs
@@ -0,0 +1,158 @@
+//! Results of a load by tier.
+
+use std::fmt::{self, Display, Formatter};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Digits kept by the histograms.
+const DIGITS: u8 = 3;
+
+/// Percentiles in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct TimesMs {
+    /// Median.
+    pub p50: u64,
+    /// 95th percentile.
+    pub p95: u64,
+    /// 99th percentile.
+    pub p99: u64,
+}
+
+/// How one request ended, seen by its caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Ending {
+    Broken,
+    Done,
+    Failed,
+    Late,
+    NotRun,
+    Unknown,
+    Wrong,
+}
+
+/// Result of one request.
+#[derive(Clone, Debug)]
+pub(super) struct Sample {
+    pub ending: Ending,
+    pub tier: String,
+    pub ttft_ms: Option<u64>,
+}
+
+/// Results of one tier.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct TierReport {
+    /// Tier.
+    pub tier: String,
+    /// Requests sent.
+    pub offered: u64,
+    /// Requests whose whole answer came in time.
+    pub done_in_time: u64,
+    /// Requests whose whole answer came late.
+    pub late: u64,
+    /// Requests told that they did not run.
+    pub not_run: u64,
+    /// Requests told that they may have run.
+    pub unknown: u64,
+    /// Requests told that they failed.
+    pub failed: u64,
+    /// Requests without a final answer.
+    pub broken: u64,
+    /// Requests said to be done whose answer isn't whole or not their own.
+    pub wrong: u64,
+    /// Time to the first token.
+    pub ttft_ms: TimesMs,
+}
+
+/// Results of a load.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct LoadReport {
+    /// Results by tier, sorted by name.
+    pub tiers: Vec<TierReport>,
+}
+
+impl LoadReport {
+    pub(super) fn new(mut samples: Vec<Sample>) -> Self {
+        samples.sort_by(|a, b| a.tier.cmp(&b.tier));
+        let groups = samples.chunk_by(|a, b| a.tier == b.tier);
+        Self { tiers: groups.map(tier_report).collect() }
+    }
+
+    /// Returns the results of a tier.
+    pub fn tier(&self, name: &str) -> Option<&TierReport> {
+        let at = self.tiers.binary_search_by(|tier| tier.tier.as_str().cmp(name)).ok()?;
+        self.tiers.get(at)
+    }
+}
+
+impl Display for LoadReport {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "{:<12} {:>8} {:>8} {:>6} {:>8} {:>8} {:>7} {:>7} {:>6} {:>8} {:>8} {:>8}",
+            "tier",
+            "offered",
+            "in time",
+            "late",
+            "not run",
+            "unknown",
+            "failed",
+            "broken",
+            "wrong",
+            "ttft p50",
+            "p95",
+            "p99"
+        )?;
+        self.tiers.iter().try_for_each(|tier| writeln!(formatter, "{tier}"))
+    }
+}
+
+impl Display for TierReport {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{:<12} {:>8} {:>8} {:>6} {:>8} {:>8} {:>7} {:>7} {:>6} {:>8} {:>8} {:>8}",
+            self.tier,
+            self.offered,
+            self.done_in_time,
+            self.late,
+            self.not_run,
+            self.unknown,
+            self.failed,
+            self.broken,
+            self.wrong,
+            self.ttft_ms.p50,
+            self.ttft_ms.p95,
+            self.ttft_ms.p99
+        )
+    }
+}
+
+fn tier_report(samples: &[Sample]) -> TierReport {
+    let count =
+        |ending| samples.iter().filter(|sample: &&Sample| sample.ending == ending).count() as u64;
+    TierReport {
+        tier: samples[0].tier.clone(),
+        offered: samples.len() as u64,
+        done_in_time: count(Ending::Done),
+        late: count(Ending::Late),
+        not_run: count(Ending::NotRun),
+        unknown: count(Ending::Unknown),
+        failed: count(Ending::Failed),
+        broken: count(Ending::Broken),
+        wrong: count(Ending::Wrong),
+        ttft_ms: percentiles(samples.iter().filter_map(|sample| sample.ttft_ms)),
+    }
+}
+
+fn percentiles<I>(values_ms: I) -> TimesMs
+where
+    I: Iterator<Item = u64>,
+{
+    let mut histogram = Histogram::<u64>::new(DIGITS).expect("digits are in range");
+    for value_ms in values_ms {
+        histogram.saturating_record(value_ms);
+    }
+    let at = |quantile| histogram.value_at_quantile(quantile);
+    TimesMs { p50: at(0.5), p95: at(0.95), p99: at(0.99) }
+}
--- /dev/null
+++ b/standins/tests/load.rs
@@ -0,0 +1,44 @@
+//! The load driver.
+
+mod support;
+
+use std::time::Duration;
+
+use standins::load::{Class, Mix, Plan, Target, drive};
+
+use support::start;
+
+fn mix() -> Mix {
+    let low = Class { prompt_tokens_max: 64, output_tokens_max: 8, ..Class::default() };
+    let high = Class { tier: "high".to_owned(), ..low.clone() };
+    Mix { classes: vec![high, low] }
+}
+
+#[test]
+fn a_seed_fixes_the_plan() {
+    let plan = |seed| Plan::poisson(mix(), 100.0, Duration::from_secs(1), seed).arrivals;
+    assert_eq!(plan(1), plan(1));
+    assert_ne!(plan(1), plan(2));
+    assert!(plan(1).iter().all(|arrival| (2..=8).contains(&arrival.output_tokens)));
+}
+
+#[test]
+fn drives_engines_directly() {
+    let engine = start("engine", &[]);
+    let plan = Plan::poisson(mix(), 50.0, Duration::from_millis(500), 3);
+    let report = drive(&plan, &Target::Direct(vec![engine.address]));
+    let offered: u64 = report.tiers.iter().map(|tier| tier.offered).sum();
+    let done: u64 = report.tiers.iter().map(|tier| tier.done_in_time).sum();
+    assert_eq!(offered, plan.arrivals.len() as u64);
+    assert_eq!(done, offered, "{report}");
+    assert!(report.tier("high").is_some() && report.tier("low").is_some());
+}
+
+#[test]
+fn a_gone_address_breaks_each_request() {
+    let mut engine = start("engine", &[]);
+    engine.process.kill();
+    let plan = Plan::poisson(mix(), 50.0, Duration::from_millis(100), 3);
+    let report = drive(&plan, &Target::Instances(vec![engine.address]));
+    assert!(report.tiers.iter().all(|tier| tier.broken == tier.offered));
+}
