--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -151,7 +151,7 @@
 {
     let mut histogram = Histogram::<u64>::new(DIGITS).expect("digits are in range");
     for value_ms in values_ms {
-        histogram.saturating_record(value_ms);
+        histogram.record(value_ms).expect("the histogram grows");
     }
     let at = |quantile| histogram.value_at_quantile(quantile);
     TimesMs { p50: at(0.5), p95: at(0.95), p99: at(0.99) }
--- a/standins/tests/load.rs
+++ b/standins/tests/load.rs
@@ -42,3 +42,12 @@
     let report = drive(&plan, &Target::Instances(vec![engine.address]));
     assert!(report.tiers.iter().all(|tier| tier.broken == tier.offered));
 }
+
+#[test]
+fn long_times_to_the_first_token_are_kept() {
+    let engine = start("engine", &["--step-base-us", "2500000"]);
+    let class = Class { output_tokens_max: 1, output_tokens_min: 1, ..Class::default() };
+    let plan = Plan::poisson(Mix { classes: vec![class] }, 20.0, Duration::from_millis(100), 1);
+    let report = drive(&plan, &Target::Direct(vec![engine.address]));
+    assert!(report.tiers[0].ttft_ms.p50 >= 2_400, "{report}");
+}
