--- a/src/admit.rs
+++ b/src/admit.rs
@@ -152,8 +152,7 @@
         let Some(request) = self.requests.get_active_mut(sequence) else { return };
         let Some(key) = request.arrival.key.clone() else { return };
         let home = self.view.home(&key);
-        request.state =
-            RequestState::Claiming { asked_ms: now.monotonic_ms, home: home.clone() };
+        request.state = RequestState::Claiming { asked_ms: now.monotonic_ms, home: home.clone() };
         request.note(now, format!("Asked key home {home}."));
         let claim = KeyClaim {
             fingerprint: request.arrival.fingerprint,
--- a/src/adopt.rs
+++ b/src/adopt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::build_core::build_membership;
-use crate::config_adoption::{AdoptionEffect, AdoptionEvent, DocumentSource};
+use crate::config_event::{ConfigDocument, ConfigEffect, ConfigEvent, ConfigSource};
 use crate::core::Core;
 use crate::effect::Effect;
 use crate::finding::Finding;
@@ -17,8 +17,22 @@
 use crate::view::View;
 
 impl Core {
-    pub(crate) fn hear_of_document(&mut self, now: Now, peer: Name, version: u64) {
-        self.adopt(now, AdoptionEvent::PeerAhead { peer, version });
+    /// Hands an event to the adoption of configuration and applies what follows.
+    pub(crate) fn adopt(&mut self, now: Now, event: ConfigEvent) {
+        for effect in self.adoption.decide(now, event) {
+            match effect {
+                ConfigEffect::Adopt { inventory } => self.put_in_force(now, inventory),
+                ConfigEffect::FetchFrom { peer } => {
+                    let have_version = self.inventory.version;
+                    self.send(&peer, PeerMessage::ConfigFetch { have_version });
+                }
+                ConfigEffect::Refused { findings, version } => {
+                    let count = findings.len();
+                    self.log("config", format!("Version {version} is refused: {count} findings."));
+                    self.refused_document = Some(RefusedDocument { findings, version });
+                }
+            }
+        }
     }
 
     pub(crate) fn read_document(
@@ -26,21 +40,16 @@
         now: Now,
         parsed: Result<Arc<Inventory>, Vec<Finding>>,
         peer: Option<Name>,
-        text: Arc<str>,
-        version: u64,
+        document: ConfigDocument,
     ) {
         let source = match peer {
-            Some(peer) => DocumentSource::Peer(peer),
-            None => {
-                self.platform_reachable = true;
-                DocumentSource::Platform
-            }
+            Some(peer) => ConfigSource::Peer(peer),
+            None => ConfigSource::Platform,
         };
-        self.adopt(now, AdoptionEvent::DocumentRead { parsed, source, text, version });
+        self.adopt(now, ConfigEvent::DocumentRead { document, parsed, source });
     }
 
     pub(crate) fn read_instance_list(&mut self, now: Now, leaving: Vec<Name>) {
-        self.platform_reachable = true;
         if leaving == self.leaving {
             return;
         }
@@ -54,36 +63,14 @@
             Ok(inventory) => Ok(Arc::new(inventory)),
             Err(error) => Err(error.into_findings()),
         };
-        self.read_document(now, parsed, Some(peer), text.into(), version);
+        let document = ConfigDocument { text: text.into(), version };
+        self.read_document(now, parsed, Some(peer), document);
     }
 
     pub(crate) fn serve_document(&mut self, peer: &Name, have_version: u64) {
-        let Some((version, text)) = self.adoption.document() else { return };
-        if version > have_version {
-            let text = text.to_string();
-            self.send(peer, PeerMessage::ConfigDocument { text, version });
-        }
-    }
-
-    pub(crate) fn tick_adoption(&mut self, now: Now) {
-        self.adopt(now, AdoptionEvent::Tick);
-    }
-
-    fn adopt(&mut self, now: Now, event: AdoptionEvent) {
-        for effect in self.adoption.decide(now, event) {
-            match effect {
-                AdoptionEffect::Adopt { inventory } => self.put_in_force(now, inventory),
-                AdoptionEffect::FetchFrom { peer } => {
-                    let have_version = self.inventory.version;
-                    self.send(&peer, PeerMessage::ConfigFetch { have_version });
-                }
-                AdoptionEffect::Refused { version, findings } => {
-                    let count = findings.len();
-                    self.log("config", format!("Version {version} is refused: {count} findings."));
-                    self.refused_document = Some(RefusedDocument { findings, version });
-                }
-            }
-        }
+        let Some(document) = self.adoption.document_after(have_version) else { return };
+        let (text, version) = (document.text.to_string(), document.version);
+        self.send(peer, PeerMessage::ConfigDocument { text, version });
     }
 
     fn put_in_force(&mut self, now: Now, inventory: Arc<Inventory>) {
@@ -101,6 +88,7 @@
             .map(|instance| (instance.name.clone(), instance.peer_address))
             .collect();
         self.effects.push(Effect::SetPeers(peers));
+        self.effects.push(Effect::WatchAfter { version: self.inventory.version });
         let view = self.view.clone();
         match is_first {
             true => self.membership = build_membership(&self.settings, self.incarnation, now, view),
--- a/src/answers.rs
+++ b/src/answers.rs
@@ -83,11 +83,9 @@
 /// The home refused the claim.
 pub fn key_refused(reason: KeyRefusal, retry_after_ms: u64) -> FinalAnswer {
     let (word, status, message) = match reason {
-        KeyRefusal::Full => (
-            "keys_full",
-            503,
-            "The memory for keys is full. The request did not run.",
-        ),
+        KeyRefusal::Full => {
+            ("keys_full", 503, "The memory for keys is full. The request did not run.")
+        }
         KeyRefusal::MintedInFuture => (
             "key_minted_in_future",
             400,
@@ -103,11 +101,9 @@
             503,
             "The list of instances is changing. The request did not run.",
         ),
-        KeyRefusal::TooOld => (
-            "key_too_old",
-            409,
-            "The key is older than the key lifetime. This send did not run.",
-        ),
+        KeyRefusal::TooOld => {
+            ("key_too_old", 409, "The key is older than the key lifetime. This send did not run.")
+        }
     };
     let retry = (status == 503).then_some(retry_after_ms);
     answer(status, Outcome::NotRun, word, message, retry)
--- a/src/apply_effects.rs
+++ b/src/apply_effects.rs
@@ -6,6 +6,7 @@
 use crate::effect::Effect;
 use crate::load_poller::LoadPoller;
 use crate::peer_links::PeerLinks;
+use crate::platform_watch::PlatformWatch;
 use crate::runners::RunnerCommand;
 use crate::traffic::Traffic;
 
@@ -15,6 +16,8 @@
     pub poller: LoadPoller,
     /// Links to other instances.
     pub peer_links: Arc<PeerLinks>,
+    /// The watch of the platform.
+    pub platform_watch: Arc<PlatformWatch>,
     /// Told when a planned stop is complete.
     pub stopped: flume::Sender<()>,
     /// What the threads that serve requests share.
@@ -45,6 +48,7 @@
             Effect::SetPeers(peers) => self.peer_links.set_peers(peers),
             // Whoever waited for the stop may be gone already.
             Effect::Stopped => drop(self.stopped.send(())),
+            Effect::WatchAfter { version } => self.platform_watch.set_version(version),
         }
     }
 }
--- a/src/backend_call.rs
+++ b/src/backend_call.rs
@@ -172,7 +172,8 @@
     read_timeout: Duration,
 ) -> Result<Response, CallFailure> {
     let state = AtomicU8::new(NOT_SENT);
-    let body = TimedBody { bytes: request.body, clock, expires_ms: dispatch.expires_ms, state: &state };
+    let body =
+        TimedBody { bytes: request.body, clock, expires_ms: dispatch.expires_ms, state: &state };
     let builder = attohttpc::post(url)
         .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
         .read_timeout(read_timeout)
--- a/src/build_core.rs
+++ b/src/build_core.rs
@@ -25,7 +25,7 @@
         .lifetime_ms(keys.lifetime_ms)
         .build();
     Core {
-        adoption: ConfigAdoption::new(now),
+        adoption: ConfigAdoption::new(now, settings.instance.name.clone()),
         effects: Vec::new(),
         incarnation,
         inventory,
@@ -33,7 +33,6 @@
         leaving: Vec::new(),
         membership: build_membership(&settings, incarnation, now, view.clone()),
         peer_versions: Vec::new(),
-        platform_reachable: false,
         quarantine: Quarantine::default(),
         quarantined: Vec::new(),
         refused_document: None,
@@ -49,12 +48,7 @@
 }
 
 /// Builds the membership that starts with the given view.
-pub fn build_membership(
-    settings: &Settings,
-    incarnation: u64,
-    now: Now,
-    view: View,
-) -> Membership {
+pub fn build_membership(settings: &Settings, incarnation: u64, now: Now, view: View) -> Membership {
     MembershipBuilder::new(incarnation)
         .clock_margin_ms(settings.keys.clock_margin_ms)
         .confirmation_window_ms(settings.peer.confirmation_window_ms)
--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -19,6 +19,7 @@
 use crate::event::Event;
 use crate::final_answer::{FinalAnswer, Outcome};
 use crate::join_answer::{JOIN_HEADER, join_local, join_peer};
+use crate::platform_watch::PlatformWatch;
 use crate::read_request::{header, read_request, wants_json};
 use crate::runners::RunnerCommand;
 use crate::serve_request::RequestRunner;
@@ -64,7 +65,7 @@
     /// # Errors
     ///
     /// Returns an error if the address can't be listened on.
-    pub fn start(traffic: Arc<Traffic>) -> Result<Self, Error> {
+    pub fn start(traffic: Arc<Traffic>, watch: Arc<PlatformWatch>) -> Result<Self, Error> {
         let listener = listen(traffic.settings.caller.listen_address)?;
         let server = Server::from_listener(listener, None).map_err(|error| {
             Error::io("Listening for callers failed", std::io::Error::other(error))
@@ -74,8 +75,8 @@
         std::thread::spawn(move || {
             while !stopped.load(Ordering::Acquire) {
                 let Ok(request) = server.recv() else { continue };
-                let traffic = traffic.clone();
-                std::thread::spawn(move || serve(&traffic, request));
+                let (traffic, watch) = (traffic.clone(), watch.clone());
+                std::thread::spawn(move || serve(&traffic, &watch, request));
             }
         });
         Ok(edge)
@@ -208,7 +209,7 @@
     }
 }
 
-fn serve(traffic: &Arc<Traffic>, request: Request) {
+fn serve(traffic: &Arc<Traffic>, watch: &PlatformWatch, request: Request) {
     match route(request.method(), request.url()) {
         Route::Cancel(key) => {
             traffic.tell(Event::CancelAsked { key: key.into() });
@@ -229,7 +230,10 @@
         Route::Ready => answer_ready(traffic, request),
         Route::Request { path, service } => serve_request(traffic, request, &service, &path),
         Route::Status => {
-            let report = ask(traffic, ControlInput::Status);
+            let mut report = ask(traffic, ControlInput::Status);
+            if let Some(report) = &mut report {
+                report.platform.reads = watch.reads();
+            }
             answer_json(request, report);
         }
     }
--- a/src/command_output.rs
+++ b/src/command_output.rs
@@ -57,7 +57,7 @@
             }
             Error::Io { .. } | Error::PeerMessage { .. } | Error::ServiceMissing { .. } => {
                 Self::usage(message)
-            },
+            }
         }
     }
 }
--- a/src/core.rs
+++ b/src/core.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use crate::config_adoption::ConfigAdoption;
+use crate::config_event::ConfigEvent;
 use crate::effect::Effect;
 use crate::event::Event;
 use crate::inventory::Inventory;
@@ -36,7 +37,6 @@
     pub(crate) leaving: Vec<Name>,
     pub(crate) membership: Membership,
     pub(crate) peer_versions: Vec<(Name, u64, u64)>,
-    pub(crate) platform_reachable: bool,
     pub(crate) quarantine: Quarantine,
     pub(crate) quarantined: Vec<u64>,
     pub(crate) refused_document: Option<RefusedDocument>,
@@ -71,8 +71,8 @@
             Event::CallerGone { sequence } => self.cancel(now, sequence),
             Event::CancelAsked { key } => self.cancel_key(now, &key),
             Event::Dispatch { progress, sequence } => self.follow(now, sequence, progress),
-            Event::DocumentRead { parsed, peer, text, version } => {
-                self.read_document(now, parsed, peer, text, version);
+            Event::DocumentRead { document, parsed, peer } => {
+                self.read_document(now, parsed, peer, document);
             }
             Event::InstanceListRead { leaving } => self.read_instance_list(now, leaving),
             Event::JoinAsked { sequence, key, from_peer } => {
@@ -85,7 +85,7 @@
             Event::PeerDown { peer } => self.lose_link(now, peer),
             Event::PeerMessage { peer, message, .. } => self.route(now, peer, message),
             Event::PeerUp { peer, .. } => self.meet(now, &peer),
-            Event::PlatformUnreachable => self.platform_reachable = false,
+            Event::PlatformUnreachable => self.adopt(now, ConfigEvent::PlatformUnreachable),
             Event::Stop => self.begin_stop(now),
             Event::Tick => self.tick(now),
         }
@@ -93,8 +93,8 @@
     }
 
     /// Returns whether the instance takes requests.
-    pub fn is_ready(&self) -> bool {
-        self.inventory.version > 0 && self.stop.is_none()
+    pub fn is_ready(&self, now: Now) -> bool {
+        self.adoption.is_ready(now) && self.stop.is_none()
     }
 
     pub(crate) fn log<S>(&mut self, part: &'static str, text: S)
@@ -142,7 +142,7 @@
     fn tick(&mut self, now: Now) {
         let summary = self.heartbeat_summary();
         self.member(now, MembershipEvent::Tick { summary });
-        self.tick_adoption(now);
+        self.adopt(now, ConfigEvent::Tick);
         if now.monotonic_ms < self.sweep_ms {
             return;
         }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -115,9 +115,9 @@
     let mut kernel = Kernel::default();
     kernel.directory().register(TRAFFIC, traffic.clone());
     kernel.add(PeerLinksService { incarnation });
+    kernel.add(PlatformWatchService);
     kernel.add(ControlService { inputs, incarnation, stopped });
     kernel.add(CallerEdgeService { edge: None });
-    kernel.add(PlatformWatchService);
     kernel
 }
 
@@ -152,7 +152,8 @@
 
     fn start(&mut self, directory: &mut Directory) -> Result<(), Error> {
         let (traffic, _) = find_settings(directory)?;
-        let edge = Arc::new(CallerEdge::start(traffic)?);
+        let platform_watch = directory.find::<PlatformWatch>(PLATFORM_WATCH)?;
+        let edge = Arc::new(CallerEdge::start(traffic, platform_watch)?);
         directory.register(CALLER_EDGE, edge.clone());
         self.edge = Some(edge);
         Ok(())
@@ -173,12 +174,13 @@
     fn start(&mut self, directory: &mut Directory) -> Result<(), Error> {
         let (traffic, settings) = find_settings(directory)?;
         let peer_links = directory.find::<PeerLinks>(PEER_LINKS)?;
+        let platform_watch = directory.find::<PlatformWatch>(PLATFORM_WATCH)?;
         let clock = traffic.clock;
         let core = build_core(settings.clone(), self.incarnation, clock.now());
         let poller = LoadPoller::new(traffic.control.clone(), settings.dispatch.load_interval_ms);
         let stopped = self.stopped.clone();
         let inputs = self.inputs.clone();
-        let mut router = EffectRouter { peer_links, poller, stopped, traffic };
+        let mut router = EffectRouter { peer_links, platform_watch, poller, stopped, traffic };
         std::thread::Builder::new()
             .name(CONTROL.into())
             .spawn(move || run_control(clock, core, &inputs, &mut router))
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -64,6 +64,11 @@
     SetPeers(Vec<(Name, SocketAddr)>),
     /// The planned stop is complete.
     Stopped,
+    /// Wait at the platform for a document newer than this version.
+    WatchAfter {
+        /// The version.
+        version: u64,
+    },
 }
 
 /// Where and until when a request may be sent.
--- a/src/event.rs
+++ b/src/event.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::config_event::ConfigDocument;
 use crate::finding::Finding;
 use crate::inventory::Inventory;
 use crate::load_report::{CacheEvent, LoadReport};
@@ -42,14 +43,12 @@
     },
     /// A published document was read.
     DocumentRead {
+        /// The document.
+        document: ConfigDocument,
         /// The inventory in it, or what is wrong with it.
         parsed: Result<Arc<Inventory>, Vec<Finding>>,
         /// Peer that it came from; the platform if absent.
         peer: Option<Name>,
-        /// Its text.
-        text: Arc<str>,
-        /// Version that it was published under.
-        version: u64,
     },
     /// The platform's list of instances and backend servers was read.
     InstanceListRead {
--- a/src/final_answer.rs
+++ b/src/final_answer.rs
@@ -43,6 +43,6 @@
     /// What was wrong, as a short sentence.
     pub message: String,
     /// Time after which coming back makes sense, in milliseconds.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
 }
--- a/src/join_answer.rs
+++ b/src/join_answer.rs
@@ -19,6 +19,14 @@
 /// Time between two signs of life to the caller, in milliseconds.
 const KEEP_ALIVE_INTERVAL_MS: u64 = 1_000;
 
+/// What the other instance answers.
+enum Connection {
+    /// There is no answer to stream.
+    Answer(FinalAnswer),
+    /// The answer streams.
+    Stream(Box<EventStream>),
+}
+
 /// What to do after something was read from the other instance.
 enum Next {
     End(AnswerEnd),
@@ -62,7 +70,15 @@
     let mut attempts = 0;
     while attempts < settings.resume_limit {
         attempts += 1;
-        let Ok(mut stream) = connect(address, key, offset, settings) else { continue };
+        let mut stream = match connect(address, key, offset, settings) {
+            Ok(Connection::Answer(answer)) => {
+                // A caller that is gone needs no end.
+                let _ = writer.end(&AnswerEnd::Final(answer));
+                return;
+            }
+            Ok(Connection::Stream(stream)) => stream,
+            Err(_) => continue,
+        };
         loop {
             match read(&mut stream, &mut offset, writer) {
                 Next::End(end) => {
@@ -83,15 +99,21 @@
     key: &str,
     offset: usize,
     settings: &DispatchSettings,
-) -> attohttpc::Result<EventStream> {
+) -> attohttpc::Result<Connection> {
     let url = format!("http://{address}/v1/requests/{key}?offset={offset}");
     let response = attohttpc::get(url)
         .header(JOIN_HEADER, "1")
         .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
         .read_timeout(Duration::from_millis(settings.idle_limit_ms))
         .send()?;
-    let (_, _, reader) = response.split();
-    Ok(BufReader::new(reader))
+    let (status, _, reader) = response.split();
+    if status.as_u16() == 200 {
+        return Ok(Connection::Stream(Box::new(BufReader::new(reader))));
+    }
+    let mut answer: FinalAnswer =
+        serde_json::from_reader(reader).unwrap_or_else(|_| answers::holder_unreachable());
+    answer.status = status.as_u16();
+    Ok(Connection::Answer(answer))
 }
 
 fn read(stream: &mut EventStream, offset: &mut usize, writer: &mut dyn AnswerWriter) -> Next {
--- a/src/key_home_builder.rs
+++ b/src/key_home_builder.rs
@@ -1,8 +1,8 @@
 //! Builds the memory of a key home.
 
+use crate::home_rules::Rules;
 use crate::key_home::KeyHome;
 use crate::membership_builder::{CLOCK_MARGIN_MS, KEY_LIFETIME_MS};
-use crate::home_rules::Rules;
 
 /// Default number of keys that are remembered at once.
 pub const CAPACITY: u32 = 200_000;
--- a/src/membership_builder.rs
+++ b/src/membership_builder.rs
@@ -1,8 +1,8 @@
 //! Builds the membership decision.
 
+use crate::home_rules::Rules;
 use crate::membership::Membership;
 use crate::now::Now;
-use crate::home_rules::Rules;
 use crate::view::View;
 
 /// Default time for which a confirmation holds, in milliseconds.
--- a/src/route.rs
+++ b/src/route.rs
@@ -1,5 +1,6 @@
 //! Routes the messages of other instances to the part that they are for.
 
+use crate::config_event::ConfigEvent;
 use crate::core::Core;
 use crate::membership_event::{MembershipEffect, MembershipEvent};
 use crate::name::Name;
@@ -65,7 +66,7 @@
     pub(crate) fn apply_membership(&mut self, now: Now, effect: MembershipEffect) {
         match effect {
             MembershipEffect::ConfigAhead { peer, version } => {
-                self.hear_of_document(now, peer, version);
+                self.adopt(now, ConfigEvent::PeerVersion { peer, version });
             }
             MembershipEffect::ListAhead { peer, .. } => {
                 self.log("peer", format!("Instance {peer} has a newer list of instances."));
@@ -97,6 +98,7 @@
     }
 
     pub(crate) fn lose_link(&mut self, now: Now, peer: Name) {
+        self.adopt(now, ConfigEvent::PeerDown { peer: peer.clone() });
         self.member(now, MembershipEvent::LinkLost { peer });
     }
 
@@ -132,7 +134,9 @@
 
     fn take_heartbeat(&mut self, now: Now, peer: Name, heartbeat: Heartbeat) {
         let stopping = heartbeat.stopping;
-        self.note_versions(&peer, heartbeat.config_version, heartbeat.incarnation);
+        let version = heartbeat.config_version;
+        self.note_versions(&peer, version, heartbeat.incarnation);
+        self.adopt(now, ConfigEvent::PeerVersion { peer: peer.clone(), version });
         if !heartbeat.suspects.is_empty() {
             self.quarantine.merge(now, &peer, &heartbeat.suspects);
         }
--- a/src/schedule.rs
+++ b/src/schedule.rs
@@ -68,9 +68,8 @@
 
     fn end_idle_schedulers(&mut self, now: Now) {
         let own_name = self.own_name();
-        let (kept, ended): (Vec<_>, Vec<_>) = std::mem::take(&mut self.schedulers)
-            .into_iter()
-            .partition(|(service, scheduler)| {
+        let (kept, ended): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.schedulers).into_iter().partition(|(service, scheduler)| {
                 self.steward_of(service) == own_name || !is_idle(scheduler.as_ref(), now)
             });
         self.schedulers = kept;
--- a/src/suspect.rs
+++ b/src/suspect.rs
@@ -39,9 +39,7 @@
     /// Tells the schedulers if the quarantined or suspected fingerprints changed.
     pub(crate) fn refresh_quarantine(&mut self, now: Now) {
         let quarantined = self.quarantine.quarantined(now);
-        let mut suspected: Vec<u64> =
-            self.quarantine.suspects().iter().map(|suspect| suspect.fingerprint).collect();
-        suspected.sort_unstable();
+        let suspected = self.quarantine.suspected(now);
         if quarantined == self.quarantined && suspected == self.suspected {
             return;
         }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -27,7 +27,11 @@
 
 impl Traffic {
     /// Builds the shared part.
-    pub fn new(clock: Clock, control: flume::Sender<ControlInput>, settings: Arc<Settings>) -> Self {
+    pub fn new(
+        clock: Clock,
+        control: flume::Sender<ControlInput>,
+        settings: Arc<Settings>,
+    ) -> Self {
         Self {
             answer_logs: AnswerLogs::default(),
             clock,
