--- a/standins/src/engine/command.rs
+++ b/standins/src/engine/command.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 
 use argh::FromArgs;
@@ -42,6 +43,9 @@
     /// refuses orders with an old fencing number
     #[argh(switch)]
     pub fencing: bool,
+    /// file that keeps the executions over a restart
+    #[argh(option)]
+    pub journal: Option<PathBuf>,
     /// interval between load samples in milliseconds
     #[argh(option, default = "500")]
     pub load_lag_ms: u64,
@@ -70,11 +74,11 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the address can't be bound.
+    /// Returns an error if the address can't be bound or the journal can't be opened.
     pub fn run(self) -> io::Result<()> {
         let listener = http::listen(self.listen)?;
         let address = listener.local_addr()?;
-        let engine = Arc::new(Engine::new(self));
+        let engine = Arc::new(Engine::new(self)?);
         stepper::start(Arc::clone(&engine));
         http::serve(listener, move |request| pages::answer(&engine, request))?;
         process::announce_and_wait(address)
--- a/standins/src/engine/state.rs
+++ b/standins/src/engine/state.rs
@@ -1,6 +1,7 @@
 //! State shared by the stepping thread and the pages.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::sync::{Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 use super::command::EngineCommand;
 use super::stream::{Generate, Phase, Stream};
 use crate::Name;
+use crate::journal::{Execution, Journal};
 
 /// Finished streams kept for late readers.
 const FINISHED_LIMIT: usize = 1024;
@@ -38,9 +40,29 @@
     pub orders: u64,
 }
 
+impl EngineStatistics {
+    /// Adds the counts of another engine.
+    pub fn merge(&mut self, other: Self) {
+        self.prefilled_tokens += other.prefilled_tokens;
+        self.cached_tokens += other.cached_tokens;
+        self.wasted_tokens += other.wasted_tokens;
+        self.orders += other.orders;
+        for (request, count) in other.executions {
+            *self.executions.entry(request).or_default() += count;
+        }
+    }
+
+    pub(super) fn add(&mut self, execution: &Execution) {
+        if let Some(request) = &execution.request {
+            *self.executions.entry(Name::from(request.as_str())).or_default() += 1;
+        }
+    }
+}
+
 pub(super) struct State {
     pub cache: Cache,
     pub fencing: u64,
+    pub journal: Journal,
     pub load: Load,
     pub load_at: Instant,
     pub next_number: u64,
@@ -56,7 +78,10 @@
 }
 
 impl Engine {
-    pub(super) fn new(options: EngineCommand) -> Self {
+    pub(super) fn new(options: EngineCommand) -> io::Result<Self> {
+        let (journal, earlier) = Journal::open(options.journal.as_deref())?;
+        let mut statistics = EngineStatistics::default();
+        earlier.iter().for_each(|execution| statistics.add(execution));
         let cache = Cache::new(
             options.cache_blocks,
             Duration::from_millis(options.cache_event_lag_ms),
@@ -66,14 +91,15 @@
         let state = State {
             cache,
             fencing: 0,
+            journal,
             load: Load::default(),
             load_at: Instant::now(),
             next_number: 0,
             speed: options.speed,
-            statistics: EngineStatistics::default(),
+            statistics,
             streams: Vec::new(),
         };
-        Self { options, changed: Condvar::new(), state: Mutex::new(state) }
+        Ok(Self { options, changed: Condvar::new(), state: Mutex::new(state) })
     }
 
     pub(super) fn lock(&self) -> MutexGuard<'_, State> {
--- a/standins/src/engine/stepper.rs
+++ b/standins/src/engine/stepper.rs
@@ -7,6 +7,7 @@
 use super::state::{Engine, State};
 use super::stream::Phase;
 use super::tokens::BLOCK_TOKENS;
+use crate::journal::Execution;
 
 /// Longest wait for work, after which streams and load are looked at again.
 const IDLE_WAIT_MS: u64 = 20;
@@ -64,16 +65,18 @@
 }
 
 fn admit(engine: &Engine, state: &mut State) {
-    let State { streams, cache, statistics, .. } = state;
+    let State { streams, cache, journal, statistics, .. } = state;
     let mut running = streams.iter().filter(|stream| stream.phase == Phase::Running).count();
     for stream in streams.iter_mut().filter(|stream| stream.phase == Phase::Queued) {
         if running >= engine.options.max_running {
             return;
         }
+        let execution = Execution { key: None, request: Some(stream.request.to_string()) };
+        journal.record(&execution);
+        statistics.add(&execution);
         if contains(&stream.prompt, engine.options.crash_on.as_deref()) {
             std::process::exit(CRASH_CODE);
         }
-        *statistics.executions.entry(Arc::clone(&stream.request)).or_default() += 1;
         if contains(&stream.prompt, engine.options.fail_on.as_deref()) {
             stream.phase = Phase::Failed;
             engine.changed.notify_all();
--- a/standins/src/fleet/running.rs
+++ b/standins/src/fleet/running.rs
@@ -17,6 +17,9 @@
 use crate::plain_service::Executions;
 use crate::platform::{Counters, InstanceList, ListedInstance};
 
+/// Verb of the stand-in for a model engine.
+pub(super) const ENGINE: &str = "engine";
+
 /// State of a listed instance that takes work.
 const LIVE: &str = "live";
 
@@ -281,6 +284,33 @@
         get_json(self.backend(name)?.address, "/v1/executions")
     }
 
+    /// Returns how often a key was executed by all plain servers, also those restarted since.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a server doesn't answer.
+    pub fn executions_of_key(&self, key: &str) -> Result<u64, FleetError> {
+        let mut sum = 0;
+        for backend in self.backends.iter().filter(|backend| backend.verb != ENGINE) {
+            let executions: Executions = get_json(backend.address, "/v1/executions")?;
+            sum += executions.keys.get(key).copied().unwrap_or(0);
+        }
+        Ok(sum)
+    }
+
+    /// Returns the counts of all engines together.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an engine doesn't answer.
+    pub fn engine_totals(&self) -> Result<EngineStatistics, FleetError> {
+        let mut sum = EngineStatistics::default();
+        for backend in self.backends.iter().filter(|backend| backend.verb == ENGINE) {
+            sum.merge(get_json(backend.address, "/v1/statistics")?);
+        }
+        Ok(sum)
+    }
+
     /// Returns the numbers of calls that the platform has served.
     ///
     /// # Errors
--- a/standins/src/fleet/start.rs
+++ b/standins/src/fleet/start.rs
@@ -14,7 +14,7 @@
 use super::error::FleetError;
 use super::inventory::{BackendServerRow, InventoryDocument, ServiceRow};
 use super::process::Process;
-use super::running::{Fleet, Proxy, RunningBackend, RunningInstance};
+use super::running::{ENGINE, Fleet, Proxy, RunningBackend, RunningInstance};
 use super::settings::SettingsDocument;
 use crate::platform::InstanceList;
 use crate::process::Listening;
@@ -107,10 +107,12 @@
     folder: &Path,
 ) -> Result<RunningBackend, FleetError> {
     let name = format!("{}-{number}", service.name);
-    let verb = if service.model.is_some() { "engine" } else { "plain-service" };
+    let verb = if service.model.is_some() { ENGINE } else { "plain-service" };
     let mut options = service.options.clone();
     let own = service.options_of.iter().filter(|(found, _)| *found == number);
     options.extend(own.flat_map(|(_, options)| options.iter().cloned()));
+    let journal = folder.join(format!("{name}.journal"));
+    options.extend(["--journal".to_owned(), journal.display().to_string()]);
     let mut command = standin(verb)?;
     command.args(&options).args(["--listen", ANY_PORT]);
     let (process, line): (_, Listening) = Process::start(&name, &mut command, folder)?;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod http;
+mod journal;
 pub mod load;
 pub mod plain_service;
 pub mod platform;
