--- a/src/engine_limit.rs
+++ b/src/engine_limit.rs
@@ -3,12 +3,14 @@
 //! Additive increase and multiplicative decrease after Chiu and Jain, "Analysis of the increase
 //! and decrease algorithms for congestion avoidance in computer networks", 1989.
 
-/// Tokens that are added for each measurement within its target.
+/// Tokens that are added on an increase.
 const INCREASE_TOKENS: u64 = 64;
 /// Share of the limit that is kept on a decrease, in percent.
 const DECREASE_PERCENT: u64 = 80;
 /// Shortest time between two decreases, in milliseconds.
 const DECREASE_INTERVAL_MS: u64 = 1_000;
+/// Shortest time between two increases, in milliseconds.
+const INCREASE_INTERVAL_MS: u64 = 100;
 /// Factor between the starting limit and either bound.
 const BOUND_FACTOR: u64 = 8;
 /// Lowest bound of any limit, in tokens.
@@ -19,6 +21,7 @@
 pub struct EngineLimit {
     initial_tokens: u64,
     last_decrease_ms: Option<u64>,
+    last_increase_ms: Option<u64>,
     limit_tokens: u64,
 }
 
@@ -26,7 +29,12 @@
     /// Starts at a limit, in tokens.
     pub fn new(initial_tokens: u64) -> Self {
         let initial_tokens = initial_tokens.max(LEAST_LIMIT_TOKENS);
-        Self { initial_tokens, last_decrease_ms: None, limit_tokens: initial_tokens }
+        Self {
+            initial_tokens,
+            last_decrease_ms: None,
+            last_increase_ms: None,
+            limit_tokens: initial_tokens,
+        }
     }
 
     /// Returns the limit that the adaptation started at, in tokens.
@@ -54,14 +62,12 @@
         if measured_ms > target_ms {
             self.decrease(now_ms);
         } else if running_tokens * 2 >= self.limit_tokens {
-            self.increase();
+            self.increase(now_ms);
         }
     }
 
     fn decrease(&mut self, now_ms: u64) {
-        let too_soon =
-            self.last_decrease_ms.is_some_and(|last_ms| now_ms < last_ms + DECREASE_INTERVAL_MS);
-        if too_soon {
+        if is_within(self.last_decrease_ms, DECREASE_INTERVAL_MS, now_ms) {
             return;
         }
         self.last_decrease_ms = Some(now_ms);
@@ -69,8 +75,16 @@
         self.limit_tokens = lowered_tokens.max(self.lower_bound_tokens());
     }
 
-    fn increase(&mut self) {
+    fn increase(&mut self, now_ms: u64) {
+        if is_within(self.last_increase_ms, INCREASE_INTERVAL_MS, now_ms) {
+            return;
+        }
+        self.last_increase_ms = Some(now_ms);
         let raised_tokens = self.limit_tokens + INCREASE_TOKENS;
         self.limit_tokens = raised_tokens.min(self.upper_bound_tokens());
     }
 }
+
+fn is_within(last_ms: Option<u64>, interval_ms: u64, now_ms: u64) -> bool {
+    last_ms.is_some_and(|last_ms| now_ms < last_ms + interval_ms)
+}
--- a/src/learning.rs
+++ b/src/learning.rs
@@ -67,6 +67,7 @@
     fn learn_finish(&mut self, now_ms: u64, request: &RequestId, output_tokens: u32) {
         let Some(running) = self.end(request) else { return };
         self.succeed(now_ms, &running.backend_server);
+        self.service_rate.completed(now_ms, running.cost_tokens, !self.queue.is_empty());
         if self.is_plain() {
             self.learn_plain_answer(now_ms, &running);
         } else {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod scheduler;
 pub mod scheduling;
 pub mod server_health;
+pub mod service_rate;
 pub mod settings;
 pub mod shedding;
 pub mod speed_estimate;
--- a/src/shedding.rs
+++ b/src/shedding.rs
@@ -14,7 +14,12 @@
 /// Share of an estimated time that must be missing before a request is refused, in percent.
 const ESTIMATE_PERCENT: u64 = 80;
 const RETRY_AFTER_NO_BACKEND_SERVER_MS: u64 = 1_000;
-const RETRY_AFTER_OVERLOAD_MS: u64 = 2_000;
+/// Shortest time that a request refused for overload is told to stay away, in milliseconds.
+const LEAST_RETRY_AFTER_MS: u64 = 500;
+/// Longest such time, in milliseconds.
+const LONGEST_RETRY_AFTER_MS: u64 = 30_000;
+/// Such time before the rate of service was measured, in milliseconds.
+const DEFAULT_RETRY_AFTER_MS: u64 = 2_000;
 const RETRY_AFTER_QUARANTINE_MS: u64 = 60_000;
 
 /// Whether a bid may wait.
@@ -26,17 +31,24 @@
     Refused(RefusalReason),
 }
 
-/// Makes the effect that tells of a refusal.
-pub fn refusal(request: RequestId, reason: RefusalReason) -> SchedulerEffect {
-    let retry_after_ms = match reason {
-        RefusalReason::CannotFinishInTime | RefusalReason::NoRoom => RETRY_AFTER_OVERLOAD_MS,
-        RefusalReason::NoBackendServer => RETRY_AFTER_NO_BACKEND_SERVER_MS,
-        RefusalReason::Quarantined => RETRY_AFTER_QUARANTINE_MS,
-    };
-    SchedulerEffect::Refuse(Refusal { reason, request, retry_after_ms })
-}
-
 impl Steward {
+    /// Makes the effect that tells of a refusal.
+    pub(crate) fn refusal(&self, request: RequestId, reason: RefusalReason) -> SchedulerEffect {
+        let retry_after_ms = match reason {
+            RefusalReason::CannotFinishInTime | RefusalReason::NoRoom => self.drain_ms(),
+            RefusalReason::NoBackendServer => RETRY_AFTER_NO_BACKEND_SERVER_MS,
+            RefusalReason::Quarantined => RETRY_AFTER_QUARANTINE_MS,
+        };
+        SchedulerEffect::Refuse(Refusal { reason, request, retry_after_ms })
+    }
+
+    /// Estimates the time until what waits now is served, in milliseconds.
+    fn drain_ms(&self) -> u64 {
+        let drain_ms = self.service_rate.wait_ms(self.queue.tokens_above(u8::MAX));
+        let retry_after_ms = drain_ms.unwrap_or(DEFAULT_RETRY_AFTER_MS);
+        retry_after_ms.clamp(LEAST_RETRY_AFTER_MS, LONGEST_RETRY_AFTER_MS)
+    }
+
     /// Checks what doesn't depend on the other waiting requests.
     pub(crate) fn admit(&mut self, bid: &Bid) -> Admission {
         if self.quarantined.binary_search(&bid.fingerprint).is_ok() {
@@ -58,7 +70,7 @@
         let removed = kept.remove_where(|bid| !self.has_candidate(bid));
         self.queue = kept;
         for waiting in removed {
-            effects.push(refusal(waiting.bid.request, RefusalReason::NoBackendServer));
+            effects.push(self.refusal(waiting.bid.request, RefusalReason::NoBackendServer));
         }
     }
 
@@ -68,7 +80,7 @@
             let Some(waiting) = self.queue.least_hopeful() else { return };
             let request = waiting.bid.request.clone();
             self.queue.remove(&request);
-            effects.push(refusal(request, RefusalReason::NoRoom));
+            effects.push(self.refusal(request, RefusalReason::NoRoom));
         }
     }
 
@@ -76,14 +88,15 @@
     pub(crate) fn refuse_expired(&mut self, now_ms: u64, effects: &mut Vec<SchedulerEffect>) {
         while let Some(request) = self.queue.expired(now_ms) {
             self.queue.remove(&request);
-            effects.push(refusal(request, RefusalReason::CannotFinishInTime));
+            effects.push(self.refusal(request, RefusalReason::CannotFinishInTime));
         }
     }
 
     /// Refuses the requests of the lowest waiting tier that can't finish in time.
     pub(crate) fn refuse_hopeless(&mut self, now_ms: u64, effects: &mut Vec<SchedulerEffect>) {
         while let Some(waiting) = self.queue.least_hopeful() {
-            if waiting.latest_start_ms >= now_ms {
+            let start_ms = now_ms + self.least_wait_ms(waiting.bid.tier_rank);
+            if waiting.latest_start_ms >= start_ms {
                 return;
             }
             let request = waiting.bid.request.clone();
@@ -92,8 +105,8 @@
             let mut bid = waiting.bid;
             bid.time_left_ms = deadline_ms.saturating_sub(now_ms);
             let weighed = self.weigh(now_ms, bid);
-            if weighed.latest_start_ms < now_ms {
-                effects.push(refusal(request, RefusalReason::CannotFinishInTime));
+            if weighed.latest_start_ms < start_ms {
+                effects.push(self.refusal(request, RefusalReason::CannotFinishInTime));
             } else {
                 let weight = self.weight(&weighed.bid.customer);
                 self.queue.insert(weighed, weight);
@@ -101,6 +114,13 @@
         }
     }
 
+    /// Estimates the least time until the higher tiers are served, in milliseconds; 0 before
+    /// enough was measured.
+    fn least_wait_ms(&self, rank: u8) -> u64 {
+        let wait_ms = self.service_rate.wait_ms(self.queue.tokens_above(rank)).unwrap_or(0);
+        wait_ms * ESTIMATE_PERCENT / 100
+    }
+
     /// Estimates the least time that a request takes at the best backend server, in milliseconds,
     /// or nothing before enough was measured.
     pub(crate) fn least_service_ms(&self, bid: &Bid) -> Option<u64> {
--- a/src/steward.rs
+++ b/src/steward.rs
@@ -14,7 +14,8 @@
     BackendServerReport, Scheduler, SchedulerEffect, SchedulerEvent, SchedulerReport,
 };
 use crate::scheduling::{Bid, RefusalReason, RunningRequest};
-use crate::shedding::{Admission, refusal};
+use crate::service_rate::ServiceRate;
+use crate::shedding::Admission;
 use crate::waiting_queue::{Waiting, WaitingQueue};
 
 /// Time for which a new steward only listens, so that it knows what runs, in milliseconds.
@@ -32,6 +33,7 @@
     pub(crate) retry_budget: RetryBudget,
     pub(crate) running: RunningRequests,
     pub(crate) service: Name,
+    pub(crate) service_rate: ServiceRate,
     pub(crate) settled_ms: Option<u64>,
     pub(crate) suspects: Vec<u64>,
 }
@@ -88,6 +90,7 @@
             retry_budget: RetryBudget::default(),
             running: RunningRequests::default(),
             service,
+            service_rate: ServiceRate::default(),
             settled_ms: None,
             suspects: Vec::new(),
         }
@@ -160,7 +163,7 @@
         match self.admit(&bid) {
             Admission::Refused(reason) => {
                 self.queue.remove(&bid.request);
-                effects.push(refusal(bid.request, reason));
+                effects.push(self.refusal(bid.request, reason));
             }
             Admission::Admitted => self.enqueue(now_ms, bid, effects),
         }
@@ -313,7 +316,7 @@
     ) {
         bid.time_left_ms = (bid_ms + bid.time_left_ms).saturating_sub(now_ms);
         match self.admit(&bid) {
-            Admission::Refused(reason) => effects.push(refusal(bid.request, reason)),
+            Admission::Refused(reason) => effects.push(self.refusal(bid.request, reason)),
             Admission::Admitted => self.enqueue(now_ms, bid, effects),
         }
     }
@@ -330,7 +333,7 @@
         let quarantined = std::mem::take(&mut self.quarantined);
         let is_quarantined = |bid: &Bid| quarantined.binary_search(&bid.fingerprint).is_ok();
         for waiting in self.queue.remove_where(is_quarantined) {
-            effects.push(refusal(waiting.bid.request, RefusalReason::Quarantined));
+            effects.push(self.refusal(waiting.bid.request, RefusalReason::Quarantined));
         }
         self.quarantined = quarantined;
     }
--- /dev/null
+++ b/tests/shedding.rs
@@ -0,0 +1,136 @@
+//! Tests of what a steward refuses, and in which order.
+
+mod schedulers;
+
+use bergamotspan::scheduling::{Progress, RefusalReason};
+use bergamotspan::shedding::QUEUE_LIMIT_REQUESTS;
+use bergamotspan::steward::SETTLE_MS;
+use schedulers::{BidBuilder, Effects, Harness, InventoryBuilder};
+
+const BETWEEN_TOKENS_MS: u64 = 20;
+const OUTPUT_TOKENS: u32 = 100;
+
+fn busy() -> Harness {
+    let mut harness = Harness::steward(InventoryBuilder::new().engine("e1", 1_000));
+    harness.advance(SETTLE_MS);
+    harness.bid(BidBuilder::new(1).prompt_tokens(2_000));
+    harness
+}
+
+/// Answers of 100 tokens at 20 ms each: a request takes at least 2 s, less the margin.
+fn experienced() -> Harness {
+    let mut harness = Harness::steward(InventoryBuilder::new().engine("e1", 1_000));
+    harness.advance(SETTLE_MS);
+    for sequence in 1_000..1_040 {
+        harness.bid(BidBuilder::new(sequence).max_output_tokens(OUTPUT_TOKENS));
+        let between_tokens_ms = BETWEEN_TOKENS_MS;
+        harness.progress(sequence, Progress::Tokens { between_tokens_ms, output_tokens: 1 });
+        let finished = Progress::Finished { cached_tokens: 0, output_tokens: OUTPUT_TOKENS };
+        harness.progress(sequence, finished);
+    }
+    harness
+}
+
+fn long(sequence: u64) -> BidBuilder {
+    BidBuilder::new(sequence).max_output_tokens(OUTPUT_TOKENS)
+}
+
+fn fill(harness: &mut Harness, rank: u8) -> Effects {
+    for sequence in 0..QUEUE_LIMIT_REQUESTS as u64 {
+        let bid =
+            BidBuilder::new(10_000 + sequence).tier_rank(rank).time_left_ms(50_000 + sequence);
+        assert!(harness.bid(bid).is_empty());
+    }
+    harness.tick()
+}
+
+#[test]
+fn refuses_the_lowest_tier_for_want_of_room() {
+    let mut harness = busy();
+    fill(&mut harness, 2);
+
+    let effects = harness.bid(BidBuilder::new(2).tier_rank(0));
+
+    assert_eq!(effects.refused(), vec![(10_000, RefusalReason::NoRoom)]);
+}
+
+#[test]
+fn refuses_a_newcomer_of_the_lowest_tier_for_want_of_room() {
+    let mut harness = busy();
+    fill(&mut harness, 1);
+
+    let effects = harness.bid(BidBuilder::new(2).tier_rank(2));
+
+    assert_eq!(effects.refused(), vec![(2, RefusalReason::NoRoom)]);
+}
+
+#[test]
+fn refuses_the_one_that_can_least_make_its_deadline_among_equals() {
+    let mut harness = busy();
+    fill(&mut harness, 1);
+
+    let late = harness.bid(BidBuilder::new(2).time_left_ms(90_000));
+    let soon = harness.bid(BidBuilder::new(3).time_left_ms(40_000));
+
+    assert_eq!(late.refused(), vec![(10_000, RefusalReason::NoRoom)]);
+    assert_eq!(soon.refused(), vec![(3, RefusalReason::NoRoom)]);
+}
+
+#[test]
+fn refuses_at_once_when_the_deadline_has_passed() {
+    let mut harness = busy();
+    harness.bid(BidBuilder::new(2).tier_rank(0).time_left_ms(100).prompt_tokens(900));
+    harness.bid(BidBuilder::new(3).tier_rank(2).prompt_tokens(900));
+
+    harness.advance(100);
+    let effects = harness.tick();
+
+    assert_eq!(effects.refused(), vec![(2, RefusalReason::CannotFinishInTime)]);
+}
+
+#[test]
+fn refuses_nothing_on_an_estimate_without_knowledge() {
+    let mut harness = Harness::steward(InventoryBuilder::new().engine("e1", 1_000));
+    harness.advance(SETTLE_MS);
+
+    let effects = harness.bid(long(1).prompt_tokens(500_000).time_left_ms(1));
+
+    assert_eq!(effects.granted().len(), 1);
+}
+
+#[test]
+fn refuses_a_request_of_the_lowest_tier_that_cannot_finish_in_time() {
+    let mut harness = experienced();
+
+    let hopeless = harness.bid(long(1).time_left_ms(1_000));
+    let hopeful = harness.bid(long(2).time_left_ms(3_000));
+
+    assert_eq!(hopeless.refused(), vec![(1, RefusalReason::CannotFinishInTime)]);
+    assert_eq!(hopeful.granted().len(), 1);
+}
+
+#[test]
+fn refuses_no_higher_tier_on_an_estimate_while_a_lower_one_waits() {
+    let mut harness = experienced();
+    harness.bid(long(1).prompt_tokens(2_000));
+    harness.bid(long(2).tier_rank(2).prompt_tokens(900).time_left_ms(20_000));
+
+    let waits = harness.bid(long(3).tier_rank(0).prompt_tokens(900).time_left_ms(1_000));
+    let alone = harness.withdraw(2);
+
+    assert!(waits.is_empty());
+    assert_eq!(alone.refused(), vec![(3, RefusalReason::CannotFinishInTime)]);
+}
+
+#[test]
+fn names_a_time_to_come_back() {
+    let mut harness = experienced();
+
+    let effects = harness.bid(long(1).time_left_ms(1_000));
+
+    let retry_after_ms = effects.0.iter().map(|effect| match effect {
+        bergamotspan::scheduler::SchedulerEffect::Refuse(refusal) => refusal.retry_after_ms,
+        bergamotspan::scheduler::SchedulerEffect::Grant(_) => 0,
+    });
+    assert!(retry_after_ms.min() > Some(0));
+}
