Check the steward over random schedules of events

The model of the receivers holds each effect against what may happen: limits, tier order, double or lost grants, leaving and down servers, suspects. It found that a failure during a back-off left the back-off as it was, so that a server could be granted within 500 ms of its last failed connection; each failure now keeps it down for the first back-off.

--- a/src/server_health.rs
+++ b/src/server_health.rs
@@ -26,9 +26,13 @@
 }
 
 impl ServerHealth {
-    /// Notes a failed connection or a death; failures during one back-off count once.
+    /// Notes a failed connection or a death.
+    ///
+    /// Failures during one back-off count once, but each keeps the server down for the first
+    /// back-off from its own time.
     pub fn failed(&mut self, now_ms: u64, name: &str) {
         if self.health(now_ms) == Health::Down {
+            self.down_until_ms = self.down_until_ms.max(now_ms + FIRST_BACK_OFF_MS);
             return;
         }
         let back_off_ms = (FIRST_BACK_OFF_MS << self.failures.min(10)).min(LONGEST_BACK_OFF_MS);
--- /dev/null
+++ b/tests/model/mod.rs
@@ -0,0 +1,397 @@
+//! A model of the receivers, which checks each effect of a steward against what may happen.
+
+use std::collections::BTreeMap;
+
+use bergamotspan::inventory::Inventory;
+use bergamotspan::load_report::{CacheEvent, LoadReport};
+use bergamotspan::name::Name;
+use bergamotspan::now::Now;
+use bergamotspan::request_id::RequestId;
+use bergamotspan::scheduler::{BackendServerReport, Scheduler, SchedulerEffect, SchedulerEvent};
+use bergamotspan::scheduling::{Bid, Grant, Progress, Refusal, RefusalReason, RunningRequest};
+use bergamotspan::steward::{SETTLE_MS, Steward};
+
+use crate::schedulers::SERVICE;
+
+/// Time after which a grant that was not heard of may be given anew, in milliseconds.
+const GRANT_STANDS_MS: u64 = 3_000;
+/// Time for which a server that failed gets nothing, in milliseconds.
+const DOWN_MS: u64 = 500;
+const END_MS: u64 = 120_000;
+
+/// What makes up a random bid.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub customer: u8,
+    pub fingerprint: u64,
+    pub max_output_tokens: u32,
+    pub other_instance: bool,
+    pub prompt_tokens: u32,
+    pub tier_rank: u8,
+    pub time_left_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Status {
+    Waiting,
+    Granted { again: bool, at_ms: u64, heard: bool, server: Name },
+    Ended,
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    bid: Bid,
+    deadline_ms: u64,
+    status: Status,
+}
+
+/// The receivers of one service, with their steward.
+pub struct Model {
+    failed_ms: BTreeMap<Name, u64>,
+    handing_over: bool,
+    inventory: std::sync::Arc<Inventory>,
+    leaving: Vec<Name>,
+    now_ms: u64,
+    quarantined: Vec<u64>,
+    requests: BTreeMap<RequestId, Request>,
+    sequence: u64,
+    started_ms: u64,
+    steward: Steward,
+    suspects: Vec<u64>,
+}
+
+impl Model {
+    /// Starts with a steward that is new.
+    pub fn new(inventory: Inventory) -> Self {
+        let mut model = Self {
+            failed_ms: BTreeMap::new(),
+            handing_over: false,
+            inventory: inventory.into(),
+            leaving: Vec::new(),
+            now_ms: 0,
+            quarantined: Vec::new(),
+            requests: BTreeMap::new(),
+            sequence: 0,
+            started_ms: 0,
+            steward: Steward::new(SERVICE.into()),
+            suspects: Vec::new(),
+        };
+        model.send_fleet();
+        model
+    }
+
+    pub fn advance(&mut self, elapsed_ms: u64) {
+        self.now_ms += elapsed_ms;
+        self.deliver(SchedulerEvent::Tick);
+    }
+
+    pub fn bid(&mut self, shape: Shape) {
+        self.sequence += 1;
+        let instance = if shape.other_instance { "entry-2" } else { "entry-1" };
+        let request =
+            RequestId { instance: instance.into(), incarnation: 1, sequence: self.sequence };
+        let bid = Bid {
+            customer: format!("customer-{}", shape.customer).into(),
+            excluded: Vec::new(),
+            fingerprint: shape.fingerprint,
+            max_output_tokens: shape.max_output_tokens,
+            prefix_hashes: vec![shape.fingerprint, shape.fingerprint + 100],
+            prompt_tokens: shape.prompt_tokens,
+            request: request.clone(),
+            service: SERVICE.into(),
+            tier_rank: shape.tier_rank,
+            time_left_ms: shape.time_left_ms,
+        };
+        let deadline_ms = self.now_ms + shape.time_left_ms;
+        let status = Status::Waiting;
+        self.requests.insert(request, Request { bid: bid.clone(), deadline_ms, status });
+        self.deliver(SchedulerEvent::Bid(bid));
+    }
+
+    pub fn cache_events(&mut self, engine: u8, events: Vec<CacheEvent>) {
+        let backend_server = format!("e{engine}").into();
+        self.deliver(SchedulerEvent::CacheEvents { backend_server, events });
+    }
+
+    pub fn connect_failed_and_bid_again(&mut self, pick: usize) {
+        let Some((request, server)) = self.pick_granted(pick) else { return };
+        self.failed_ms.insert(server.clone(), self.now_ms);
+        let now_ms = self.now_ms;
+        let entry = self.requests.get_mut(&request).unwrap();
+        entry.bid.excluded.push(server);
+        entry.bid.excluded.sort();
+        entry.bid.time_left_ms = entry.deadline_ms.saturating_sub(now_ms);
+        entry.status = Status::Ended;
+        let bid = entry.bid.clone();
+        let progress = Progress::ConnectFailed;
+        self.deliver(SchedulerEvent::Progress { progress, request: request.clone() });
+        self.requests.get_mut(&request).unwrap().status = Status::Waiting;
+        self.deliver(SchedulerEvent::Bid(bid));
+    }
+
+    pub fn instance_lost(&mut self, other: bool) {
+        let instance: Name = if other { "entry-2" } else { "entry-1" }.into();
+        for (request, entry) in &mut self.requests {
+            if request.instance == instance {
+                entry.status = Status::Ended;
+            }
+        }
+        self.deliver(SchedulerEvent::InstanceLost { instance });
+    }
+
+    pub fn leaving(&mut self, mask: u8) {
+        let names = (0..4).filter(|engine| mask & (1 << engine) != 0);
+        self.leaving = names.map(|engine| format!("e{engine}").into()).collect();
+        self.send_fleet();
+    }
+
+    pub fn load(&mut self, engine: u8, report: LoadReport) {
+        let backend_server = format!("e{engine}").into();
+        self.deliver(SchedulerEvent::LoadReport { backend_server, report });
+    }
+
+    pub fn progress(&mut self, pick: usize, progress: Progress) {
+        let Some((request, server)) = self.pick_granted(pick) else { return };
+        match progress {
+            Progress::FirstToken { .. } | Progress::Tokens { .. } => self.hear(&request),
+            Progress::ConnectFailed | Progress::Died => {
+                self.failed_ms.insert(server, self.now_ms);
+                self.requests.get_mut(&request).unwrap().status = Status::Ended;
+            }
+            Progress::Abandoned | Progress::Cancelled | Progress::Finished { .. } => {
+                self.requests.get_mut(&request).unwrap().status = Status::Ended;
+            }
+        }
+        self.deliver(SchedulerEvent::Progress { progress, request });
+    }
+
+    pub fn quarantine(&mut self, quarantined: Vec<u64>, suspects: Vec<u64>) {
+        self.quarantined = quarantined.clone();
+        self.suspects = suspects.clone();
+        self.deliver(SchedulerEvent::Quarantine { quarantined, suspects });
+    }
+
+    /// Sends a bid again, of a request that waits or whose grant may have been lost.
+    pub fn resend(&mut self, pick: usize) {
+        let live = self.requests.iter().filter(|(_, entry)| !matches!(entry.status, Status::Ended));
+        let live: Vec<RequestId> = live.map(|(request, _)| request.clone()).collect();
+        let Some(request) = live.get(pick % live.len().max(1)) else { return };
+        let now_ms = self.now_ms;
+        let entry = self.requests.get_mut(request).unwrap();
+        entry.bid.time_left_ms = entry.deadline_ms.saturating_sub(now_ms);
+        if let Status::Granted { again, heard: false, .. } = &mut entry.status {
+            *again = true;
+        }
+        let bid = entry.bid.clone();
+        self.deliver(SchedulerEvent::Bid(bid));
+    }
+
+    /// Puts a new steward in place, to which the receivers send what waits and what runs.
+    pub fn takeover(&mut self) {
+        self.handing_over = true;
+        self.steward = Steward::new(SERVICE.into());
+        self.started_ms = self.now_ms;
+        self.failed_ms.clear();
+        self.send_fleet();
+        let (quarantined, suspects) = (self.quarantined.clone(), self.suspects.clone());
+        self.quarantine(quarantined, suspects);
+        let requests: Vec<RequestId> = self.requests.keys().cloned().collect();
+        for request in requests {
+            self.send_again(&request);
+        }
+        self.handing_over = false;
+        self.check_waiting();
+    }
+
+    pub fn withdraw(&mut self, pick: usize) {
+        let waiting = self.requests.iter().filter(|(_, e)| matches!(e.status, Status::Waiting));
+        let waiting: Vec<RequestId> = waiting.map(|(request, _)| request.clone()).collect();
+        let Some(request) = waiting.get(pick % waiting.len().max(1)) else { return };
+        self.requests.get_mut(request).unwrap().status = Status::Ended;
+        self.deliver(SchedulerEvent::Withdraw { request: request.clone() });
+    }
+
+    /// Lets all deadlines pass and checks that no bid was lost.
+    pub fn finish(&mut self) {
+        self.now_ms += END_MS;
+        self.deliver(SchedulerEvent::Tick);
+        for (request, entry) in &self.requests {
+            assert!(!matches!(entry.status, Status::Waiting), "{request} was lost");
+        }
+        let report = self.steward.report(self.now());
+        let running: u32 = report.backend_servers.iter().map(|s| s.running_requests).sum();
+        let tokens: u64 = report.backend_servers.iter().map(|s| s.running_tokens).sum();
+        assert_eq!((running, tokens), (0, 0), "tokens stay in progress for good");
+        assert_eq!(report.waiting, vec![]);
+    }
+
+    fn send_again(&mut self, request: &RequestId) {
+        let now_ms = self.now_ms;
+        let Some(entry) = self.requests.get_mut(request) else { return };
+        entry.bid.time_left_ms = entry.deadline_ms.saturating_sub(now_ms);
+        let bid = entry.bid.clone();
+        match &mut entry.status {
+            Status::Ended => {}
+            Status::Waiting => self.deliver(SchedulerEvent::Bid(bid)),
+            Status::Granted { again, heard, server, .. } => {
+                (*again, *heard) = (false, true);
+                let backend_server = server.clone();
+                let running = RunningRequest { backend_server, bid, output_tokens: 0 };
+                self.deliver(SchedulerEvent::Running(running));
+            }
+        }
+    }
+
+    fn send_fleet(&mut self) {
+        let (inventory, leaving) = (self.inventory.clone(), self.leaving.clone());
+        self.deliver(SchedulerEvent::Fleet { inventory, leaving });
+    }
+
+    fn hear(&mut self, request: &RequestId) {
+        if let Status::Granted { again, heard, .. } =
+            &mut self.requests.get_mut(request).unwrap().status
+        {
+            (*again, *heard) = (false, true);
+        }
+    }
+
+    fn pick_granted(&self, pick: usize) -> Option<(RequestId, Name)> {
+        let granted = self.requests.iter().filter_map(|(request, entry)| match &entry.status {
+            Status::Granted { server, .. } => Some((request.clone(), server.clone())),
+            Status::Waiting | Status::Ended => None,
+        });
+        let granted: Vec<(RequestId, Name)> = granted.collect();
+        granted.get(pick % granted.len().max(1)).cloned()
+    }
+
+    fn now(&self) -> Now {
+        Now { monotonic_ms: self.now_ms, wall_clock_ms: 0 }
+    }
+
+    fn deliver(&mut self, event: SchedulerEvent) {
+        let effects = self.steward.decide(self.now(), event);
+        for effect in &effects {
+            match effect {
+                SchedulerEffect::Grant(grant) => self.check_grant(grant),
+                SchedulerEffect::Refuse(refusal) => self.check_refusal(refusal),
+            }
+        }
+        for effect in &effects {
+            if let SchedulerEffect::Grant(grant) = effect {
+                self.check_room(grant);
+            }
+        }
+        if !self.handing_over {
+            self.check_waiting();
+        }
+    }
+
+    fn check_grant(&mut self, grant: &Grant) {
+        assert!(self.now_ms >= self.started_ms + SETTLE_MS, "granted before it settled");
+        assert!(!self.leaving.contains(&grant.backend_server), "granted a leaving server");
+        let failed_ms = self.failed_ms.get(&grant.backend_server);
+        let down = failed_ms.is_some_and(|failed_ms| self.now_ms < failed_ms + DOWN_MS);
+        assert!(!down, "granted a server that is down");
+        let entry = &self.requests[&grant.request];
+        assert!(self.may_be_granted(entry), "granted {grant:?} as {:?}", entry.status);
+        assert!(!entry.bid.excluded.contains(&grant.backend_server), "granted an excluded server");
+        assert!(!self.quarantined.contains(&entry.bid.fingerprint), "granted in quarantine");
+        assert!(!self.runs_twin(&entry.bid), "granted a suspect twice at once");
+        let (at_ms, server) = (self.now_ms, grant.backend_server.clone());
+        let status = Status::Granted { again: false, at_ms, heard: false, server };
+        self.requests.get_mut(&grant.request).unwrap().status = status;
+    }
+
+    fn may_be_granted(&self, entry: &Request) -> bool {
+        match &entry.status {
+            Status::Waiting => entry.deadline_ms > self.now_ms,
+            Status::Granted { again, at_ms, .. } => {
+                *again && self.now_ms >= at_ms + GRANT_STANDS_MS
+            }
+            Status::Ended => false,
+        }
+    }
+
+    /// Returns whether a suspect's twin may be running as far as the steward knows.
+    fn may_run_twin(&self, bid: &Bid) -> bool {
+        let mut twins = self.twins(bid);
+        let suspect = self.suspects.contains(&bid.fingerprint);
+        suspect && twins.any(|entry| matches!(entry.status, Status::Granted { .. }))
+    }
+
+    fn twins<'a>(&'a self, bid: &'a Bid) -> impl Iterator<Item = &'a Request> {
+        let other = |entry: &&Request| entry.bid.request != bid.request;
+        let twin = |entry: &&Request| entry.bid.fingerprint == bid.fingerprint;
+        self.requests.values().filter(other).filter(twin)
+    }
+
+    /// Returns whether a suspect's twin is running for certain.
+    fn runs_twin(&self, bid: &Bid) -> bool {
+        let suspect = self.suspects.contains(&bid.fingerprint);
+        let mut running = self.twins(bid).filter(|entry| match &entry.status {
+            Status::Granted { at_ms, heard: false, .. } => self.now_ms < at_ms + GRANT_STANDS_MS,
+            Status::Granted { heard: true, .. } => self.now_ms < entry.deadline_ms,
+            Status::Waiting | Status::Ended => false,
+        });
+        suspect && running.next().is_some()
+    }
+
+    fn check_refusal(&mut self, refusal: &Refusal) {
+        let entry = &self.requests[&refusal.request];
+        let again = matches!(entry.status, Status::Granted { again: true, .. });
+        let waits = matches!(entry.status, Status::Waiting);
+        assert!(waits || again, "refused {refusal:?} as {:?}", entry.status);
+        let on_time = entry.deadline_ms > self.now_ms;
+        let for_load = match refusal.reason {
+            RefusalReason::CannotFinishInTime => on_time,
+            RefusalReason::NoRoom => true,
+            RefusalReason::NoBackendServer | RefusalReason::Quarantined => false,
+        };
+        let rank = entry.bid.tier_rank;
+        let lower_waits = self.waiting().any(|waiting| waiting.bid.tier_rank > rank);
+        assert!(!(for_load && lower_waits), "refused {refusal:?} while a lower tier waits");
+        self.requests.get_mut(&refusal.request).unwrap().status = Status::Ended;
+    }
+
+    /// Checks the limit, and that no waiting request of a higher tier had fitted instead.
+    fn check_room(&self, grant: &Grant) {
+        let server = self.server(&grant.backend_server);
+        let within = server.running_tokens <= server.limit_tokens;
+        assert!(within || server.running_requests == 1, "beyond the limit: {server:?}");
+        if server.state != "in_use" {
+            return;
+        }
+        let granted = &self.requests[&grant.request].bid;
+        let before_tokens = server.running_tokens.saturating_sub(u64::from(granted.prompt_tokens));
+        let room_tokens = server.limit_tokens.saturating_sub(before_tokens);
+        for entry in self.waiting().filter(|entry| entry.bid.tier_rank < granted.tier_rank) {
+            let cost_tokens = entry.bid.prompt_tokens + entry.bid.max_output_tokens;
+            let fits = u64::from(cost_tokens) <= room_tokens;
+            let may = !entry.bid.excluded.contains(&grant.backend_server)
+                && !self.may_run_twin(&entry.bid);
+            assert!(!(fits && may), "granted {grant:?} before {:?}", entry.bid);
+        }
+    }
+
+    fn check_waiting(&self) {
+        let report = self.steward.report(self.now());
+        let reported: u32 = report.waiting.iter().map(|(_, count)| count).sum();
+        let waiting = self.waiting().count() as u32;
+        let again = self
+            .requests
+            .values()
+            .filter(|entry| matches!(entry.status, Status::Granted { again: true, .. }))
+            .count() as u32;
+        assert!(reported >= waiting, "{waiting} wait, {reported} are known");
+        assert!(reported <= waiting + again, "{waiting} wait, {reported} are known");
+    }
+
+    fn server(&self, name: &Name) -> BackendServerReport {
+        let report = self.steward.report(self.now());
+        report.backend_servers.into_iter().find(|server| *server.name == **name).unwrap()
+    }
+
+    fn waiting(&self) -> impl Iterator<Item = &Request> {
+        self.requests.values().filter(|entry| matches!(entry.status, Status::Waiting))
+    }
+}
