--- a/src/lib.rs
+++ b/src/lib.rs
@@ -112,6 +112,7 @@
 pub mod serve_request;
 pub mod server_health;
 pub mod server_sent_events;
+pub mod service_rate;
 pub mod settings;
 pub mod shedding;
 pub mod span_record;
