Pin each finding and each ruling by a test

Operators act on the messages, so their text and line are part of what must not change unnoticed. Random damage showed that a lone carriage return shifted the lines after it; it counts as white space now.

--- a/src/ini_document.rs
+++ b/src/ini_document.rs
@@ -159,8 +159,8 @@
 }
 
 /// Trims each line and ends the last one, since the parser takes neither indented headers nor the
-/// number of an open last line.
+/// number of an open last line, and counts a lone carriage return as a line.
 fn normalize(text: &str) -> String {
     let text = text.trim_start_matches('\u{feff}');
-    text.lines().flat_map(|line| [line.trim(), "\n"]).collect()
+    text.lines().map(|line| line.trim().replace('\r', " ") + "\n").collect()
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,7 +7,7 @@
 use crate::nearest_name::hint;
 
 /// Encoded forms of the characters that structure a path, in lower case.
-const STRUCTURE_ENCODED: [&str; 3] = ["%2e", "%2f", "%5c"];
+const STRUCTURE_ENCODED: [&str; 5] = ["%25", "%2e", "%2f", "%3b", "%5c"];
 
 /// What the rules are asked about.
 #[derive(Clone, Copy, Debug)]
@@ -174,7 +174,7 @@
 
 fn is_normal(path: &str) -> bool {
     let segments_normal = path.split('/').all(|segment| !matches!(segment, "" | "." | ".."));
-    segments_normal && !path.contains('\\') && !has_needless_encoding(path)
+    segments_normal && !path.contains([';', '\\']) && !has_needless_encoding(path)
 }
 
 /// Whether a character is percent-encoded that has no need of it or that structures the path.
@@ -183,8 +183,14 @@
     if STRUCTURE_ENCODED.iter().any(|encoded| lower.contains(encoded)) {
         return true;
     }
-    lower.split('%').skip(1).any(|rest| match rest.get(..2).map(|d| u8::from_str_radix(d, 16)) {
-        Some(Ok(byte)) => byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'~'),
-        _ => true,
-    })
+    lower.split('%').skip(1).any(|rest| !rest.get(..2).is_some_and(needs_encoding))
+}
+
+/// Whether two hexadecimal digits stand for a byte that a path must encode.
+fn needs_encoding(digits: &str) -> bool {
+    if !digits.bytes().all(|digit| digit.is_ascii_hexdigit()) {
+        return false;
+    }
+    let byte = u8::from_str_radix(digits, 16).unwrap_or_default();
+    !byte.is_ascii_alphanumeric() && !matches!(byte, b'-' | b'_' | b'~')
 }
--- /dev/null
+++ b/tests/check_inventory.rs
@@ -0,0 +1,722 @@
+//! Tests of each finding that an inventory can have.
+
+mod document_text;
+
+use std::net::SocketAddr;
+
+use bergamotspan::inventory::{
+    BackendServer, Customer, Instance, Inventory, Rule, Service, ServiceKind, Tier,
+};
+use bergamotspan::parse_inventory::parse_inventory;
+use proptest::prelude::*;
+
+use crate::document_text::{DocumentText, findings_of};
+
+const GOOD: &str = "\
+[inventory]
+version = 7
+instances_version = 2
+[data_centre umea-a]
+[data_centre umea-b]
+[instance entry-1]
+data_centre = umea-a
+caller_address = 10.0.0.1:8080
+peer_address = 10.0.0.1:8081
+[model draft]
+[service plans]
+kind = model
+model = draft
+[service desk]
+kind = plain
+[backend_server engine-1]
+service = plans
+data_centre = umea-b
+address = 10.0.0.2:9000
+token_limit_tokens = 4096
+prefill_tokens_per_s = 2000
+[tier high]
+rank = 0
+deadline_ms = 30000
+first_token_ms = 1000
+between_tokens_ms = 200
+[tier low]
+rank = 1
+deadline_ms = 60001
+first_token_ms = 5000
+between_tokens_ms = 500
+[customer norr]
+weight = 4
+tier = low
+[rule bookings]
+service = desk
+path = bookings
+tier = high
+idempotent = false
+[rule status]
+service = desk
+path = status
+idempotent = true
+";
+
+fn assert_findings(old: &str, new: &str, expected: &[&str]) {
+    let text = DocumentText::new(GOOD).replace(old, new).build();
+
+    let findings = findings_of(parse_inventory("test.ini", &text));
+
+    assert_eq!(findings, expected);
+}
+
+#[test]
+fn a_header_without_its_end_is_found() {
+    assert_findings(
+        "[model draft]",
+        "[model draft",
+        &[
+            "10: Section header '[model draft' doesn't end with ']'.",
+            "13: 'model' names 'draft', but there is no '[model draft]'.",
+        ],
+    );
+}
+
+#[test]
+fn a_key_before_any_section_is_found() {
+    assert_findings(
+        "[inventory]",
+        "version = 7\n[inventory]",
+        &["1: Key 'version' stands before any section."],
+    );
+}
+
+#[test]
+fn a_line_without_equals_sign_is_found() {
+    assert_findings(
+        "weight = 4",
+        "weight 4",
+        &["32: Key 'weight' is missing in '[customer norr]'.", "33: 'weight 4' has no '='."],
+    );
+}
+
+#[test]
+fn a_comment_of_another_language_is_found() {
+    assert_findings(
+        "[model draft]",
+        "# models\n[model draft]",
+        &["10: A comment starts with ';', not with '#'."],
+    );
+}
+
+#[test]
+fn a_repeated_section_is_found() {
+    assert_findings(
+        "[tier low]",
+        "[tier high]",
+        &[
+            "27: Section '[tier high]' already stands on line 22.",
+            "34: 'tier' names 'low', but there is no '[tier low]'.",
+        ],
+    );
+}
+
+#[test]
+fn a_repeated_key_is_found() {
+    assert_findings(
+        "weight = 4",
+        "weight = 4\nweight = 5",
+        &["34: Key 'weight' already stands on line 33."],
+    );
+}
+
+#[test]
+fn an_unknown_section_is_found_with_the_nearest() {
+    assert_findings(
+        "[model draft]",
+        "[modle draft]",
+        &[
+            "10: Unknown section '[modle draft]'; did you mean 'model'?",
+            "13: 'model' names 'draft', but there is no '[model draft]'.",
+        ],
+    );
+}
+
+#[test]
+fn an_unknown_section_far_from_all_is_found() {
+    assert_findings("[model draft]", "[xyz]\n[model draft]", &["10: Unknown section '[xyz]'."]);
+}
+
+#[test]
+fn an_unknown_key_is_found_with_the_nearest() {
+    assert_findings(
+        "weight = 4",
+        "wieght = 4",
+        &[
+            "32: Key 'weight' is missing in '[customer norr]'.",
+            "33: Unknown key 'wieght' in '[customer norr]'; did you mean 'weight'?",
+        ],
+    );
+}
+
+#[test]
+fn a_key_with_another_unit_is_found() {
+    assert_findings(
+        "deadline_ms = 30000",
+        "deadline_s = 30",
+        &[
+            "22: Key 'deadline_ms' is missing in '[tier high]'.",
+            "24: Unknown key 'deadline_s' in '[tier high]'; did you mean 'deadline_ms'?",
+        ],
+    );
+}
+
+#[test]
+fn a_section_without_its_name_is_found() {
+    assert_findings(
+        "[model draft]",
+        "[model]\n[model draft]",
+        &["10: Section '[model]' needs a name: '[model NAME]'."],
+    );
+}
+
+#[test]
+fn a_section_with_a_needless_name_is_found() {
+    assert_findings(
+        "[inventory]",
+        "[inventory norrland]",
+        &["1: Section '[inventory norrland]' takes no name: '[inventory]'."],
+    );
+}
+
+#[test]
+fn a_name_with_a_space_is_found() {
+    assert_findings(
+        "[data_centre umea-a]",
+        "[data_centre umea-a]\n[data_centre umea c]",
+        &["5: Name 'umea c' may have only letters, digits, '-', '_' and '.' of ASCII."],
+    );
+}
+
+#[test]
+fn a_missing_inventory_section_is_found() {
+    assert_findings(
+        "[inventory]\nversion = 7\ninstances_version = 2\n",
+        "",
+        &["0: Section '[inventory]' is missing."],
+    );
+}
+
+#[test]
+fn a_missing_version_is_found() {
+    assert_findings(
+        "version = 7\ninstances",
+        "instances",
+        &["1: Key 'version' is missing in '[inventory]'."],
+    );
+}
+
+#[test]
+fn a_version_of_zero_is_found() {
+    assert_findings(
+        "[inventory]\nversion = 7",
+        "[inventory]\nversion = 0",
+        &["2: 'version' must be a whole number from 1 to 18446744073709551615, not '0'."],
+    );
+}
+
+#[test]
+fn a_missing_instances_version_is_found() {
+    assert_findings(
+        "instances_version = 2\n",
+        "",
+        &["1: Key 'instances_version' is missing in '[inventory]'."],
+    );
+}
+
+#[test]
+fn an_inventory_without_instances_is_found() {
+    assert_findings(
+        "[instance entry-1]\ndata_centre = umea-a\ncaller_address = 10.0.0.1:8080\npeer_address = 10.0.0.1:8081\n",
+        "",
+        &["0: There is no '[instance NAME]'."],
+    );
+}
+
+#[test]
+fn missing_keys_of_an_instance_are_found() {
+    assert_findings(
+        "data_centre = umea-a\ncaller_address = 10.0.0.1:8080\npeer_address = 10.0.0.1:8081\n",
+        "",
+        &[
+            "6: Key 'caller_address' is missing in '[instance entry-1]'.",
+            "6: Key 'data_centre' is missing in '[instance entry-1]'.",
+            "6: Key 'peer_address' is missing in '[instance entry-1]'.",
+        ],
+    );
+}
+
+#[test]
+fn missing_keys_of_a_backend_server_are_found() {
+    assert_findings(
+        "service = plans\ndata_centre = umea-b\naddress = 10.0.0.2:9000\ntoken_limit_tokens = 4096\nprefill_tokens_per_s = 2000\n",
+        "",
+        &[
+            "16: Key 'address' is missing in '[backend_server engine-1]'.",
+            "16: Key 'data_centre' is missing in '[backend_server engine-1]'.",
+            "16: Key 'prefill_tokens_per_s' is missing in '[backend_server engine-1]'.",
+            "16: Key 'service' is missing in '[backend_server engine-1]'.",
+            "16: Key 'token_limit_tokens' is missing in '[backend_server engine-1]'.",
+        ],
+    );
+}
+
+#[test]
+fn missing_keys_of_a_tier_are_found() {
+    assert_findings(
+        "rank = 0\ndeadline_ms = 30000\nfirst_token_ms = 1000\nbetween_tokens_ms = 200\n",
+        "",
+        &[
+            "22: Key 'between_tokens_ms' is missing in '[tier high]'.",
+            "22: Key 'deadline_ms' is missing in '[tier high]'.",
+            "22: Key 'first_token_ms' is missing in '[tier high]'.",
+            "22: Key 'rank' is missing in '[tier high]'.",
+        ],
+    );
+}
+
+#[test]
+fn missing_keys_of_a_customer_are_found() {
+    assert_findings(
+        "weight = 4\ntier = low\n",
+        "",
+        &[
+            "32: Key 'tier' is missing in '[customer norr]'.",
+            "32: Key 'weight' is missing in '[customer norr]'.",
+        ],
+    );
+}
+
+#[test]
+fn a_missing_kind_is_found() {
+    assert_findings("kind = plain\n", "", &["14: Key 'kind' is missing in '[service desk]'."]);
+}
+
+#[test]
+fn an_unknown_kind_is_found() {
+    assert_findings(
+        "kind = plain",
+        "kind = simple",
+        &["15: 'kind' must be one of model, plain, not 'simple'."],
+    );
+}
+
+#[test]
+fn a_model_service_without_a_model_is_found() {
+    assert_findings("model = draft\n", "", &["12: Service 'plans' of kind 'model' needs 'model'."]);
+}
+
+#[test]
+fn a_plain_service_with_a_model_is_found() {
+    assert_findings(
+        "kind = plain",
+        "kind = plain\nmodel = draft",
+        &["16: Service 'desk' of kind 'plain' can't have 'model'."],
+    );
+}
+
+#[test]
+fn a_model_that_does_not_exist_is_found() {
+    assert_findings(
+        "model = draft\n",
+        "model = drift\n",
+        &["13: 'model' names 'drift', but there is no '[model drift]'; did you mean 'draft'?"],
+    );
+}
+
+#[test]
+fn a_data_centre_that_does_not_exist_is_found() {
+    assert_findings(
+        "data_centre = umea-b",
+        "data_centre = umea-d",
+        &[
+            "18: 'data_centre' names 'umea-d', but there is no '[data_centre umea-d]'; did you mean 'umea-a'?",
+        ],
+    );
+}
+
+#[test]
+fn a_service_that_does_not_exist_is_found() {
+    assert_findings(
+        "service = plans\n",
+        "service = plan\n",
+        &["17: 'service' names 'plan', but there is no '[service plan]'; did you mean 'plans'?"],
+    );
+}
+
+#[test]
+fn a_tier_that_does_not_exist_is_found() {
+    assert_findings(
+        "tier = low\n",
+        "tier = lowest-of-all\n",
+        &["34: 'tier' names 'lowest-of-all', but there is no '[tier lowest-of-all]'."],
+    );
+}
+
+#[test]
+fn a_customer_that_does_not_exist_is_found() {
+    assert_findings(
+        "path = status",
+        "customer = nor\npath = status",
+        &["42: 'customer' names 'nor', but there is no '[customer nor]'; did you mean 'norr'?"],
+    );
+}
+
+#[test]
+fn an_address_without_a_port_is_found() {
+    assert_findings(
+        "10.0.0.2:9000",
+        "10.0.0.2",
+        &["19: 'address' must be an IP address with a port, not '10.0.0.2'."],
+    );
+}
+
+#[test]
+fn an_address_by_host_name_is_found() {
+    assert_findings(
+        "10.0.0.2:9000",
+        "engine:9000",
+        &["19: 'address' must be an IP address with a port, not 'engine:9000'."],
+    );
+}
+
+#[test]
+fn an_address_with_port_zero_is_found() {
+    assert_findings(
+        "10.0.0.2:9000",
+        "10.0.0.2:0",
+        &["19: 'address' must have a port other than 0, not '10.0.0.2:0'."],
+    );
+}
+
+#[test]
+fn an_address_of_no_single_machine_is_found() {
+    assert_findings(
+        "10.0.0.2:9000",
+        "0.0.0.0:9000",
+        &["19: 'address' must name one machine, not '0.0.0.0:9000'."],
+    );
+}
+
+#[test]
+fn an_address_that_is_taken_is_found() {
+    assert_findings(
+        "10.0.0.2:9000",
+        "10.0.0.1:8081",
+        &["19: Address '10.0.0.1:8081' is taken on line 9."],
+    );
+}
+
+#[test]
+fn a_rank_that_is_taken_is_found() {
+    assert_findings("rank = 1", "rank = 0", &["28: Tier 'low' has the rank 0 of tier 'high'."]);
+}
+
+#[test]
+fn a_rank_out_of_range_is_found() {
+    assert_findings(
+        "rank = 1",
+        "rank = 256",
+        &["28: 'rank' must be a whole number from 0 to 255, not '256'."],
+    );
+}
+
+#[test]
+fn a_weight_of_zero_is_found() {
+    assert_findings(
+        "weight = 4",
+        "weight = 0",
+        &["33: 'weight' must be a whole number from 1 to 1000000, not '0'."],
+    );
+}
+
+#[test]
+fn a_negative_weight_is_found() {
+    assert_findings(
+        "weight = 4",
+        "weight = -1",
+        &["33: 'weight' must be a whole number from 1 to 1000000, not '-1'."],
+    );
+}
+
+#[test]
+fn a_number_with_a_unit_is_found() {
+    assert_findings(
+        "deadline_ms = 30000",
+        "deadline_ms = 30 s",
+        &[
+            "24: 'deadline_ms' must be a whole number of milliseconds from 1 to 86400000, not '30 s'.",
+        ],
+    );
+}
+
+#[test]
+fn a_token_limit_of_zero_is_found() {
+    assert_findings(
+        "token_limit_tokens = 4096",
+        "token_limit_tokens = 0",
+        &[
+            "20: 'token_limit_tokens' must be a whole number of tokens from 1 to 4294967295, not '0'.",
+        ],
+    );
+}
+
+#[test]
+fn a_prefill_speed_of_zero_is_found() {
+    assert_findings(
+        "prefill_tokens_per_s = 2000",
+        "prefill_tokens_per_s = 0",
+        &[
+            "21: 'prefill_tokens_per_s' must be a whole number of tokens per second from 1 to 4294967295, not '0'.",
+        ],
+    );
+}
+
+#[test]
+fn an_empty_value_is_found() {
+    assert_findings("weight = 4", "weight =", &["33: 'weight' has no value."]);
+}
+
+#[test]
+fn a_flag_that_is_neither_is_found() {
+    assert_findings(
+        "prefill_tokens_per_s = 2000",
+        "prefill_tokens_per_s = 2000\nleaving = yes",
+        &["22: 'leaving' must be true or false, not 'yes'."],
+    );
+}
+
+#[test]
+fn a_first_token_after_the_deadline_is_found() {
+    assert_findings(
+        "first_token_ms = 1000",
+        "first_token_ms = 30001",
+        &["25: 'first_token_ms' 30001 is above 'deadline_ms' 30000."],
+    );
+}
+
+#[test]
+fn a_time_between_tokens_above_the_deadline_is_found() {
+    assert_findings(
+        "between_tokens_ms = 200",
+        "between_tokens_ms = 30001",
+        &["26: 'between_tokens_ms' 30001 is above 'deadline_ms' 30000."],
+    );
+}
+
+#[test]
+fn a_rule_that_sets_nothing_is_found() {
+    assert_findings(
+        "path = status\nidempotent = true\n",
+        "path = status\n",
+        &["40: Rule 'status' sets neither 'tier' nor 'idempotent'."],
+    );
+}
+
+#[test]
+fn a_rule_with_an_unclean_path_is_found() {
+    assert_findings(
+        "path = status",
+        "path = status/../bookings",
+        &["42: 'path' must be a path such as 'bookings/new', not 'status/../bookings'."],
+    );
+}
+
+#[test]
+fn a_rule_whose_tier_is_decided_before_is_found() {
+    assert_findings(
+        "path = status\n",
+        "path = bookings/new\ntier = low\n",
+        &[
+            "43: 'tier' of rule 'status' never takes effect: rule 'bookings' decides it before, on line 38.",
+            "44: 'idempotent' of rule 'status' never takes effect: rule 'bookings' decides it before, on line 39.",
+        ],
+    );
+}
+
+#[test]
+fn a_rule_that_repeats_another_is_found() {
+    assert_findings(
+        "path = status\n",
+        "path = bookings\n",
+        &[
+            "43: 'idempotent' of rule 'status' never takes effect: rule 'bookings' decides it before, on line 39.",
+        ],
+    );
+}
+
+#[test]
+fn a_rule_that_makes_a_model_service_non_idempotent_is_found() {
+    assert_findings(
+        "service = desk\npath = status\nidempotent = true",
+        "service = plans\nidempotent = false",
+        &[
+            "42: Rule 'status' makes requests of model service 'plans' non-idempotent; say so for all of them in '[service plans]'.",
+        ],
+    );
+}
+
+#[test]
+fn all_findings_are_reported_together_by_line() {
+    assert_findings(
+        "weight = 4\ntier = low",
+        "weight = none\ntier = lo\ncolour = red",
+        &[
+            "33: 'weight' must be a whole number from 1 to 1000000, not 'none'.",
+            "34: 'tier' names 'lo', but there is no '[tier lo]'; did you mean 'low'?",
+            "35: Unknown key 'colour' in '[customer norr]'.",
+        ],
+    );
+}
+
+#[test]
+fn a_good_inventory_is_read_whole() {
+    let inventory = parse_inventory("test.ini", GOOD).unwrap();
+
+    let expected = Inventory {
+        backend_servers: vec![BackendServer {
+            address: address("10.0.0.2:9000"),
+            data_centre: "umea-b".into(),
+            fencing: false,
+            leaving: false,
+            name: "engine-1".into(),
+            prefill_tokens_per_s: 2_000,
+            service: "plans".into(),
+            token_limit_tokens: 4_096,
+        }],
+        customers: vec![Customer { name: "norr".into(), tier: "low".into(), weight: 4 }],
+        data_centres: vec!["umea-a".into(), "umea-b".into()],
+        instances: vec![Instance {
+            caller_address: address("10.0.0.1:8080"),
+            data_centre: "umea-a".into(),
+            name: "entry-1".into(),
+            peer_address: address("10.0.0.1:8081"),
+        }],
+        instances_version: 2,
+        models: vec!["draft".into()],
+        rules: vec![
+            Rule {
+                customer: None,
+                idempotent: Some(false),
+                name: "bookings".into(),
+                path: Some("bookings".into()),
+                service: Some("desk".into()),
+                tier: Some("high".into()),
+            },
+            Rule {
+                customer: None,
+                idempotent: Some(true),
+                name: "status".into(),
+                path: Some("status".into()),
+                service: Some("desk".into()),
+                tier: None,
+            },
+        ],
+        services: vec![
+            Service { idempotent: false, kind: ServiceKind::Plain, name: "desk".into() },
+            Service {
+                idempotent: true,
+                kind: ServiceKind::Model("draft".into()),
+                name: "plans".into(),
+            },
+        ],
+        tiers: vec![tier("high", 0, 30_000, 1_000, 200), tier("low", 1, 60_001, 5_000, 500)],
+        version: 7,
+    };
+    assert_eq!(inventory, expected);
+}
+
+#[test]
+fn order_of_sections_does_not_matter() {
+    let (head, tail) = GOOD.split_once("[model draft]").unwrap();
+    let text = format!("[model draft]{tail}{head}");
+
+    let inventory = parse_inventory("test.ini", &text).unwrap();
+
+    assert_eq!(inventory, parse_inventory("test.ini", GOOD).unwrap());
+}
+
+#[test]
+fn line_ends_indents_comments_and_a_byte_order_mark_do_not_matter() {
+    let lines: Vec<String> = GOOD.lines().map(|line| format!("  {line} \r\n; note\r\n")).collect();
+    let text = format!("\u{feff}{}", lines.concat());
+
+    let inventory = parse_inventory("test.ini", &text).unwrap();
+
+    assert_eq!(inventory, parse_inventory("test.ini", GOOD).unwrap());
+}
+
+#[test]
+fn a_rule_below_another_path_by_name_only_is_fine() {
+    let text = DocumentText::new(GOOD).replace("path = status", "path = bookings-old").build();
+
+    assert!(parse_inventory("test.ini", &text).is_ok());
+}
+
+#[test]
+fn a_narrow_rule_before_a_wide_one_is_fine() {
+    let text = DocumentText::new(GOOD).replace("service = desk\npath = status\n", "").build();
+
+    assert!(parse_inventory("test.ini", &text).is_ok());
+}
+
+#[test]
+fn an_open_last_line_has_its_number() {
+    let text = DocumentText::new(GOOD).replace("idempotent = true\n", "idempotent = maybe").build();
+
+    let findings = findings_of(parse_inventory("test.ini", &text));
+
+    assert_eq!(findings, ["43: 'idempotent' must be true or false, not 'maybe'."]);
+}
+
+#[test]
+fn an_empty_document_is_found() {
+    let findings = findings_of(parse_inventory("test.ini", ""));
+
+    assert_eq!(
+        findings,
+        ["0: Section '[inventory]' is missing.", "0: There is no '[instance NAME]'."]
+    );
+}
+
+proptest! {
+    #[test]
+    fn any_damage_is_read_or_found_in_the_order_of_lines(
+        start in 0..GOOD.len(),
+        length in 0_usize..40,
+        inserted in "[ -~\\n\\r\u{e5}]{0,12}",
+    ) {
+        let end = (start + length).min(GOOD.len());
+        let text = format!("{}{inserted}{}", &GOOD[..start], &GOOD[end..]);
+        let last_line = u32::try_from(text.lines().count()).unwrap();
+
+        if let Err(error) = parse_inventory("test.ini", &text) {
+            let bergamotspan::error::Error::Findings(findings) = error else {
+                panic!("{error}");
+            };
+            prop_assert!(findings.is_sorted_by_key(|finding| finding.line));
+            prop_assert!(findings.iter().all(|finding| finding.line <= last_line));
+            prop_assert!(!findings.is_empty());
+        }
+    }
+}
+
+fn address(text: &str) -> SocketAddr {
+    text.parse().unwrap()
+}
+
+fn tier(
+    name: &str,
+    rank: u8,
+    deadline_ms: u64,
+    first_token_ms: u64,
+    between_tokens_ms: u64,
+) -> Tier {
+    Tier { between_tokens_ms, deadline_ms, first_token_ms, name: name.into(), rank }
+}
