Accept links before there is a list of peers

An instance that starts while the platform is down knows no peer. Those whose names sort first link to it, and it learns the configuration from them.

--- a/src/peer_links.rs
+++ b/src/peer_links.rs
@@ -92,7 +92,10 @@
         self.outboxes.send(to, message);
     }
 
-    /// Opens links to new peers and closes those to peers that are no longer listed.
+    /// Opens links to new peers and closes those to peers that are not listed.
+    ///
+    /// Before the first call, links from all other instances are accepted, so that an instance
+    /// that starts while the platform is down can learn the configuration from them.
     pub fn set_peers(&self, peers: Vec<(Name, SocketAddr)>) {
         let _ = self.commands.send(Command::SetPeers(peers));
     }
--- a/src/peer_registry.rs
+++ b/src/peer_registry.rs
@@ -35,8 +35,6 @@
 
 /// What became of a link that wants to be registered.
 pub(crate) enum Registration {
-    /// A newer link of the same incarnation is open.
-    Outdated,
     /// It is the present link.
     Present {
         /// Its queue.
@@ -44,6 +42,8 @@
         /// Its number.
         link: u64,
     },
+    /// Its peer is not listed, or a newer link of the same incarnation is open.
+    Refused,
 }
 
 /// The open links.
@@ -60,7 +60,7 @@
     pub(crate) stopping: Cell<bool>,
     links: RefCell<Vec<OpenLink>>,
     next_link: Cell<u64>,
-    peers: RefCell<Vec<(Name, SocketAddr)>>,
+    peers: RefCell<Option<Vec<(Name, SocketAddr)>>>,
     sink: Arc<dyn PeerSink>,
 }
 
@@ -109,9 +109,12 @@
         self.links.borrow().is_empty()
     }
 
-    /// Tells whether an instance is on the list of peers.
+    /// Tells whether an instance is on the list of peers; before there is a list, each one is.
     pub(crate) fn is_peer(&self, name: &Name) -> bool {
-        self.peers.borrow().binary_search_by(|(peer, _)| peer.cmp(name)).is_ok()
+        let peers = self.peers.borrow();
+        peers
+            .as_ref()
+            .is_none_or(|peers| peers.binary_search_by(|(peer, _)| peer.cmp(name)).is_ok())
     }
 
     /// Returns the number of the next link that is tried.
@@ -123,8 +126,8 @@
 
     /// Registers a link whose peer has said hello.
     pub(crate) fn register(&self, hello: &Hello) -> Registration {
-        if self.is_outdated(hello) {
-            return Registration::Outdated;
+        if !self.is_peer(&hello.name) || self.is_outdated(hello) {
+            return Registration::Refused;
         }
         let link = self.next_link();
         let inbox = self.outboxes.open(&hello.name, link, self.settings.queue_limit_messages);
@@ -135,9 +138,12 @@
         Registration::Present { inbox, link }
     }
 
-    /// Replaces the list of peers, sorted by name, and returns the one before.
-    pub(crate) fn set_peers(&self, peers: Vec<(Name, SocketAddr)>) -> Vec<(Name, SocketAddr)> {
-        self.peers.replace(peers)
+    /// Replaces the list of peers, sorted by name.
+    pub(crate) fn set_peers(&self, peers: Vec<(Name, SocketAddr)>) {
+        self.peers.replace(Some(peers));
+        for open in self.links.borrow().iter().filter(|open| !self.is_peer(&open.hello.name)) {
+            self.outboxes.cut(&open.hello.name);
+        }
     }
 
     /// Forgets a link that ended, and reports it if it was the present one.
--- a/src/peer_supervisor.rs
+++ b/src/peer_supervisor.rs
@@ -74,10 +74,7 @@
     peers.retain(|(name, _)| *name != registry.settings.name);
     peers.sort();
     peers.dedup_by(|later, earlier| later.0 == earlier.0);
-    let before = registry.set_peers(peers.clone());
-    for (name, _) in before.iter().filter(|(name, _)| !registry.is_peer(name)) {
-        registry.outboxes.cut(name);
-    }
+    registry.set_peers(peers.clone());
     openers.retain(|opener| keep_opener(registry, opener, &peers));
     for (name, address) in peers.into_iter().filter(|(name, _)| registry.settings.name < *name) {
         if !openers.iter().any(|opener| opener.peer == name) {
--- a/tests/peer_links.rs
+++ b/tests/peer_links.rs
@@ -306,6 +306,24 @@
     assert!(second.events.is_empty());
 }
 
+#[test]
+fn an_instance_without_a_list_accepts_links_and_cuts_those_not_listed_later() {
+    let second = Peer::start("entry-2", settings("entry-2", "127.0.0.1"));
+    let mut listed = RawOpener::connect(second.address());
+    listed.hello("entry-1", 1).unwrap();
+    let mut unlisted = RawOpener::connect(second.address());
+    unlisted.hello("entry-0", 1).unwrap();
+
+    second.links.set_peers(vec![("entry-1".into(), "127.0.0.1:1".parse().unwrap())]);
+    assert!(unlisted.is_closed());
+    listed.send(4);
+
+    assert_eq!(second.next(), up("entry-1", 9));
+    assert_eq!(second.next(), up("entry-0", 9));
+    assert_eq!(second.next(), down("entry-0"));
+    assert_eq!(second.next(), message("entry-1", 9, 4));
+}
+
 #[test]
 fn bytes_that_are_no_message_close_the_link() {
     let second = acceptor("entry-2");
