Add adoption of configuration and the watch of the platform

The platform can be down or stale for long, so the highest version known to any instance must spread over the links, and an older or invalid document must never take the place of the one in force.

--- /dev/null
+++ b/src/config_adoption.rs
@@ -0,0 +1,248 @@
+//! Adoption of published configuration: the highest version wins, and none ever reverts.
+//!
+//! A document that is invalid is refused whole, and the one in force stays. A newer version that a
+//! peer has is fetched from that peer, so that it spreads while the platform is down or stale.
+
+use std::sync::Arc;
+
+use crate::config_event::{ConfigDocument, ConfigEffect, ConfigEvent, ConfigSource};
+use crate::finding::Finding;
+use crate::inventory::Inventory;
+use crate::name::Name;
+use crate::now::Now;
+use crate::peer_versions::PeerVersions;
+
+/// Time after which a document that did not come is asked for again, in milliseconds.
+pub const FETCH_RETRY_MS: u64 = 500;
+/// Longest time from the first document on for which a started instance waits for the versions of
+/// its peers, in milliseconds.
+pub const READY_LIMIT_MS: u64 = 3_000;
+
+/// A document that was asked for.
+#[derive(Clone, Debug)]
+struct Fetch {
+    asked_ms: u64,
+    peer: Name,
+}
+
+/// A document that was refused.
+#[derive(Clone, Debug)]
+struct RefusedDocument {
+    document: ConfigDocument,
+    /// Whether a peer gave this version, too.
+    fetched: bool,
+    findings: Vec<Finding>,
+}
+
+/// What to do with a document that was read.
+enum Judgement {
+    Adopt(Arc<Inventory>),
+    Ignore,
+    Refuse(Vec<Finding>),
+}
+
+/// The adoption of published configuration.
+#[derive(Clone, Debug)]
+pub struct ConfigAdoption {
+    fetch: Option<Fetch>,
+    first_adopted_ms: Option<u64>,
+    in_force: Option<(ConfigDocument, Arc<Inventory>)>,
+    name: Name,
+    peer_versions: PeerVersions,
+    platform_reachable: bool,
+    ready: bool,
+    refused: Option<RefusedDocument>,
+}
+
+impl ConfigAdoption {
+    /// Starts without a document in the instance of this name.
+    pub fn new(name: Name) -> Self {
+        Self {
+            fetch: None,
+            first_adopted_ms: None,
+            in_force: None,
+            name,
+            peer_versions: PeerVersions::default(),
+            platform_reachable: true,
+            ready: false,
+            refused: None,
+        }
+    }
+
+    /// Takes in one event and returns what follows from it.
+    pub fn decide(&mut self, now: Now, event: ConfigEvent) -> Vec<ConfigEffect> {
+        let mut effects = Vec::new();
+        match event {
+            ConfigEvent::DocumentRead { document, parsed, source } => {
+                effects.extend(self.read(document, parsed, &source));
+            }
+            ConfigEvent::PeerDown { peer } => self.lose(&peer),
+            ConfigEvent::PeerVersion { peer, version } => self.peer_versions.set(peer, version),
+            ConfigEvent::PlatformUnreachable => self.platform_reachable = false,
+            ConfigEvent::Tick => {}
+        }
+        effects.extend(self.fetch_newer(now));
+        self.ready |= self.has_asked(now);
+        effects
+    }
+
+    /// Returns the document in force if it is newer than the version that a peer has.
+    pub fn document_after(&self, have_version: u64) -> Option<&ConfigDocument> {
+        let (document, _) = self.in_force.as_ref()?;
+        (document.version > have_version).then_some(document)
+    }
+
+    /// Returns what is wrong with the document refused last, while no newer one is in force.
+    pub fn findings(&self) -> &[Finding] {
+        self.refused.as_ref().map_or(&[], |refused| &refused.findings)
+    }
+
+    /// Returns the inventory in force.
+    pub fn inventory(&self) -> Option<&Arc<Inventory>> {
+        self.in_force.as_ref().map(|(_, inventory)| inventory)
+    }
+
+    /// Tells whether the platform's service could be read the last time.
+    pub fn is_platform_reachable(&self) -> bool {
+        self.platform_reachable
+    }
+
+    /// Tells whether a document is in force and the other instances were asked for a newer one, or
+    /// [`READY_LIMIT_MS`] have passed; once true, it stays so.
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// Returns the version in force; 0 if none is.
+    pub fn version(&self) -> u64 {
+        self.in_force.as_ref().map_or(0, |(document, _)| document.version)
+    }
+
+    fn adopt(&mut self, document: ConfigDocument, inventory: &Arc<Inventory>) {
+        if self.refused.as_ref().is_some_and(|refused| refused.document.version <= document.version)
+        {
+            self.refused = None;
+        }
+        self.in_force = Some((document, inventory.clone()));
+    }
+
+    fn fetch_newer(&mut self, now: Now) -> Option<ConfigEffect> {
+        let version = self.peer_versions.highest(self.useless_version());
+        if version <= self.version() {
+            self.fetch = None;
+            return None;
+        }
+        let asked = self.fetch.as_ref();
+        if asked.is_some_and(|fetch| now.monotonic_ms < fetch.asked_ms + FETCH_RETRY_MS) {
+            return None;
+        }
+        let asked_before = asked.map(|fetch| fetch.peer.clone());
+        let peer = self.peer_versions.next_with(version, asked_before.as_ref())?;
+        self.fetch = Some(Fetch { asked_ms: now.monotonic_ms, peer: peer.clone() });
+        Some(ConfigEffect::FetchFrom { peer })
+    }
+
+    fn has_asked(&mut self, now: Now) -> bool {
+        let Some(inventory) = self.inventory().cloned() else { return false };
+        let first_ms = *self.first_adopted_ms.get_or_insert(now.monotonic_ms);
+        let waited_ms = now.monotonic_ms.saturating_sub(first_ms);
+        waited_ms >= READY_LIMIT_MS || self.is_newest(&inventory)
+    }
+
+    fn is_newest(&self, inventory: &Inventory) -> bool {
+        let mut others = inventory.instances.iter().filter(|instance| instance.name != self.name);
+        others.all(|instance| self.peer_versions.has(&instance.name))
+            && self.peer_versions.highest(self.useless_version()) <= self.version()
+    }
+
+    fn judge(
+        &self,
+        document: &ConfigDocument,
+        parsed: Result<Arc<Inventory>, Vec<Finding>>,
+        source: &ConfigSource,
+    ) -> Judgement {
+        let version = document.version;
+        if version < self.version() {
+            return Judgement::Ignore;
+        }
+        if let Some((in_force, _)) = &self.in_force
+            && in_force.version == version
+        {
+            if in_force.text == document.text {
+                return Judgement::Ignore;
+            }
+            let message = format!("version {version} was published twice with different texts");
+            return Judgement::Refuse(vec![finding(source, message)]);
+        }
+        match parsed {
+            Err(findings) => Judgement::Refuse(findings),
+            Ok(inventory) if inventory.version != version => {
+                let said = inventory.version;
+                let message = format!("version {version} says that it is version {said}");
+                Judgement::Refuse(vec![finding(source, message)])
+            }
+            Ok(inventory) => Judgement::Adopt(inventory),
+        }
+    }
+
+    fn lose(&mut self, peer: &Name) {
+        self.peer_versions.remove(peer);
+        if self.fetch.as_ref().is_some_and(|fetch| fetch.peer == *peer) {
+            self.fetch = None;
+        }
+    }
+
+    fn read(
+        &mut self,
+        document: ConfigDocument,
+        parsed: Result<Arc<Inventory>, Vec<Finding>>,
+        source: &ConfigSource,
+    ) -> Option<ConfigEffect> {
+        if *source == ConfigSource::Platform {
+            self.platform_reachable = true;
+        }
+        match self.judge(&document, parsed, source) {
+            Judgement::Adopt(inventory) => {
+                self.adopt(document, &inventory);
+                Some(ConfigEffect::Adopt { inventory })
+            }
+            Judgement::Ignore => None,
+            Judgement::Refuse(findings) => self.refuse(document, findings, source),
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        document: ConfigDocument,
+        findings: Vec<Finding>,
+        source: &ConfigSource,
+    ) -> Option<ConfigEffect> {
+        let version = document.version;
+        let mut fetched = *source != ConfigSource::Platform;
+        if let Some(refused) = &mut self.refused
+            && refused.document.version == version
+        {
+            refused.fetched |= fetched;
+            fetched = refused.fetched;
+            if refused.document == document {
+                return None;
+            }
+        }
+        self.refused = Some(RefusedDocument { document, fetched, findings: findings.clone() });
+        Some(ConfigEffect::Refused { findings, version })
+    }
+
+    /// Returns the version that no peer need be asked for any more.
+    fn useless_version(&self) -> Option<u64> {
+        let refused = self.refused.as_ref().filter(|refused| refused.fetched)?;
+        Some(refused.document.version)
+    }
+}
+
+fn finding(source: &ConfigSource, message: String) -> Finding {
+    let file = match source {
+        ConfigSource::Peer(peer) => peer.clone(),
+        ConfigSource::Platform => "platform".into(),
+    };
+    Finding { file, line: 0, message }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,8 @@
 //! A request scheduler for unlike inference engines.
 
 pub mod back_off;
+pub mod config_adoption;
+pub mod config_event;
 pub mod error;
 pub mod final_answer;
 pub mod finding;
@@ -24,6 +26,10 @@
 mod peer_outboxes;
 mod peer_registry;
 mod peer_supervisor;
+mod peer_versions;
+mod platform_client;
+pub mod platform_event;
+pub mod platform_watch;
 pub mod quarantine;
 pub mod request_id;
 pub mod scheduler;
--- /dev/null
+++ b/src/platform_watch.rs
@@ -0,0 +1,191 @@
+//! The threads that watch the platform's service.
+//!
+//! One waits for a newer document, with at most one watch at a time; the other reads the list of
+//! instances at a bounded rate. Both back off while reads fail.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use flume::RecvTimeoutError;
+use log::{debug, warn};
+
+use crate::back_off::BackOff;
+use crate::error::Error;
+use crate::log_part::PLATFORM;
+use crate::platform_client::{PlatformAnswer, PlatformClient};
+use crate::platform_event::{PlatformEvent, PlatformSink};
+use crate::settings::PlatformSettings;
+
+const BACK_OFF_LONGEST_MS: u64 = 2_000;
+const BACK_OFF_SHORTEST_MS: u64 = 100;
+const LIST_INTERVAL_LONGEST_MS: u64 = 1_333;
+
+/// The watch of the platform's service.
+///
+/// Dropping this ends the threads after the reads that are under way; these deliver nothing more.
+pub struct PlatformWatch {
+    client: Arc<PlatformClient>,
+    version: Arc<AtomicU64>,
+    _running: flume::Sender<()>,
+}
+
+impl PlatformWatch {
+    /// Starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Io`] if a thread can't be started.
+    pub fn start(settings: &PlatformSettings, sink: Arc<dyn PlatformSink>) -> Result<Self, Error> {
+        let client = Arc::new(PlatformClient::new(settings.address));
+        let version = Arc::new(AtomicU64::new(0));
+        let (running, stopped) = flume::bounded(0);
+        let config = ConfigLoop {
+            last_version: 0,
+            reader: Reader::new(client.clone(), sink.clone(), stopped.clone()),
+            version: version.clone(),
+            wait_ms: settings.watch_timeout_ms,
+        };
+        let list = Reader::new(client.clone(), sink, stopped);
+        spawn("platform-config", move || config.run())?;
+        spawn("platform-list", move || read_list(list))?;
+        Ok(Self { client, version, _running: running })
+    }
+
+    /// Returns how many reads were made, a waiting watch being one.
+    pub fn reads(&self) -> u64 {
+        self.client.reads()
+    }
+
+    /// Tells which version is in force, so that the next watch waits for a newer one.
+    pub fn set_version(&self, version: u64) {
+        self.version.store(version, Ordering::Relaxed);
+    }
+}
+
+/// Whether a thread goes on.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Pause {
+    Over,
+    Stopped,
+}
+
+/// What both threads share in kind.
+struct Reader {
+    back_off: BackOff,
+    client: Arc<PlatformClient>,
+    reachable: bool,
+    sink: Arc<dyn PlatformSink>,
+    stopped: flume::Receiver<()>,
+}
+
+impl Reader {
+    fn new(
+        client: Arc<PlatformClient>,
+        sink: Arc<dyn PlatformSink>,
+        stopped: flume::Receiver<()>,
+    ) -> Self {
+        let back_off = BackOff::new(BACK_OFF_SHORTEST_MS, BACK_OFF_LONGEST_MS);
+        Self { back_off, client, reachable: true, sink, stopped }
+    }
+
+    fn deliver(&self, event: PlatformEvent) {
+        if !self.stopped.is_disconnected() {
+            self.sink.deliver(event);
+        }
+    }
+
+    fn failed(&mut self, reason: &str) -> Pause {
+        if self.reachable {
+            warn!(target: PLATFORM, "The service can't be read: {reason}.");
+        } else {
+            debug!(target: PLATFORM, "The service still can't be read: {reason}.");
+        }
+        self.reachable = false;
+        self.deliver(PlatformEvent::Unreachable);
+        self.pause_longer()
+    }
+
+    fn pause(&self, wait_ms: u64) -> Pause {
+        match self.stopped.recv_timeout(Duration::from_millis(wait_ms)) {
+            Err(RecvTimeoutError::Timeout) => Pause::Over,
+            Err(RecvTimeoutError::Disconnected) | Ok(()) => Pause::Stopped,
+        }
+    }
+
+    fn pause_longer(&mut self) -> Pause {
+        let wait_ms = self.back_off.next_wait_ms();
+        self.pause(wait_ms)
+    }
+
+    fn succeeded(&mut self) {
+        self.reachable = true;
+        self.back_off.reset();
+    }
+}
+
+/// The thread that waits for a newer document.
+struct ConfigLoop {
+    last_version: u64,
+    reader: Reader,
+    version: Arc<AtomicU64>,
+    wait_ms: u64,
+}
+
+impl ConfigLoop {
+    fn run(mut self) {
+        while self.step() == Pause::Over {}
+    }
+
+    fn step(&mut self) -> Pause {
+        let after = self.version.load(Ordering::Relaxed);
+        match self.reader.client.watch(after, self.wait_ms) {
+            PlatformAnswer::Failed(reason) => self.reader.failed(&reason),
+            PlatformAnswer::Found(document) => {
+                let is_new = document.version > after && document.version != self.last_version;
+                self.last_version = document.version;
+                self.reader.reachable = true;
+                self.reader.deliver(PlatformEvent::Document(document));
+                if !is_new {
+                    return self.reader.pause_longer();
+                }
+                self.reader.succeeded();
+                self.reader.pause(BACK_OFF_SHORTEST_MS)
+            }
+            PlatformAnswer::Unchanged => {
+                self.reader.succeeded();
+                self.reader.pause_longer()
+            }
+        }
+    }
+}
+
+fn read_list(mut reader: Reader) {
+    let mut interval = BackOff::new(LIST_INTERVAL_LONGEST_MS, LIST_INTERVAL_LONGEST_MS);
+    loop {
+        let pause = match reader.client.instances() {
+            PlatformAnswer::Failed(reason) => reader.failed(&reason),
+            PlatformAnswer::Found(instances) => {
+                reader.succeeded();
+                reader.deliver(PlatformEvent::Instances(instances));
+                reader.pause(interval.next_wait_ms())
+            }
+            PlatformAnswer::Unchanged => reader.pause(interval.next_wait_ms()),
+        };
+        if pause == Pause::Stopped {
+            return;
+        }
+    }
+}
+
+fn spawn<F>(name: &str, body: F) -> Result<(), Error>
+where
+    F: FnOnce() + Send + 'static,
+{
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(body)
+        .map(drop)
+        .map_err(|source| Error::io(format!("start the thread {name}"), source))
+}
