--- a/src/build_core.rs
+++ b/src/build_core.rs
@@ -25,7 +25,7 @@
         .lifetime_ms(keys.lifetime_ms)
         .build();
     Core {
-        adoption: ConfigAdoption::new(now, settings.instance.name.clone()),
+        adoption: ConfigAdoption::new(settings.instance.name.clone()),
         effects: Vec::new(),
         incarnation,
         inventory,
--- a/src/core.rs
+++ b/src/core.rs
@@ -93,8 +93,8 @@
     }
 
     /// Returns whether the instance takes requests.
-    pub fn is_ready(&self, now: Now) -> bool {
-        self.adoption.is_ready(now) && self.stop.is_none()
+    pub fn is_ready(&self) -> bool {
+        self.adoption.is_ready() && self.stop.is_none()
     }
 
     pub(crate) fn log<S>(&mut self, part: &'static str, text: S)
--- a/src/report_status.rs
+++ b/src/report_status.rs
@@ -53,7 +53,7 @@
             peers: self.peer_statuses(),
             platform: PlatformStatus { reachable: self.adoption.is_platform_reachable(), reads: 0 },
             quarantined: self.quarantined.iter().map(|print| format!("{print:016x}")).collect(),
-            ready: self.is_ready(now),
+            ready: self.is_ready(),
             refused_document: self.refused_document.clone(),
             requests: self.request_counts(),
             retired_version: self.membership.retired_version(),
