--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -2,9 +2,11 @@
 
 use bergamotspan::peer_codec::{PEER_FRAME_LIMIT_BYTES, decode, encode};
 use bergamotspan::peer_message::{
-    Heartbeat, KeyClaim, KeyRecord, PEER_PROTOCOL_VERSION, PeerMessage, Suspect,
+    Confirmation, Heartbeat, KeyClaim, KeyRecord, KeyRefusal, KeyVerdict, PEER_PROTOCOL_VERSION,
+    PeerMessage, Suspect,
 };
 use bergamotspan::request_id::RequestId;
+use bergamotspan::scheduling::{Bid, Grant, Progress, Refusal, RefusalReason, RunningRequest};
 use proptest::prelude::*;
 
 fn names() -> impl Strategy<Value = std::sync::Arc<str>> {
@@ -42,13 +44,112 @@
     )
 }
 
+fn bids() -> impl Strategy<Value = Bid> {
+    let names = (names(), names(), prop::collection::vec(names(), 0..3));
+    let hashes = prop::collection::vec(any::<u64>(), 0..9);
+    let numbers = (any::<u64>(), any::<u64>(), any::<[u32; 2]>(), any::<u8>());
+    (names, hashes, numbers, requests()).prop_map(
+        |((customer, service, excluded), prefix_hashes, numbers, request)| Bid {
+            customer,
+            excluded,
+            fingerprint: numbers.0,
+            max_output_tokens: numbers.2[0],
+            prefix_hashes,
+            prompt_tokens: numbers.2[1],
+            request,
+            service,
+            tier_rank: numbers.3,
+            time_left_ms: numbers.1,
+        },
+    )
+}
+
+fn confirmations() -> impl Strategy<Value = PeerMessage> {
+    (any::<bool>(), any::<[u64; 4]>()).prop_map(|(confirms, numbers)| {
+        PeerMessage::Confirmation(Confirmation {
+            confirms,
+            heartbeat_incarnation: numbers[0],
+            heartbeat_sent_ms: numbers[1],
+            list_version: numbers[2],
+            retired_version: numbers[3],
+        })
+    })
+}
+
+fn progress() -> impl Strategy<Value = Progress> {
+    prop_oneof![
+        Just(Progress::Abandoned),
+        Just(Progress::ConnectFailed),
+        Just(Progress::Died),
+        Just(Progress::Cancelled),
+        any::<u64>().prop_map(|elapsed_ms| Progress::FirstToken { elapsed_ms }),
+        any::<[u32; 2]>().prop_map(|[cached_tokens, output_tokens]| Progress::Finished {
+            cached_tokens,
+            output_tokens
+        }),
+        (any::<u64>(), any::<u32>()).prop_map(|(between_tokens_ms, output_tokens)| {
+            Progress::Tokens { between_tokens_ms, output_tokens }
+        }),
+    ]
+}
+
+fn scheduling_messages() -> impl Strategy<Value = PeerMessage> {
+    let reasons = prop::sample::select(vec![
+        RefusalReason::CannotFinishInTime,
+        RefusalReason::NoBackendServer,
+        RefusalReason::NoRoom,
+        RefusalReason::Quarantined,
+    ]);
+    prop_oneof![
+        bids().prop_map(PeerMessage::Bid),
+        (names(), any::<u64>(), requests()).prop_map(|(backend_server, expires_in_ms, request)| {
+            PeerMessage::Grant(Grant { backend_server, expires_in_ms, request })
+        }),
+        (progress(), requests())
+            .prop_map(|(progress, request)| PeerMessage::Progress { progress, request }),
+        (reasons, any::<u64>(), requests()).prop_map(|(reason, retry_after_ms, request)| {
+            PeerMessage::Refusal(Refusal { reason, request, retry_after_ms })
+        }),
+        (names(), bids(), any::<u32>()).prop_map(|(backend_server, bid, output_tokens)| {
+            PeerMessage::Running(RunningRequest { backend_server, bid, output_tokens })
+        }),
+        requests().prop_map(PeerMessage::Withdraw),
+    ]
+}
+
+fn key_answers() -> impl Strategy<Value = PeerMessage> {
+    let reasons = prop::sample::select(vec![
+        KeyRefusal::Full,
+        KeyRefusal::MintedInFuture,
+        KeyRefusal::NotHome,
+        KeyRefusal::OtherList,
+        KeyRefusal::TooOld,
+    ]);
+    let verdicts = prop_oneof![
+        Just(KeyVerdict::BodyDiffers),
+        Just(KeyVerdict::Granted),
+        Just(KeyVerdict::Unknown),
+        requests().prop_map(|by| KeyVerdict::Held { by }),
+        (reasons, any::<u64>())
+            .prop_map(|(reason, retry_after_ms)| KeyVerdict::Refused { reason, retry_after_ms }),
+    ];
+    prop_oneof![
+        (names(), requests()).prop_map(|(key, request)| PeerMessage::KeyRelease { key, request }),
+        (names(), requests(), verdicts).prop_map(|(key, request, verdict)| {
+            PeerMessage::KeyVerdict { key, request, verdict }
+        }),
+    ]
+}
+
 fn messages() -> impl Strategy<Value = PeerMessage> {
     prop_oneof![
+        confirmations(),
         heartbeats(),
+        key_answers(),
+        scheduling_messages(),
         any::<u64>().prop_map(|have_version| PeerMessage::ConfigFetch { have_version }),
         (".{0,200}", any::<u64>())
             .prop_map(|(text, version)| PeerMessage::ConfigDocument { text, version }),
-        requests().prop_map(PeerMessage::Withdraw),
         (any::<[u64; 2]>(), names(), requests(), any::<u8>()).prop_map(
             |(numbers, key, request, tier_rank)| PeerMessage::KeyClaim(KeyClaim {
                 fingerprint: numbers[0],
--- a/tests/peer_links.rs
+++ b/tests/peer_links.rs
@@ -12,7 +12,7 @@
 use bergamotspan::peer_links::PeerLinks;
 use bergamotspan::peer_links_settings::PeerLinksSettings;
 use bergamotspan::peer_message::PeerMessage;
-use tokio_tungstenite::tungstenite::{Message, WebSocket, client};
+use tokio_tungstenite::tungstenite::{Message, WebSocket, accept, client};
 
 const HEARTBEAT_INTERVAL_MS: u64 = 100;
 const LONG_HEARTBEAT_INTERVAL_MS: u64 = 20_000;
@@ -53,6 +53,26 @@
         self.events.recv_timeout(WAIT_LIMIT).expect("an event arrives")
     }
 
+    /// Takes events up to the next link, and checks that messages rise and none follows `Down`.
+    fn wait_for_without_gap(&self, peer: &Name) {
+        let mut last_version = None;
+        loop {
+            match self.next() {
+                PeerEvent::Message {
+                    message: PeerMessage::ConfigFetch { have_version }, ..
+                } => {
+                    assert!(last_version < Some(have_version));
+                    last_version = Some(have_version);
+                }
+                event => {
+                    assert_eq!(event, down(peer));
+                    assert_eq!(self.next(), up(peer, 7));
+                    return;
+                }
+            }
+        }
+    }
+
     fn wait_for(&self, wanted: &PeerEvent) {
         let limit = Instant::now() + WAIT_LIMIT;
         while Instant::now() < limit {
@@ -245,6 +265,41 @@
     assert!(first.events.is_empty());
 }
 
+#[test]
+fn an_opened_link_that_goes_silent_is_opened_anew_while_it_stays_connected() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let short = PeerLinksSettings {
+        heartbeat_interval_ms: HEARTBEAT_INTERVAL_MS,
+        ..settings("entry-1", "127.0.0.1")
+    };
+    let first = Peer::start("entry-1", short);
+    first.links.set_peers(vec![("entry-2".into(), listener.local_addr().unwrap())]);
+
+    let mut held = Vec::new();
+    for _ in 0..2 {
+        let mut socket = accept(listener.accept().unwrap().0).unwrap();
+        let hello: Hello = decode("entry-1", &socket.read().unwrap().into_data()).unwrap();
+        let answer = Hello { incarnation: 3, name: "entry-2".into(), ..hello };
+        socket.send(Message::binary(encode("entry-1", &answer).unwrap())).unwrap();
+        assert_eq!(first.next(), up("entry-2", 3));
+        assert_eq!(first.next(), down("entry-2"));
+        held.push(socket);
+    }
+}
+
+#[test]
+fn events_of_a_peer_keep_their_order_over_many_links() {
+    let (first, second) = two_linked(["127.0.0.1", "127.0.0.1"]);
+
+    for version in 0..400 {
+        second.links.send(&first.name, fetch(version));
+        if version % 40 == 39 {
+            first.links.close(&second.name);
+            first.wait_for_without_gap(&second.name);
+        }
+    }
+}
+
 #[test]
 fn a_full_queue_closes_the_link() {
     let limited = PeerLinksSettings { queue_limit_messages: 2, ..settings("entry-2", "127.0.0.1") };
