--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -154,7 +154,7 @@
         let Some((request, server)) = self.pick_granted(pick) else { return };
         match progress {
             Progress::FirstToken { .. } | Progress::Tokens { .. } => self.hear(&request),
-            Progress::ConnectFailed | Progress::Died => {
+            Progress::ConnectFailed | Progress::Died | Progress::Lost => {
                 self.failed_ms.insert(server, self.now_ms);
                 self.requests.get_mut(&request).unwrap().status = Status::Ended;
             }
--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -21,12 +21,16 @@
     })
 }
 
-fn heartbeats() -> impl Strategy<Value = PeerMessage> {
-    let suspects = prop::collection::vec(
+fn suspects() -> impl Strategy<Value = Vec<Suspect>> {
+    prop::collection::vec(
         (prop::collection::vec(names(), 0..4), any::<u64>())
             .prop_map(|(backend_servers, fingerprint)| Suspect { backend_servers, fingerprint }),
         0..5,
-    );
+    )
+}
+
+fn heartbeats() -> impl Strategy<Value = PeerMessage> {
+    let suspects = suspects();
     let ranks = prop::collection::vec((names(), any::<u8>()), 0..3);
     (any::<[u64; 5]>(), any::<bool>(), suspects, ranks).prop_map(
         |(numbers, stopping, suspects, lowest_waiting_ranks)| {
@@ -82,6 +86,7 @@
         Just(Progress::ConnectFailed),
         Just(Progress::Died),
         Just(Progress::Cancelled),
+        Just(Progress::Lost),
         any::<u64>().prop_map(|elapsed_ms| Progress::FirstToken { elapsed_ms }),
         any::<[u32; 2]>().prop_map(|[cached_tokens, output_tokens]| Progress::Finished {
             cached_tokens,
@@ -105,15 +110,17 @@
         (names(), any::<u64>(), requests()).prop_map(|(backend_server, expires_in_ms, request)| {
             PeerMessage::Grant(Grant { backend_server, expires_in_ms, request })
         }),
-        (progress(), requests())
-            .prop_map(|(progress, request)| PeerMessage::Progress { progress, request }),
+        (progress(), requests(), names()).prop_map(|(progress, request, service)| {
+            PeerMessage::Progress { progress, request, service }
+        }),
         (reasons, any::<u64>(), requests()).prop_map(|(reason, retry_after_ms, request)| {
             PeerMessage::Refusal(Refusal { reason, request, retry_after_ms })
         }),
         (names(), bids(), any::<u32>()).prop_map(|(backend_server, bid, output_tokens)| {
             PeerMessage::Running(RunningRequest { backend_server, bid, output_tokens })
         }),
-        requests().prop_map(PeerMessage::Withdraw),
+        (requests(), names())
+            .prop_map(|(request, service)| PeerMessage::Withdraw { request, service }),
     ]
 }
 
@@ -134,6 +141,9 @@
             .prop_map(|(reason, retry_after_ms)| KeyVerdict::Refused { reason, retry_after_ms }),
     ];
     prop_oneof![
+        (prop::option::of(requests()), names(), any::<u64>())
+            .prop_map(|(holder, key, sequence)| PeerMessage::KeyHolder { holder, key, sequence }),
+        (names(), any::<u64>()).prop_map(|(key, sequence)| PeerMessage::KeyQuery { key, sequence }),
         (names(), requests()).prop_map(|(key, request)| PeerMessage::KeyRelease { key, request }),
         (names(), requests(), verdicts).prop_map(|(key, request, verdict)| {
             PeerMessage::KeyVerdict { key, request, verdict }
@@ -147,6 +157,7 @@
         heartbeats(),
         key_answers(),
         scheduling_messages(),
+        suspects().prop_map(PeerMessage::Suspects),
         any::<u64>().prop_map(|have_version| PeerMessage::ConfigFetch { have_version }),
         (".{0,200}", any::<u64>())
             .prop_map(|(text, version)| PeerMessage::ConfigDocument { text, version }),
