--- /dev/null
+++ b/tests/goodput.rs
@@ -0,0 +1,90 @@
+//! Goodput by tier of the steward and the baselines, at fake engines of unlike speed.
+
+mod fake_fleet;
+mod schedulers;
+
+use bergamotspan::least_outstanding::LeastOutstanding;
+use bergamotspan::round_robin::RoundRobin;
+use bergamotspan::scheduler::Scheduler;
+use bergamotspan::steward::Steward;
+use fake_fleet::{FakeFleet, Load, Speed, TierResult};
+use schedulers::{Harness, InventoryBuilder, SERVICE};
+
+const INSTANCES: usize = 7;
+const SEEDS: [u64; 3] = [1, 2, 3];
+const SPEEDS: [Speed; 4] = [
+    Speed { between_tokens_us: 10_000, prefill_tokens_per_s: 8_000 },
+    Speed { between_tokens_us: 15_000, prefill_tokens_per_s: 5_000 },
+    Speed { between_tokens_us: 25_000, prefill_tokens_per_s: 3_000 },
+    Speed { between_tokens_us: 40_000, prefill_tokens_per_s: 1_500 },
+];
+
+fn inventory() -> InventoryBuilder {
+    (0..SPEEDS.len())
+        .fold(InventoryBuilder::new(), |builder, index| builder.engine(&format!("e{index}"), 8_000))
+}
+
+fn run<F>(name: &str, instances: usize, requests_per_s: u64, make: F) -> [TierResult; 3]
+where
+    F: Fn() -> Box<dyn Scheduler>,
+{
+    let mut sums = [TierResult::default(); 3];
+    let mut in_vain_tokens = 0;
+    for seed in SEEDS {
+        let schedulers = (0..instances).map(|_| Harness::new(make(), inventory())).collect();
+        let mut fleet = FakeFleet::new(schedulers, &SPEEDS);
+        fleet.run(Load { duration_ms: 120_000, requests_per_s, seed });
+        in_vain_tokens += fleet.prefilled_in_vain_tokens;
+        for (sum, result) in sums.iter_mut().zip(fleet.results) {
+            sum.in_time += result.in_time;
+            sum.late += result.late;
+            sum.refused += result.refused;
+            sum.sent += result.sent;
+        }
+    }
+    println!("{name} at {requests_per_s}/s, seeds {SEEDS:?}: {in_vain_tokens} tokens in vain");
+    for (rank, sum) in sums.iter().enumerate() {
+        println!("  tier {rank}: {sum:?}");
+    }
+    sums
+}
+
+fn steward(requests_per_s: u64) -> [TierResult; 3] {
+    run("steward", 1, requests_per_s, || Box::new(Steward::new(SERVICE.into())))
+}
+
+fn round_robin(requests_per_s: u64) -> [TierResult; 3] {
+    run("round robin", INSTANCES, requests_per_s, || Box::new(RoundRobin::new(SERVICE.into())))
+}
+
+fn least_outstanding(requests_per_s: u64) -> [TierResult; 3] {
+    let make = || -> Box<dyn Scheduler> { Box::new(LeastOutstanding::new(SERVICE.into())) };
+    run("least outstanding", INSTANCES, requests_per_s, make)
+}
+
+fn in_time(results: &[TierResult; 3]) -> u64 {
+    results.iter().map(|result| result.in_time).sum()
+}
+
+#[test]
+fn keeps_the_highest_tier_whole_under_overload() {
+    let steward = steward(12);
+    let baselines = [round_robin(12), least_outstanding(12)];
+
+    assert!(steward[0].in_time * 100 >= steward[0].sent * 98, "{steward:?}");
+    for baseline in baselines {
+        assert!(steward[0].in_time >= baseline[0].in_time);
+        assert!(in_time(&steward) >= in_time(&baseline));
+    }
+}
+
+#[test]
+fn serves_all_tiers_at_a_light_load() {
+    let steward = steward(2);
+    round_robin(2);
+    least_outstanding(2);
+
+    for result in steward {
+        assert!(result.in_time * 100 >= result.sent * 98, "{result:?}");
+    }
+}
