Refuse the lowest tier before a prefill that would be in vain

The estimate at the best server alone let requests start that the server chosen could not finish. Right before a grant the lowest waiting tier is now held against the completion expected there, with an answer one deviation above the mean.

--- a/src/granting.rs
+++ b/src/granting.rs
@@ -4,21 +4,22 @@
 use crate::name::Name;
 use crate::running_requests::RunningRequests;
 use crate::scheduler::SchedulerEffect;
-use crate::scheduling::{Bid, Grant};
+use crate::scheduling::{Bid, Grant, RefusalReason};
+use crate::shedding::Timeliness;
 use crate::steward::Steward;
 use crate::waiting_queue::Turn;
 
 /// Time for which a grant holds after its arrival, in milliseconds.
 pub const GRANT_EXPIRES_MS: u64 = 1_000;
 /// Most requests that one decision passes over in one tier.
-const PASSED_LIMIT_REQUESTS: usize = 256;
+const PASSED_LIMIT_REQUESTS: usize = 64;
 /// Room below which a busy backend server is not considered, in tokens.
 const LEAST_ROOM_TOKENS: u64 = 1;
 
 /// What follows from looking at one waiting request.
 enum Step {
-    /// It was granted.
-    Granted,
+    /// It was granted or refused.
+    Done,
     /// It waits on; others may be granted.
     PassedOver(Turn),
     /// Nothing more of this tier can be granted now.
@@ -44,7 +45,7 @@
             let mut passed = Vec::new();
             while reserved.contains(&false) && passed.len() < PASSED_LIMIT_REQUESTS {
                 match self.grant_next(now_ms, rank, &passed, &mut reserved, effects) {
-                    Step::Granted => {}
+                    Step::Done => {}
                     Step::PassedOver(turn) => passed.push(turn),
                     Step::TierDone => break,
                 }
@@ -77,9 +78,18 @@
             }
             Choice::Take(index) => {
                 let request = waiting.bid.request.clone();
-                let backend_server = self.engines[index].name.clone();
-                effects.push(self.grant(now_ms, request, backend_server));
-                Step::Granted
+                match self.timeliness(now_ms, rank, index, &request) {
+                    Timeliness::InTime => {
+                        let backend_server = self.engines[index].name.clone();
+                        effects.push(self.grant(now_ms, request, backend_server));
+                    }
+                    Timeliness::LateHere => return Step::PassedOver(turn),
+                    Timeliness::LateEverywhere => {
+                        self.queue.remove(&request);
+                        effects.push(self.refusal(request, RefusalReason::CannotFinishInTime));
+                    }
+                }
+                Step::Done
             }
         }
     }
--- a/src/length_estimate.rs
+++ b/src/length_estimate.rs
@@ -10,6 +10,10 @@
 const DEFAULT_OUTPUT_TOKENS: u32 = 256;
 /// Answers after which an estimate may be used to refuse a request.
 const TRUSTED_ANSWERS: u32 = 8;
+/// Deviations from the mean beyond which few answers are shorter.
+const LOWER_DEVIATIONS: f64 = -2.0;
+/// Deviations from the mean beyond which few answers are longer.
+const UPPER_DEVIATIONS: f64 = 1.0;
 const MEAN_WEIGHT: f64 = 0.125;
 const DEVIATION_WEIGHT: f64 = 0.25;
 
@@ -43,7 +47,7 @@
     /// Returns a length that few answers go beyond, in tokens.
     pub fn upper_tokens(&self, customer: &Name, max_output_tokens: u32) -> u32 {
         let estimate_tokens = match self.find(customer) {
-            Ok(index) => self.customers[index].bound(1.0),
+            Ok(index) => self.customers[index].bound(UPPER_DEVIATIONS),
             Err(_) => DEFAULT_OUTPUT_TOKENS,
         };
         estimate_tokens.min(max_output_tokens)
@@ -52,12 +56,27 @@
     /// Returns a length that few answers stay below, in tokens, or nothing before enough answers
     /// were seen.
     pub fn lower_tokens(&self, customer: &Name, max_output_tokens: u32) -> Option<u32> {
+        self.trusted_tokens(customer, max_output_tokens, LOWER_DEVIATIONS)
+    }
+
+    /// Returns a length that few answers go beyond, in tokens, or nothing before enough answers
+    /// were seen.
+    pub fn trusted_upper_tokens(&self, customer: &Name, max_output_tokens: u32) -> Option<u32> {
+        self.trusted_tokens(customer, max_output_tokens, UPPER_DEVIATIONS)
+    }
+
+    fn trusted_tokens(
+        &self,
+        customer: &Name,
+        max_output_tokens: u32,
+        deviations: f64,
+    ) -> Option<u32> {
         let index = self.find(customer).ok()?;
         let length = &self.customers[index];
         if length.answers < TRUSTED_ANSWERS {
             return None;
         }
-        Some(length.bound(-2.0).min(max_output_tokens))
+        Some(length.bound(deviations).min(max_output_tokens))
     }
 
     /// Returns the number of customers remembered.
--- a/src/shedding.rs
+++ b/src/shedding.rs
@@ -3,7 +3,12 @@
 //! Requests are shed from the lowest waiting tier upwards only, and among equals the one that can
 //! least make its deadline goes first. Nothing is refused on an estimate before enough answers
 //! were measured.
+//!
+//! A waiting request is refused early only by a low estimate: a short answer at the best server.
+//! Right before its grant it is refused by a high one: a long answer at each server as loaded
+//! now, since a prefill in vain takes the place of a request that would be in time.
 
+use crate::engine_state::EngineState;
 use crate::request_id::RequestId;
 use crate::scheduler::SchedulerEffect;
 use crate::scheduling::{Bid, Refusal, RefusalReason};
@@ -31,7 +36,48 @@
     Refused(RefusalReason),
 }
 
+/// Whether a request would be complete before its deadline, by the estimate.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Timeliness {
+    /// It would, or nothing may be refused on an estimate.
+    InTime,
+    /// It would not at any backend server.
+    LateEverywhere,
+    /// It would not at the backend server asked about, but at another.
+    LateHere,
+}
+
 impl Steward {
+    /// Estimates whether a waiting request of the lowest tier would be in time at a server.
+    pub(crate) fn timeliness(
+        &self,
+        now_ms: u64,
+        rank: u8,
+        index: usize,
+        request: &RequestId,
+    ) -> Timeliness {
+        if self.queue.lowest_rank() != Some(rank) {
+            return Timeliness::InTime;
+        }
+        let Some(waiting) = self.queue.get(request) else { return Timeliness::InTime };
+        let bid = &waiting.bid;
+        let Some(output_tokens) =
+            self.lengths.trusted_upper_tokens(&bid.customer, bid.max_output_tokens)
+        else {
+            return Timeliness::InTime;
+        };
+        let late = |engine: &EngineState| {
+            let completion_ms = engine.expected_completion_ms(now_ms, bid, output_tokens);
+            now_ms + completion_ms > waiting.deadline_ms
+        };
+        let mut usable = self.engines.iter().filter(|engine| engine.usable(now_ms));
+        match late(&self.engines[index]) {
+            false => Timeliness::InTime,
+            true if usable.all(late) => Timeliness::LateEverywhere,
+            true => Timeliness::LateHere,
+        }
+    }
+
     /// Makes the effect that tells of a refusal.
     pub(crate) fn refusal(&self, request: RequestId, reason: RefusalReason) -> SchedulerEffect {
         let retry_after_ms = match reason {
--- a/src/tier_queue.rs
+++ b/src/tier_queue.rs
@@ -75,6 +75,12 @@
         Some(waiting)
     }
 
+    /// Finds a request.
+    pub fn get(&self, customer: &Name, turn: Turn) -> Option<&Waiting> {
+        let index = self.find(customer).ok()?;
+        self.customers[index].waiting.get(&turn)
+    }
+
     /// Lets a customer's share pay for one of its requests.
     pub fn charge(&mut self, customer: &Name, turn: Turn) {
         let Ok(index) = self.find(customer) else { return };
--- a/src/waiting_queue.rs
+++ b/src/waiting_queue.rs
@@ -83,6 +83,13 @@
         self.remove(request)
     }
 
+    /// Finds a request.
+    pub fn get(&self, request: &RequestId) -> Option<&Waiting> {
+        let place = self.places.get(request)?;
+        let index = self.find_tier(place.tier_rank).ok()?;
+        self.tiers[index].get(&place.customer, place.turn)
+    }
+
     /// Returns whether a request waits.
     pub fn contains(&self, request: &RequestId) -> bool {
         self.places.contains_key(request)
