--- a/src/document_kind.rs
+++ b/src/document_kind.rs
@@ -21,7 +21,7 @@
 impl DocumentKind {
     /// Guesses the kind from the sections of `text`; nothing if they speak for both or neither.
     pub fn guess(text: &str) -> Option<Self> {
-        let document = IniDocument::parse(text, &mut FindingList::new(""));
+        let document = IniDocument::parse_any_size(text, &mut FindingList::new(""));
         let inventory = count(&document, INVENTORY_SCHEMAS);
         let settings = count(&document, SETTINGS_SCHEMAS);
         match inventory.cmp(&settings) {
--- a/src/finding_list.rs
+++ b/src/finding_list.rs
@@ -4,6 +4,9 @@
 use crate::finding::Finding;
 use crate::name::Name;
 
+/// Number of findings after which the rest is left out.
+const MOST_FINDINGS: usize = 1_000;
+
 /// The findings of one document so far.
 #[derive(Clone, Debug)]
 pub struct FindingList {
@@ -18,11 +21,19 @@
     }
 
     /// Adds what is wrong on `line`; line 0 means the document as a whole.
+    ///
+    /// A full list takes one finding that says so, and no more.
     pub fn add<S>(&mut self, line: u32, message: S)
     where
         S: Into<String>,
     {
-        self.findings.push(Finding { file: self.file.clone(), line, message: message.into() });
+        match self.findings.len() {
+            0..MOST_FINDINGS => self.push(line, message.into()),
+            MOST_FINDINGS => {
+                self.push(0, format!("{MOST_FINDINGS} findings; the rest is left out."))
+            }
+            _ => {}
+        }
     }
 
     /// Returns `value` if there are no findings.
@@ -37,9 +48,18 @@
         }
     }
 
+    /// Whether further findings are left out.
+    pub fn is_full(&self) -> bool {
+        self.findings.len() > MOST_FINDINGS
+    }
+
     /// Returns all findings, sorted by line.
     pub fn into_sorted(mut self) -> Vec<Finding> {
         self.findings.sort();
         self.findings
     }
+
+    fn push(&mut self, line: u32, message: String) {
+        self.findings.push(Finding { file: self.file.clone(), line, message });
+    }
 }
--- a/src/ini_document.rs
+++ b/src/ini_document.rs
@@ -4,6 +4,9 @@
 
 use crate::finding_list::FindingList;
 
+const LARGEST_DOCUMENT_BYTES: usize = 1_000_000;
+const MOST_KEYS: usize = 100;
+
 /// An INI document in the order of its text.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct IniDocument {
@@ -36,12 +39,30 @@
 }
 
 impl IniDocument {
-    /// Reads `text` and adds what is wrong with its form to `findings`.
+    /// Reads `text` and adds what is wrong with its form to `findings`; nothing is read of a text
+    /// that is too large.
+    pub fn parse(text: &str, findings: &mut FindingList) -> Option<Self> {
+        let size = text.len();
+        if size > LARGEST_DOCUMENT_BYTES {
+            let message =
+                format!("The document has {size} bytes, more than {LARGEST_DOCUMENT_BYTES}.");
+            findings.add(0, message);
+            return None;
+        }
+        Some(Self::parse_any_size(text, findings))
+    }
+
+    /// Reads `text`, however large, and adds what is wrong with its form to `findings`.
     ///
     /// Of a repeated section or key the first one counts.
-    pub fn parse(text: &str, findings: &mut FindingList) -> Self {
+    pub fn parse_any_size(text: &str, findings: &mut FindingList) -> Self {
         let text = normalize(text);
-        let mut builder = DocumentBuilder { findings, place: Place::Start, sections: Vec::new() };
+        let mut builder = DocumentBuilder {
+            findings,
+            headers: Vec::new(),
+            place: Place::Start,
+            sections: Vec::new(),
+        };
         let mut parser = Parser::new(&text).auto_trim(true);
         while let Some(item) = parser.next() {
             builder.take(&item, parser.line());
@@ -93,6 +114,8 @@
 
 struct DocumentBuilder<'a> {
     findings: &'a mut FindingList,
+    /// Header and line of each section, sorted by header.
+    headers: Vec<(String, u32)>,
     place: Place,
     sections: Vec<IniSection>,
 }
@@ -129,28 +152,32 @@
             line,
             name: name.trim_start().into(),
         };
-        let earlier =
-            self.sections.iter().find(|other| other.kind == kind && other.name == section.name);
-        if let Some(earlier) = earlier {
-            let message =
-                format!("Section '{}' already stands on line {}.", section.header(), earlier.line);
-            self.findings.add(line, message);
-            self.place = Place::Skipped;
-            return;
+        let header = section.header();
+        match self.headers.binary_search_by(|(earlier, _)| earlier.cmp(&header)) {
+            Ok(index) => self.repeated_section(&header, self.headers[index].1, line),
+            Err(index) => {
+                self.headers.insert(index, (header, line));
+                self.sections.push(section);
+                self.place = Place::Section;
+            }
         }
-        self.sections.push(section);
-        self.place = Place::Section;
+    }
+
+    fn repeated_section(&mut self, header: &str, earlier_line: u32, line: u32) {
+        let message = format!("Section '{header}' already stands on line {earlier_line}.");
+        self.findings.add(line, message);
+        self.place = Place::Skipped;
     }
 
     fn key(&mut self, name: &str, value: &str, line: u32) {
         match (&self.place, self.sections.last_mut()) {
             (Place::Section, Some(section)) => {
-                if let Some(earlier) = section.key(name) {
-                    let message = format!("Key '{name}' already stands on line {}.", earlier.line);
+                if let Err(message) = add_key(section, name, value, line) {
                     self.findings.add(line, message);
-                    return;
                 }
-                section.keys.push(IniKey { line, name: name.into(), value: value.into() });
+                if section.keys.len() > MOST_KEYS {
+                    self.place = Place::Skipped;
+                }
             }
             (Place::Skipped, _) => {}
             _ => self.findings.add(line, format!("Key '{name}' stands before any section.")),
@@ -158,6 +185,17 @@
     }
 }
 
+fn add_key(section: &mut IniSection, name: &str, value: &str, line: u32) -> Result<(), String> {
+    if let Some(earlier) = section.key(name) {
+        return Err(format!("Key '{name}' already stands on line {}.", earlier.line));
+    }
+    section.keys.push(IniKey { line, name: name.into(), value: value.into() });
+    if section.keys.len() > MOST_KEYS {
+        return Err(format!("Section '{}' has more than {MOST_KEYS} keys.", section.header()));
+    }
+    Ok(())
+}
+
 /// Trims each line and ends the last one, since the parser takes neither indented headers nor the
 /// number of an open last line, and counts a lone carriage return as a line.
 fn normalize(text: &str) -> String {
--- a/src/nearest_name.rs
+++ b/src/nearest_name.rs
@@ -3,6 +3,9 @@
 /// Largest edit distance, in parts of the longer name, at which a name is proposed.
 const LARGEST_DISTANCE_DIVISOR: usize = 2;
 
+/// Number of known names that are compared.
+const MOST_CANDIDATES: usize = 1_000;
+
 /// Returns `; did you mean '…'?` with the nearest of `known`, or a full stop if none is near.
 pub fn hint<I, S>(name: &str, known: I) -> String
 where
@@ -11,6 +14,7 @@
 {
     let nearest = known
         .into_iter()
+        .take(MOST_CANDIDATES)
         .map(|candidate| (strsim::damerau_levenshtein(name, candidate.as_ref()), candidate))
         .min_by_key(|(distance, _)| *distance)
         .filter(|(distance, candidate)| is_near(*distance, name, candidate.as_ref()));
--- a/src/parse_inventory.rs
+++ b/src/parse_inventory.rs
@@ -45,7 +45,9 @@
 /// Returns [`Error::Findings`] with all findings, sorted by line, if there are any.
 pub fn parse_inventory(file: &str, text: &str) -> Result<Inventory, Error> {
     let mut findings = FindingList::new(file);
-    let document = IniDocument::parse(text, &mut findings);
+    let Some(document) = IniDocument::parse(text, &mut findings) else {
+        return findings.finish(None);
+    };
     check_schema(&document, INVENTORY_SCHEMAS, &mut findings);
     let inventory = read(&document, &mut findings);
     check_inventory(&inventory, &document, &mut findings);
@@ -87,10 +89,14 @@
     where
         R: Fn(&mut SectionReader<'_>) -> Option<T>,
     {
-        self.document
-            .sections_of(kind)
-            .filter_map(|section| read(&mut SectionReader::new(section, self.findings)))
-            .collect()
+        let mut items = Vec::new();
+        for section in self.document.sections_of(kind) {
+            if self.findings.is_full() {
+                break;
+            }
+            items.extend(read(&mut SectionReader::new(section, self.findings)));
+        }
+        items
     }
 }
 
--- a/src/parse_settings.rs
+++ b/src/parse_settings.rs
@@ -71,7 +71,9 @@
 /// Returns [`Error::Findings`] with all findings, sorted by line, if there are any.
 pub fn parse_settings(file: &str, text: &str) -> Result<Settings, Error> {
     let mut findings = FindingList::new(file);
-    let document = IniDocument::parse(text, &mut findings);
+    let Some(document) = IniDocument::parse(text, &mut findings) else {
+        return findings.finish(None);
+    };
     check_schema(&document, SETTINGS_SCHEMAS, &mut findings);
     let settings = read(&mut SettingsReader { document, findings: &mut findings });
     findings.finish(settings)
--- a/src/section_schema.rs
+++ b/src/section_schema.rs
@@ -19,6 +19,9 @@
 /// Adds a finding for each section and key of `document` that `schemas` doesn't allow.
 pub fn check_schema(document: &IniDocument, schemas: &[SectionSchema], findings: &mut FindingList) {
     for section in &document.sections {
+        if findings.is_full() {
+            return;
+        }
         match schemas.iter().find(|schema| schema.kind == section.kind) {
             Some(schema) => check_section(section, schema, findings),
             None => {
--- a/tests/check_inventory.rs
+++ b/tests/check_inventory.rs
@@ -685,6 +685,46 @@
     );
 }
 
+#[test]
+fn a_document_that_is_too_large_is_found() {
+    let text = format!("{GOOD};{}", " ".repeat(1_000_000));
+
+    let findings = findings_of(parse_inventory("test.ini", &text));
+
+    let expected = format!("0: The document has {} bytes, more than 1000000.", text.len());
+    assert_eq!(findings, [expected]);
+}
+
+#[test]
+fn a_section_with_too_many_keys_is_found() {
+    let keys: String = (0..200).map(|number| format!("\nkey_{number} = 1")).collect();
+    let text = DocumentText::new(GOOD).replace("[model draft]", &format!("[model draft]{keys}"));
+
+    let findings = findings_of(parse_inventory("test.ini", &text.build()));
+
+    assert!(findings.contains(&"111: Section '[model draft]' has more than 100 keys.".into()));
+    assert_eq!(findings.len(), 102);
+}
+
+#[test]
+fn findings_beyond_a_thousand_are_left_out() {
+    let customers: String = (0..2_000).map(|number| format!("[customer c{number}]\n")).collect();
+
+    let findings = findings_of(parse_inventory("test.ini", &format!("{GOOD}{customers}")));
+
+    assert_eq!(findings.len(), 1_001);
+    assert_eq!(findings[0], "0: 1000 findings; the rest is left out.");
+}
+
+#[test]
+fn an_inventory_of_many_sections_is_read() {
+    let servers: String = (0..5_000).map(backend_server).collect();
+
+    let inventory = parse_inventory("test.ini", &format!("{GOOD}{servers}")).unwrap();
+
+    assert_eq!(inventory.backend_servers.len(), 5_001);
+}
+
 proptest! {
     #[test]
     fn any_damage_is_read_or_found_in_the_order_of_lines(
@@ -711,6 +751,15 @@
     text.parse().unwrap()
 }
 
+fn backend_server(number: usize) -> String {
+    format!(
+        "[backend_server many-{number}]\nservice = plans\ndata_centre = umea-a\n\
+         address = 10.1.{}.{}:9000\ntoken_limit_tokens = 4096\nprefill_tokens_per_s = 2000\n",
+        number / 250,
+        number % 250 + 1
+    )
+}
+
 fn tier(
     name: &str,
     rank: u8,
