Give paths one form in one place

Percent encoding has several forms of one path, so a rule could still be passed by in lower case or by an encoded reserved character. Requests outside the normal form are refused, and rules may have only characters of one form.

--- a/src/ini_value.rs
+++ b/src/ini_value.rs
@@ -9,6 +9,8 @@
 /// The characters that names may have, for messages.
 pub const NAME_CHARACTERS: &str = "letters, digits, '-', '_' and '.' of ASCII";
 
+const LONGEST_TIME_MS: u64 = 24 * 60 * 60 * 1_000;
+
 const UNITS: &[(&str, &str)] = &[
     ("_bytes", " of bytes"),
     ("_ms", " of milliseconds"),
@@ -119,6 +121,15 @@
     }
 }
 
+/// Reads a time of at least one millisecond and at most a day.
+///
+/// # Errors
+///
+/// Returns a sentence if the value isn't such a time.
+pub fn time_ms(key: &str, value: &str) -> Result<u64, String> {
+    number(1..=LONGEST_TIME_MS)(key, value)
+}
+
 /// Whether names may have `character`.
 pub fn is_name_character(character: char) -> bool {
     character.is_ascii_alphanumeric() || matches!(character, '-' | '_' | '.')
--- a/src/inventory_checks.rs
+++ b/src/inventory_checks.rs
@@ -5,7 +5,7 @@
 use crate::finding_list::FindingList;
 use crate::ini_document::IniDocument;
 use crate::inventory::{Inventory, Rule, ServiceKind};
-use crate::rules::path_matches;
+use crate::request_path::path_matches;
 
 /// Adds what is wrong between the sections of `document`, which `inventory` was read from.
 pub fn check_inventory(inventory: &Inventory, document: &IniDocument, findings: &mut FindingList) {
--- a/src/inventory_sections.rs
+++ b/src/inventory_sections.rs
@@ -1,14 +1,14 @@
 //! Reads the single sections of the inventory.
 
-use crate::ini_value::{address, choice, flag, number, reference};
+use crate::ini_value::{address, choice, flag, number, reference, time_ms};
 use crate::inventory::{BackendServer, Customer, Instance, Rule, Service, ServiceKind, Tier};
 use crate::name::Name;
+use crate::request_path::is_rule_path;
 use crate::section_reader::SectionReader;
 
 const LARGEST_COUNT: u64 = u32::MAX as u64;
 const LARGEST_RANK: u64 = u8::MAX as u64;
 const LARGEST_WEIGHT: u64 = 1_000_000;
-const LONGEST_TIME_MS: u64 = 24 * 60 * 60 * 1_000;
 
 const KINDS: &[(&str, Kind)] = &[("model", Kind::Model), ("plain", Kind::Plain)];
 
@@ -116,9 +116,9 @@
 
 /// Reads a `[tier NAME]`.
 pub fn read_tier(section: &mut SectionReader<'_>) -> Option<Tier> {
-    let between_tokens_ms = section.required("between_tokens_ms", number(1..=LONGEST_TIME_MS));
-    let deadline_ms = section.required("deadline_ms", number(1..=LONGEST_TIME_MS));
-    let first_token_ms = section.required("first_token_ms", number(1..=LONGEST_TIME_MS));
+    let between_tokens_ms = section.required("between_tokens_ms", time_ms);
+    let deadline_ms = section.required("deadline_ms", time_ms);
+    let first_token_ms = section.required("first_token_ms", time_ms);
     let rank = section.required("rank", number(0..=LARGEST_RANK));
     check_below_deadline(section, "between_tokens_ms", between_tokens_ms, deadline_ms);
     check_below_deadline(section, "first_token_ms", first_token_ms, deadline_ms);
@@ -148,8 +148,7 @@
 
 fn path(key: &str, value: &str) -> Result<Name, String> {
     let path = value.trim_matches('/');
-    let clean = path.split('/').all(|part| !matches!(part, "" | "." | ".."));
-    if clean && !path.contains(['%', '?', '#', '\\']) {
+    if is_rule_path(path) {
         return Ok(path.into());
     }
     Err(format!("'{key}' must be a path such as 'bookings/new', not '{value}'."))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod render_fleet;
 pub mod render_status;
 pub mod request_id;
+pub mod request_path;
 pub mod rules;
 pub mod scheduler;
 pub mod scheduling;
--- a/src/parse_settings.rs
+++ b/src/parse_settings.rs
@@ -3,7 +3,7 @@
 use crate::error::Error;
 use crate::finding_list::FindingList;
 use crate::ini_document::{IniDocument, IniSection};
-use crate::ini_value::{address, choice, listen_address, name, number};
+use crate::ini_value::{address, choice, listen_address, name, number, time_ms};
 use crate::name::Name;
 use crate::section_reader::SectionReader;
 use crate::section_schema::{SectionSchema, check_schema};
@@ -28,7 +28,6 @@
 const LARGEST_CAPACITY: u64 = 10_000_000;
 const LARGEST_RESUME_LIMIT: u64 = 100;
 const LOAD_INTERVAL_MS: u64 = 500;
-const LONGEST_TIME_MS: u64 = 24 * 60 * 60 * 1_000;
 const RESUME_LIMIT: u32 = 3;
 const WATCH_TIMEOUT_MS: u64 = 5_000;
 
@@ -236,5 +235,5 @@
 }
 
 fn time(section: &mut SectionReader<'_>, key: &str, default_ms: u64) -> Option<u64> {
-    section.or_default(key, default_ms, number(1..=LONGEST_TIME_MS))
+    section.or_default(key, default_ms, time_ms)
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,9 +5,7 @@
 use crate::inventory::{Customer, Inventory, Rule, Service, Tier};
 use crate::name::Name;
 use crate::nearest_name::hint;
-
-/// Encoded forms of the characters that structure a path, in lower case.
-const STRUCTURE_ENCODED: [&str; 5] = ["%25", "%2e", "%2f", "%3b", "%5c"];
+use crate::request_path::{normal_path, path_matches};
 
 /// What the rules are asked about.
 #[derive(Clone, Copy, Debug)]
@@ -112,7 +110,8 @@
             customer: query.customer.into(),
             hint: hint(query.customer, inventory.customers.iter().map(|customer| &customer.name)),
         })?;
-    let path = normal_path(query.path)?;
+    let path = normal_path(query.path)
+        .ok_or_else(|| RuleError::PathNotNormal { path: query.path.into() })?;
     let matching = || inventory.rules.iter().filter(|rule| matches(rule, query, path));
     let idempotent = matching().find_map(|rule| rule.idempotent).unwrap_or(service.idempotent);
     let tier_name = matching().find_map(|rule| rule.tier.as_ref()).unwrap_or(&customer.tier);
@@ -121,14 +120,6 @@
     Ok(Ruling { customer, idempotent, service, tier })
 }
 
-/// Whether `path` is `start` or lies below it, by whole segments.
-pub fn path_matches(start: &str, path: &str) -> bool {
-    match path.strip_prefix(start) {
-        Some(rest) => rest.is_empty() || rest.starts_with('/'),
-        None => false,
-    }
-}
-
 fn find_tier<'a>(inventory: &'a Inventory, name: &str) -> Result<&'a Tier, RuleError> {
     inventory.tier(name).ok_or_else(|| RuleError::UnknownTier {
         hint: hint(name, inventory.tiers.iter().map(|tier| &tier.name)),
@@ -159,38 +150,3 @@
         && rule.service.as_deref().is_none_or(|service| service == query.service)
         && rule.path.as_deref().is_none_or(|start| path_matches(start, path))
 }
-
-/// Cuts the query and the slashes around the path, and refuses what servers could read as another
-/// path.
-fn normal_path(path: &str) -> Result<&str, RuleError> {
-    let without_query = path.split(['?', '#']).next().unwrap_or_default();
-    let trimmed = without_query.strip_prefix('/').unwrap_or(without_query);
-    let trimmed = trimmed.strip_suffix('/').unwrap_or(trimmed);
-    if trimmed.is_empty() || is_normal(trimmed) {
-        return Ok(trimmed);
-    }
-    Err(RuleError::PathNotNormal { path: path.into() })
-}
-
-fn is_normal(path: &str) -> bool {
-    let segments_normal = path.split('/').all(|segment| !matches!(segment, "" | "." | ".."));
-    segments_normal && !path.contains([';', '\\']) && !has_needless_encoding(path)
-}
-
-/// Whether a character is percent-encoded that has no need of it or that structures the path.
-fn has_needless_encoding(path: &str) -> bool {
-    let lower = path.to_ascii_lowercase();
-    if STRUCTURE_ENCODED.iter().any(|encoded| lower.contains(encoded)) {
-        return true;
-    }
-    lower.split('%').skip(1).any(|rest| !rest.get(..2).is_some_and(needs_encoding))
-}
-
-/// Whether two hexadecimal digits stand for a byte that a path must encode.
-fn needs_encoding(digits: &str) -> bool {
-    if !digits.bytes().all(|digit| digit.is_ascii_hexdigit()) {
-        return false;
-    }
-    let byte = u8::from_str_radix(digits, 16).unwrap_or_default();
-    !byte.is_ascii_alphanumeric() && !matches!(byte, b'-' | b'_' | b'~')
-}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,8 @@
 
 use bergamotspan::inventory::Inventory;
 use bergamotspan::parse_inventory::parse_inventory;
-use bergamotspan::rules::{RuleError, RuleQuery, apply_rules, path_matches};
+use bergamotspan::request_path::{is_rule_path, path_matches};
+use bergamotspan::rules::{RuleError, RuleQuery, apply_rules};
 
 const INVENTORY: &str = "
 [inventory]
@@ -176,6 +177,8 @@
         "status/%252e%252e/bookings",
         "status;x=1",
         "status%3Bx",
+        "status/r%c3%a4ck",
+        "status/r\u{e4}ck",
     ];
     for path in paths {
         let message = format!("Path '{path}' isn't in normal form.");
@@ -206,3 +209,13 @@
     assert!(!path_matches("a/b", "a/bc"));
     assert!(!path_matches("a/b", "a"));
 }
+
+#[test]
+fn a_rule_path_has_only_one_form() {
+    assert!(is_rule_path("bookings/r%C3%A4ck%20verk_1.0~a-b"));
+    for path in
+        ["", "a//b", "a/../b", "a!", "a%21", "a:b", "a%3Ab", "r\u{e4}ck", "r%c3%a4ck", "a?b"]
+    {
+        assert!(!is_rule_path(path), "{path}");
+    }
+}
