--- a/src/lib.rs
+++ b/src/lib.rs
@@ -101,6 +101,7 @@
 pub mod report_status;
 pub mod request;
 pub mod request_id;
+pub mod request_path;
 pub mod requests;
 pub mod retry_budget;
 pub mod round_robin;
