--- a/standins/src/command.rs
+++ b/standins/src/command.rs
@@ -6,6 +6,7 @@
 use argh::FromArgs;
 
 use crate::engine::EngineCommand;
+use crate::experiment::ExperimentCommand;
 use crate::load::LoadCommand;
 use crate::plain_service::PlainServiceCommand;
 use crate::platform::PlatformCommand;
@@ -22,6 +23,7 @@
 #[argh(subcommand)]
 enum Verb {
     Engine(EngineCommand),
+    Experiment(ExperimentCommand),
     Load(LoadCommand),
     PlainService(PlainServiceCommand),
     Platform(PlatformCommand),
@@ -40,6 +42,7 @@
 fn dispatch(verb: Verb) -> io::Result<()> {
     match verb {
         Verb::Engine(command) => command.run(),
+        Verb::Experiment(command) => command.run(),
         Verb::Load(command) => command.run(),
         Verb::PlainService(command) => command.run(),
         Verb::Platform(command) => command.run(),
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod command;
 pub mod engine;
+pub mod experiment;
 pub mod fleet;
 pub mod http;
 mod journal;
--- a/standins/src/load/command.rs
+++ b/standins/src/load/command.rs
@@ -1,6 +1,5 @@
 //! Options of the load driver.
 
-use std::fs;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -48,7 +47,8 @@
     pub fn run(self) -> io::Result<()> {
         self.check()?;
         let duration = Duration::from_millis(self.duration_ms);
-        let plan = Plan::poisson(self.read_mix()?, self.rate_per_s, duration, self.seed);
+        let mix = self.mix.as_deref().map_or_else(|| Ok(Mix::default()), Mix::read)?;
+        let plan = Plan::poisson(mix, self.rate_per_s, duration, self.seed);
         let target = match self.direct {
             true => Target::Direct(self.address),
             false => Target::Instances(self.address),
@@ -70,13 +70,4 @@
         }
         Ok(())
     }
-
-    fn read_mix(&self) -> io::Result<Mix> {
-        let Some(path) = &self.mix else { return Ok(Mix::default()) };
-        let mix: Mix = serde_json::from_str(&fs::read_to_string(path)?)?;
-        if mix.classes.is_empty() {
-            return Err(io::Error::other("the mix has no class"));
-        }
-        Ok(mix)
-    }
 }
--- a/standins/src/load/mix.rs
+++ b/standins/src/load/mix.rs
@@ -1,5 +1,9 @@
 //! Classes of requests and their shares.
 
+use std::fs;
+use std::io;
+use std::path::Path;
+
 use serde::{Deserialize, Serialize};
 
 /// A kind of request that callers send.
@@ -73,6 +77,19 @@
 }
 
 impl Mix {
+    /// Reads a mix from a JSON file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read or has no class.
+    pub fn read(path: &Path) -> io::Result<Self> {
+        let mix: Self = serde_json::from_str(&fs::read_to_string(path)?)?;
+        if mix.classes.is_empty() {
+            return Err(io::Error::other("the mix has no class"));
+        }
+        Ok(mix)
+    }
+
     /// Returns the class at a point between 0 and 1 of the summed shares.
     pub(super) fn class_at(&self, point: f64) -> usize {
         let total: f64 = self.classes.iter().map(|class| class.share).sum();
