--- /dev/null
+++ b/src/adopt.rs
@@ -0,0 +1,102 @@
+//! Puts published documents in force.
+
+use std::sync::Arc;
+
+use crate::build_core::build_membership;
+use crate::config_event::{ConfigDocument, ConfigEffect, ConfigEvent, ConfigSource};
+use crate::core::Core;
+use crate::effect::Effect;
+use crate::finding::Finding;
+use crate::inventory::Inventory;
+use crate::membership_event::MembershipEvent;
+use crate::name::Name;
+use crate::now::Now;
+use crate::parse_inventory::parse_inventory;
+use crate::peer_message::PeerMessage;
+use crate::status_report::RefusedDocument;
+use crate::view::View;
+
+impl Core {
+    /// Hands an event to the adoption of configuration and applies what follows.
+    pub(crate) fn adopt(&mut self, now: Now, event: ConfigEvent) {
+        for effect in self.adoption.decide(now, event) {
+            match effect {
+                ConfigEffect::Adopt { inventory } => self.put_in_force(now, inventory),
+                ConfigEffect::FetchFrom { peer } => {
+                    let have_version = self.inventory.version;
+                    self.send(&peer, PeerMessage::ConfigFetch { have_version });
+                }
+                ConfigEffect::Refused { findings, version } => {
+                    let count = findings.len();
+                    self.log("config", format!("Version {version} is refused: {count} findings."));
+                    self.refused_document = Some(RefusedDocument { findings, version });
+                }
+            }
+        }
+    }
+
+    pub(crate) fn read_document(
+        &mut self,
+        now: Now,
+        parsed: Result<Arc<Inventory>, Vec<Finding>>,
+        peer: Option<Name>,
+        document: ConfigDocument,
+    ) {
+        let source = match peer {
+            Some(peer) => ConfigSource::Peer(peer),
+            None => ConfigSource::Platform,
+        };
+        self.adopt(now, ConfigEvent::DocumentRead { document, parsed, source });
+    }
+
+    pub(crate) fn read_instance_list(&mut self, now: Now, leaving: Vec<Name>) {
+        if leaving == self.leaving {
+            return;
+        }
+        self.leaving = leaving;
+        let event = self.fleet_event();
+        self.schedule_all(now, &event);
+    }
+
+    pub(crate) fn read_peer_document(&mut self, now: Now, peer: Name, text: String, version: u64) {
+        let parsed = match parse_inventory(&format!("version {version}"), &text) {
+            Ok(inventory) => Ok(Arc::new(inventory)),
+            Err(error) => Err(error.into_findings()),
+        };
+        let document = ConfigDocument { text: text.into(), version };
+        self.read_document(now, parsed, Some(peer), document);
+    }
+
+    pub(crate) fn serve_document(&mut self, peer: &Name, have_version: u64) {
+        let Some(document) = self.adoption.document_after(have_version) else { return };
+        let (text, version) = (document.text.to_string(), document.version);
+        self.send(peer, PeerMessage::ConfigDocument { text, version });
+    }
+
+    fn put_in_force(&mut self, now: Now, inventory: Arc<Inventory>) {
+        self.log("config", format!("Version {} is in force.", inventory.version));
+        let is_first = self.inventory.version == 0;
+        self.inventory = inventory;
+        self.refused_document = None;
+        let own_name = self.own_name();
+        self.view = View::of(&self.inventory, own_name.clone());
+        let peers = self
+            .inventory
+            .instances
+            .iter()
+            .filter(|instance| instance.name != own_name)
+            .map(|instance| (instance.name.clone(), instance.peer_address))
+            .collect();
+        self.effects.push(Effect::SetPeers(peers));
+        self.effects.push(Effect::WatchAfter { version: self.inventory.version });
+        let view = self.view.clone();
+        match is_first {
+            true => self.membership = build_membership(&self.settings, self.incarnation, now, view),
+            false => self.member(now, MembershipEvent::ListAdopted { view }),
+        }
+        let event = self.fleet_event();
+        self.schedule_all(now, &event);
+        self.assign_stewards(now);
+        self.move_bids(now, None);
+    }
+}
--- a/src/final_answer.rs
+++ b/src/final_answer.rs
@@ -18,6 +18,18 @@
     Unknown,
 }
 
+impl Outcome {
+    /// Returns the fixed word for the outcome, for programs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// The final answer to a request that has no whole answer.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FinalAnswer {
@@ -31,6 +43,6 @@
     /// What was wrong, as a short sentence.
     pub message: String,
     /// Time after which coming back makes sense, in milliseconds.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
 }
--- /dev/null
+++ b/tests/peer_codec.rs
@@ -0,0 +1,249 @@
+//! Tests of the bytes of peer messages.
+
+use bergamotspan::peer_codec::{PEER_FRAME_LIMIT_BYTES, decode, encode};
+use bergamotspan::peer_message::{
+    Confirmation, Heartbeat, KeyClaim, KeyRecord, KeyRefusal, KeyVerdict, PEER_PROTOCOL_VERSION,
+    PeerMessage, Suspect,
+};
+use bergamotspan::request_id::RequestId;
+use bergamotspan::scheduling::{Bid, Grant, Progress, Refusal, RefusalReason, RunningRequest};
+use proptest::prelude::*;
+
+fn names() -> impl Strategy<Value = std::sync::Arc<str>> {
+    "[a-zåäöñ0-9-]{0,20}".prop_map(Into::into)
+}
+
+fn requests() -> impl Strategy<Value = RequestId> {
+    (names(), any::<u64>(), any::<u64>()).prop_map(|(instance, incarnation, sequence)| RequestId {
+        instance,
+        incarnation,
+        sequence,
+    })
+}
+
+fn heartbeats() -> impl Strategy<Value = PeerMessage> {
+    let suspects = prop::collection::vec(
+        (prop::collection::vec(names(), 0..4), any::<u64>())
+            .prop_map(|(backend_servers, fingerprint)| Suspect { backend_servers, fingerprint }),
+        0..5,
+    );
+    let ranks = prop::collection::vec((names(), any::<u8>()), 0..3);
+    (any::<[u64; 5]>(), any::<bool>(), suspects, ranks).prop_map(
+        |(numbers, stopping, suspects, lowest_waiting_ranks)| {
+            PeerMessage::Heartbeat(Heartbeat {
+                config_version: numbers[0],
+                incarnation: numbers[1],
+                list_version: numbers[2],
+                lowest_waiting_ranks,
+                retired_version: numbers[3],
+                sent_ms: numbers[4],
+                stopping,
+                suspects,
+            })
+        },
+    )
+}
+
+fn bids() -> impl Strategy<Value = Bid> {
+    let names = (names(), names(), prop::collection::vec(names(), 0..3));
+    let hashes = prop::collection::vec(any::<u64>(), 0..9);
+    let numbers = (any::<u64>(), any::<u64>(), any::<[u32; 2]>(), any::<u8>());
+    (names, hashes, numbers, requests()).prop_map(
+        |((customer, service, excluded), prefix_hashes, numbers, request)| Bid {
+            customer,
+            excluded,
+            fingerprint: numbers.0,
+            max_output_tokens: numbers.2[0],
+            prefix_hashes,
+            prompt_tokens: numbers.2[1],
+            request,
+            service,
+            tier_rank: numbers.3,
+            time_left_ms: numbers.1,
+        },
+    )
+}
+
+fn confirmations() -> impl Strategy<Value = PeerMessage> {
+    (any::<bool>(), any::<[u64; 4]>()).prop_map(|(confirms, numbers)| {
+        PeerMessage::Confirmation(Confirmation {
+            confirms,
+            heartbeat_incarnation: numbers[0],
+            heartbeat_sent_ms: numbers[1],
+            list_version: numbers[2],
+            retired_version: numbers[3],
+        })
+    })
+}
+
+fn progress() -> impl Strategy<Value = Progress> {
+    prop_oneof![
+        Just(Progress::Abandoned),
+        Just(Progress::ConnectFailed),
+        Just(Progress::Died),
+        Just(Progress::Cancelled),
+        any::<u64>().prop_map(|elapsed_ms| Progress::FirstToken { elapsed_ms }),
+        any::<[u32; 2]>().prop_map(|[cached_tokens, output_tokens]| Progress::Finished {
+            cached_tokens,
+            output_tokens
+        }),
+        (any::<u64>(), any::<u32>()).prop_map(|(between_tokens_ms, output_tokens)| {
+            Progress::Tokens { between_tokens_ms, output_tokens }
+        }),
+    ]
+}
+
+fn scheduling_messages() -> impl Strategy<Value = PeerMessage> {
+    let reasons = prop::sample::select(vec![
+        RefusalReason::CannotFinishInTime,
+        RefusalReason::NoBackendServer,
+        RefusalReason::NoRoom,
+        RefusalReason::Quarantined,
+    ]);
+    prop_oneof![
+        bids().prop_map(PeerMessage::Bid),
+        (names(), any::<u64>(), requests()).prop_map(|(backend_server, expires_in_ms, request)| {
+            PeerMessage::Grant(Grant { backend_server, expires_in_ms, request })
+        }),
+        (progress(), requests())
+            .prop_map(|(progress, request)| PeerMessage::Progress { progress, request }),
+        (reasons, any::<u64>(), requests()).prop_map(|(reason, retry_after_ms, request)| {
+            PeerMessage::Refusal(Refusal { reason, request, retry_after_ms })
+        }),
+        (names(), bids(), any::<u32>()).prop_map(|(backend_server, bid, output_tokens)| {
+            PeerMessage::Running(RunningRequest { backend_server, bid, output_tokens })
+        }),
+        requests().prop_map(PeerMessage::Withdraw),
+    ]
+}
+
+fn key_answers() -> impl Strategy<Value = PeerMessage> {
+    let reasons = prop::sample::select(vec![
+        KeyRefusal::Full,
+        KeyRefusal::MintedInFuture,
+        KeyRefusal::NotHome,
+        KeyRefusal::OtherList,
+        KeyRefusal::TooOld,
+    ]);
+    let verdicts = prop_oneof![
+        Just(KeyVerdict::BodyDiffers),
+        Just(KeyVerdict::Granted),
+        Just(KeyVerdict::Unknown),
+        requests().prop_map(|by| KeyVerdict::Held { by }),
+        (reasons, any::<u64>())
+            .prop_map(|(reason, retry_after_ms)| KeyVerdict::Refused { reason, retry_after_ms }),
+    ];
+    prop_oneof![
+        (names(), requests()).prop_map(|(key, request)| PeerMessage::KeyRelease { key, request }),
+        (names(), requests(), verdicts).prop_map(|(key, request, verdict)| {
+            PeerMessage::KeyVerdict { key, request, verdict }
+        }),
+    ]
+}
+
+fn messages() -> impl Strategy<Value = PeerMessage> {
+    prop_oneof![
+        confirmations(),
+        heartbeats(),
+        key_answers(),
+        scheduling_messages(),
+        any::<u64>().prop_map(|have_version| PeerMessage::ConfigFetch { have_version }),
+        (".{0,200}", any::<u64>())
+            .prop_map(|(text, version)| PeerMessage::ConfigDocument { text, version }),
+        (any::<[u64; 2]>(), names(), requests(), any::<u8>()).prop_map(
+            |(numbers, key, request, tier_rank)| PeerMessage::KeyClaim(KeyClaim {
+                fingerprint: numbers[0],
+                key,
+                list_version: numbers[1],
+                request,
+                tier_rank,
+            })
+        ),
+        prop::collection::vec(
+            (any::<[u64; 2]>(), names(), requests()).prop_map(|(numbers, key, request)| {
+                KeyRecord {
+                    fingerprint: numbers[0],
+                    granted_wall_clock_ms: numbers[1],
+                    key,
+                    request,
+                }
+            }),
+            0..4
+        )
+        .prop_map(PeerMessage::KeyHandover),
+    ]
+}
+
+fn error_of(bytes: &[u8]) -> String {
+    decode::<PeerMessage>("entry-2", bytes).unwrap_err().to_string()
+}
+
+proptest! {
+    #[test]
+    fn a_message_survives_the_round_trip(message in messages()) {
+        let bytes = encode("entry-2", &message).unwrap();
+
+        prop_assert_eq!(decode::<PeerMessage>("entry-2", &bytes).unwrap(), message);
+    }
+
+    #[test]
+    fn garbage_never_panics(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _ = decode::<PeerMessage>("entry-2", &bytes);
+    }
+
+    #[test]
+    fn a_cut_or_changed_message_never_panics(
+        message in messages(),
+        at in any::<prop::sample::Index>(),
+        byte in any::<u8>(),
+    ) {
+        let mut bytes = encode("entry-2", &message).unwrap();
+        let index = at.index(bytes.len());
+        prop_assert!(decode::<PeerMessage>("entry-2", &bytes[..index]).is_err());
+        bytes[index] = byte;
+        let _ = decode::<PeerMessage>("entry-2", &bytes);
+    }
+}
+
+#[test]
+fn an_empty_message_is_an_error() {
+    assert_eq!(error_of(&[]), "A message from instance 'entry-2' can't be read: it is empty.");
+}
+
+#[test]
+fn another_version_is_an_error() {
+    assert_eq!(
+        error_of(&[PEER_PROTOCOL_VERSION + 1, 0]),
+        "A message from instance 'entry-2' can't be read: it has version 2, and 1 is known."
+    );
+}
+
+#[test]
+fn bytes_that_are_no_message_are_an_error() {
+    assert_eq!(
+        error_of(&[PEER_PROTOCOL_VERSION, 0xff]),
+        "A message from instance 'entry-2' can't be read: it is not a known message."
+    );
+}
+
+#[test]
+fn bytes_after_a_message_are_an_error() {
+    let mut bytes = encode("entry-2", &PeerMessage::ConfigFetch { have_version: 1 }).unwrap();
+    bytes.extend([0, 0]);
+
+    assert_eq!(
+        error_of(&bytes),
+        "A message from instance 'entry-2' can't be read: 2 bytes follow it."
+    );
+}
+
+#[test]
+fn a_message_over_the_limit_is_neither_written_nor_read() {
+    let text = "a".repeat(PEER_FRAME_LIMIT_BYTES);
+    let written = encode("entry-2", &PeerMessage::ConfigDocument { text, version: 1 });
+    let message = "A message from instance 'entry-2' can't be read: it has 4194305 bytes, \
+                   and 4194304 are allowed.";
+
+    assert!(written.unwrap_err().to_string().ends_with("and 4194304 are allowed."));
+    assert_eq!(error_of(&vec![PEER_PROTOCOL_VERSION; PEER_FRAME_LIMIT_BYTES + 1]), message);
+}
