Report spans and metrics of every hop

Cause: telemetry existed and no hop reported to it. The core tells when a hop ended, the request's thread records it in the caller's trace, and the trace goes on to the backend server.

--- a/src/admit.rs
+++ b/src/admit.rs
@@ -11,6 +11,7 @@
 use crate::peer_message::{KeyClaim, KeyVerdict, PeerMessage};
 use crate::request::{Request, RequestState};
 use crate::rules::{RuleQuery, apply_rules};
+use crate::span_record::Hop;
 
 /// What the rules say about a request that is taken in.
 struct RequestClass {
@@ -77,6 +78,10 @@
             return;
         }
         self.note(now, sequence, format!("Key home {home} answered after {elapsed_ms} ms."));
+        self.hop(now, sequence, Hop::KeyClaim, asked_ms);
+        if *home != self.own_name() {
+            self.hop(now, sequence, Hop::PeerHop, asked_ms);
+        }
         self.apply_verdict(now, sequence, verdict);
     }
 
--- a/src/apply_effects.rs
+++ b/src/apply_effects.rs
@@ -5,6 +5,7 @@
 use crate::control::EffectSink;
 use crate::effect::Effect;
 use crate::load_poller::LoadPoller;
+use crate::metric::{Counter, Quantity};
 use crate::peer_links::PeerLinks;
 use crate::platform_watch::PlatformWatch;
 use crate::runners::RunnerCommand;
@@ -25,6 +26,11 @@
 }
 
 impl EffectSink for EffectRouter {
+    fn decided(&mut self, elapsed_us: u64) {
+        self.traffic.telemetry.count(Counter::ControlDecisions, 1);
+        self.traffic.telemetry.measure(Quantity::ControlDecisionUs, elapsed_us);
+    }
+
     fn apply(&mut self, effect: Effect) {
         let runners = &self.traffic.runners;
         match effect {
@@ -32,10 +38,14 @@
                 runners.tell(sequence, RunnerCommand::Answer(answer));
             }
             Effect::Cancel { sequence } => runners.tell(sequence, RunnerCommand::Cancel),
+            Effect::Count { amount, counter } => self.traffic.telemetry.count(counter, amount),
             Effect::Dispatch(dispatch) => {
                 runners.tell(dispatch.sequence, RunnerCommand::Dispatch(dispatch));
             }
             Effect::ForgetAnswer { sequence } => self.traffic.answer_logs.forget(sequence),
+            Effect::Hop { ended_ms, hop, sequence, started_ms } => {
+                runners.tell(sequence, RunnerCommand::Hop { ended_ms, hop, started_ms });
+            }
             Effect::JoinLocal { holder, sequence } => {
                 runners.tell(sequence, RunnerCommand::JoinLocal { holder });
             }
@@ -43,6 +53,9 @@
                 runners.tell(sequence, RunnerCommand::JoinPeer { address, key });
             }
             Effect::Log { part, text } => log::info!(target: part, "{text}"),
+            Effect::Measure { quantity, value } => {
+                self.traffic.telemetry.measure(quantity, value);
+            }
             Effect::PollLoad(targets) => self.poller.set_targets(targets),
             Effect::SendPeer { message, to } => self.peer_links.send(&to, message),
             Effect::SetPeers(peers) => self.peer_links.set_peers(peers),
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,6 +1,6 @@
 //! The control thread: it alone holds the decision core, and does nothing slow.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::clock::Clock;
 use crate::core::Core;
@@ -35,6 +35,9 @@
 pub trait EffectSink: Send {
     /// Carries out one effect.
     fn apply(&mut self, effect: Effect);
+
+    /// Notes the time that one decision took, its effects included, in microseconds.
+    fn decided(&mut self, elapsed_us: u64);
 }
 
 /// Delivers the events of peer links to the control thread.
@@ -80,9 +83,12 @@
 }
 
 fn decide(clock: Clock, core: &mut Core, event: Event, sink: &mut dyn EffectSink) {
+    let started = Instant::now();
     for effect in core.decide(clock.now(), event) {
         sink.apply(effect);
     }
+    let elapsed_us = started.elapsed().as_micros();
+    sink.decided(u64::try_from(elapsed_us).unwrap_or(u64::MAX));
 }
 
 fn take(clock: Clock, core: &mut Core, input: ControlInput, sink: &mut dyn EffectSink) {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -25,7 +25,9 @@
 use crate::peer_links_settings::PeerLinksSettings;
 use crate::platform_watch::PlatformWatch;
 use crate::settings::Settings;
+use crate::telemetry;
 use crate::traffic::Traffic;
+use crate::usage_metrics::UsageMetrics;
 
 /// Inputs that may wait for the control thread.
 const CONTROL_QUEUE_INPUTS: usize = 65_536;
@@ -41,6 +43,7 @@
 const PEER_LINKS: &str = "peer_links";
 const PLATFORM_WATCH: &str = "platform_watch";
 const TRAFFIC: &str = "traffic";
+const USAGE_METRICS: &str = "usage_metrics";
 
 /// Runs one entry instance of bergamotspan until it is told to stop.
 #[derive(Debug, FromArgs)]
@@ -66,6 +69,8 @@
 
 struct PlatformWatchService;
 
+struct UsageMetricsService;
+
 /// Runs the daemon with the arguments of the process.
 pub fn run() -> ExitCode {
     let command_line: CommandLine = argh::from_env();
@@ -88,7 +93,8 @@
         .map_err(|error| Error::io("Waiting for signals failed", error))?;
     let (control, inputs) = flume::bounded(CONTROL_QUEUE_INPUTS);
     let (stopped, stop_done) = flume::bounded(1);
-    let traffic = Arc::new(Traffic::new(Clock::start(), control.clone(), settings));
+    let telemetry = telemetry::start(&settings.telemetry, &settings.instance.name)?;
+    let traffic = Arc::new(Traffic::new(Clock::start(), control.clone(), settings, telemetry));
     let mut kernel = build_kernel(&traffic, inputs, stopped);
     kernel.start()?;
     announce(kernel.directory())?;
@@ -118,6 +124,7 @@
     kernel.add(PlatformWatchService);
     kernel.add(ControlService { inputs, incarnation, stopped });
     kernel.add(CallerEdgeService { edge: None });
+    kernel.add(UsageMetricsService);
     kernel
 }
 
@@ -221,3 +228,20 @@
         Ok(())
     }
 }
+
+impl Service for UsageMetricsService {
+    fn name(&self) -> &'static str {
+        USAGE_METRICS
+    }
+
+    fn start(&mut self, directory: &mut Directory) -> Result<(), Error> {
+        let (traffic, settings) = find_settings(directory)?;
+        let metrics = UsageMetrics {
+            peer_links: directory.find::<PeerLinks>(PEER_LINKS)?,
+            platform_watch: directory.find::<PlatformWatch>(PLATFORM_WATCH)?,
+            telemetry: traffic.telemetry.clone(),
+        };
+        metrics.start(settings.telemetry.export_interval_ms);
+        Ok(())
+    }
+}
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 
 use crate::final_answer::FinalAnswer;
+use crate::metric::{Counter, Quantity};
 use crate::name::Name;
 use crate::peer_message::PeerMessage;
+use crate::span_record::Hop;
 
 /// One thing that the decision core wants done.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,6 +23,13 @@
         /// The request.
         sequence: u64,
     },
+    /// Add to a metric.
+    Count {
+        /// What is added.
+        amount: u64,
+        /// The metric.
+        counter: Counter,
+    },
     /// Send a request to a backend server, unless it is too late at the first byte.
     Dispatch(Dispatch),
     /// Answer from another instance that holds the key.
@@ -44,6 +53,17 @@
         /// The request.
         sequence: u64,
     },
+    /// Record that a hop of a request ended.
+    Hop {
+        /// Monotonic time of its end, in milliseconds.
+        ended_ms: u64,
+        /// The hop.
+        hop: Hop,
+        /// The request.
+        sequence: u64,
+        /// Monotonic time of its start, in milliseconds.
+        started_ms: u64,
+    },
     /// Write a line to the log.
     Log {
         /// Part that it is about.
@@ -51,6 +71,13 @@
         /// A short sentence.
         text: String,
     },
+    /// Record a value of a metric.
+    Measure {
+        /// The metric.
+        quantity: Quantity,
+        /// The value.
+        value: u64,
+    },
     /// Ask these model engines for their load and cache events from now on.
     PollLoad(Vec<PollTarget>),
     /// Send a message to another instance.
@@ -82,6 +109,8 @@
     pub deadline_ms: u64,
     /// Monotonic time after which the first byte may no longer be sent, in milliseconds.
     pub expires_ms: u64,
+    /// Monotonic time of the grant, in milliseconds.
+    pub granted_ms: u64,
     /// Whether the backend server streams tokens.
     pub model: bool,
     /// Path below the service.
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -5,12 +5,14 @@
 use crate::effect::{Dispatch, Effect};
 use crate::final_answer::{FinalAnswer, Outcome};
 use crate::inventory::ServiceKind;
+use crate::metric::{Counter, Quantity};
 use crate::name::Name;
 use crate::now::Now;
 use crate::peer_message::PeerMessage;
 use crate::request::{Request, RequestState};
 use crate::scheduler::SchedulerEvent;
 use crate::scheduling::{Grant, Progress, Refusal};
+use crate::span_record::Hop;
 
 /// What a grant means for the request as it stands.
 enum GrantUse {
@@ -35,11 +37,14 @@
     pub(crate) fn end(&mut self, sequence: u64, now: Now, outcome: Outcome) {
         let Some(request) = self.requests.get_active_mut(sequence) else { return };
         let ran = request.is_running();
+        let tier = request.tier.clone();
         let has_key = request.arrival.key.is_some();
         request.state = RequestState::Ended { outcome, ran };
         if has_key && !ran {
             self.release_key(sequence);
         }
+        let counter = Counter::Requests { outcome, tier };
+        self.effects.push(Effect::Count { amount: 1, counter });
         let keep = has_key && ran;
         let until_ms = now.monotonic_ms + self.settings.keys.lifetime_ms;
         self.requests.end(sequence, keep.then_some(until_ms));
@@ -64,13 +69,15 @@
                 self.note(now, sequence, "The backend server can't be reached.");
                 self.end(sequence, now, Outcome::Unknown);
             }
-            Progress::Finished { output_tokens, .. } => {
+            Progress::Finished { cached_tokens, output_tokens } => {
+                self.count_prefill(sequence, cached_tokens);
                 self.note(now, sequence, format!("Finished with {output_tokens} tokens."));
                 self.clear_suspicion(sequence);
                 self.end(sequence, now, Outcome::Done);
             }
             Progress::FirstToken { elapsed_ms } => {
                 self.note(now, sequence, format!("First token after {elapsed_ms} ms."));
+                self.measure_first_token(now, sequence);
             }
             Progress::Tokens { output_tokens, .. } => self.count_tokens(sequence, output_tokens),
         }
@@ -117,6 +124,11 @@
             GrantUse::Dispatch(dispatch) => {
                 let text = format!("Steward {steward} granted {}.", grant.backend_server);
                 self.note(now, sequence, text);
+                if let Some(RequestState::Waiting { bid_ms, .. }) =
+                    self.requests.get(sequence).map(|request| request.state.clone())
+                {
+                    self.hop(now, sequence, Hop::Bid, bid_ms);
+                }
                 if let Some(request) = self.requests.get_active_mut(sequence) {
                     request.state = RequestState::Running {
                         backend_server: grant.backend_server,
@@ -167,6 +179,13 @@
         self.wait_again(now, sequence, Some(backend_server));
     }
 
+    fn count_prefill(&mut self, sequence: u64, cached_tokens: u32) {
+        let Some(request) = self.requests.get(sequence) else { return };
+        let prefilled = request.arrival.prompt_tokens.saturating_sub(cached_tokens);
+        let amount = u64::from(prefilled);
+        self.effects.push(Effect::Count { amount, counter: Counter::PrefillTokens });
+    }
+
     fn count_tokens(&mut self, sequence: u64, tokens: u32) {
         let Some(request) = self.requests.get_active_mut(sequence) else { return };
         if let RequestState::Running { output_tokens, .. } = &mut request.state {
@@ -174,6 +193,19 @@
         }
     }
 
+    /// Records that a hop of a request ended now.
+    pub(crate) fn hop(&mut self, now: Now, sequence: u64, hop: Hop, started_ms: u64) {
+        let ended_ms = now.monotonic_ms;
+        self.effects.push(Effect::Hop { ended_ms, hop, sequence, started_ms });
+    }
+
+    fn measure_first_token(&mut self, now: Now, sequence: u64) {
+        let Some(request) = self.requests.get(sequence) else { return };
+        let value = now.monotonic_ms.saturating_sub(request.arrived_ms);
+        let quantity = Quantity::FirstTokenMs { tier: request.tier.clone() };
+        self.effects.push(Effect::Measure { quantity, value });
+    }
+
     fn report_progress(&mut self, now: Now, sequence: u64, progress: Progress) {
         let Some(request) = self.requests.get(sequence) else { return };
         let RequestState::Running { steward, .. } = &request.state else { return };
@@ -238,6 +270,7 @@
             backend_server: backend_server.name.clone(),
             deadline_ms: request.deadline_ms,
             expires_ms: (now.monotonic_ms + grant.expires_in_ms).min(request.deadline_ms),
+            granted_ms: now.monotonic_ms,
             model,
             path: request.arrival.path.clone(),
             request: request.id.to_string(),
--- a/src/run_model.rs
+++ b/src/run_model.rs
@@ -14,6 +14,7 @@
 use crate::scheduling::Progress;
 use crate::serve_request::{RequestRunner, RunEnd};
 use crate::server_sent_events::{ServerSentEvent, read_event};
+use crate::span_record::Hop;
 
 /// Wait before the first resume, in milliseconds; doubled for each further one.
 const RESUME_BACKOFF_MS: u64 = 100;
@@ -49,10 +50,11 @@
 pub fn run_model(runner: &mut RequestRunner, dispatch: &Dispatch) -> RunEnd {
     let started = Instant::now();
     let settings = runner.traffic.settings.clone();
+    let traceparent = runner.trace.dispatch_header();
     let request = BackendRequest {
         body: &runner.request.body,
         key: runner.request.arrival.key.as_deref(),
-        traceparent: runner.request.traceparent.as_deref(),
+        traceparent: Some(&traceparent),
     };
     let first = start_stream(runner.traffic.clock, dispatch, &request, &settings.dispatch);
     let stream = match first {
@@ -188,6 +190,9 @@
             let elapsed = self.started.elapsed().as_millis();
             let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX);
             self.runner.report(Progress::FirstToken { elapsed_ms });
+            let ended_ms = self.runner.traffic.clock.monotonic_ms();
+            let started_ms = ended_ms.saturating_sub(elapsed_ms);
+            self.runner.trace.record(&self.runner.traffic, Hop::FirstToken, started_ms, ended_ms);
             self.reported = Instant::now();
             self.reported_tokens = 1;
         }
--- a/src/runners.rs
+++ b/src/runners.rs
@@ -7,6 +7,7 @@
 use crate::effect::Dispatch;
 use crate::final_answer::FinalAnswer;
 use crate::name::Name;
+use crate::span_record::Hop;
 
 /// A command to the thread that serves a request.
 #[derive(Clone, Debug)]
@@ -17,6 +18,15 @@
     Cancel,
     /// Send the request to a backend server.
     Dispatch(Dispatch),
+    /// Record that a hop of the request ended.
+    Hop {
+        /// Monotonic time of its end, in milliseconds.
+        ended_ms: u64,
+        /// The hop.
+        hop: Hop,
+        /// Monotonic time of its start, in milliseconds.
+        started_ms: u64,
+    },
     /// Answer from another request of this instance.
     JoinLocal {
         /// The other request.
--- a/src/schedule.rs
+++ b/src/schedule.rs
@@ -4,6 +4,7 @@
 use crate::effect::{Effect, PollTarget};
 use crate::inventory::ServiceKind;
 use crate::least_outstanding::LeastOutstanding;
+use crate::metric::Counter;
 use crate::name::Name;
 use crate::now::Now;
 use crate::peer_message::PeerMessage;
@@ -60,8 +61,15 @@
     fn apply_scheduler(&mut self, now: Now, effects: Vec<SchedulerEffect>) {
         for effect in effects {
             match effect {
-                SchedulerEffect::Grant(grant) => self.pass_grant(now, grant),
-                SchedulerEffect::Refuse(refusal) => self.pass_refusal(now, refusal),
+                SchedulerEffect::Grant(grant) => {
+                    self.effects.push(Effect::Count { amount: 1, counter: Counter::Grants });
+                    self.pass_grant(now, grant);
+                }
+                SchedulerEffect::Refuse(refusal) => {
+                    let counter = Counter::Refusals { reason: refusal.reason };
+                    self.effects.push(Effect::Count { amount: 1, counter });
+                    self.pass_refusal(now, refusal);
+                }
             }
         }
     }
--- a/src/serve_request.rs
+++ b/src/serve_request.rs
@@ -11,10 +11,12 @@
 use crate::final_answer::FinalAnswer;
 use crate::join_answer::{join_local, join_peer};
 use crate::read_request::ReadRequest;
+use crate::request_trace::RequestTrace;
 use crate::run_model::run_model;
 use crate::run_plain::run_plain;
 use crate::runners::RunnerCommand;
 use crate::scheduling::Progress;
+use crate::span_record::Hop;
 use crate::traffic::Traffic;
 
 /// Time between two signs of life to a waiting caller, in milliseconds.
@@ -30,6 +32,8 @@
     pub traffic: Arc<Traffic>,
     caller_gone: bool,
     log: Arc<AnswerLog>,
+    /// The trace that the request belongs to.
+    pub trace: RequestTrace,
     writer: Box<dyn AnswerWriter>,
 }
 
@@ -55,7 +59,8 @@
         let sequence = request.arrival.sequence;
         let commands = traffic.runners.add(sequence);
         let log = traffic.answer_logs.open(sequence);
-        Self { caller_gone: false, commands, log, request, traffic, writer }
+        let trace = RequestTrace::start(&traffic, request.traceparent.as_deref());
+        Self { caller_gone: false, commands, log, request, trace, traffic, writer }
     }
 
     /// Adds token events to the answer.
@@ -101,6 +106,7 @@
                 Next::Wait => {}
             }
         }
+        self.trace.end(&self.traffic);
         self.traffic.runners.remove(sequence);
         self.traffic.answer_logs.settle(sequence);
     }
@@ -131,6 +137,10 @@
             RunnerCommand::Answer(answer) => self.end_with(answer),
             RunnerCommand::Cancel => Next::Wait,
             RunnerCommand::Dispatch(dispatch) => self.run(&dispatch),
+            RunnerCommand::Hop { ended_ms, hop, started_ms } => {
+                self.trace.record(&self.traffic, hop, started_ms, ended_ms);
+                Next::Wait
+            }
             RunnerCommand::JoinLocal { holder } => {
                 match self.traffic.answer_logs.find(holder) {
                     Some(log) => join_local(&log, 0, self.writer.as_mut()),
@@ -146,10 +156,13 @@
     }
 
     fn run(&mut self, dispatch: &Dispatch) -> Next {
+        let started_ms = self.traffic.clock.monotonic_ms();
+        self.trace.record(&self.traffic, Hop::Grant, dispatch.granted_ms, started_ms);
         let run_end = match dispatch.model {
             true => run_model(self, dispatch),
             false => run_plain(self, dispatch),
         };
+        self.trace.end_dispatch(&self.traffic, started_ms);
         match run_end {
             RunEnd::Ended(AnswerEnd::Done(_), progress) => {
                 let totals = self.log.finish();
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -9,6 +9,7 @@
 use crate::event::Event;
 use crate::runners::Runners;
 use crate::settings::Settings;
+use crate::telemetry::Telemetry;
 
 /// What the threads that serve requests share.
 pub struct Traffic {
@@ -22,6 +23,8 @@
     pub runners: Runners,
     /// The settings.
     pub settings: Arc<Settings>,
+    /// Spans and metrics.
+    pub telemetry: Arc<dyn Telemetry>,
     sequence: AtomicU64,
 }
 
@@ -31,6 +34,7 @@
         clock: Clock,
         control: flume::Sender<ControlInput>,
         settings: Arc<Settings>,
+        telemetry: Arc<dyn Telemetry>,
     ) -> Self {
         Self {
             answer_logs: AnswerLogs::default(),
@@ -38,6 +42,7 @@
             control,
             runners: Runners::default(),
             settings,
+            telemetry,
             sequence: AtomicU64::new(1),
         }
     }
--- /dev/null
+++ b/src/usage_metrics.rs
@@ -0,0 +1,45 @@
+//! Counts what the links and the watch of the platform use.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::metric::Counter;
+use crate::peer_links::PeerLinks;
+use crate::platform_watch::PlatformWatch;
+use crate::telemetry::Telemetry;
+
+/// Counts what the links and the watch of the platform use.
+pub struct UsageMetrics {
+    /// The links.
+    pub peer_links: Arc<PeerLinks>,
+    /// The watch of the platform.
+    pub platform_watch: Arc<PlatformWatch>,
+    /// Where the counts go.
+    pub telemetry: Arc<dyn Telemetry>,
+}
+
+impl UsageMetrics {
+    /// Counts every `interval_ms` milliseconds on a thread of its own.
+    pub fn start(self, interval_ms: u64) {
+        std::thread::spawn(move || {
+            let mut counted = [0; 3];
+            loop {
+                std::thread::sleep(Duration::from_millis(interval_ms));
+                self.count(&mut counted);
+            }
+        });
+    }
+
+    fn count(&self, counted: &mut [u64; 3]) {
+        let traffic = self.peer_links.traffic();
+        let totals = [
+            (Counter::PeerReceivedBytes, traffic.received_bytes),
+            (Counter::PeerSentBytes, traffic.sent_bytes),
+            (Counter::PlatformReads, self.platform_watch.reads()),
+        ];
+        for ((counter, total), counted) in totals.into_iter().zip(counted) {
+            self.telemetry.count(counter, total - *counted);
+            *counted = total;
+        }
+    }
+}
