Make the fleet's default inventory one that daemons accept

Engines need published figures, and a request may only lower the tier of its customer, so the default customer has the highest one. An instance that isn't ready now shows the end of its log.

--- a/standins/src/experiment/trial.rs
+++ b/standins/src/experiment/trial.rs
@@ -94,9 +94,10 @@
         builder = builder.service(spec);
     }
     builder = add_tiers(builder, &setup.mix);
-    let lowest = setup.mix.classes.last().map_or("", |class| class.tier.as_str());
+    // A request may lower the tier of its customer, but not raise it.
+    let highest = setup.mix.classes.first().map_or("", |class| class.tier.as_str());
     for customer in distinct(setup.mix.classes.iter().map(|class| &class.customer)) {
-        builder = builder.customer(customer, lowest);
+        builder = builder.customer(customer, highest);
     }
     match policy {
         DIRECT => builder.instances(0),
--- a/standins/src/fleet/builder.rs
+++ b/standins/src/fleet/builder.rs
@@ -11,6 +11,12 @@
 /// Instances of a fleet unless told otherwise.
 const INSTANCES: usize = 3;
 
+/// Speed of prefill published for an engine, in tokens per second; that of its default options.
+const PREFILL_TOKENS_PER_S: u32 = 50_000;
+
+/// Limit of tokens in progress published for an engine.
+const TOKEN_LIMIT_TOKENS: u32 = 16_384;
+
 /// Longest time until every instance is ready.
 const READY_LIMIT_MS: u64 = 20_000;
 
@@ -30,7 +36,12 @@
 impl ServiceSpec {
     /// Describes a model service with `count` engines.
     pub fn model(name: &str, model: &str, count: usize) -> Self {
-        Self { model: Some(model.to_owned()), ..Self::plain(name, count) }
+        Self {
+            model: Some(model.to_owned()),
+            prefill_tokens_per_s: Some(PREFILL_TOKENS_PER_S),
+            token_limit_tokens: Some(TOKEN_LIMIT_TOKENS),
+            ..Self::plain(name, count)
+        }
     }
 
     /// Describes a plain service with `count` servers; its requests are idempotent.
@@ -216,8 +227,8 @@
             self = self.tier("high", 10_000).tier("low", 30_000);
         }
         if self.customers.is_empty() {
-            let lowest = self.tiers.last().map(|tier| tier.name.clone()).unwrap_or_default();
-            self = self.customer("customer-1", &lowest);
+            let highest = self.tiers.first().map(|tier| tier.name.clone()).unwrap_or_default();
+            self = self.customer("customer-1", &highest);
         }
         start::start(self)
     }
--- a/standins/src/fleet/error.rs
+++ b/standins/src/fleet/error.rs
@@ -44,6 +44,16 @@
         /// What it wrote on its standard error.
         log: String,
     },
+    /// An instance did not become ready in time.
+    #[error("{instance} was not ready within {limit_ms} ms; its log ends: {log}")]
+    NotReady {
+        /// Name of the instance.
+        instance: String,
+        /// Time waited in milliseconds.
+        limit_ms: u64,
+        /// End of what it wrote on its standard error.
+        log: String,
+    },
     /// An HTTP call was refused.
     #[error("{url} answered {status}")]
     Refused {
--- a/standins/src/fleet/process.rs
+++ b/standins/src/fleet/process.rs
@@ -13,6 +13,9 @@
 use super::error::FleetError;
 use super::wait::wait_until;
 
+/// Lines of a log that an error shows.
+const LOG_END_LINES: usize = 20;
+
 /// Longest time until a process prints its addresses.
 const START_LIMIT_MS: u64 = 10_000;
 
@@ -69,6 +72,13 @@
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Returns the last lines that it has written on its standard error.
+    pub fn log_end(&self) -> String {
+        let log = self.log();
+        let lines: Vec<&str> = log.lines().collect();
+        lines[lines.len().saturating_sub(LOG_END_LINES)..].join("\n")
+    }
+
     /// Returns whether it runs.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
--- a/standins/src/fleet/running.rs
+++ b/standins/src/fleet/running.rs
@@ -242,8 +242,12 @@
     /// Returns an error if one isn't within `limit_ms` milliseconds.
     pub fn wait_ready(&self, limit_ms: u64) -> Result<(), FleetError> {
         for instance in &self.instances {
-            let condition = format!("readiness of {}", instance.name);
-            wait_until(&condition, limit_ms, || is_success(instance.caller_address, "/readyz"))?;
+            let ready = || is_success(instance.caller_address, "/readyz");
+            wait_until("readiness", limit_ms, ready).map_err(|_| FleetError::NotReady {
+                instance: instance.name.clone(),
+                limit_ms,
+                log: instance.process.log_end(),
+            })?;
         }
         Ok(())
     }
