--- a/src/membership.rs
+++ b/src/membership.rs
@@ -177,6 +177,9 @@
 
     fn forget_retired_lists(&mut self) {
         let retired_version = self.retired_version;
+        if self.earlier_lists.iter().all(|list| list.version > retired_version) {
+            return;
+        }
         self.earlier_lists.retain(|list| list.version > retired_version);
         let known = self.heartbeat_targets();
         self.records.retain(&known);
@@ -233,7 +236,9 @@
     }
 
     fn is_known(&self, name: &Name) -> bool {
-        self.heartbeat_targets().binary_search(name).is_ok()
+        let mut lists = self.earlier_lists.iter().map(|list| list.members.as_slice());
+        let is_in = |members: &[Name]| members.binary_search(name).is_ok();
+        is_in(self.view.members()) || lists.any(is_in)
     }
 
     fn is_past_lifetime(&self, now: Now, since_ms: u64) -> bool {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,20 +27,25 @@
     pub unbroken_window: bool,
 }
 
+impl Rules {
+    /// Every rule in force.
+    pub const ALL: Self = Self {
+        abstention: true,
+        equal_list: true,
+        future: true,
+        majority: true,
+        minted_after: true,
+        pause: true,
+        recovery: true,
+        retirement: true,
+        retirement_window: true,
+        send_time: true,
+        unbroken_window: true,
+    };
+}
+
 impl Default for Rules {
     fn default() -> Self {
-        Self {
-            abstention: true,
-            equal_list: true,
-            future: true,
-            majority: true,
-            minted_after: true,
-            pause: true,
-            recovery: true,
-            retirement: true,
-            retirement_window: true,
-            send_time: true,
-            unbroken_window: true,
-        }
+        Self::ALL
     }
 }
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,416 @@
+//! Tests of membership.
+
+use bergamotspan::home_standing::{HomeStanding, NotLawfulReason};
+use bergamotspan::inventory::{Instance, Inventory};
+use bergamotspan::membership::Membership;
+use bergamotspan::membership_builder::MembershipBuilder;
+use bergamotspan::membership_event::{HeartbeatSummary, MembershipEffect, MembershipEvent};
+use bergamotspan::name::Name;
+use bergamotspan::now::Now;
+use bergamotspan::peer_message::{Confirmation, Heartbeat, PeerMessage};
+use bergamotspan::view::View;
+
+const EPOCH_MS: u64 = 1_800_000_000_000;
+const INCARNATION: u64 = 77;
+const INTERVAL_MS: u64 = 100;
+const LIFETIME_MS: u64 = 60_000;
+const MARGIN_MS: u64 = 100;
+const WINDOW_MS: u64 = 1_000;
+
+/// Instance `a` and the peers that a test plays for it.
+struct Home {
+    /// Peers that answer heartbeats, with what they answer.
+    answers: Vec<(Name, Confirmation)>,
+    membership: Membership,
+    now_ms: u64,
+}
+
+impl Home {
+    fn start(list_version: u64, members: &[&str]) -> Self {
+        let membership = MembershipBuilder::new(INCARNATION)
+            .clock_margin_ms(MARGIN_MS)
+            .confirmation_window_ms(WINDOW_MS)
+            .heartbeat_interval_ms(INTERVAL_MS)
+            .key_lifetime_ms(LIFETIME_MS)
+            .build(at(0), view(list_version, members));
+        Self { answers: Vec::new(), membership, now_ms: 0 }
+    }
+
+    fn answered_by(mut self, peers: &[&str], list_version: u64) -> Self {
+        self.answer(peers, list_version);
+        self
+    }
+
+    fn without_confirming(mut self) -> Self {
+        for (_, answer) in &mut self.answers {
+            answer.confirms = false;
+        }
+        self
+    }
+
+    fn answer(&mut self, peers: &[&str], list_version: u64) {
+        let answer = Confirmation { confirms: true, list_version, ..Default::default() };
+        self.answers = peers.iter().map(|peer| (name(peer), answer.clone())).collect();
+    }
+
+    fn decide(&mut self, event: MembershipEvent) -> Vec<MembershipEffect> {
+        self.membership.decide(at(self.now_ms), event)
+    }
+
+    fn hear(&mut self, from: &str, heartbeat: Heartbeat) -> Vec<MembershipEffect> {
+        self.decide(MembershipEvent::Heartbeat { from: name(from), heartbeat })
+    }
+
+    /// Lets time pass while the peers answer each heartbeat at once.
+    fn run_until(mut self, end_ms: u64) -> Self {
+        while self.now_ms < end_ms {
+            self.now_ms += INTERVAL_MS;
+            self.tick();
+            for (from, confirmation) in self.answers.clone() {
+                let confirmation = Confirmation {
+                    heartbeat_incarnation: INCARNATION,
+                    heartbeat_sent_ms: self.now_ms,
+                    ..confirmation
+                };
+                self.decide(MembershipEvent::Confirmation { confirmation, from });
+            }
+        }
+        self
+    }
+
+    fn standing(&self) -> HomeStanding {
+        self.membership.standing(at(self.now_ms))
+    }
+
+    fn tick(&mut self) -> Vec<MembershipEffect> {
+        self.decide(MembershipEvent::Tick { summary: HeartbeatSummary::default() })
+    }
+}
+
+fn at(time_ms: u64) -> Now {
+    Now { monotonic_ms: time_ms, wall_clock_ms: EPOCH_MS + time_ms }
+}
+
+fn beat(incarnation: u64) -> Heartbeat {
+    Heartbeat { incarnation, list_version: 1, ..Default::default() }
+}
+
+fn is_lawful(standing: HomeStanding) -> bool {
+    matches!(standing, HomeStanding::Lawful { .. })
+}
+
+fn name(name: &str) -> Name {
+    name.into()
+}
+
+fn not_lawful(reason: NotLawfulReason) -> HomeStanding {
+    HomeStanding::NotLawful { reason }
+}
+
+fn view(list_version: u64, members: &[&str]) -> View {
+    let instances = members.iter().map(|member| Instance {
+        caller_address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "umea-a".into(),
+        name: name(member),
+        peer_address: "127.0.0.1:2".parse().unwrap(),
+    });
+    let instances = instances.collect();
+    let inventory = Inventory { instances, instances_version: list_version, ..Default::default() };
+    View::of(&inventory, name("a"))
+}
+
+#[test]
+fn a_fresh_fleet_has_lawful_homes_after_three_windows_and_not_before() {
+    let home = Home::start(1, &["a", "b", "c"]).answered_by(&["b", "c"], 1).without_confirming();
+    let home = home.run_until(2 * WINDOW_MS - INTERVAL_MS).answered_by(&["b", "c"], 1);
+
+    let settling = home.run_until(3 * WINDOW_MS - INTERVAL_MS);
+    assert_eq!(settling.standing(), not_lawful(NotLawfulReason::Settling));
+    let lawful = settling.run_until(3 * WINDOW_MS);
+
+    assert_eq!(lawful.standing(), HomeStanding::Lawful { since: at(3 * WINDOW_MS) });
+}
+
+#[test]
+fn a_home_that_established_others_confirm_is_lawful_after_one_window() {
+    let home = Home::start(1, &["a", "b", "c"]).answered_by(&["b", "c"], 1);
+
+    let home = home.run_until(WINDOW_MS + INTERVAL_MS);
+
+    let since = at(WINDOW_MS + INTERVAL_MS);
+    assert_eq!(home.standing(), HomeStanding::Lawful { since });
+}
+
+#[test]
+fn a_lone_instance_becomes_its_own_home() {
+    let home = Home::start(1, &["a"]).run_until(3 * WINDOW_MS);
+
+    assert!(is_lawful(home.standing()));
+}
+
+#[test]
+fn a_home_falls_silent_one_window_after_its_last_heartbeat_that_was_answered() {
+    let mut home = Home::start(1, &["a", "b", "c"]).answered_by(&["b", "c"], 1).run_until(5_000);
+    home.answers.clear();
+
+    let home = home.run_until(5_000 + WINDOW_MS - INTERVAL_MS);
+    assert!(is_lawful(home.standing()));
+    let home = home.run_until(5_000 + WINDOW_MS);
+
+    assert_eq!(home.standing(), not_lawful(NotLawfulReason::NoMajority { confirmed: 1, of: 3 }));
+}
+
+#[test]
+fn a_late_confirmation_counts_from_the_time_its_heartbeat_was_sent() {
+    let mut home = Home::start(1, &["a", "b", "c"]).answered_by(&["b", "c"], 1).run_until(5_000);
+    home.answers.clear();
+    let mut home = home.run_until(5_900);
+    let confirmation = Confirmation {
+        confirms: true,
+        heartbeat_incarnation: INCARNATION,
+        heartbeat_sent_ms: 5_100,
+        list_version: 1,
+        ..Default::default()
+    };
+    home.decide(MembershipEvent::Confirmation { confirmation, from: name("b") });
+
+    let home = home.run_until(6_000);
+    assert!(is_lawful(home.standing()));
+    let home = home.run_until(6_100);
+
+    assert!(!is_lawful(home.standing()));
+}
+
+#[test]
+fn a_break_starts_the_window_again() {
+    let mut home = Home::start(1, &["a", "b", "c"]).answered_by(&["b", "c"], 1).run_until(5_000);
+    home.answers.clear();
+    let mut home = home.run_until(7_000);
+    home.answer(&["b"], 1);
+
+    let home = home.run_until(9_000);
+
+    assert_eq!(home.standing(), HomeStanding::Lawful { since: at(8_100) });
+}
+
+#[test]
+fn a_pause_breaks_the_standing() {
+    let mut home = Home::start(1, &["a", "b", "c"]).answered_by(&["b", "c"], 1).run_until(5_000);
+
+    home.now_ms = 5_000 + WINDOW_MS + 1;
+    assert_eq!(home.standing(), not_lawful(NotLawfulReason::Paused));
+    let home = home.run_until(6_100);
+
+    assert_eq!(home.standing(), not_lawful(NotLawfulReason::Settling));
+}
+
+#[test]
+fn a_confirmation_of_another_incarnation_counts_for_nothing() {
+    let mut home = Home::start(1, &["a", "b", "c"]).answered_by(&["b", "c"], 1).run_until(5_000);
+    home.answers.clear();
+    let mut home = home.run_until(7_000);
+    let confirmation = Confirmation {
+        confirms: true,
+        heartbeat_incarnation: INCARNATION + 1,
+        heartbeat_sent_ms: 7_000,
+        list_version: 1,
+        ..Default::default()
+    };
+
+    home.decide(MembershipEvent::Confirmation { confirmation, from: name("b") });
+
+    assert_eq!(home.standing(), not_lawful(NotLawfulReason::NoMajority { confirmed: 1, of: 3 }));
+}
+
+#[test]
+fn a_started_instance_confirms_nobody_for_two_windows() {
+    let confirms = |home: &mut Home| match home.hear("b", beat(1)).pop() {
+        Some(MembershipEffect::Send { message: PeerMessage::Confirmation(it), .. }) => it.confirms,
+        other => panic!("{other:?}"),
+    };
+    let home = Home::start(1, &["a", "b", "c"]).answered_by(&["b", "c"], 1);
+
+    let mut home = home.run_until(2 * WINDOW_MS - INTERVAL_MS);
+    assert!(!confirms(&mut home));
+    let mut home = home.run_until(2 * WINDOW_MS);
+
+    assert!(confirms(&mut home));
+}
+
+#[test]
+fn a_started_instance_waits_for_more_than_half_of_the_others() {
+    let members = ["a", "b", "c", "d", "e"];
+    let home = Home::start(1, &members).answered_by(&["b", "c"], 1).run_until(9_000);
+    assert!(!home.membership.is_established());
+
+    let home = home.answered_by(&["b", "c", "d"], 1).run_until(9_100);
+
+    assert!(home.membership.is_established());
+}
+
+#[test]
+fn a_started_instance_waits_while_an_other_is_on_a_later_list() {
+    let home = Home::start(1, &["a", "b", "c"]).answered_by(&["b"], 1).run_until(1_900);
+
+    let home = home.answered_by(&["b", "c"], 2).run_until(9_000);
+
+    assert!(!home.membership.is_established());
+}
+
+#[test]
+fn a_started_instance_stops_waiting_after_a_key_lifetime() {
+    let home = Home::start(1, &["a", "b", "c"]).answered_by(&["b"], 1);
+
+    let home = home.run_until(LIFETIME_MS + MARGIN_MS + WINDOW_MS);
+
+    assert!(is_lawful(home.standing()));
+}
+
+#[test]
+fn an_earlier_list_is_retired_by_more_than_half_of_its_members() {
+    let members = ["a", "b", "c", "d", "e"];
+    let mut home = Home::start(1, &members).answered_by(&["b", "c", "d", "e"], 1).run_until(5_000);
+    home.decide(MembershipEvent::ListAdopted { view: view(2, &["a", "b", "c", "d", "f"]) });
+
+    let home = home.answered_by(&["b"], 2).run_until(6_000);
+    let reason = NotLawfulReason::EarlierListInUse { version: 1 };
+    assert_eq!(home.standing(), not_lawful(reason));
+    let home = home.answered_by(&["b", "c"], 2).run_until(6_100);
+
+    assert_eq!(home.membership.retired_version(), 1);
+    assert_eq!(home.standing(), not_lawful(NotLawfulReason::Settling));
+}
+
+#[test]
+fn an_unknown_earlier_list_is_retired_after_a_key_lifetime() {
+    let home = Home::start(4, &["a", "b", "c"]).answered_by(&["b", "c"], 4);
+
+    let home = home.run_until(LIFETIME_MS);
+    let reason = NotLawfulReason::EarlierListInUse { version: 1 };
+    assert_eq!(home.standing(), not_lawful(reason));
+    let home = home.run_until(LIFETIME_MS + MARGIN_MS + WINDOW_MS);
+
+    assert_eq!(home.membership.retired_version(), 3);
+    assert!(is_lawful(home.standing()));
+}
+
+#[test]
+fn a_peer_passes_on_that_a_list_is_retired() {
+    let mut home = Home::start(4, &["a", "b", "c"]).answered_by(&["b", "c"], 4).run_until(2_000);
+
+    home.hear("b", Heartbeat { list_version: 4, retired_version: 3, ..beat(1) });
+
+    assert!(is_lawful(home.run_until(3_000).standing()));
+}
+
+#[test]
+fn a_home_whose_own_list_is_retired_falls_silent() {
+    let mut home = Home::start(1, &["a", "b", "c"]).answered_by(&["b", "c"], 1).run_until(5_000);
+
+    home.hear("b", Heartbeat { list_version: 2, retired_version: 1, ..beat(1) });
+
+    assert_eq!(home.standing(), not_lawful(NotLawfulReason::ListRetired));
+}
+
+#[test]
+fn an_older_list_is_ignored() {
+    let mut home = Home::start(3, &["a", "b", "c"]);
+
+    home.decide(MembershipEvent::ListAdopted { view: view(2, &["a", "b"]) });
+
+    assert_eq!(home.membership.view().list_version(), 3);
+}
+
+#[test]
+fn an_instance_that_left_the_list_is_no_home() {
+    let mut home = Home::start(1, &["a", "b", "c"]).answered_by(&["b", "c"], 1).run_until(5_000);
+
+    home.decide(MembershipEvent::ListAdopted { view: view(2, &["b", "c", "d"]) });
+
+    assert_eq!(home.standing(), not_lawful(NotLawfulReason::NotMember));
+}
+
+#[test]
+fn later_versions_at_a_peer_are_reported() {
+    let mut home = Home::start(1, &["a", "b"]);
+
+    let effects =
+        home.hear("b", Heartbeat { config_version: 9, list_version: 2, ..Heartbeat::default() });
+
+    assert!(effects.contains(&MembershipEffect::ConfigAhead { peer: name("b"), version: 9 }));
+    assert!(effects.contains(&MembershipEffect::ListAhead { peer: name("b"), version: 2 }));
+}
+
+#[test]
+fn a_peer_is_lost_after_three_silent_intervals() {
+    let mut home = Home::start(1, &["a", "b"]);
+    home.hear("b", beat(1));
+    assert_eq!(home.membership.alive(), [name("a"), name("b")]);
+
+    home.now_ms = 3 * INTERVAL_MS - 1;
+    let early = home.tick();
+    home.now_ms = 3 * INTERVAL_MS;
+    let late = home.tick();
+
+    let lost = MembershipEffect::PeerLost { peer: name("b") };
+    assert!(!early.contains(&lost));
+    assert!(late.contains(&lost));
+    assert_eq!(home.membership.alive(), [name("a")]);
+}
+
+#[test]
+fn a_peer_is_lost_with_its_link() {
+    let mut home = Home::start(1, &["a", "b"]);
+    home.hear("b", beat(1));
+
+    let first = home.decide(MembershipEvent::LinkLost { peer: name("b") });
+    let second = home.decide(MembershipEvent::LinkLost { peer: name("b") });
+
+    assert_eq!(first, [MembershipEffect::PeerLost { peer: name("b") }]);
+    assert_eq!(second, []);
+}
+
+#[test]
+fn a_restarted_peer_is_lost_and_then_alive() {
+    let mut home = Home::start(1, &["a", "b"]);
+    home.hear("b", beat(1));
+
+    let effects = home.hear("b", beat(2));
+
+    let lost = MembershipEffect::PeerLost { peer: name("b") };
+    let alive = MembershipEffect::PeerAlive { incarnation: 2, peer: name("b") };
+    assert_eq!(effects[..2], [lost, alive]);
+}
+
+#[test]
+fn a_peer_that_leaves_the_list_is_lost() {
+    let mut home = Home::start(1, &["a", "b", "c"]);
+    home.hear("c", beat(1));
+
+    let effects = home.decide(MembershipEvent::ListAdopted { view: view(2, &["a", "b"]) });
+
+    assert_eq!(effects, [MembershipEffect::PeerLost { peer: name("c") }]);
+}
+
+#[test]
+fn heartbeats_go_out_once_an_interval_to_members_old_and_new() {
+    let mut home = Home::start(1, &["a", "b", "c"]);
+    home.decide(MembershipEvent::ListAdopted { view: view(2, &["a", "b", "d"]) });
+    let targets = |effects: Vec<MembershipEffect>| -> Vec<Name> {
+        let sends = effects.into_iter().filter_map(|effect| match effect {
+            MembershipEffect::Send { to, .. } => Some(to),
+            _ => None,
+        });
+        sends.collect()
+    };
+
+    let first = targets(home.tick());
+    home.now_ms = INTERVAL_MS - 1;
+    let early = targets(home.tick());
+    home.now_ms = INTERVAL_MS;
+    let second = targets(home.tick());
+
+    assert_eq!(first, [name("b"), name("c"), name("d")]);
+    assert!(early.is_empty());
+    assert_eq!(second.len(), 3);
+}
