Let an instance that its list lacks see the others

It had no members at all, so it took itself for the only live instance and could never see its earlier lists retired. It now shares the group that its name hashes to, without counting itself as live.

A far jump of the list version is retired in one step after the key lifetime, since counting up one by one takes time in proportion.

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -8,7 +8,7 @@
 //! A version is retired once more than half of its members have confirmed a later one within one
 //! window; that is passed on in heartbeats. An earlier list that is not known here counts as
 //! retired one key lifetime plus the clock margin after the present version was first seen.
-//! The first version is 1.
+//! Versions count up one by one from 1; a gap is an unknown list.
 //!
 //! A restarted instance has lost what it confirmed. So it confirms nobody for two windows, and
 //! then not before it has heard, in the second of these or later, more than half of its list
@@ -74,9 +74,12 @@
         }
     }
 
-    /// Returns the members that live, sorted, with this instance.
+    /// Returns the members that live, sorted, with this instance if the list has it.
     pub fn alive(&self) -> Vec<Name> {
         let mut names = self.records.alive();
+        if !self.view.contains_self() {
+            return names;
+        }
         if let Err(index) = names.binary_search(self.view.own_name()) {
             names.insert(index, self.view.own_name().clone());
         }
@@ -251,11 +254,18 @@
         self.settings.rules.pause && gap_ms > self.settings.confirmation_window_ms
     }
 
-    fn is_retired(&self, now: Now, version: u64) -> bool {
-        let known = self.earlier_lists.iter().find(|list| list.version == version);
+    /// Returns the version up to which the next earlier lists are retired, if they are.
+    fn next_retired(&self, now: Now) -> Option<u64> {
+        let next = self.retired_version + 1;
+        if next >= self.view.list_version() {
+            return None;
+        }
+        let known = self.earlier_lists.iter().find(|list| list.version >= next);
         match known {
-            Some(list) => self.votes(now).is_left(list),
-            None => self.is_past_lifetime(now, self.first_seen_ms),
+            Some(list) if list.version == next => self.votes(now).is_left(list).then_some(next),
+            _ if !self.is_past_lifetime(now, self.first_seen_ms) => None,
+            Some(list) => Some(list.version - 1),
+            None => Some(self.view.list_version() - 1),
         }
     }
 
@@ -314,10 +324,8 @@
     }
 
     fn retire(&mut self, now: Now) {
-        while self.retired_version + 1 < self.view.list_version()
-            && self.is_retired(now, self.retired_version + 1)
-        {
-            self.retired_version += 1;
+        while let Some(version) = self.next_retired(now) {
+            self.retired_version = version;
         }
         self.forget_retired_lists();
     }
--- a/src/view.rs
+++ b/src/view.rs
@@ -17,8 +17,9 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct View {
     cells: Vec<Vec<Name>>,
+    contains_self: bool,
+    group: usize,
     list_version: u64,
-    own_cell: Option<usize>,
     own_name: Name,
 }
 
@@ -27,18 +28,21 @@
     pub fn of(inventory: &Inventory, own_name: Name) -> Self {
         let cells = cut(inventory);
         let own_cell = cells.iter().position(|cell| cell.binary_search(&own_name).is_ok());
-        Self { cells, list_version: inventory.instances_version, own_cell, own_name }
+        let contains_self = own_cell.is_some();
+        let group = own_cell.or_else(|| cell_index(&own_name, cells.len())).unwrap_or(0);
+        let list_version = inventory.instances_version;
+        Self { cells, contains_self, group, list_version, own_name }
     }
 
     /// Returns the members of the cell that a key belongs to, sorted.
     pub fn cell_of_key(&self, key: &str) -> &[Name] {
-        let index = (0..self.cells.len()).max_by_key(|index| cell_weight(key, *index));
+        let index = cell_index(key, self.cells.len());
         index.map_or(&[], |index| self.cells[index].as_slice())
     }
 
     /// Returns whether the published list has this instance.
     pub fn contains_self(&self) -> bool {
-        self.own_cell.is_some()
+        self.contains_self
     }
 
     /// Returns the home of a key; this instance if the list is empty.
@@ -51,9 +55,10 @@
         self.list_version
     }
 
-    /// Returns the members of this instance's cell, sorted; none if the list lacks it.
+    /// Returns the members of this instance's cell, sorted; if the list lacks it, those of the
+    /// cell that its name hashes to.
     pub fn members(&self) -> &[Name] {
-        self.own_cell.map_or(&[], |index| self.cells[index].as_slice())
+        self.cells.get(self.group).map_or(&[], Vec::as_slice)
     }
 
     /// Returns this instance's name.
@@ -72,6 +77,10 @@
     }
 }
 
+fn cell_index(key: &str, cell_count: usize) -> Option<usize> {
+    (0..cell_count).max_by_key(|index| cell_weight(key, *index))
+}
+
 fn cell_weight(key: &str, index: usize) -> u64 {
     xxh3_64_with_seed(key.as_bytes(), xxh3_64(&(index as u64).to_le_bytes()))
 }
