--- a/tests/key_home_schedules.rs
+++ b/tests/key_home_schedules.rs
@@ -12,6 +12,9 @@
 //!   another, so that what an earlier incarnation confirmed has expired by then;
 //! - `equal_list`: a home asks its own list whether it is the home; the rule refuses earlier;
 //! - `pause`: after a pause longer than the window every confirmation has expired.
+//!
+//! The limit on a grant's age at the receiver is not shown necessary either, by as many seeds: a
+//! later home does not grant a key that was minted before it became lawful.
 
 mod fleet;
 
