Keep links to former members until their list is retired, and bypass proxies

Cause: heartbeats go to members of earlier lists until these are retired, and the links to them were cut with the new list, so an outdated home could not hear that it is outdated. Calls to backend servers followed proxy variables of the environment. The memory of keys now knows how many tiers the inventory has.

--- a/src/adopt.rs
+++ b/src/adopt.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::build_core::build_membership;
+use crate::build_core::{build_key_home, build_membership};
 use crate::config_event::{ConfigDocument, ConfigEffect, ConfigEvent, ConfigSource};
 use crate::core::Core;
 use crate::effect::Effect;
@@ -80,18 +80,14 @@
         self.refused_document = None;
         let own_name = self.own_name();
         self.view = View::of(&self.inventory, own_name.clone());
-        let peers = self
-            .inventory
-            .instances
-            .iter()
-            .filter(|instance| instance.name != own_name)
-            .map(|instance| (instance.name.clone(), instance.peer_address))
-            .collect();
-        self.effects.push(Effect::SetPeers(peers));
+        self.link_members();
         self.effects.push(Effect::WatchAfter { version: self.inventory.version });
         let view = self.view.clone();
         match is_first {
-            true => self.membership = build_membership(&self.settings, self.incarnation, now, view),
+            true => {
+                self.key_home = build_key_home(&self.settings, &self.inventory);
+                self.membership = build_membership(&self.settings, self.incarnation, now, view);
+            }
             false => self.member(now, MembershipEvent::ListAdopted { view }),
         }
         let event = self.fleet_event();
@@ -99,4 +95,32 @@
         self.assign_stewards(now);
         self.move_bids(now, None);
     }
+
+    /// Keeps links to the members of the list, and to those of earlier lists until these are
+    /// retired: they have to hear that there is a later list.
+    fn link_members(&mut self) {
+        let own_name = self.own_name();
+        for instance in &self.inventory.instances {
+            let peer = (instance.name.clone(), instance.peer_address);
+            match self.linked_peers.binary_search_by(|(name, _)| name.cmp(&instance.name)) {
+                Ok(index) => self.linked_peers[index] = peer,
+                Err(index) => self.linked_peers.insert(index, peer),
+            }
+        }
+        self.linked_peers.retain(|(name, _)| *name != own_name);
+        self.effects.push(Effect::SetPeers(self.linked_peers.clone()));
+    }
+
+    /// Drops the links to members of earlier lists once these are retired.
+    pub(crate) fn unlink_former_members(&mut self) {
+        if self.membership.retired_version() + 1 < self.view.list_version() {
+            return;
+        }
+        let inventory = self.inventory.clone();
+        let linked = self.linked_peers.len();
+        self.linked_peers.retain(|(name, _)| inventory.instance(name).is_some());
+        if self.linked_peers.len() < linked {
+            self.effects.push(Effect::SetPeers(self.linked_peers.clone()));
+        }
+    }
 }
--- a/src/backend_call.rs
+++ b/src/backend_call.rs
@@ -6,10 +6,11 @@
 use std::time::Duration;
 
 use attohttpc::body::{Body, BodyKind};
-use attohttpc::{RequestBuilder, Response, ResponseReader};
+use attohttpc::{Method, RequestBuilder, Response, ResponseReader};
 
 use crate::clock::Clock;
 use crate::effect::Dispatch;
+use crate::http_client::http_request;
 use crate::settings::DispatchSettings;
 
 /// Time for a call that only cancels, in milliseconds.
@@ -79,7 +80,8 @@
     let url = format!("http://{}/v1/streams/{}", dispatch.address, dispatch.request);
     let timeout = Duration::from_millis(CANCEL_TIMEOUT_MS);
     // The engine drops a stream without a reader by itself.
-    let _ = attohttpc::delete(url).connect_timeout(timeout).timeout(timeout).send();
+    let request = http_request(Method::DELETE, &url);
+    let _ = request.connect_timeout(timeout).timeout(timeout).send();
 }
 
 /// Calls a plain service and returns its answer.
@@ -124,7 +126,7 @@
 ) -> Result<EventStream, CallFailure> {
     let url =
         format!("http://{}/v1/streams/{}?offset={offset}", dispatch.address, dispatch.request);
-    let builder = attohttpc::get(url)
+    let builder = http_request(Method::GET, &url)
         .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
         .read_timeout(Duration::from_millis(settings.idle_limit_ms));
     let response = builder.send().map_err(|error| match error.kind() {
@@ -174,7 +176,7 @@
     let state = AtomicU8::new(NOT_SENT);
     let body =
         TimedBody { bytes: request.body, clock, expires_ms: dispatch.expires_ms, state: &state };
-    let builder = attohttpc::post(url)
+    let builder = http_request(Method::POST, url)
         .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
         .read_timeout(read_timeout)
         .header("Content-Type", "application/json")
--- a/src/build_core.rs
+++ b/src/build_core.rs
@@ -5,6 +5,7 @@
 use crate::config_adoption::ConfigAdoption;
 use crate::core::Core;
 use crate::inventory::Inventory;
+use crate::key_home::KeyHome;
 use crate::key_home_builder::KeyHomeBuilder;
 use crate::membership::Membership;
 use crate::membership_builder::MembershipBuilder;
@@ -18,12 +19,7 @@
 pub fn build_core(settings: Arc<Settings>, incarnation: u64, now: Now) -> Core {
     let inventory = Arc::new(Inventory::default());
     let view = View::of(&inventory, settings.instance.name.clone());
-    let keys = &settings.keys;
-    let key_home = KeyHomeBuilder::default()
-        .capacity(keys.capacity)
-        .clock_margin_ms(keys.clock_margin_ms)
-        .lifetime_ms(keys.lifetime_ms)
-        .build();
+    let key_home = build_key_home(&settings, &inventory);
     Core {
         adoption: ConfigAdoption::new(settings.instance.name.clone()),
         effects: Vec::new(),
@@ -31,6 +27,7 @@
         inventory,
         key_home,
         leaving: Vec::new(),
+        linked_peers: Vec::new(),
         membership: build_membership(&settings, incarnation, now, view.clone()),
         peer_versions: Vec::new(),
         quarantine: Quarantine::default(),
@@ -47,6 +44,17 @@
     }
 }
 
+/// Builds an empty memory of keys for the tiers of an inventory.
+pub fn build_key_home(settings: &Settings, inventory: &Inventory) -> KeyHome {
+    let keys = &settings.keys;
+    KeyHomeBuilder::default()
+        .capacity(keys.capacity)
+        .clock_margin_ms(keys.clock_margin_ms)
+        .lifetime_ms(keys.lifetime_ms)
+        .tier_count(u8::try_from(inventory.tiers.len()).unwrap_or(u8::MAX))
+        .build()
+}
+
 /// Builds the membership that starts with the given view.
 pub fn build_membership(settings: &Settings, incarnation: u64, now: Now, view: View) -> Membership {
     MembershipBuilder::new(incarnation)
--- a/src/core.rs
+++ b/src/core.rs
@@ -3,6 +3,7 @@
 //! The core holds no clock, socket, thread or unseeded randomness. An adapter hands it each event
 //! with the time, and carries out the effects that it returns.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::config_adoption::ConfigAdoption;
@@ -35,6 +36,7 @@
     pub(crate) inventory: Arc<Inventory>,
     pub(crate) key_home: KeyHome,
     pub(crate) leaving: Vec<Name>,
+    pub(crate) linked_peers: Vec<(Name, SocketAddr)>,
     pub(crate) membership: Membership,
     pub(crate) peer_versions: Vec<(Name, u64, u64)>,
     pub(crate) quarantine: Quarantine,
@@ -151,6 +153,7 @@
         self.tick_schedulers(now);
         self.sweep_requests(now);
         self.key_home.expire(now);
+        self.unlink_former_members();
         self.continue_stop(now);
     }
 }
--- a/src/join_answer.rs
+++ b/src/join_answer.rs
@@ -5,11 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use attohttpc::Method;
+
 use crate::answer_log::{AnswerEnd, AnswerLog, AnswerRead, AnswerTotals};
 use crate::answer_writer::AnswerWriter;
 use crate::answers;
 use crate::backend_call::EventStream;
 use crate::final_answer::FinalAnswer;
+use crate::http_client::http_request;
 use crate::server_sent_events::{ServerSentEvent, read_event};
 use crate::settings::DispatchSettings;
 
@@ -101,7 +104,7 @@
     settings: &DispatchSettings,
 ) -> attohttpc::Result<Connection> {
     let url = format!("http://{address}/v1/requests/{key}?offset={offset}");
-    let response = attohttpc::get(url)
+    let response = http_request(Method::GET, &url)
         .header(JOIN_HEADER, "1")
         .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
         .read_timeout(Duration::from_millis(settings.idle_limit_ms))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod granting;
 pub mod home_rules;
 pub mod home_standing;
+pub mod http_client;
 pub mod ini_document;
 pub mod ini_value;
 pub mod inventory;
--- a/src/load_poller.rs
+++ b/src/load_poller.rs
@@ -4,9 +4,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use attohttpc::Method;
+
 use crate::control::ControlInput;
 use crate::effect::PollTarget;
 use crate::event::Event;
+use crate::http_client::http_request;
 use crate::load_report::{CacheEvent, LoadReport};
 
 /// Time for one question, in milliseconds.
@@ -61,7 +64,8 @@
 {
     let timeout = Duration::from_millis(POLL_TIMEOUT_MS);
     let url = format!("http://{}{path}", target.address);
-    let response = attohttpc::get(url).connect_timeout(timeout).timeout(timeout).send().ok()?;
+    let request = http_request(Method::GET, &url).connect_timeout(timeout).timeout(timeout);
+    let response = request.send().ok()?;
     if !response.is_success() {
         return None;
     }
