Take a request out of the queue when it is heard of late

A grant that is not heard of counts as lost and a repeated bid waits again. The random schedules found that a first token that came later left that bid in the queue, so that the same steward would have granted it twice. Any progress of a request that was dispatched now takes its bid out; an abandoned grant or failed connection does not, since the receiver may have bid again.

--- a/src/learning.rs
+++ b/src/learning.rs
@@ -12,6 +12,9 @@
 impl Steward {
     /// Takes in how a granted request goes.
     pub(crate) fn learn(&mut self, now_ms: u64, request: &RequestId, progress: &Progress) {
+        if !self.running.contains(request) {
+            self.learn_forgotten(request, progress);
+        }
         match progress {
             Progress::Abandoned | Progress::Cancelled => {
                 self.end(request);
@@ -32,6 +35,21 @@
         }
     }
 
+    /// Takes in progress of a request that is not known to run: if it was dispatched by a grant
+    /// that counted as lost, a bid for it that waits again must not be granted.
+    fn learn_forgotten(&mut self, request: &RequestId, progress: &Progress) {
+        match progress {
+            Progress::Abandoned | Progress::ConnectFailed => {}
+            Progress::Cancelled
+            | Progress::Died
+            | Progress::Finished { .. }
+            | Progress::FirstToken { .. }
+            | Progress::Tokens { .. } => {
+                self.queue.remove(request);
+            }
+        }
+    }
+
     fn hear(&mut self, now_ms: u64, request: &RequestId) {
         let Some(running) = self.running.get(request) else { return };
         let backend_server = running.backend_server.clone();
--- /dev/null
+++ b/tests/length_estimate.rs
@@ -0,0 +1,68 @@
+//! Tests of the estimate of answer lengths.
+
+use bergamotspan::length_estimate::{CUSTOMER_LIMIT, LengthEstimates};
+use proptest::prelude::*;
+
+const MAX_OUTPUT_TOKENS: u32 = 4_000;
+
+fn learned(lengths_tokens: &[u32]) -> LengthEstimates {
+    let mut estimates = LengthEstimates::default();
+    for output_tokens in lengths_tokens {
+        estimates.learn(&"large".into(), *output_tokens);
+    }
+    estimates
+}
+
+#[test]
+fn trusts_nothing_before_enough_answers() {
+    let estimates = learned(&[100; 7]);
+
+    assert_eq!(estimates.lower_tokens(&"large".into(), MAX_OUTPUT_TOKENS), None);
+    assert_eq!(estimates.trusted_upper_tokens(&"large".into(), MAX_OUTPUT_TOKENS), None);
+}
+
+#[test]
+fn closes_in_on_equal_answers() {
+    let estimates = learned(&[100; 40]);
+
+    let lower_tokens = estimates.lower_tokens(&"large".into(), MAX_OUTPUT_TOKENS);
+    let upper_tokens = estimates.upper_tokens(&"large".into(), MAX_OUTPUT_TOKENS);
+
+    assert_eq!(lower_tokens, Some(99));
+    assert_eq!(upper_tokens, 100);
+}
+
+#[test]
+fn never_goes_beyond_what_a_request_allows() {
+    let estimates = learned(&[1_000; 40]);
+
+    assert_eq!(estimates.upper_tokens(&"large".into(), 10), 10);
+    assert_eq!(estimates.upper_tokens(&"unknown".into(), 10), 10);
+}
+
+#[test]
+fn forgets_the_customer_that_was_not_heard_of_for_longest() {
+    let mut estimates = learned(&[100; 8]);
+    for index in 0..CUSTOMER_LIMIT {
+        estimates.learn(&format!("customer-{index}").into(), 5);
+    }
+
+    assert_eq!(estimates.len(), CUSTOMER_LIMIT);
+    assert_eq!(estimates.lower_tokens(&"large".into(), MAX_OUTPUT_TOKENS), None);
+}
+
+proptest! {
+    #[test]
+    fn keeps_the_bounds_in_order(
+        lengths_tokens in prop::collection::vec(any::<u32>(), 8..100),
+        max_output_tokens in any::<u32>(),
+    ) {
+        let estimates = learned(&lengths_tokens);
+
+        let lower_tokens = estimates.lower_tokens(&"large".into(), max_output_tokens).unwrap();
+        let upper_tokens = estimates.upper_tokens(&"large".into(), max_output_tokens);
+
+        prop_assert!(lower_tokens <= upper_tokens);
+        prop_assert!(upper_tokens <= max_output_tokens);
+    }
+}
--- a/tests/steward_properties.rs
+++ b/tests/steward_properties.rs
@@ -86,6 +86,41 @@
     ]
 }
 
+fn extreme_ms() -> impl Strategy<Value = u64> {
+    prop_oneof![0u64..3, 1_000u64..10_000, u64::MAX - 3..=u64::MAX]
+}
+
+fn extreme_tokens() -> impl Strategy<Value = u32> {
+    prop_oneof![0u32..3, 100u32..1_000, u32::MAX - 3..=u32::MAX]
+}
+
+fn extreme_step() -> impl Strategy<Value = Step> {
+    let bid = (shape(), extreme_tokens(), extreme_tokens(), extreme_ms());
+    let bid = bid.prop_map(|(shape, prompt_tokens, max_output_tokens, time_left_ms)| {
+        Step::Bid(Shape { max_output_tokens, prompt_tokens, time_left_ms, ..shape })
+    });
+    let progress = (any::<usize>(), extreme_ms(), extreme_tokens(), 0u8..3);
+    let progress = progress.prop_map(|(pick, time_ms, output_tokens, kind)| {
+        let progress = match kind {
+            0 => Progress::FirstToken { elapsed_ms: time_ms },
+            1 => Progress::Tokens { between_tokens_ms: time_ms, output_tokens },
+            _ => Progress::Finished { cached_tokens: u32::MAX, output_tokens },
+        };
+        Step::Progress(pick, progress)
+    });
+    let load = (0u8..4, extreme_ms(), extreme_ms());
+    let event = (extreme_ms(), extreme_ms(), any::<bool>());
+    prop_oneof![
+        3 => (1u64..600).prop_map(Step::Advance),
+        6 => bid,
+        1 => prop::collection::vec(event, 0..5).prop_map(|events| Step::CacheEvents(1, events)),
+        1 => load.prop_map(|(engine, age_ms, tokens)| Step::Load(engine, age_ms, tokens)),
+        6 => progress,
+        1 => any::<usize>().prop_map(Step::Resend),
+        1 => Just(Step::Takeover),
+    ]
+}
+
 fn inventory() -> Inventory {
     let builder = InventoryBuilder::new()
         .engine("e0", 600)
@@ -133,4 +168,14 @@
 
         model.finish();
     }
+
+    /// Peers may send any figure; none makes the steward panic.
+    #[test]
+    fn survives_extreme_figures(steps in prop::collection::vec(extreme_step(), 1..200)) {
+        let mut model = Model::new(inventory());
+
+        for step in steps {
+            run(&mut model, step);
+        }
+    }
 }
