--- a/src/learning.rs
+++ b/src/learning.rs
@@ -44,6 +44,7 @@
             | Progress::Died
             | Progress::Finished { .. }
             | Progress::FirstToken { .. }
+            | Progress::Lost
             | Progress::Tokens { .. } => {
                 self.queue.remove(request);
             }
