Tell a joining caller nothing that is not certain

Cause: a request whose claim was not granted stayed known under its key as one that never ran, so a join told 'not_run' though another instance may have run the key. A second send that joined a request which itself was answered from elsewhere waited for ever, since that answer was not kept. Ruled out: answering 'unknown' for every ended request, which hides keys that were given back. Before: tests/core_joins.rs fails with 'not_run' for a key that the home called unknown. After: it asks the home. A cancel that arrives between two dispatches is no longer forgotten.

--- a/src/admit.rs
+++ b/src/admit.rs
@@ -91,6 +91,7 @@
             arrived_ms: now.monotonic_ms,
             deadline_ms: now.monotonic_ms + deadline_ms,
             excluded: Vec::new(),
+            holds_key: false,
             id: self.request_id(arrival.sequence),
             state: RequestState::Waiting { bid_ms: now.monotonic_ms, steward: None },
             steps: Vec::new(),
@@ -140,7 +141,12 @@
             KeyVerdict::BodyDiffers => {
                 self.end_with(now, sequence, answers::key_with_other_body());
             }
-            KeyVerdict::Granted => self.bid(now, sequence),
+            KeyVerdict::Granted => {
+                if let Some(request) = self.requests.get_active_mut(sequence) {
+                    request.holds_key = true;
+                }
+                self.bid(now, sequence);
+            }
             KeyVerdict::Held { by } => {
                 self.join_holder(now, sequence, &by);
             }
--- a/src/answer_log.rs
+++ b/src/answer_log.rs
@@ -76,10 +76,15 @@
         totals
     }
 
+    /// Ends the answer as it ended elsewhere, unless it ended already.
+    pub fn finish_as(&self, end: AnswerEnd) {
+        self.lock().end.get_or_insert(end);
+        self.changed.notify_all();
+    }
+
     /// Ends the answer without being whole.
     pub fn finish_with(&self, answer: FinalAnswer) {
-        self.lock().end.get_or_insert(AnswerEnd::Final(answer));
-        self.changed.notify_all();
+        self.finish_as(AnswerEnd::Final(answer));
     }
 
     /// Returns whether the answer ended.
--- a/src/join_answer.rs
+++ b/src/join_answer.rs
@@ -1,6 +1,6 @@
 //! Writes the answer of another request: one of this instance, or one of another instance.
 
-use std::io::BufReader;
+use std::io::{self, BufReader};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +22,32 @@
 /// Time between two signs of life to the caller, in milliseconds.
 const KEEP_ALIVE_INTERVAL_MS: u64 = 1_000;
 
+/// Writes an answer to a caller and keeps it for others.
+pub struct KeepingWriter<'a> {
+    /// Where it is kept.
+    pub log: &'a AnswerLog,
+    /// The way to the caller.
+    pub writer: &'a mut dyn AnswerWriter,
+}
+
+impl AnswerWriter for KeepingWriter<'_> {
+    fn end(&mut self, end: &AnswerEnd) -> io::Result<()> {
+        self.log.finish_as(end.clone());
+        self.writer.end(end)
+    }
+
+    fn events(&mut self, events: &[Arc<str>]) -> io::Result<()> {
+        for event in events {
+            self.log.push(event.clone());
+        }
+        self.writer.events(events)
+    }
+
+    fn keep_alive(&mut self) -> io::Result<()> {
+        self.writer.keep_alive()
+    }
+}
+
 /// What the other instance answers.
 enum Connection {
     /// There is no answer to stream.
--- a/src/request.rs
+++ b/src/request.rs
@@ -21,6 +21,8 @@
     pub deadline_ms: u64,
     /// Backend servers that refused a connection for it.
     pub excluded: Vec<Name>,
+    /// Whether the home of its key granted it the key.
+    pub holds_key: bool,
     /// Identity.
     pub id: RequestId,
     /// Where it stands.
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -32,11 +32,18 @@
         self.get(*self.by_key.get(key)?)
     }
 
-    /// Moves a request to those that ended, and keeps it under its key until the given monotonic
-    /// time, in milliseconds, or, without one, for as long as there is room in the history.
+    /// Moves a request to those that ended, and keeps it until the given monotonic time, in
+    /// milliseconds, or, without one, for as long as there is room in the history. It stays known
+    /// under its key only if it holds the key.
     pub fn end(&mut self, sequence: u64, keep_until_ms: Option<u64>) {
         let Some(mut request) = self.active.remove(&sequence) else { return };
         request.arrival.prefix_hashes = Vec::new();
+        if let Some(key) = &request.arrival.key
+            && !request.holds_key
+            && self.by_key.get(key) == Some(&sequence)
+        {
+            self.by_key.remove(key);
+        }
         self.ended.insert(sequence, request);
         match keep_until_ms {
             Some(until_ms) => self.kept.push_back((until_ms, sequence)),
--- a/src/serve_request.rs
+++ b/src/serve_request.rs
@@ -9,7 +9,7 @@
 use crate::effect::Dispatch;
 use crate::event::Event;
 use crate::final_answer::FinalAnswer;
-use crate::join_answer::{join_local, join_peer};
+use crate::join_answer::{KeepingWriter, join_local, join_peer};
 use crate::read_request::ReadRequest;
 use crate::request_trace::RequestTrace;
 use crate::run_model::run_model;
@@ -31,6 +31,7 @@
     /// What all such threads share.
     pub traffic: Arc<Traffic>,
     caller_gone: bool,
+    cancelled: bool,
     log: Arc<AnswerLog>,
     /// The trace that the request belongs to.
     pub trace: RequestTrace,
@@ -60,7 +61,16 @@
         let commands = traffic.runners.add(sequence);
         let log = traffic.answer_logs.open(sequence);
         let trace = RequestTrace::start(&traffic, request.traceparent.as_deref());
-        Self { caller_gone: false, commands, log, request, trace, traffic, writer }
+        Self {
+            caller_gone: false,
+            cancelled: false,
+            commands,
+            log,
+            request,
+            trace,
+            traffic,
+            writer,
+        }
     }
 
     /// Adds token events to the answer.
@@ -123,6 +133,12 @@
         Next::Ended
     }
 
+    /// Others may take part in this answer, so it has to end even if its own caller went away.
+    fn end_join(&mut self) -> Next {
+        self.log.finish_with(answers::holder_unreachable());
+        Next::Ended
+    }
+
     /// A caller without a key can't come back for the answer, so its request is cancelled.
     fn lose_caller(&mut self) {
         self.caller_gone = true;
@@ -135,22 +151,31 @@
     fn obey(&mut self, command: RunnerCommand) -> Next {
         match command {
             RunnerCommand::Answer(answer) => self.end_with(answer),
-            RunnerCommand::Cancel => Next::Wait,
+            RunnerCommand::Cancel => {
+                self.cancelled = true;
+                Next::Wait
+            }
+            RunnerCommand::Dispatch(_) if self.cancelled => {
+                self.report(Progress::Cancelled);
+                self.end_with(answers::cancelled_before_run())
+            }
             RunnerCommand::Dispatch(dispatch) => self.run(&dispatch),
             RunnerCommand::Hop { ended_ms, hop, started_ms } => {
                 self.trace.record(&self.traffic, hop, started_ms, ended_ms);
                 Next::Wait
             }
             RunnerCommand::JoinLocal { holder } => {
-                match self.traffic.answer_logs.find(holder) {
-                    Some(log) => join_local(&log, 0, self.writer.as_mut()),
-                    None => self.end(&AnswerEnd::Final(answers::answer_not_kept())),
-                }
-                Next::Ended
+                let Some(held) = self.traffic.answer_logs.find(holder) else {
+                    return self.end_with(answers::answer_not_kept());
+                };
+                let mut writer = KeepingWriter { log: &self.log, writer: self.writer.as_mut() };
+                join_local(&held, 0, &mut writer);
+                self.end_join()
             }
             RunnerCommand::JoinPeer { address, key } => {
-                join_peer(address, &key, 0, &self.traffic.settings.dispatch, self.writer.as_mut());
-                Next::Ended
+                let mut writer = KeepingWriter { log: &self.log, writer: self.writer.as_mut() };
+                join_peer(address, &key, 0, &self.traffic.settings.dispatch, &mut writer);
+                self.end_join()
             }
         }
     }
--- /dev/null
+++ b/tests/core_joins.rs
@@ -0,0 +1,107 @@
+//! Tests of what the decision core tells callers that join under a key.
+
+use std::sync::Arc;
+
+use bergamotspan::build_core::build_core;
+use bergamotspan::config_event::ConfigDocument;
+use bergamotspan::core::Core;
+use bergamotspan::effect::Effect;
+use bergamotspan::event::{Arrival, Event};
+use bergamotspan::final_answer::Outcome;
+use bergamotspan::name::Name;
+use bergamotspan::now::Now;
+use bergamotspan::parse_inventory::parse_inventory;
+use bergamotspan::parse_settings::parse_settings;
+use bergamotspan::peer_message::{KeyVerdict, PeerMessage};
+
+const INVENTORY: &str = include_str!("../examples/norrland.ini");
+const SETTINGS: &str = include_str!("../examples/entry-1-settings.ini");
+
+/// An instance that claimed a key at another instance.
+struct Claimant {
+    core: Core,
+    home: Name,
+    key: Name,
+    now: Now,
+    request: bergamotspan::request_id::RequestId,
+}
+
+impl Claimant {
+    /// Adopts the inventory and claims the first key whose home is another instance.
+    fn arrange() -> Self {
+        let now = Now { monotonic_ms: 10_000, wall_clock_ms: 1_000_000 };
+        let settings = Arc::new(parse_settings("settings", SETTINGS).unwrap());
+        let mut core = build_core(settings, 1, now);
+        let inventory = Arc::new(parse_inventory("inventory", INVENTORY).unwrap());
+        let document = ConfigDocument { text: INVENTORY.into(), version: inventory.version };
+        core.decide(now, Event::DocumentRead { document, parsed: Ok(inventory), peer: None });
+        for sequence in 1.. {
+            let key: Name = format!("key-{sequence}").into();
+            let arrival = Arrival {
+                customer: "home-care-umea".into(),
+                key: Some(key.clone()),
+                path: "bookings".into(),
+                sequence,
+                service: "order-desk".into(),
+                ..Arrival::default()
+            };
+            for effect in core.decide(now, Event::Arrived(Box::new(arrival))) {
+                if let Effect::SendPeer { message: PeerMessage::KeyClaim(claim), to } = effect {
+                    return Self { core, home: to, key, now, request: claim.request };
+                }
+            }
+        }
+        unreachable!("some key has another home")
+    }
+
+    fn hear(&mut self, verdict: KeyVerdict) -> Vec<Effect> {
+        let message = PeerMessage::KeyVerdict {
+            key: self.key.clone(),
+            request: self.request.clone(),
+            verdict,
+        };
+        let peer = self.home.clone();
+        self.core.decide(self.now, Event::PeerMessage { incarnation: 2, message, peer })
+    }
+
+    fn join(&mut self, from_peer: bool) -> Vec<Effect> {
+        let key = self.key.clone();
+        self.core.decide(self.now, Event::JoinAsked { from_peer, key, sequence: 1_000 })
+    }
+}
+
+fn outcomes(effects: &[Effect]) -> Vec<Outcome> {
+    let outcome = |effect: &Effect| match effect {
+        Effect::Answer { answer, .. } => Some(answer.outcome),
+        _ => None,
+    };
+    effects.iter().filter_map(outcome).collect()
+}
+
+#[test]
+fn a_join_of_a_key_that_was_given_back_says_that_it_did_not_run() {
+    let mut claimant = Claimant::arrange();
+    claimant.hear(KeyVerdict::Granted);
+    let sequence = claimant.request.sequence;
+    claimant.core.decide(claimant.now, Event::CallerGone { sequence });
+
+    let effects = claimant.join(true);
+
+    assert_eq!(outcomes(&effects), [Outcome::NotRun], "{effects:?}");
+}
+
+#[test]
+fn a_join_of_a_key_that_was_never_granted_here_asks_its_home() {
+    for verdict in [KeyVerdict::Unknown, KeyVerdict::BodyDiffers] {
+        let mut claimant = Claimant::arrange();
+        claimant.hear(verdict);
+
+        let effects = claimant.join(false);
+
+        let asks = |effect: &Effect| {
+            matches!(effect, Effect::SendPeer { message: PeerMessage::KeyQuery { .. }, .. })
+        };
+        assert!(effects.iter().any(asks), "{effects:?}");
+        assert_eq!(outcomes(&effects), []);
+    }
+}
