Serve fleets of several cells

Cause: with more than nine instances the list is cut into cells. Links between cells carry no heartbeats, so each was closed as silent after three intervals, and every cell's stewards used all backend servers at their whole limits. A link now sends a ping in a quiet interval. Each backend server belongs to one cell, and those of a service with fewer than there are cells are shared with divided limits. Ruled out: heartbeats between all instances, whose bytes grow with the square of the fleet.

--- a/src/adopt.rs
+++ b/src/adopt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::build_core::{build_key_home, build_membership};
+use crate::cell_inventory::cell_inventory;
 use crate::config_event::{ConfigDocument, ConfigEffect, ConfigEvent, ConfigSource};
 use crate::core::Core;
 use crate::effect::Effect;
@@ -79,7 +80,8 @@
         self.inventory = inventory;
         self.refused_document = None;
         let own_name = self.own_name();
-        self.view = View::of(&self.inventory, own_name.clone());
+        self.view = View::of(&self.inventory, own_name);
+        self.cell_inventory = cell_inventory(&self.inventory, &self.view);
         self.link_members();
         self.effects.push(Effect::WatchAfter { version: self.inventory.version });
         let view = self.view.clone();
--- a/src/build_core.rs
+++ b/src/build_core.rs
@@ -22,6 +22,7 @@
     let key_home = build_key_home(&settings, &inventory);
     Core {
         adoption: ConfigAdoption::new(settings.instance.name.clone()),
+        cell_inventory: inventory.clone(),
         effects: Vec::new(),
         incarnation,
         inventory,
--- a/src/core.rs
+++ b/src/core.rs
@@ -31,6 +31,7 @@
 /// The decision core of one instance.
 pub struct Core {
     pub(crate) adoption: ConfigAdoption,
+    pub(crate) cell_inventory: Arc<Inventory>,
     pub(crate) effects: Vec<Effect>,
     pub(crate) incarnation: u64,
     pub(crate) inventory: Arc<Inventory>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod bid;
 pub mod build_core;
 pub mod caller_edge;
+pub mod cell_inventory;
 pub mod check_change;
 pub mod check_file;
 pub mod clock;
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -128,7 +128,14 @@
     peer: &Name,
     inbox: &Inbox,
 ) {
-    while let Ok(message) = inbox.messages.recv_async().await {
+    let ping_interval = Duration::from_millis(registry.settings.heartbeat_interval_ms);
+    loop {
+        let message = match timeout(ping_interval, inbox.messages.recv_async()).await {
+            Ok(Ok(message)) => message,
+            Ok(Err(_)) => break,
+            Err(_) if sink.send(Message::Ping(Bytes::new())).await.is_ok() => continue,
+            Err(_) => return,
+        };
         let bytes = match encode(peer, &message) {
             Err(error) => return log_unsent(&error),
             Ok(bytes) => bytes,
--- a/src/schedule.rs
+++ b/src/schedule.rs
@@ -55,7 +55,10 @@
     }
 
     pub(crate) fn fleet_event(&self) -> SchedulerEvent {
-        SchedulerEvent::Fleet { inventory: self.inventory.clone(), leaving: self.leaving.clone() }
+        SchedulerEvent::Fleet {
+            inventory: self.cell_inventory.clone(),
+            leaving: self.leaving.clone(),
+        }
     }
 
     fn apply_scheduler(&mut self, now: Now, effects: Vec<SchedulerEffect>) {
@@ -133,7 +136,7 @@
                 .is_some_and(|service| service.kind != ServiceKind::Plain);
             is_model && self.schedulers.binary_search_by(|(name, _)| name.cmp(service)).is_ok()
         };
-        self.inventory
+        self.cell_inventory
             .backend_servers
             .iter()
             .filter(|backend_server| is_polled(&backend_server.service))
--- a/src/view.rs
+++ b/src/view.rs
@@ -40,6 +40,11 @@
         index.map_or(&[], |index| self.cells[index].as_slice())
     }
 
+    /// Returns all cells, each sorted.
+    pub fn cells(&self) -> &[Vec<Name>] {
+        &self.cells
+    }
+
     /// Returns whether the published list has this instance.
     pub fn contains_self(&self) -> bool {
         self.contains_self
@@ -61,6 +66,12 @@
         self.cells.get(self.group).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the number of this instance's cell; if the list lacks it, of the cell that its name
+    /// hashes to.
+    pub fn own_cell(&self) -> usize {
+        self.group
+    }
+
     /// Returns this instance's name.
     pub fn own_name(&self) -> &Name {
         &self.own_name
