Lead joins and cancels to the request that holds the key, anywhere

Cause: three faults in how an asker found the request of a key. - A caller that joined through an instance whose own send of the key had taken part in another instance's answer was told `not_run`, although the request ran. The same came of an instance replaced in place: the home named the earlier incarnation, the new one answered for itself. - A home's answer to a question of an earlier incarnation carried a number that could stand for another caller by then, who got the other answer. - DELETE worked only at the instance that holds the request and always answered 202.

An instance now names the holder by its whole id in `Bergamotspan-Join`; only that request is joined or cancelled. Questions to a home are kept by number and key for 3 s, and other answers are dropped. DELETE asks the home as a join does and passes the holder's answer on; an ended request gives 409 `already_ended`. A cancel that meets a run which was never sent is told to the core again, which might grant the request once more.

--- a/src/answers.rs
+++ b/src/answers.rs
@@ -21,6 +21,12 @@
     answer(error.http_status(), Outcome::NotRun, reason, message, None)
 }
 
+/// The request that a caller wants to cancel has ended.
+pub fn already_ended(outcome: Outcome) -> FinalAnswer {
+    let message = "The request of this key has ended, so there is nothing to cancel.";
+    answer(409, outcome, "already_ended", message, None)
+}
+
 /// Builds an answer.
 pub fn answer<S>(
     status: u16,
--- a/src/apply_effects.rs
+++ b/src/apply_effects.rs
@@ -32,6 +32,7 @@
                 runners.tell(sequence, RunnerCommand::Answer(answer));
             }
             Effect::Cancel { sequence } => runners.tell(sequence, RunnerCommand::Cancel),
+            Effect::Cancelling { sequence } => runners.tell(sequence, RunnerCommand::Cancelling),
             Effect::Dispatch(dispatch) => {
                 runners.tell(dispatch.sequence, RunnerCommand::Dispatch(dispatch));
             }
@@ -39,8 +40,8 @@
             Effect::JoinLocal { holder, sequence } => {
                 runners.tell(sequence, RunnerCommand::JoinLocal { holder });
             }
-            Effect::JoinPeer { address, key, sequence } => {
-                runners.tell(sequence, RunnerCommand::JoinPeer { address, key });
+            Effect::JoinPeer { address, holder, key, sequence } => {
+                runners.tell(sequence, RunnerCommand::JoinPeer { address, holder, key });
             }
             Effect::Log { part, text } => log::info!(target: part, "{text}"),
             Effect::PollLoad(targets) => self.poller.set_targets(targets),
--- a/src/build_core.rs
+++ b/src/build_core.rs
@@ -1,5 +1,6 @@
 //! Builds the decision core from the settings.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::config_adoption::ConfigAdoption;
@@ -30,6 +31,7 @@
         incarnation,
         inventory,
         key_home,
+        key_lookups: BTreeMap::new(),
         leaving: Vec::new(),
         membership: build_membership(&settings, incarnation, now, view.clone()),
         peer_versions: Vec::new(),
--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -18,7 +18,8 @@
 use crate::error::Error;
 use crate::event::Event;
 use crate::final_answer::{FinalAnswer, Outcome};
-use crate::join_answer::{JOIN_HEADER, join_local, join_peer};
+use crate::join_answer::{JOIN_HEADER, JoinTarget, cancel_at_peer, join_local, join_peer};
+use crate::name::Name;
 use crate::platform_watch::PlatformWatch;
 use crate::read_request::{header, read_request, wants_json};
 use crate::runners::RunnerCommand;
@@ -133,12 +134,32 @@
     }
 }
 
+fn cancel(traffic: &Traffic, request: Request, key: String) {
+    let holder = header(&request, JOIN_HEADER).map(Name::from);
+    let sequence = traffic.next_sequence();
+    let commands = traffic.runners.add(sequence);
+    traffic.tell(Event::CancelAsked { holder, key: key.into(), sequence });
+    match commands.recv_timeout(Duration::from_millis(JOIN_TIMEOUT_MS)) {
+        Ok(RunnerCommand::Answer(answer)) => respond_final(request, &answer),
+        Ok(RunnerCommand::Cancelling) => respond(request, 202, &json!({ "cancelling": true })),
+        Ok(RunnerCommand::JoinPeer { address, holder, key }) => {
+            let target = JoinTarget { address, holder: &holder, key: &key };
+            match cancel_at_peer(&target, &traffic.settings.dispatch) {
+                Ok((status, body)) => respond(request, status, &body),
+                Err(_) => respond_final(request, &answers::holder_unreachable()),
+            }
+        }
+        _ => respond_final(request, &answers::holder_unreachable()),
+    }
+    traffic.runners.remove(sequence);
+}
+
 fn join(traffic: &Arc<Traffic>, request: Request, key: String, offset: usize) {
-    let from_peer = header(&request, JOIN_HEADER).is_some();
+    let holder = header(&request, JOIN_HEADER).map(Name::from);
     let mut writer = writer_for(request);
     let sequence = traffic.next_sequence();
     let commands = traffic.runners.add(sequence);
-    traffic.tell(Event::JoinAsked { from_peer, key: key.clone().into(), sequence });
+    traffic.tell(Event::JoinAsked { holder, key: key.into(), sequence });
     let end = match commands.recv_timeout(Duration::from_millis(JOIN_TIMEOUT_MS)) {
         Ok(RunnerCommand::JoinLocal { holder }) => match traffic.answer_logs.find(holder) {
             Some(log) => {
@@ -147,9 +168,9 @@
             }
             None => Some(answers::answer_not_kept()),
         },
-        Ok(RunnerCommand::JoinPeer { address, key }) => {
-            let settings = &traffic.settings.dispatch;
-            join_peer(address, &key, offset, settings, writer.as_mut());
+        Ok(RunnerCommand::JoinPeer { address, holder, key }) => {
+            let target = JoinTarget { address, holder: &holder, key: &key };
+            join_peer(&target, offset, &traffic.settings.dispatch, writer.as_mut());
             None
         }
         Ok(RunnerCommand::Answer(answer)) => Some(answer),
@@ -211,10 +232,7 @@
 
 fn serve(traffic: &Arc<Traffic>, watch: &PlatformWatch, request: Request) {
     match route(request.method(), request.url()) {
-        Route::Cancel(key) => {
-            traffic.tell(Event::CancelAsked { key: key.into() });
-            respond(request, 202, &json!({ "cancelling": true }));
-        }
+        Route::Cancel(key) => cancel(traffic, request, key),
         Route::Drain => {
             let report = ask(traffic, ControlInput::Drain);
             answer_json(request, report);
--- a/src/core.rs
+++ b/src/core.rs
@@ -3,6 +3,7 @@
 //! The core holds no clock, socket, thread or unseeded randomness. An adapter hands it each event
 //! with the time, and carries out the effects that it returns.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::config_adoption::ConfigAdoption;
@@ -11,6 +12,7 @@
 use crate::event::Event;
 use crate::inventory::Inventory;
 use crate::key_home::KeyHome;
+use crate::key_lookup::KeyLookup;
 use crate::membership::Membership;
 use crate::membership_event::{HeartbeatSummary, MembershipEvent};
 use crate::name::Name;
@@ -34,6 +36,7 @@
     pub(crate) incarnation: u64,
     pub(crate) inventory: Arc<Inventory>,
     pub(crate) key_home: KeyHome,
+    pub(crate) key_lookups: BTreeMap<u64, KeyLookup>,
     pub(crate) leaving: Vec<Name>,
     pub(crate) membership: Membership,
     pub(crate) peer_versions: Vec<(Name, u64, u64)>,
@@ -69,14 +72,16 @@
                 self.schedule(now, &service, event);
             }
             Event::CallerGone { sequence } => self.cancel(now, sequence),
-            Event::CancelAsked { key } => self.cancel_key(now, &key),
+            Event::CancelAsked { holder, key, sequence } => {
+                self.cancel_key(now, sequence, key, holder.as_deref());
+            }
             Event::Dispatch { progress, sequence } => self.follow(now, sequence, progress),
             Event::DocumentRead { document, parsed, peer } => {
                 self.read_document(now, parsed, peer, document);
             }
             Event::InstanceListRead { leaving } => self.read_instance_list(now, leaving),
-            Event::JoinAsked { sequence, key, from_peer } => {
-                self.join(now, sequence, key, from_peer);
+            Event::JoinAsked { holder, key, sequence } => {
+                self.join(now, sequence, key, holder.as_deref());
             }
             Event::LoadReport { backend_server, report, service } => {
                 let event = SchedulerEvent::LoadReport { backend_server, report };
@@ -151,6 +156,7 @@
         self.tick_schedulers(now);
         self.sweep_requests(now);
         self.key_home.expire(now);
+        self.expire_lookups(now);
         self.continue_stop(now);
     }
 }
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -21,15 +21,22 @@
         /// The request.
         sequence: u64,
     },
+    /// Tell a caller that the request of its key is being cancelled.
+    Cancelling {
+        /// Number of the asking connection.
+        sequence: u64,
+    },
     /// Send a request to a backend server, unless it is too late at the first byte.
     Dispatch(Dispatch),
     /// Answer from another instance that holds the key.
     JoinPeer {
         /// Caller address of that instance.
         address: SocketAddr,
+        /// Id of the request that holds the key.
+        holder: Name,
         /// The key.
         key: Name,
-        /// The request.
+        /// The request, or number of the asking connection.
         sequence: u64,
     },
     /// Answer from the kept answer of another request of this instance.
--- a/src/event.rs
+++ b/src/event.rs
@@ -31,8 +31,12 @@
     },
     /// A caller asked to cancel the request of a key.
     CancelAsked {
+        /// Id of the request that holds the key, if another instance asks and names it.
+        holder: Option<Name>,
         /// The key.
         key: Name,
+        /// Number of the asking connection.
+        sequence: u64,
     },
     /// A dispatched request goes on or ends.
     Dispatch {
@@ -57,12 +61,12 @@
     },
     /// A caller asked for the running or kept answer of a key.
     JoinAsked {
-        /// Number of the asking connection.
-        sequence: u64,
+        /// Id of the request that holds the key, if another instance asks and names it.
+        holder: Option<Name>,
         /// The key.
         key: Name,
-        /// Whether another instance asks for its own caller.
-        from_peer: bool,
+        /// Number of the asking connection.
+        sequence: u64,
     },
     /// A load report of a model engine arrived.
     LoadReport {
--- a/src/join.rs
+++ b/src/join.rs
@@ -1,13 +1,12 @@
-//! Lets a caller take part in the answer to a request that runs or ran already.
+//! Lets a caller take part in the answer to a request that runs or ran already, or cancel it.
 
 use crate::answers;
 use crate::core::Core;
 use crate::effect::Effect;
-use crate::final_answer::Outcome;
+use crate::final_answer::{FinalAnswer, Outcome};
 use crate::name::Name;
 use crate::now::Now;
-use crate::peer_message::PeerMessage;
-use crate::request::RequestState;
+use crate::request::{Request, RequestState};
 use crate::request_id::RequestId;
 
 impl Core {
@@ -24,34 +23,29 @@
         }
     }
 
-    pub(crate) fn cancel_key(&mut self, now: Now, key: &Name) {
-        if let Some(sequence) = self.requests.by_key(key).map(|found| found.arrival.sequence) {
-            self.cancel(now, sequence);
-        }
-    }
-
-    pub(crate) fn join(&mut self, now: Now, sequence: u64, key: Name, from_peer: bool) {
-        if let Some(holder) = self.requests.by_key(&key) {
-            let holder_sequence = holder.arrival.sequence;
-            if !matches!(holder.state, RequestState::Ended { ran: false, .. }) {
-                self.effects.push(Effect::JoinLocal { holder: holder_sequence, sequence });
-                return;
-            }
-            self.release_key(holder_sequence);
-            self.answer_join(sequence, Outcome::NotRun);
+    /// Cancels the request of a key, here or at the instance that holds it.
+    pub(crate) fn cancel_key(&mut self, now: Now, sequence: u64, key: Name, holder: Option<&str>) {
+        let Some(found) = self.find_holder(&key, holder) else {
+            self.look_further(now, sequence, key, holder);
             return;
-        }
-        if from_peer || self.inventory.version == 0 {
-            self.answer_join(sequence, Outcome::Unknown);
+        };
+        if let RequestState::Ended { outcome, .. } = found.state {
+            self.answer_asker(sequence, answers::already_ended(outcome));
             return;
         }
-        let home = self.view.home(&key);
-        if home == self.own_name() {
-            let holder = self.key_home.holder(&key);
-            self.take_holder(now, sequence, key, holder);
+        let holder_sequence = found.arrival.sequence;
+        self.cancel(now, holder_sequence);
+        self.effects.push(Effect::Cancelling { sequence });
+    }
+
+    /// Answers from the request of a key, here or at the instance that holds it.
+    pub(crate) fn join(&mut self, now: Now, sequence: u64, key: Name, holder: Option<&str>) {
+        let Some(found) = self.find_holder(&key, holder) else {
+            self.look_further(now, sequence, key, holder);
             return;
-        }
-        self.send(&home, PeerMessage::KeyQuery { key, sequence });
+        };
+        let holder_sequence = found.arrival.sequence;
+        self.join_here(sequence, holder_sequence);
     }
 
     /// Answers a request whose key another request holds from that request's answer.
@@ -66,41 +60,74 @@
         self.requests.end(sequence, None);
     }
 
-    pub(crate) fn take_holder(
-        &mut self,
-        _now: Now,
-        sequence: u64,
-        key: Name,
-        holder: Option<RequestId>,
-    ) {
+    /// Takes in which request holds a key that a caller asked for.
+    pub(crate) fn take_holder(&mut self, sequence: u64, key: &Name, holder: Option<RequestId>) {
+        if !self.end_lookup(sequence, key) {
+            return;
+        }
         match holder {
-            Some(holder) => self.join_at(sequence, key, &holder),
-            None => self.answer_join(sequence, Outcome::Unknown),
+            Some(holder) => self.join_at(sequence, key.clone(), &holder),
+            None => self.answer_asker(sequence, answers::no_such_key(Outcome::Unknown)),
         }
     }
 
-    fn answer_join(&mut self, sequence: u64, outcome: Outcome) {
-        self.effects.push(Effect::Answer { answer: answers::no_such_key(outcome), sequence });
+    fn answer_asker(&mut self, sequence: u64, answer: FinalAnswer) {
+        self.effects.push(Effect::Answer { answer, sequence });
+    }
+
+    /// Finds the request of a key here.
+    ///
+    /// An instance that asks names the request that holds the key, so that neither an earlier
+    /// incarnation's request nor another send of the key is taken for it. For a caller, a send
+    /// that did not run here tells nothing: another send of the key may have run elsewhere.
+    fn find_holder(&self, key: &Name, holder: Option<&str>) -> Option<&Request> {
+        let Some(holder) = holder else {
+            let found = self.requests.by_key(key)?;
+            return (!matches!(found.state, RequestState::Ended { ran: false, .. }))
+                .then_some(found);
+        };
+        let (_, sequence) = holder.rsplit_once('-')?;
+        let found = self.requests.get(sequence.parse().ok()?)?;
+        let is_holder = found.id.to_string() == holder && found.arrival.key.as_ref() == Some(key);
+        is_holder.then_some(found)
     }
 
     fn join_at(&mut self, sequence: u64, key: Name, holder: &RequestId) {
         if holder.instance == self.own_name() {
-            let is_here = *holder == self.request_id(holder.sequence)
-                && self.requests.get(holder.sequence).is_some();
-            match is_here {
-                true => {
-                    self.effects.push(Effect::JoinLocal { holder: holder.sequence, sequence });
-                }
-                false => self.answer_join(sequence, Outcome::Unknown),
+            match self.find_holder(&key, Some(&holder.to_string())) {
+                Some(_) => self.join_here(sequence, holder.sequence),
+                None => self.answer_asker(sequence, answers::no_such_key(Outcome::Unknown)),
             }
             return;
         }
         match self.inventory.instance(&holder.instance) {
             Some(instance) => {
                 let address = instance.caller_address;
-                self.effects.push(Effect::JoinPeer { address, key, sequence });
+                let holder = holder.to_string().into();
+                self.effects.push(Effect::JoinPeer { address, holder, key, sequence });
             }
-            None => self.answer_join(sequence, Outcome::Unknown),
+            None => self.answer_asker(sequence, answers::no_such_key(Outcome::Unknown)),
+        }
+    }
+
+    fn join_here(&mut self, sequence: u64, holder: u64) {
+        let did_not_run = self
+            .requests
+            .get(holder)
+            .is_some_and(|request| matches!(request.state, RequestState::Ended { ran: false, .. }));
+        if did_not_run {
+            self.release_key(holder);
+            self.answer_asker(sequence, answers::no_such_key(Outcome::NotRun));
+            return;
+        }
+        self.effects.push(Effect::JoinLocal { holder, sequence });
+    }
+
+    fn look_further(&mut self, now: Now, sequence: u64, key: Name, holder: Option<&str>) {
+        if holder.is_some() || self.inventory.version == 0 {
+            self.answer_asker(sequence, answers::no_such_key(Outcome::Unknown));
+            return;
         }
+        self.look_up(now, sequence, key);
     }
 }
--- a/src/join_answer.rs
+++ b/src/join_answer.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde_json::Value;
+
 use crate::answer_log::{AnswerEnd, AnswerLog, AnswerRead, AnswerTotals};
 use crate::answer_writer::AnswerWriter;
 use crate::answers;
@@ -13,12 +15,23 @@
 use crate::server_sent_events::{ServerSentEvent, read_event};
 use crate::settings::DispatchSettings;
 
-/// Header by which an instance asks another one for an answer that is there.
+/// Header by which an instance names the request of another one that holds a key.
 pub const JOIN_HEADER: &str = "Bergamotspan-Join";
 
 /// Time between two signs of life to the caller, in milliseconds.
 const KEEP_ALIVE_INTERVAL_MS: u64 = 1_000;
 
+/// The request of another instance that a caller takes part in.
+#[derive(Clone, Copy, Debug)]
+pub struct JoinTarget<'a> {
+    /// Caller address of that instance.
+    pub address: SocketAddr,
+    /// Id of the request.
+    pub holder: &'a str,
+    /// Its key.
+    pub key: &'a str,
+}
+
 /// What the other instance answers.
 enum Connection {
     /// There is no answer to stream.
@@ -35,6 +48,25 @@
     Reconnect,
 }
 
+/// Cancels a request of another instance, and returns its answer with the HTTP status.
+///
+/// # Errors
+///
+/// Returns an error if the instance does not answer.
+pub fn cancel_at_peer(
+    target: &JoinTarget<'_>,
+    settings: &DispatchSettings,
+) -> attohttpc::Result<(u16, Value)> {
+    let JoinTarget { address, holder, key } = target;
+    let response = attohttpc::delete(format!("http://{address}/v1/requests/{key}"))
+        .header(JOIN_HEADER, *holder)
+        .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
+        .read_timeout(Duration::from_millis(settings.idle_limit_ms))
+        .send()?;
+    let status = response.status().as_u16();
+    Ok((status, serde_json::from_reader(response).unwrap_or_default()))
+}
+
 /// Writes an answer of this instance from an offset, until it ends or the caller is gone.
 pub fn join_local(log: &AnswerLog, offset: usize, writer: &mut dyn AnswerWriter) {
     let mut offset = offset;
@@ -58,10 +90,9 @@
     }
 }
 
-/// Writes an answer of the instance at `address` from an offset.
+/// Writes the answer of a request of another instance from an offset.
 pub fn join_peer(
-    address: SocketAddr,
-    key: &str,
+    target: &JoinTarget<'_>,
     offset: usize,
     settings: &DispatchSettings,
     writer: &mut dyn AnswerWriter,
@@ -70,7 +101,7 @@
     let mut attempts = 0;
     while attempts < settings.resume_limit {
         attempts += 1;
-        let mut stream = match connect(address, key, offset, settings) {
+        let mut stream = match connect(target, offset, settings) {
             Ok(Connection::Answer(answer)) => {
                 // A caller that is gone needs no end.
                 let _ = writer.end(&AnswerEnd::Final(answer));
@@ -95,14 +126,13 @@
 }
 
 fn connect(
-    address: SocketAddr,
-    key: &str,
+    target: &JoinTarget<'_>,
     offset: usize,
     settings: &DispatchSettings,
 ) -> attohttpc::Result<Connection> {
-    let url = format!("http://{address}/v1/requests/{key}?offset={offset}");
-    let response = attohttpc::get(url)
-        .header(JOIN_HEADER, "1")
+    let JoinTarget { address, holder, key } = target;
+    let response = attohttpc::get(format!("http://{address}/v1/requests/{key}?offset={offset}"))
+        .header(JOIN_HEADER, *holder)
         .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
         .read_timeout(Duration::from_millis(settings.idle_limit_ms))
         .send()?;
@@ -136,7 +166,7 @@
     if let Ok(answer) = serde_json::from_str::<FinalAnswer>(data) {
         return AnswerEnd::Final(answer);
     }
-    let value: serde_json::Value = serde_json::from_str(data).unwrap_or_default();
+    let value: Value = serde_json::from_str(data).unwrap_or_default();
     AnswerEnd::Done(AnswerTotals {
         digest: value["digest"].as_str().unwrap_or_default().to_string(),
         events: usize::try_from(value["events"].as_u64().unwrap_or_default()).unwrap_or_default(),
--- /dev/null
+++ b/src/key_lookup.rs
@@ -0,0 +1,49 @@
+//! Asks the home of a key which request holds it, for a caller that joins or cancels.
+
+use crate::core::Core;
+use crate::name::Name;
+use crate::now::Now;
+use crate::peer_message::PeerMessage;
+
+/// Time after which an answer of the home is of no use any more, in milliseconds.
+const LOOKUP_LIMIT_MS: u64 = 3_000;
+
+/// A question to the home of a key that has no answer yet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct KeyLookup {
+    /// Monotonic time of the question, in milliseconds.
+    pub asked_ms: u64,
+    /// The key.
+    pub key: Name,
+}
+
+impl Core {
+    /// Asks for the holder of a key.
+    pub(crate) fn look_up(&mut self, now: Now, sequence: u64, key: Name) {
+        let home = self.view.home(&key);
+        let lookup = KeyLookup { asked_ms: now.monotonic_ms, key: key.clone() };
+        self.key_lookups.insert(sequence, lookup);
+        if home == self.own_name() {
+            let holder = self.key_home.holder(&key);
+            self.take_holder(sequence, &key, holder);
+            return;
+        }
+        self.send(&home, PeerMessage::KeyQuery { key, sequence });
+    }
+
+    /// Returns whether a question about this key waits under this number, and ends it.
+    ///
+    /// The answer to a question of an earlier incarnation comes with a number that may stand for
+    /// another caller by now.
+    pub(crate) fn end_lookup(&mut self, sequence: u64, key: &Name) -> bool {
+        let waits = self.key_lookups.get(&sequence).is_some_and(|lookup| lookup.key == *key);
+        if waits {
+            self.key_lookups.remove(&sequence);
+        }
+        waits
+    }
+
+    pub(crate) fn expire_lookups(&mut self, now: Now) {
+        self.key_lookups.retain(|_, lookup| lookup.asked_ms + LOOKUP_LIMIT_MS > now.monotonic_ms);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod kernel;
 pub mod key_home;
 pub mod key_home_builder;
+mod key_lookup;
 pub mod key_minting;
 pub mod learning;
 pub mod least_outstanding;
--- a/src/route.rs
+++ b/src/route.rs
@@ -32,7 +32,7 @@
             }
             PeerMessage::KeyHandover(records) => self.key_home.accept_handover(now, records),
             PeerMessage::KeyHolder { holder, key, sequence } => {
-                self.take_holder(now, sequence, key, holder);
+                self.take_holder(sequence, &key, holder);
             }
             PeerMessage::KeyQuery { key, sequence } => {
                 let holder = self.key_home.holder(&key);
--- a/src/runners.rs
+++ b/src/runners.rs
@@ -15,6 +15,8 @@
     Answer(FinalAnswer),
     /// Stop the dispatched request.
     Cancel,
+    /// Tell the caller that the request of its key is being cancelled.
+    Cancelling,
     /// Send the request to a backend server.
     Dispatch(Dispatch),
     /// Answer from another request of this instance.
@@ -26,6 +28,8 @@
     JoinPeer {
         /// Caller address of that instance.
         address: SocketAddr,
+        /// Id of the request that holds the key.
+        holder: Name,
         /// The key.
         key: Name,
     },
--- a/src/serve_request.rs
+++ b/src/serve_request.rs
@@ -9,7 +9,7 @@
 use crate::effect::Dispatch;
 use crate::event::Event;
 use crate::final_answer::FinalAnswer;
-use crate::join_answer::{join_local, join_peer};
+use crate::join_answer::{JoinTarget, join_local, join_peer};
 use crate::read_request::ReadRequest;
 use crate::run_model::run_model;
 use crate::run_plain::run_plain;
@@ -105,6 +105,13 @@
         self.traffic.answer_logs.settle(sequence);
     }
 
+    /// The run to be cancelled ended without being sent, so the request may be granted again.
+    fn cancel_again(&self) -> Next {
+        let sequence = self.request.arrival.sequence;
+        self.traffic.tell(Event::CallerGone { sequence });
+        Next::Wait
+    }
+
     fn end(&mut self, end: &AnswerEnd) {
         if !self.caller_gone && self.writer.end(end).is_err() {
             self.caller_gone = true;
@@ -129,7 +136,8 @@
     fn obey(&mut self, command: RunnerCommand) -> Next {
         match command {
             RunnerCommand::Answer(answer) => self.end_with(answer),
-            RunnerCommand::Cancel => Next::Wait,
+            RunnerCommand::Cancel => self.cancel_again(),
+            RunnerCommand::Cancelling => Next::Wait,
             RunnerCommand::Dispatch(dispatch) => self.run(&dispatch),
             RunnerCommand::JoinLocal { holder } => {
                 match self.traffic.answer_logs.find(holder) {
@@ -138,8 +146,10 @@
                 }
                 Next::Ended
             }
-            RunnerCommand::JoinPeer { address, key } => {
-                join_peer(address, &key, 0, &self.traffic.settings.dispatch, self.writer.as_mut());
+            RunnerCommand::JoinPeer { address, holder, key } => {
+                let target = JoinTarget { address, holder: &holder, key: &key };
+                let settings = &self.traffic.settings.dispatch;
+                join_peer(&target, 0, settings, self.writer.as_mut());
                 Next::Ended
             }
         }
--- /dev/null
+++ b/tests/joins.rs
@@ -0,0 +1,159 @@
+//! Tests of joins and cancels in the decision core: which request an asker is led to.
+
+use std::sync::Arc;
+
+use bergamotspan::build_core::build_core;
+use bergamotspan::config_event::ConfigDocument;
+use bergamotspan::core::Core;
+use bergamotspan::effect::Effect;
+use bergamotspan::event::Event;
+use bergamotspan::final_answer::Outcome;
+use bergamotspan::inventory::Inventory;
+use bergamotspan::name::Name;
+use bergamotspan::now::Now;
+use bergamotspan::parse_inventory::parse_inventory;
+use bergamotspan::parse_settings::parse_settings;
+use bergamotspan::peer_message::PeerMessage;
+use bergamotspan::request_id::RequestId;
+use bergamotspan::view::View;
+
+const INCARNATION: u64 = 9;
+const SEQUENCE: u64 = 7;
+const SETTINGS: &str = "[instance]\nname = entry-1\ndata_centre = dc-a\n\
+    [caller]\nlisten_address = 127.0.0.1:0\n[peer]\nlisten_address = 127.0.0.1:0\n\
+    [platform]\naddress = 127.0.0.1:9\n";
+
+/// The core of entry-1 in a fleet of three.
+struct Given {
+    core: Core,
+    inventory: Arc<Inventory>,
+}
+
+impl Given {
+    fn new() -> Self {
+        let mut text = String::from("[inventory]\nversion = 1\ninstances_version = 1\n");
+        text.push_str("[data_centre dc-a]\n");
+        for number in 1..=3 {
+            text.push_str(&format!(
+                "[instance entry-{number}]\ndata_centre = dc-a\n\
+                 caller_address = 127.0.0.{number}:80\npeer_address = 127.0.0.{number}:81\n"
+            ));
+        }
+        text.push_str("[service desk]\nkind = plain\n");
+        text.push_str(
+            "[backend_server desk-1]\nservice = desk\ndata_centre = dc-a\n\
+             address = 127.0.0.9:80\nprefill_tokens_per_s = 1000\ntoken_limit_tokens = 1000\n",
+        );
+        text.push_str(
+            "[tier high]\nrank = 0\ndeadline_ms = 1000\nfirst_token_ms = 500\n\
+             between_tokens_ms = 100\n",
+        );
+        text.push_str("[customer customer-1]\nweight = 1\ntier = high\n");
+        let inventory = Arc::new(parse_inventory("inventory", &text).unwrap());
+        let settings = Arc::new(parse_settings("settings", SETTINGS).unwrap());
+        let core = build_core(settings, INCARNATION, at(0));
+        let mut given = Self { core, inventory: inventory.clone() };
+        let document = ConfigDocument { text: text.into(), version: 1 };
+        given.decide(0, Event::DocumentRead { document, parsed: Ok(inventory), peer: None });
+        given
+    }
+
+    fn decide(&mut self, monotonic_ms: u64, event: Event) -> Vec<Effect> {
+        self.core.decide(at(monotonic_ms), event)
+    }
+
+    /// Returns a key whose home is entry-2.
+    fn key(&self, number: usize) -> Name {
+        let view = View::of(&self.inventory, "entry-1".into());
+        let keys = (0..).map(|number| Name::from(format!("key-{number}")));
+        keys.filter(|key| &*view.home(key) == "entry-2").nth(number).unwrap()
+    }
+
+    fn join(&mut self, key: &Name) -> Vec<Effect> {
+        let event = Event::JoinAsked { holder: None, key: key.clone(), sequence: SEQUENCE };
+        self.decide(1, event)
+    }
+
+    fn holder_told(&mut self, at_ms: u64, key: &Name, holder: RequestId) -> Vec<Effect> {
+        let message =
+            PeerMessage::KeyHolder { holder: Some(holder), key: key.clone(), sequence: SEQUENCE };
+        let event = Event::PeerMessage { incarnation: 1, message, peer: "entry-2".into() };
+        self.decide(at_ms, event)
+    }
+}
+
+fn at(monotonic_ms: u64) -> Now {
+    Now { monotonic_ms, wall_clock_ms: monotonic_ms }
+}
+
+fn holder(instance: &str, incarnation: u64) -> RequestId {
+    RequestId { instance: instance.into(), incarnation, sequence: 3 }
+}
+
+fn outcomes(effects: &[Effect]) -> Vec<Outcome> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Answer { answer, .. } => Some(answer.outcome),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn a_join_goes_to_the_request_that_the_home_names() {
+    let mut given = Given::new();
+    let key = given.key(0);
+
+    let asked = given.join(&key);
+    let told = given.holder_told(2, &key, holder("entry-3", 5));
+
+    let query = PeerMessage::KeyQuery { key: key.clone(), sequence: SEQUENCE };
+    assert_eq!(asked, [Effect::SendPeer { message: query, to: "entry-2".into() }]);
+    let address = "127.0.0.3:80".parse().unwrap();
+    let holder = "entry-3-5-3".into();
+    assert_eq!(told, [Effect::JoinPeer { address, holder, key, sequence: SEQUENCE }]);
+}
+
+#[test]
+fn an_answer_of_the_home_to_an_earlier_incarnation_leads_nobody_anywhere() {
+    let mut given = Given::new();
+    let (key, earlier_key) = (given.key(0), given.key(1));
+
+    let before = given.holder_told(1, &earlier_key, holder("entry-3", 5));
+    given.join(&key);
+    let crossed = given.holder_told(2, &earlier_key, holder("entry-3", 5));
+
+    assert_eq!(before, []);
+    assert_eq!(crossed, []);
+}
+
+#[test]
+fn an_answer_of_the_home_that_comes_twice_or_late_is_dropped() {
+    let mut given = Given::new();
+    let key = given.key(0);
+    given.join(&key);
+    given.holder_told(2, &key, holder("entry-3", 5));
+
+    let twice = given.holder_told(3, &key, holder("entry-3", 5));
+    given.join(&key);
+    given.decide(10_000, Event::Tick);
+    let late = given.holder_told(10_001, &key, holder("entry-3", 5));
+
+    assert_eq!(twice, []);
+    assert_eq!(late, []);
+}
+
+#[test]
+fn a_request_of_an_earlier_incarnation_may_have_run() {
+    let mut given = Given::new();
+    let key = given.key(0);
+
+    given.join(&key);
+    let own = given.holder_told(2, &key, holder("entry-1", INCARNATION - 1));
+    let holder = Some("entry-1-8-3".into());
+    let asked = given.decide(3, Event::JoinAsked { holder, key, sequence: SEQUENCE });
+
+    assert_eq!(outcomes(&own), [Outcome::Unknown]);
+    assert_eq!(outcomes(&asked), [Outcome::Unknown]);
+}
