Prove final answers with real processes, and cancel for vanished callers at once

Cause of the change in run_model: a caller without a key that vanished was cancelled by way of the core, one read of the stream later; during a long prefill that took over a second. The run now looks whether its caller is gone, and takes a final answer from the core while it runs.

--- a/src/run_model.rs
+++ b/src/run_model.rs
@@ -105,14 +105,14 @@
     }
 
     fn cancelled(&self) -> Option<RunEnd> {
-        match self.runner.commands.try_recv() {
-            Ok(RunnerCommand::Cancel) => {
-                cancel_stream(self.dispatch);
-                let end = AnswerEnd::Final(answers::cancelled());
-                Some(RunEnd::Ended(end, Progress::Cancelled))
-            }
-            _ => None,
-        }
+        let answer = match self.runner.commands.try_recv() {
+            Ok(RunnerCommand::Answer(answer)) => answer,
+            Ok(RunnerCommand::Cancel) => answers::cancelled(),
+            _ if self.runner.is_abandoned() => answers::cancelled(),
+            _ => return None,
+        };
+        cancel_stream(self.dispatch);
+        Some(RunEnd::Ended(AnswerEnd::Final(answer), Progress::Cancelled))
     }
 
     fn finish(&self, data: &str) -> RunEnd {
--- a/src/serve_request.rs
+++ b/src/serve_request.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Returns whether nobody can get the answer any more.
+    pub fn is_abandoned(&self) -> bool {
+        self.caller_gone && self.request.arrival.key.is_none()
+    }
+
     /// Shows the caller that the instance lives.
     pub fn keep_alive(&mut self) {
         if !self.caller_gone && self.writer.keep_alive().is_err() {
--- /dev/null
+++ b/tests/final_answers.rs
@@ -0,0 +1,358 @@
+//! Final answers are truthful and come at once, with real processes under failure.
+
+mod answer_support;
+mod support;
+
+use std::time::{Duration, Instant};
+
+use answer_support::{
+    LIMIT_MS, RunningCall, key_with_home, raw_request, running_requests, send_raw,
+};
+use standins::caller::{Answer, Outcome, cancel, join};
+use standins::fleet::{Fleet, FleetBuilder, ServiceSpec, wait_until};
+use support::{CUSTOMER, booking, draft, fresh_key, quick_fleet, reason, wait_lawful};
+
+/// Longest time in which a request that is given up on gets its final answer, in milliseconds.
+const AT_ONCE_MS: u64 = 2_000;
+const DESK: &str = "order-desk-1";
+const ENGINE: &str = "plan-model-1";
+/// Longest time in which a cancelled request frees its engine, in milliseconds.
+const FREE_LIMIT_MS: u64 = 1_000;
+const LONG_PROMPT_BYTES: usize = 40_000;
+const LONG_TOKENS: u32 = 600;
+/// Answers after which a request may be refused on an estimate.
+const MEASURED_ANSWERS: usize = 10;
+const PROMPT: &str = "draft a fitting plan for the stairs";
+const SEEN_TOKENS: u64 = 50;
+
+/// Describes a fleet with one engine, whose load reports are fresh, and one slow plain server.
+fn single(instances: usize) -> FleetBuilder {
+    let engine = ServiceSpec::model("plan-model", "plan-13b", 1)
+        .token_limit_tokens(32_768)
+        .prefill_tokens_per_s(20_000)
+        .options(&["--load-lag-ms", "20"]);
+    let desk = ServiceSpec::plain("order-desk", 1)
+        .idempotent(false)
+        .token_limit_tokens(32_768)
+        .prefill_tokens_per_s(20_000)
+        .options(&["--delay-ms", "1500"]);
+    Fleet::builder()
+        .instances(instances)
+        .service(engine)
+        .service(desk)
+        .setting("peer", "heartbeat_interval_ms", 100)
+        .setting("peer", "confirmation_window_ms", 600)
+        .setting("keys", "clock_margin_ms", 50)
+}
+
+/// Describes the same fleet with an engine that runs one request at a time.
+fn narrow(instances: usize) -> FleetBuilder {
+    let engine = ServiceSpec::model("plan-model", "plan-13b", 1)
+        .token_limit_tokens(64)
+        .prefill_tokens_per_s(20_000);
+    Fleet::builder()
+        .instances(instances)
+        .service(engine)
+        .setting("peer", "heartbeat_interval_ms", 100)
+        .setting("peer", "confirmation_window_ms", 600)
+        .setting("keys", "clock_margin_ms", 50)
+}
+
+fn kill(fleet: &mut Fleet, backend: &str) -> Instant {
+    fleet.backend(backend).unwrap().process.kill();
+    Instant::now()
+}
+
+fn wait_execution(fleet: &mut Fleet) {
+    wait_until("an execution", LIMIT_MS, || {
+        !fleet.engine_statistics(ENGINE).unwrap().executions.is_empty()
+    })
+    .unwrap();
+}
+
+fn wait_booking(fleet: &Fleet, key: &str) {
+    wait_until("an execution", LIMIT_MS, || fleet.executions_of_key(key).unwrap() == 1).unwrap();
+}
+
+fn assert_at_once(since: Instant) {
+    let elapsed_ms = since.elapsed().as_millis() as u64;
+    assert!(elapsed_ms < AT_ONCE_MS, "{elapsed_ms} ms");
+}
+
+fn assert_final(answer: &Answer, outcome: Outcome, expected: &str) {
+    assert_eq!(answer.outcome, Some(outcome), "{answer:?}");
+    assert_eq!(reason(answer), expected, "{answer:?}");
+}
+
+fn assert_free(fleet: &mut Fleet) {
+    let condition = "the engine is free";
+    wait_until(condition, FREE_LIMIT_MS, || running_requests(fleet, ENGINE) == 0).unwrap();
+}
+
+#[test]
+fn an_engine_that_died_before_the_grant_runs_nothing() {
+    let mut fleet = single(2).start().unwrap();
+    kill(&mut fleet, ENGINE);
+
+    let since = Instant::now();
+    let answer = draft(&fleet, 0, PROMPT, 20).deadline_ms(1_000).send().unwrap();
+
+    assert_eq!(answer.outcome, Some(Outcome::NotRun), "{answer:?}");
+    assert!(answer.retry_after_ms.is_some_and(|retry_after_ms| retry_after_ms > 0), "{answer:?}");
+    assert_at_once(since);
+    fleet.restart_backend(ENGINE).unwrap();
+    assert!(fleet.engine_totals().unwrap().executions.is_empty());
+}
+
+#[test]
+fn an_engine_that_dies_after_the_grant_lets_the_request_run_elsewhere_once() {
+    let mut fleet = quick_fleet(1).start().unwrap();
+    for engine in ["plan-model-1", "plan-model-2"] {
+        kill(&mut fleet, engine);
+        let answer = draft(&fleet, 0, &format!("{PROMPT} {engine}"), 20).send().unwrap();
+        assert!(answer.matches(&format!("{PROMPT} {engine}")), "{answer:?}");
+        fleet.restart_backend(engine).unwrap();
+    }
+
+    let executions = fleet.engine_totals().unwrap().executions;
+
+    assert_eq!(executions.len(), 2, "{executions:?}");
+    assert!(executions.values().all(|count| *count == 1), "{executions:?}");
+}
+
+#[test]
+fn an_engine_that_dies_in_its_prefill_may_have_run_the_request() {
+    let mut fleet = single(1).start().unwrap();
+    let prompt = "a".repeat(LONG_PROMPT_BYTES);
+    let call = RunningCall::begin(draft(&fleet, 0, &prompt, 600));
+    wait_execution(&mut fleet);
+
+    let since = kill(&mut fleet, ENGINE);
+    let (answer, _) = call.finish();
+
+    assert_at_once(since);
+    assert_final(&answer, Outcome::Unknown, "stream_lost");
+}
+
+#[test]
+fn an_engine_that_dies_mid_stream_may_have_run_the_request() {
+    let mut fleet = single(1).start().unwrap();
+    let call = RunningCall::begin(draft(&fleet, 0, PROMPT, LONG_TOKENS));
+    call.wait_tokens(SEEN_TOKENS);
+
+    let since = kill(&mut fleet, ENGINE);
+    let (answer, _) = call.finish();
+
+    assert_at_once(since);
+    assert_final(&answer, Outcome::Unknown, "stream_lost");
+    assert!(!answer.whole);
+}
+
+#[test]
+fn an_engine_that_is_replaced_in_place_mid_stream_may_have_run_the_request() {
+    let mut fleet = single(1).start().unwrap();
+    let call = RunningCall::begin(draft(&fleet, 0, PROMPT, LONG_TOKENS));
+    call.wait_tokens(SEEN_TOKENS);
+
+    let since = Instant::now();
+    fleet.restart_backend(ENGINE).unwrap();
+    let (answer, _) = call.finish();
+
+    assert_at_once(since);
+    assert_final(&answer, Outcome::Unknown, "stream_lost");
+    let executions = fleet.engine_totals().unwrap().executions;
+    assert_eq!(executions.values().sum::<u64>(), 1, "{executions:?}");
+}
+
+#[test]
+fn an_engine_that_dies_after_the_last_byte_leaves_the_answer_whole() {
+    let mut fleet = single(2).start().unwrap();
+    wait_lawful(&fleet);
+    let key = fresh_key();
+    let call = RunningCall::begin_slowly(draft(&fleet, 0, PROMPT, 100).key(&key), 10);
+    wait_execution(&mut fleet);
+    wait_until("the last byte", LIMIT_MS, || {
+        let status = fleet.status("entry-1").unwrap();
+        status["requests"]["running"] == 0
+    })
+    .unwrap();
+    assert!(!call.is_ended());
+
+    kill(&mut fleet, ENGINE);
+    let (answer, _) = call.finish();
+    let joined = join(fleet.caller_addresses()[1], &key, 0).unwrap();
+
+    assert!(answer.matches(PROMPT), "{answer:?}");
+    assert!(joined.matches(PROMPT), "{joined:?}");
+}
+
+#[test]
+fn an_engine_that_reports_a_failure_failed_the_request() {
+    let engine = ServiceSpec::model("plan-model", "plan-13b", 1)
+        .token_limit_tokens(32_768)
+        .prefill_tokens_per_s(20_000)
+        .options(&["--fail-on", "impossible"]);
+    let fleet = Fleet::builder().instances(1).service(engine).start().unwrap();
+
+    let since = Instant::now();
+    let answer = draft(&fleet, 0, "an impossible rail", 20).send().unwrap();
+
+    assert_at_once(since);
+    assert_final(&answer, Outcome::Failed, "run_failed");
+}
+
+#[test]
+fn a_plain_server_that_died_before_the_grant_runs_nothing() {
+    let mut fleet = single(2).start().unwrap();
+    wait_lawful(&fleet);
+    let key = fresh_key();
+    kill(&mut fleet, DESK);
+
+    let since = Instant::now();
+    let answer = booking(&fleet, 0, &key).deadline_ms(1_000).send().unwrap();
+
+    assert_eq!(answer.outcome, Some(Outcome::NotRun), "{answer:?}");
+    assert!(answer.retry_after_ms.is_some(), "{answer:?}");
+    assert_at_once(since);
+    fleet.restart_backend(DESK).unwrap();
+    assert_eq!(fleet.executions_of_key(&key).unwrap(), 0);
+    let again = booking(&fleet, 1, &key).send().unwrap();
+    assert_eq!(again.outcome, Some(Outcome::Done), "{again:?}");
+    assert_eq!(fleet.executions_of_key(&key).unwrap(), 1);
+}
+
+#[test]
+fn a_plain_server_that_dies_in_a_call_may_have_run_it_and_never_runs_it_again() {
+    let mut fleet = single(2).start().unwrap();
+    wait_lawful(&fleet);
+    let key = fresh_key();
+    let call = RunningCall::begin(booking(&fleet, 0, &key));
+    wait_booking(&fleet, &key);
+
+    let since = kill(&mut fleet, DESK);
+    let (answer, _) = call.finish();
+    assert_at_once(since);
+    fleet.restart_backend(DESK).unwrap();
+    let again = booking(&fleet, 1, &key).send().unwrap();
+
+    assert_final(&answer, Outcome::Unknown, "stream_lost");
+    assert_eq!(again.outcome, Some(Outcome::Unknown), "{again:?}");
+    assert_eq!(fleet.executions_of_key(&key).unwrap(), 1);
+}
+
+#[test]
+fn a_receiver_that_dies_leaves_the_outcome_unknown_and_no_second_run() {
+    let mut fleet = single(3).start().unwrap();
+    wait_lawful(&fleet);
+    let key = key_with_home(&fleet, "entry-2");
+    let call = RunningCall::begin(booking(&fleet, 0, &key));
+    wait_booking(&fleet, &key);
+
+    fleet.instance("entry-1").unwrap().process.kill();
+    assert!(call.finish_cut().is_none_or(|answer| answer.outcome.is_none()));
+    let since = Instant::now();
+    let again = booking(&fleet, 2, &key).send().unwrap();
+    let joined = join(fleet.caller_addresses()[1], &key, 0).unwrap();
+
+    assert_at_once(since);
+    assert_final(&again, Outcome::Unknown, "holder_unreachable");
+    assert_final(&joined, Outcome::Unknown, "holder_unreachable");
+    assert_eq!(fleet.executions_of_key(&key).unwrap(), 1);
+}
+
+#[test]
+fn a_request_that_can_not_make_its_deadline_is_refused_before_it() {
+    let mut fleet = single(1).start().unwrap();
+    let prompt = "a".repeat(LONG_PROMPT_BYTES);
+    let measured: Vec<RunningCall> = (0..MEASURED_ANSWERS)
+        .map(|_| RunningCall::begin(draft(&fleet, 0, PROMPT, LONG_TOKENS)))
+        .collect();
+    assert!(measured.into_iter().all(|call| call.finish().0.whole));
+    let before = fleet.engine_statistics(ENGINE).unwrap().executions.len();
+
+    let since = Instant::now();
+    let answer = draft(&fleet, 0, &prompt, 100).deadline_ms(300).send().unwrap();
+
+    assert_final(&answer, Outcome::NotRun, "cannot_finish_in_time");
+    assert!(since.elapsed() < Duration::from_millis(300), "{:?}", since.elapsed());
+    assert_eq!(fleet.engine_statistics(ENGINE).unwrap().executions.len(), before);
+}
+
+#[test]
+fn a_cancel_through_any_instance_frees_the_engine() {
+    let mut fleet = single(3).start().unwrap();
+    wait_lawful(&fleet);
+    let addresses = fleet.caller_addresses();
+    for instance in 0..3 {
+        let key = fresh_key();
+        let call = RunningCall::begin(draft(&fleet, 0, PROMPT, 3_000).key(&key));
+        call.wait_tokens(SEEN_TOKENS);
+
+        let told = cancel(addresses[instance], &key).unwrap();
+        assert_free(&mut fleet);
+        let (answer, _) = call.finish();
+        let joined = join(addresses[instance], &key, 0).unwrap();
+        let again = cancel(addresses[instance], &key).unwrap();
+
+        assert_eq!(told.status, 202, "{told:?}");
+        assert_final(&answer, Outcome::Failed, "cancelled");
+        assert_final(&joined, Outcome::Failed, "cancelled");
+        assert_final(&again, Outcome::Failed, "already_ended");
+    }
+}
+
+#[test]
+fn a_cancel_of_a_key_that_nobody_holds_says_so() {
+    let fleet = single(2).start().unwrap();
+    wait_lawful(&fleet);
+
+    let answer = cancel(fleet.caller_addresses()[0], &fresh_key()).unwrap();
+
+    assert_eq!(answer.status, 404);
+    assert_final(&answer, Outcome::Unknown, "no_such_key");
+}
+
+#[test]
+fn a_cancel_of_a_waiting_request_keeps_it_from_running() {
+    let mut fleet = narrow(2).start().unwrap();
+    wait_lawful(&fleet);
+    let key = fresh_key();
+    let before = RunningCall::begin(draft(&fleet, 1, "a draft before it", LONG_TOKENS));
+    before.wait_tokens(1);
+    let call = RunningCall::begin(draft(&fleet, 0, PROMPT, 20).key(&key));
+    wait_until("the request waits", LIMIT_MS, || {
+        fleet.status("entry-1").unwrap()["requests"]["waiting"] == 1
+    })
+    .unwrap();
+
+    let told = cancel(fleet.caller_addresses()[1], &key).unwrap();
+    let (answer, _) = call.finish();
+
+    assert_eq!(told.status, 202, "{told:?}");
+    assert_final(&answer, Outcome::NotRun, "cancelled");
+    assert!(before.finish().0.matches("a draft before it"));
+    let executions = fleet.engine_totals().unwrap().executions;
+    assert_eq!(executions.values().sum::<u64>(), 1, "{executions:?}");
+}
+
+#[test]
+fn a_caller_without_a_key_that_vanishes_frees_its_engine() {
+    let mut fleet = single(1).start().unwrap();
+    for tokens in [3_000, 0] {
+        let prompt = if tokens == 0 { "b".repeat(10 * LONG_PROMPT_BYTES) } else { PROMPT.into() };
+        let body = serde_json::json!({ "prompt": prompt, "output_tokens": tokens.max(1) });
+        let before = fleet.engine_statistics(ENGINE).unwrap().executions.len();
+        let bytes = raw_request("plan-model", "", &body.to_string());
+        let stream = send_raw(fleet.caller_addresses()[0], &bytes);
+        wait_until("an execution", LIMIT_MS, || {
+            fleet.engine_statistics(ENGINE).unwrap().executions.len() > before
+        })
+        .unwrap();
+
+        drop(stream);
+
+        assert_free(&mut fleet);
+    }
+    let next = draft(&fleet, 0, PROMPT, 20).customer(CUSTOMER).send().unwrap();
+    assert!(next.matches(PROMPT), "{next:?}");
+}
