Tell requests how they ended when a planned stop runs out of time

Causes of two faults, found by the tests of graceful shutdown: - Streams that ran past the bound of the settings were cut without a final event, and their engines went on. They now get `failed` (`drain_limit_passed`) with a time to come back, and are cancelled. - A stopping home gave its memory of keys away, so joins of its own running requests through other instances got `unknown`. It now hands over a copy and goes on telling holders; it still grants nothing.

--- a/src/answers.rs
+++ b/src/answers.rs
@@ -58,6 +58,12 @@
     answer(504, Outcome::NotRun, "deadline_passed", message, Some(DEFAULT_RETRY_AFTER_MS))
 }
 
+/// A planned stop did not leave the request the time to finish.
+pub fn drain_limit_passed() -> FinalAnswer {
+    let message = "The instance stopped before the request finished. It ran and was cancelled.";
+    answer(503, Outcome::Failed, "drain_limit_passed", message, Some(DEFAULT_RETRY_AFTER_MS))
+}
+
 /// The answer of a request that ran is no longer kept.
 pub fn answer_not_kept() -> FinalAnswer {
     let message = "The request of this key ran, but its answer is no longer kept.";
--- a/src/key_home.rs
+++ b/src/key_home.rs
@@ -125,12 +125,13 @@
         }
     }
 
-    /// Gives the memory away for the successors; this home grants nothing from now on.
+    /// Copies the memory for the successors; this home grants nothing from now on.
+    ///
+    /// It still tells which request holds a key, for the joins and cancels that come while it
+    /// stops.
     pub fn hand_over(&mut self) -> Vec<KeyRecord> {
         self.handed_over = true;
-        self.by_forget_time.clear();
-        let records = std::mem::take(&mut self.records);
-        records.into_values().map(|remembered| remembered.record).collect()
+        self.records.values().map(|remembered| remembered.record.clone()).collect()
     }
 
     /// Returns the request that holds a key.
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -25,6 +25,7 @@
         }
         if now.monotonic_ms >= stop.limit_ms {
             self.give_up_waiting(now);
+            self.give_up_running();
         }
         let is_empty = self.requests.active().next().is_none();
         if !is_empty && now.monotonic_ms < stop.limit_ms {
@@ -35,6 +36,14 @@
         self.effects.push(Effect::Stopped);
     }
 
+    /// The run tells how it ended, so the request is not ended here.
+    fn give_up_running(&mut self) {
+        for sequence in self.requests.sequences_where(Request::is_running) {
+            let answer = answers::drain_limit_passed();
+            self.effects.push(Effect::Answer { answer, sequence });
+        }
+    }
+
     fn give_up_waiting(&mut self, now: Now) {
         let waits = |request: &Request| !request.is_running();
         for sequence in self.requests.sequences_where(waits) {
--- a/tests/answer_support/mod.rs
+++ b/tests/answer_support/mod.rs
@@ -11,7 +11,7 @@
 use bergamotspan::parse_inventory::parse_inventory;
 use bergamotspan::view::View;
 use serde_json::Value;
-use standins::caller::{Answer, Call, CallError};
+use standins::caller::{Answer, Call, CallError, join};
 use standins::fleet::{Fleet, get_json, wait_until};
 
 use crate::support::fresh_key;
@@ -35,6 +35,16 @@
         Self::begin_slowly(call, 0)
     }
 
+    /// Joins the request of a key from its beginning.
+    pub fn begin_join(address: SocketAddr, key: &str) -> Self {
+        let key = key.to_owned();
+        Self {
+            gaps_ms: Arc::default(),
+            thread: std::thread::spawn(move || join(address, &key, 0)),
+            tokens: Arc::default(),
+        }
+    }
+
     /// Sends a call whose caller pauses after each event.
     pub fn begin_slowly(call: Call, pause_ms: u64) -> Self {
         let tokens = Arc::new(AtomicU64::new(0));
