--- a/src/admit.rs
+++ b/src/admit.rs
@@ -11,6 +11,7 @@
 use crate::peer_message::{KeyClaim, KeyVerdict, PeerMessage};
 use crate::request::{Request, RequestState};
 use crate::rules::{RuleQuery, apply_rules};
+use crate::span_record::Hop;
 
 /// What the rules say about a request that is taken in.
 struct RequestClass {
@@ -77,6 +78,10 @@
             return;
         }
         self.note(now, sequence, format!("Key home {home} answered after {elapsed_ms} ms."));
+        self.hop(now, sequence, Hop::KeyClaim, asked_ms);
+        if *home != self.own_name() {
+            self.hop(now, sequence, Hop::PeerHop, asked_ms);
+        }
         self.apply_verdict(now, sequence, verdict);
     }
 
@@ -86,6 +91,7 @@
             arrived_ms: now.monotonic_ms,
             deadline_ms: now.monotonic_ms + deadline_ms,
             excluded: Vec::new(),
+            holds_key: false,
             id: self.request_id(arrival.sequence),
             state: RequestState::Waiting { bid_ms: now.monotonic_ms, steward: None },
             steps: Vec::new(),
@@ -135,7 +141,12 @@
             KeyVerdict::BodyDiffers => {
                 self.end_with(now, sequence, answers::key_with_other_body());
             }
-            KeyVerdict::Granted => self.bid(now, sequence),
+            KeyVerdict::Granted => {
+                if let Some(request) = self.requests.get_active_mut(sequence) {
+                    request.holds_key = true;
+                }
+                self.bid(now, sequence);
+            }
             KeyVerdict::Held { by } => {
                 self.join_holder(now, sequence, &by);
             }
--- a/src/core.rs
+++ b/src/core.rs
@@ -4,6 +4,7 @@
 //! with the time, and carries out the effects that it returns.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::config_adoption::ConfigAdoption;
@@ -32,12 +33,14 @@
 /// The decision core of one instance.
 pub struct Core {
     pub(crate) adoption: ConfigAdoption,
+    pub(crate) cell_inventory: Arc<Inventory>,
     pub(crate) effects: Vec<Effect>,
     pub(crate) incarnation: u64,
     pub(crate) inventory: Arc<Inventory>,
     pub(crate) key_home: KeyHome,
     pub(crate) key_lookups: BTreeMap<u64, KeyLookup>,
     pub(crate) leaving: Vec<Name>,
+    pub(crate) linked_peers: Vec<(Name, SocketAddr)>,
     pub(crate) membership: Membership,
     pub(crate) peer_versions: Vec<(Name, u64, u64)>,
     pub(crate) quarantine: Quarantine,
@@ -157,6 +160,7 @@
         self.sweep_requests(now);
         self.key_home.expire(now);
         self.expire_lookups(now);
+        self.unlink_former_members();
         self.continue_stop(now);
     }
 }
--- a/src/join_answer.rs
+++ b/src/join_answer.rs
@@ -1,10 +1,11 @@
 //! Writes the answer of another request: one of this instance, or one of another instance.
 
-use std::io::BufReader;
+use std::io::{self, BufReader};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use attohttpc::Method;
 use serde_json::Value;
 
 use crate::answer_log::{AnswerEnd, AnswerLog, AnswerRead, AnswerTotals};
@@ -12,6 +13,7 @@
 use crate::answers;
 use crate::backend_call::EventStream;
 use crate::final_answer::FinalAnswer;
+use crate::http_client::http_request;
 use crate::server_sent_events::{ServerSentEvent, read_event};
 use crate::settings::DispatchSettings;
 
@@ -32,6 +34,32 @@
     pub key: &'a str,
 }
 
+/// Writes an answer to a caller and keeps it for others.
+pub struct KeepingWriter<'a> {
+    /// Where it is kept.
+    pub log: &'a AnswerLog,
+    /// The way to the caller.
+    pub writer: &'a mut dyn AnswerWriter,
+}
+
+impl AnswerWriter for KeepingWriter<'_> {
+    fn end(&mut self, end: &AnswerEnd) -> io::Result<()> {
+        self.log.finish_as(end.clone());
+        self.writer.end(end)
+    }
+
+    fn events(&mut self, events: &[Arc<str>]) -> io::Result<()> {
+        for event in events {
+            self.log.push(event.clone());
+        }
+        self.writer.events(events)
+    }
+
+    fn keep_alive(&mut self) -> io::Result<()> {
+        self.writer.keep_alive()
+    }
+}
+
 /// What the other instance answers.
 enum Connection {
     /// There is no answer to stream.
@@ -58,7 +86,8 @@
     settings: &DispatchSettings,
 ) -> attohttpc::Result<(u16, Value)> {
     let JoinTarget { address, holder, key } = target;
-    let response = attohttpc::delete(format!("http://{address}/v1/requests/{key}"))
+    let url = format!("http://{address}/v1/requests/{key}");
+    let response = http_request(Method::DELETE, &url)
         .header(JOIN_HEADER, *holder)
         .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
         .read_timeout(Duration::from_millis(settings.idle_limit_ms))
@@ -131,7 +160,8 @@
     settings: &DispatchSettings,
 ) -> attohttpc::Result<Connection> {
     let JoinTarget { address, holder, key } = target;
-    let response = attohttpc::get(format!("http://{address}/v1/requests/{key}?offset={offset}"))
+    let url = format!("http://{address}/v1/requests/{key}?offset={offset}");
+    let response = http_request(Method::GET, &url)
         .header(JOIN_HEADER, *holder)
         .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
         .read_timeout(Duration::from_millis(settings.idle_limit_ms))
--- a/src/schedule.rs
+++ b/src/schedule.rs
@@ -4,6 +4,7 @@
 use crate::effect::{Effect, PollTarget};
 use crate::inventory::ServiceKind;
 use crate::least_outstanding::LeastOutstanding;
+use crate::metric::Counter;
 use crate::name::Name;
 use crate::now::Now;
 use crate::peer_message::PeerMessage;
@@ -54,14 +55,24 @@
     }
 
     pub(crate) fn fleet_event(&self) -> SchedulerEvent {
-        SchedulerEvent::Fleet { inventory: self.inventory.clone(), leaving: self.leaving.clone() }
+        SchedulerEvent::Fleet {
+            inventory: self.cell_inventory.clone(),
+            leaving: self.leaving.clone(),
+        }
     }
 
     fn apply_scheduler(&mut self, now: Now, effects: Vec<SchedulerEffect>) {
         for effect in effects {
             match effect {
-                SchedulerEffect::Grant(grant) => self.pass_grant(now, grant),
-                SchedulerEffect::Refuse(refusal) => self.pass_refusal(now, refusal),
+                SchedulerEffect::Grant(grant) => {
+                    self.effects.push(Effect::Count { amount: 1, counter: Counter::Grants });
+                    self.pass_grant(now, grant);
+                }
+                SchedulerEffect::Refuse(refusal) => {
+                    let counter = Counter::Refusals { reason: refusal.reason };
+                    self.effects.push(Effect::Count { amount: 1, counter });
+                    self.pass_refusal(now, refusal);
+                }
             }
         }
     }
@@ -125,7 +136,7 @@
                 .is_some_and(|service| service.kind != ServiceKind::Plain);
             is_model && self.schedulers.binary_search_by(|(name, _)| name.cmp(service)).is_ok()
         };
-        self.inventory
+        self.cell_inventory
             .backend_servers
             .iter()
             .filter(|backend_server| is_polled(&backend_server.service))
--- a/src/serve_request.rs
+++ b/src/serve_request.rs
@@ -9,12 +9,14 @@
 use crate::effect::Dispatch;
 use crate::event::Event;
 use crate::final_answer::FinalAnswer;
-use crate::join_answer::{JoinTarget, join_local, join_peer};
+use crate::join_answer::{JoinTarget, KeepingWriter, join_local, join_peer};
 use crate::read_request::ReadRequest;
+use crate::request_trace::RequestTrace;
 use crate::run_model::run_model;
 use crate::run_plain::run_plain;
 use crate::runners::RunnerCommand;
 use crate::scheduling::Progress;
+use crate::span_record::Hop;
 use crate::traffic::Traffic;
 
 /// Time between two signs of life to a waiting caller, in milliseconds.
@@ -29,7 +31,10 @@
     /// What all such threads share.
     pub traffic: Arc<Traffic>,
     caller_gone: bool,
+    cancelled: bool,
     log: Arc<AnswerLog>,
+    /// The trace that the request belongs to.
+    pub trace: RequestTrace,
     writer: Box<dyn AnswerWriter>,
 }
 
@@ -55,7 +60,17 @@
         let sequence = request.arrival.sequence;
         let commands = traffic.runners.add(sequence);
         let log = traffic.answer_logs.open(sequence);
-        Self { caller_gone: false, commands, log, request, traffic, writer }
+        let trace = RequestTrace::start(&traffic, request.traceparent.as_deref());
+        Self {
+            caller_gone: false,
+            cancelled: false,
+            commands,
+            log,
+            request,
+            trace,
+            traffic,
+            writer,
+        }
     }
 
     /// Adds token events to the answer.
@@ -106,17 +121,11 @@
                 Next::Wait => {}
             }
         }
+        self.trace.end(&self.traffic);
         self.traffic.runners.remove(sequence);
         self.traffic.answer_logs.settle(sequence);
     }
 
-    /// The run to be cancelled ended without being sent, so the request may be granted again.
-    fn cancel_again(&self) -> Next {
-        let sequence = self.request.arrival.sequence;
-        self.traffic.tell(Event::CallerGone { sequence });
-        Next::Wait
-    }
-
     fn end(&mut self, end: &AnswerEnd) {
         if !self.caller_gone && self.writer.end(end).is_err() {
             self.caller_gone = true;
@@ -129,6 +138,12 @@
         Next::Ended
     }
 
+    /// Others may take part in this answer, so it has to end even if its own caller went away.
+    fn end_join(&mut self) -> Next {
+        self.log.finish_with(answers::holder_unreachable());
+        Next::Ended
+    }
+
     /// A caller without a key can't come back for the answer, so its request is cancelled.
     fn lose_caller(&mut self) {
         self.caller_gone = true;
@@ -141,30 +156,45 @@
     fn obey(&mut self, command: RunnerCommand) -> Next {
         match command {
             RunnerCommand::Answer(answer) => self.end_with(answer),
-            RunnerCommand::Cancel => self.cancel_again(),
+            RunnerCommand::Cancel => {
+                self.cancelled = true;
+                Next::Wait
+            }
             RunnerCommand::Cancelling => Next::Wait,
+            RunnerCommand::Dispatch(_) if self.cancelled => {
+                self.report(Progress::Cancelled);
+                self.end_with(answers::cancelled_before_run())
+            }
             RunnerCommand::Dispatch(dispatch) => self.run(&dispatch),
+            RunnerCommand::Hop { ended_ms, hop, started_ms } => {
+                self.trace.record(&self.traffic, hop, started_ms, ended_ms);
+                Next::Wait
+            }
             RunnerCommand::JoinLocal { holder } => {
-                match self.traffic.answer_logs.find(holder) {
-                    Some(log) => join_local(&log, 0, self.writer.as_mut()),
-                    None => self.end(&AnswerEnd::Final(answers::answer_not_kept())),
-                }
-                Next::Ended
+                let Some(held) = self.traffic.answer_logs.find(holder) else {
+                    return self.end_with(answers::answer_not_kept());
+                };
+                let mut writer = KeepingWriter { log: &self.log, writer: self.writer.as_mut() };
+                join_local(&held, 0, &mut writer);
+                self.end_join()
             }
             RunnerCommand::JoinPeer { address, holder, key } => {
                 let target = JoinTarget { address, holder: &holder, key: &key };
-                let settings = &self.traffic.settings.dispatch;
-                join_peer(&target, 0, settings, self.writer.as_mut());
-                Next::Ended
+                let mut writer = KeepingWriter { log: &self.log, writer: self.writer.as_mut() };
+                join_peer(&target, 0, &self.traffic.settings.dispatch, &mut writer);
+                self.end_join()
             }
         }
     }
 
     fn run(&mut self, dispatch: &Dispatch) -> Next {
+        let started_ms = self.traffic.clock.monotonic_ms();
+        self.trace.record(&self.traffic, Hop::Grant, dispatch.granted_ms, started_ms);
         let run_end = match dispatch.model {
             true => run_model(self, dispatch),
             false => run_plain(self, dispatch),
         };
+        self.trace.end_dispatch(&self.traffic, started_ms);
         match run_end {
             RunEnd::Ended(AnswerEnd::Done(_), progress) => {
                 let totals = self.log.finish();
