Lose at most two engines to a request that crashes them

Causes of two faults, found by the tests of poison requests: - A restarted engine that the same request killed again within 5 s counted as one death, so the request went on crashing engines. A death now counts as another one if the request was sent after the earlier one was known; the instance names the server once for each, and its peers believe it. - The receiver reported the end of the run before the suspect, so the steward granted a waiting twin of it in between. The suspect goes first now, on the same link. Ruled out: a shorter window of one death, since reports of silent connections come seconds late and would hold back innocent requests.

A first sending through several instances at once, before any death, may still reach one engine for each: nothing makes it suspect by then.

--- a/src/admit.rs
+++ b/src/admit.rs
@@ -91,6 +91,7 @@
             arrived_ms: now.monotonic_ms,
             deadline_ms: now.monotonic_ms + deadline_ms,
             excluded: Vec::new(),
+            granted_ms: 0,
             holds_key: false,
             id: self.request_id(arrival.sequence),
             state: RequestState::Waiting { bid_ms: now.monotonic_ms, steward: None },
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -55,6 +55,10 @@
 
     /// Takes in how a dispatched request goes.
     pub(crate) fn follow(&mut self, now: Now, sequence: u64, progress: Progress) {
+        if progress == Progress::Died {
+            // The steward has to know the suspect before it grants another send of it.
+            self.suspect(now, sequence);
+        }
         self.report_progress(now, sequence, progress.clone());
         match progress {
             Progress::Abandoned => self.abandon(now, sequence),
@@ -62,7 +66,6 @@
             Progress::ConnectFailed => self.choose_again(now, sequence),
             Progress::Died => {
                 self.note(now, sequence, "The backend server was lost.");
-                self.suspect(now, sequence);
                 self.end(sequence, now, Outcome::Unknown);
             }
             Progress::Lost => {
@@ -130,6 +133,7 @@
                     self.hop(now, sequence, Hop::Bid, bid_ms);
                 }
                 if let Some(request) = self.requests.get_active_mut(sequence) {
+                    request.granted_ms = now.monotonic_ms;
                     request.state = RequestState::Running {
                         backend_server: grant.backend_server,
                         output_tokens: 0,
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -2,7 +2,8 @@
 //!
 //! A request that ran at a backend server when it died is a suspect. One that ran at two deaths is
 //! quarantined. Reports of the death of one server within [`SAME_DEATH_MS`] are one death, whoever
-//! sends them; later ones are another death of that server. A request that finishes is no longer
+//! sends them; later ones are another death of that server, and so is one at which the request had
+//! been sent after the earlier one was known. A request that finishes is no longer
 //! suspect.
 
 use crate::name::Name;
@@ -41,13 +42,19 @@
 
     /// Takes in that this instance saw a backend server die while it ran these requests.
     pub fn death(&mut self, now: Now, backend_server: &Name, running_fingerprints: &[u64]) {
-        self.expire(now);
         for fingerprint in running_fingerprints {
-            self.record(*fingerprint).own_death(now, backend_server);
-            self.evict();
+            self.death_of(now, backend_server, *fingerprint, 0);
         }
     }
 
+    /// Takes in that this instance saw a backend server die that it had sent a request at
+    /// `sent_ms`; a death that was known before was another one.
+    pub fn death_of(&mut self, now: Now, backend_server: &Name, fingerprint: u64, sent_ms: u64) {
+        self.expire(now);
+        self.record(fingerprint).own_death(now, backend_server, sent_ms);
+        self.evict();
+    }
+
     /// Takes in that a request finished.
     pub fn finished(&mut self, fingerprint: u64) {
         if let Ok(index) = self.find(fingerprint) {
--- a/src/request.rs
+++ b/src/request.rs
@@ -21,6 +21,8 @@
     pub deadline_ms: u64,
     /// Backend servers that refused a connection for it.
     pub excluded: Vec<Name>,
+    /// Monotonic time of its last grant, in milliseconds.
+    pub granted_ms: u64,
     /// Whether the home of its key granted it the key.
     pub holds_key: bool,
     /// Identity.
--- a/src/suspect.rs
+++ b/src/suspect.rs
@@ -13,8 +13,8 @@
         let Some(request) = self.requests.get(sequence) else { return };
         let RequestState::Running { backend_server, .. } = &request.state else { return };
         let backend_server = backend_server.clone();
-        let fingerprint = request.arrival.fingerprint;
-        self.quarantine.death(now, &backend_server, &[fingerprint]);
+        let (fingerprint, granted_ms) = (request.arrival.fingerprint, request.granted_ms);
+        self.quarantine.death_of(now, &backend_server, fingerprint, granted_ms);
         let suspects = self.quarantine.suspects();
         let peers: Vec<Name> = self.membership.alive();
         let own_name = self.own_name();
--- a/src/suspect_record.rs
+++ b/src/suspect_record.rs
@@ -68,15 +68,25 @@
         self.deaths.iter().map(|death| death.learned_ms).max().unwrap_or(0)
     }
 
-    /// Adds a death that this instance saw.
-    pub(crate) fn own_death(&mut self, now: Now, backend_server: &Name) {
-        let again = self.deaths.iter().any(|death| {
-            death.peer.is_none()
-                && !death.cleared
-                && death.backend_server == *backend_server
-                && now.monotonic_ms < death.learned_ms + SAME_DEATH_MS
+    /// Adds a death that this instance saw of a server that it had sent the request at `sent_ms`.
+    ///
+    /// Deaths that were known by then were others, so the server is named once for each of them
+    /// and once for this one.
+    pub(crate) fn own_death(&mut self, now: Now, backend_server: &Name, sent_ms: u64) {
+        let own = |death: &&Death| {
+            death.peer.is_none() && !death.cleared && death.backend_server == *backend_server
+        };
+        let again = self.deaths.iter().filter(own).any(|death| {
+            death.learned_ms >= sent_ms && now.monotonic_ms < death.learned_ms + SAME_DEATH_MS
         });
-        if !again {
+        if again {
+            return;
+        }
+        let is_earlier =
+            |death: &Death| death.backend_server == *backend_server && death.learned_ms < sent_ms;
+        let earlier = self.counted(is_earlier);
+        let named = self.deaths.iter().filter(own).count();
+        for _ in named..=earlier.max(named) {
             self.add(now, backend_server, None);
         }
     }
@@ -113,22 +123,19 @@
             peer,
         });
         self.deaths.sort();
-        if self.counted() >= QUARANTINE_DEATHS {
+        if self.counted(|_| true) >= QUARANTINE_DEATHS {
             self.quarantined_until_ms = Some(now.monotonic_ms + QUARANTINE_MS);
         }
     }
 
-    /// Counts the different deaths; `deaths` is sorted by server, then time.
-    fn counted(&self) -> usize {
-        let mut counted = 0;
-        let mut last: Option<&Death> = None;
-        for death in self.deaths.iter().filter(|death| !death.cleared) {
-            if last.is_none_or(|last| differ(last, death)) {
-                counted += 1;
-                last = Some(death);
-            }
-        }
-        counted
+    /// Counts the different deaths among those that a condition holds for.
+    fn counted<F>(&self, condition: F) -> usize
+    where
+        F: Fn(&Death) -> bool,
+    {
+        let deaths: Vec<&Death> =
+            self.deaths.iter().filter(|death| !death.cleared && condition(death)).collect();
+        deaths.chunk_by(|a, b| a.backend_server == b.backend_server).map(count_of_server).sum()
     }
 
     fn known_from(&self, from: &Name, backend_server: &Name) -> usize {
@@ -139,7 +146,18 @@
     }
 }
 
-fn differ(earlier: &Death, later: &Death) -> bool {
-    earlier.backend_server != later.backend_server
-        || later.learned_ms >= earlier.learned_ms + SAME_DEATH_MS
+/// Counts the different deaths of one server, sorted by time: those that are far apart, or those
+/// that one instance tells apart.
+fn count_of_server(deaths: &[&Death]) -> usize {
+    let mut apart = 0;
+    let mut last_ms = None;
+    for death in deaths {
+        if last_ms.is_none_or(|last_ms| death.learned_ms >= last_ms + SAME_DEATH_MS) {
+            apart += 1;
+            last_ms = Some(death.learned_ms);
+        }
+    }
+    let told_by = |peer| deaths.iter().filter(|death| death.peer == peer).count();
+    let told = deaths.iter().map(|death| told_by(death.peer.clone())).max();
+    told.unwrap_or(0).max(apart)
 }
--- /dev/null
+++ b/tests/poison.rs
@@ -0,0 +1,149 @@
+//! A request that crashes each engine that runs it is held back, with real processes.
+
+mod answer_support;
+mod support;
+
+use answer_support::{LIMIT_MS, RunningCall};
+use standins::caller::{Answer, Outcome};
+use standins::fleet::{Fleet, ServiceSpec, wait_until};
+use support::{draft, reason};
+
+const ENGINES: [&str; 4] = ["plan-model-1", "plan-model-2", "plan-model-3", "plan-model-4"];
+const INSTANCES: [&str; 3] = ["entry-1", "entry-2", "entry-3"];
+const POISON: &str = "a poison that crashes engines";
+const TOKENS: u32 = 400;
+
+/// A fleet whose engines crash on one prompt, and the innocent requests that run in it.
+struct Poisoned {
+    fleet: Fleet,
+    innocents: Vec<RunningCall>,
+    lost_engines: usize,
+}
+
+impl Poisoned {
+    /// Starts an innocent request for each engine.
+    fn arrange() -> Self {
+        let engines = ServiceSpec::model("plan-model", "plan-13b", ENGINES.len())
+            .token_limit_tokens(16_384)
+            .prefill_tokens_per_s(20_000)
+            .options(&["--crash-on", POISON]);
+        let fleet = Fleet::builder()
+            .instances(INSTANCES.len())
+            .service(engines)
+            .setting("peer", "heartbeat_interval_ms", 100)
+            .setting("peer", "confirmation_window_ms", 600)
+            .start()
+            .unwrap();
+        let mut poisoned = Self { fleet, innocents: Vec::new(), lost_engines: 0 };
+        poisoned.send_innocents();
+        poisoned
+    }
+
+    fn send_innocents(&mut self) {
+        let fleet = &self.fleet;
+        self.innocents = (0..ENGINES.len())
+            .map(|index| {
+                let call = draft(fleet, index % INSTANCES.len(), &innocent(index), TOKENS);
+                RunningCall::begin(call)
+            })
+            .collect();
+        self.innocents.iter().for_each(|call| call.wait_tokens(1));
+    }
+
+    /// Ends the innocent requests; those that lost their engine are sent again.
+    fn finish_innocents(&mut self) {
+        for (index, call) in std::mem::take(&mut self.innocents).into_iter().enumerate() {
+            let (mut answer, _) = call.finish();
+            if answer.outcome == Some(Outcome::Unknown) {
+                answer = draft(&self.fleet, 1, &innocent(index), TOKENS).send().unwrap();
+            }
+            assert!(answer.matches(&innocent(index)), "{answer:?}");
+        }
+    }
+
+    fn send(&self, instance: usize) -> Answer {
+        draft(&self.fleet, instance, POISON, 20).send().unwrap()
+    }
+
+    /// Starts dead engines again, as the platform does.
+    fn restart_dead(&mut self) {
+        for name in ENGINES {
+            if !self.fleet.backend(name).unwrap().process.is_running() {
+                self.lost_engines += 1;
+                self.fleet.restart_backend(name).unwrap();
+            }
+        }
+    }
+
+    fn wait_quarantined(&mut self) {
+        for name in INSTANCES {
+            wait_until("the request is quarantined", LIMIT_MS, || {
+                let status = self.fleet.status(name).unwrap();
+                status["quarantined"].as_array().unwrap().len() == 1
+            })
+            .unwrap();
+        }
+    }
+
+    fn assert_held_back(&self) {
+        for instance in 0..INSTANCES.len() {
+            let answer = self.send(instance);
+            assert_eq!(answer.outcome, Some(Outcome::NotRun), "{answer:?}");
+            assert_eq!(reason(&answer), "quarantined");
+            assert!(answer.retry_after_ms.is_some_and(|retry_after_ms| retry_after_ms > 0));
+        }
+    }
+}
+
+fn innocent(index: usize) -> String {
+    format!("an innocent draft {index}")
+}
+
+#[test]
+fn a_request_that_crashes_its_engines_is_quarantined_after_the_second() {
+    let mut poisoned = Poisoned::arrange();
+
+    let first = poisoned.send(0);
+    poisoned.restart_dead();
+    poisoned.finish_innocents();
+    poisoned.send_innocents();
+    let second = poisoned.send(1);
+    poisoned.restart_dead();
+    poisoned.finish_innocents();
+
+    for answer in [first, second] {
+        assert_eq!(answer.outcome, Some(Outcome::Unknown), "{answer:?}");
+    }
+    poisoned.wait_quarantined();
+    poisoned.assert_held_back();
+    poisoned.restart_dead();
+    assert_eq!(poisoned.lost_engines, 2);
+    poisoned.send_innocents();
+    poisoned.finish_innocents();
+}
+
+#[test]
+fn a_suspect_sent_through_all_instances_at_once_costs_one_engine_more() {
+    let mut poisoned = Poisoned::arrange();
+    poisoned.finish_innocents();
+    let first = poisoned.send(0);
+    poisoned.restart_dead();
+
+    let calls: Vec<RunningCall> = (0..2 * INSTANCES.len())
+        .map(|index| {
+            let instance = index % INSTANCES.len();
+            RunningCall::begin(draft(&poisoned.fleet, instance, POISON, 20))
+        })
+        .collect();
+    let outcomes: Vec<Option<Outcome>> =
+        calls.into_iter().map(|call| call.finish().0.outcome).collect();
+    poisoned.restart_dead();
+
+    assert_eq!(first.outcome, Some(Outcome::Unknown), "{first:?}");
+    let ran = outcomes.iter().filter(|outcome| **outcome == Some(Outcome::Unknown)).count();
+    let held = outcomes.iter().filter(|outcome| **outcome == Some(Outcome::NotRun)).count();
+    assert_eq!((ran, held), (1, 2 * INSTANCES.len() - 1), "{outcomes:?}");
+    assert_eq!(poisoned.lost_engines, 2);
+    poisoned.wait_quarantined();
+    poisoned.assert_held_back();
+}
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -238,3 +238,33 @@
         }
     }
 }
+
+#[test]
+fn a_death_is_another_one_if_the_request_was_sent_after_the_earlier_was_known() {
+    let server = Name::from("engine-1");
+    let mut first = Quarantine::default();
+    let mut second = Quarantine::default();
+    let mut third = Quarantine::default();
+
+    first.death_of(at(1_000), &server, 7, 500);
+    second.merge(at(1_001), &"entry-1".into(), &first.suspects());
+    third.merge(at(1_001), &"entry-1".into(), &first.suspects());
+    let before = second.quarantined(at(1_002));
+    second.death_of(at(1_500), &server, 7, 1_002);
+    third.merge(at(1_501), &"entry-2".into(), &second.suspects());
+
+    assert!(before.is_empty());
+    assert_eq!(second.quarantined(at(1_502)), [7]);
+    assert_eq!(third.quarantined(at(1_502)), [7]);
+}
+
+#[test]
+fn two_sends_that_ran_beside_each_other_saw_one_death() {
+    let server = Name::from("engine-1");
+    let mut quarantine = Quarantine::default();
+
+    quarantine.death_of(at(1_000), &server, 7, 500);
+    quarantine.death_of(at(1_001), &server, 7, 600);
+
+    assert!(quarantine.quarantined(at(1_002)).is_empty());
+}
