Run nothing for a body that ended early, and refuse bad offsets

Causes of three faults, found by the tests of bad input: - A caller that ended its connection after the head of a request with a body over 1,024 bytes got its booking run with what had come, even an empty body: the reader reports the end, not an error. The length is compared now. - `offset` of a join was taken for 0 when it could not be read, so a caller got tokens again that it had. It is refused with 400 `bad_offset`. - An unknown path did not say whether anything ran.

A body of up to 1,024 bytes that is cut gets no answer: the HTTP library closes the connection by itself, and nothing runs.

--- a/src/answers.rs
+++ b/src/answers.rs
@@ -70,6 +70,13 @@
     answer(410, Outcome::Unknown, "answer_not_kept", message, None)
 }
 
+/// The offset of a join can't be read.
+pub fn bad_offset() -> FinalAnswer {
+    let message = "The query must be 'offset' with the number of tokens that the caller has, as in \
+                   '?offset=3'. Nothing ran under this call.";
+    answer(400, Outcome::Unknown, "bad_offset", message, None)
+}
+
 /// A request can't be read.
 pub fn bad_request<S>(status: u16, reason: &str, message: S) -> FinalAnswer
 where
--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -17,7 +17,7 @@
 use crate::control::ControlInput;
 use crate::error::Error;
 use crate::event::Event;
-use crate::final_answer::{FinalAnswer, Outcome};
+use crate::final_answer::FinalAnswer;
 use crate::join_answer::{JOIN_HEADER, JoinTarget, cancel_at_peer, join_local, join_peer};
 use crate::name::Name;
 use crate::platform_watch::PlatformWatch;
@@ -49,6 +49,7 @@
 
 /// What a caller asks for.
 enum Route {
+    BadOffset,
     Cancel(String),
     Drain,
     Explain(String),
@@ -200,6 +201,14 @@
     bind().map_err(|error| Error::io(format!("Listening for callers on {address} failed"), error))
 }
 
+/// Reads the offset of a join; without a query it is 0.
+fn read_offset(query: &str) -> Option<usize> {
+    match query {
+        "" => Some(0),
+        query => query.strip_prefix("offset=")?.parse().ok(),
+    }
+}
+
 fn respond(request: Request, status: u16, body: &Value) {
     // A caller that is gone needs no answer.
     let _ = write_body(&mut request.into_writer(), status, None, body);
@@ -218,10 +227,10 @@
         (Method::Get, ["livez"]) => Route::Live,
         (Method::Get, ["readyz"]) => Route::Ready,
         (Method::Get, ["status"]) => Route::Status,
-        (Method::Get, ["v1", "requests", key]) => {
-            let offset = query.strip_prefix("offset=").and_then(|offset| offset.parse().ok());
-            Route::Join { key: (*key).into(), offset: offset.unwrap_or_default() }
-        }
+        (Method::Get, ["v1", "requests", key]) => match read_offset(query) {
+            Some(offset) => Route::Join { key: (*key).into(), offset },
+            None => Route::BadOffset,
+        },
         (Method::Post, ["drain"]) => Route::Drain,
         (Method::Post, ["v1", "services", service, "requests", path @ ..]) => {
             Route::Request { path: path.join("/"), service: (*service).into() }
@@ -232,6 +241,7 @@
 
 fn serve(traffic: &Arc<Traffic>, watch: &PlatformWatch, request: Request) {
     match route(request.method(), request.url()) {
+        Route::BadOffset => respond_final(request, &answers::bad_offset()),
         Route::Cancel(key) => cancel(traffic, request, key),
         Route::Drain => {
             let report = ask(traffic, ControlInput::Drain);
@@ -242,7 +252,7 @@
         Route::Live => respond(request, 200, &json!({ "live": true })),
         Route::NotFound => {
             let message = format!("There is no {} {}.", request.method(), request.url());
-            let answer = answers::answer(404, Outcome::NotRun, "no_such_path", message, None);
+            let answer = answers::bad_request(404, "no_such_path", message);
             respond_final(request, &answer);
         }
         Route::Ready => answer_ready(traffic, request),
--- a/src/read_request.rs
+++ b/src/read_request.rs
@@ -118,18 +118,19 @@
         let message = format!("The body is larger than {limit_bytes} bytes.");
         answers::bad_request(413, "body_too_large", message)
     };
-    if request.body_length().is_some_and(|length| length as u64 > limit_bytes) {
+    let cut = || answers::bad_request(400, "body_cut", "The body ended early.");
+    let length = request.body_length();
+    if length.is_some_and(|length| length as u64 > limit_bytes) {
         return Err(too_large());
     }
     let mut body = Vec::new();
-    request
-        .as_reader()
-        .take(limit_bytes + 1)
-        .read_to_end(&mut body)
-        .map_err(|_| answers::bad_request(400, "body_cut", "The body ended early."))?;
+    request.as_reader().take(limit_bytes + 1).read_to_end(&mut body).map_err(|_| cut())?;
     if body.len() as u64 > limit_bytes {
         return Err(too_large());
     }
+    if length.is_some_and(|length| length != body.len()) {
+        return Err(cut());
+    }
     Ok(body)
 }
 
