Check the number of each token and of the whole stream

Cause: the instance passed on what an engine's stream held. Tokens that came twice, after a gap, or an end before the last token gave the caller an answer called whole that was not. A token that was there before is now passed over; a gap or an early end breaks the stream, which is resumed from its offset.

Fails first: the three tests of crossed_streams, with an engine that ignores the offset, saw `done` with a wrong answer. After: 3 of 3.

--- a/src/run_model.rs
+++ b/src/run_model.rs
@@ -26,7 +26,13 @@
 #[serde(default)]
 struct EndData {
     cached_tokens: u32,
-    output_tokens: u32,
+    output_tokens: Option<u32>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct TokenData {
+    index: Option<usize>,
 }
 
 /// What to do after something was read from the stream.
@@ -117,14 +123,17 @@
         Some(RunEnd::Ended(AnswerEnd::Final(answer), Progress::Cancelled))
     }
 
-    fn finish(&self, data: &str) -> RunEnd {
+    /// An end before the last token belongs to a stream that is not whole.
+    fn finish(&self, data: &str) -> Next {
         let end: EndData = serde_json::from_str(data).unwrap_or_default();
-        let progress = Progress::Finished {
-            cached_tokens: end.cached_tokens,
-            output_tokens: end.output_tokens,
-        };
+        let tokens = u32::try_from(self.tokens).unwrap_or(u32::MAX);
+        let output_tokens = end.output_tokens.unwrap_or(tokens);
+        if output_tokens != tokens {
+            return Next::Resume;
+        }
+        let progress = Progress::Finished { cached_tokens: end.cached_tokens, output_tokens };
         let totals = AnswerTotals { digest: String::new(), events: self.tokens };
-        RunEnd::Ended(AnswerEnd::Done(totals), progress)
+        Next::End(RunEnd::Ended(AnswerEnd::Done(totals), progress))
     }
 
     fn read(&mut self, stream: &mut EventStream) -> Next {
@@ -173,16 +182,27 @@
 
     fn take(&mut self, name: &str, data: String) -> Next {
         match name {
-            "end" => Next::End(self.finish(&data)),
+            "end" => self.finish(&data),
             "error" => Next::End(failed(&data)),
-            "token" => {
-                self.take_token(data);
-                Next::Read
-            }
+            "token" => self.take_in_order(data),
             _ => Next::Read,
         }
     }
 
+    /// Takes a token if it is the next one; one that was there before is passed over, and a gap
+    /// breaks the stream.
+    fn take_in_order(&mut self, data: String) -> Next {
+        let token: TokenData = serde_json::from_str(&data).unwrap_or_default();
+        let index = token.index.unwrap_or(self.tokens);
+        if index > self.tokens {
+            return Next::Resume;
+        }
+        if index == self.tokens {
+            self.take_token(data);
+        }
+        Next::Read
+    }
+
     fn take_token(&mut self, data: String) {
         self.failed_resumes = 0;
         self.tokens += 1;
