Find the silent connection of a caller within 5 s

Cause: the first probe of an idle connection came after 5 s, and nine more a second apart by the system's default; data that nobody acknowledged was tried for minutes. Now: first probe after 2 s, three probes, and 5 s for data. A caller that stands still for 5 s with all buffers full is lost by this as well, before after 10 s; with a key it can join where it left off.

Fails first: the_connection_of_a_silent_caller_is_probed saw 4,560 ms to the first probe. After: it passes. A caller whose host is gone can't be brought about on a loopback interface without rights over it, so that the probes end the connection rests on the system.

--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -35,12 +35,22 @@
 /// Time for the control thread to answer a question, in milliseconds.
 const CONTROL_TIMEOUT_MS: u64 = 2_000;
 
+/// Time between two probes of a caller's silent connection, in seconds.
+const KEEPALIVE_INTERVAL_S: u64 = 1;
+
+/// Probes without an answer after which the connection is lost.
+const KEEPALIVE_PROBES: u32 = 3;
+
 /// Silence after which the system probes a caller's connection, in seconds.
-const KEEPALIVE_TIME_S: u64 = 5;
+const KEEPALIVE_TIME_S: u64 = 2;
 
 /// Time for the answer to a question about a key, in milliseconds.
 const JOIN_TIMEOUT_MS: u64 = 3_000;
 
+/// Time after which a connection is lost if the caller's system acknowledges nothing of what was
+/// written, in milliseconds.
+const UNACKNOWLEDGED_LIMIT_MS: u64 = 5_000;
+
 /// The interface for callers.
 pub struct CallerEdge {
     server: Arc<Server>,
@@ -191,8 +201,10 @@
         socket.set_tcp_nodelay(true)?;
         let keepalive = TcpKeepalive::new()
             .with_time(Duration::from_secs(KEEPALIVE_TIME_S))
-            .with_interval(Duration::from_secs(1));
+            .with_interval(Duration::from_secs(KEEPALIVE_INTERVAL_S))
+            .with_retries(KEEPALIVE_PROBES);
         socket.set_tcp_keepalive(&keepalive)?;
+        socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_LIMIT_MS)))?;
         socket.set_write_timeout(Some(Duration::from_millis(CALLER_WRITE_TIMEOUT_MS)))?;
         socket.bind(&address.into())?;
         socket.listen(BACKLOG_CONNECTIONS)?;
--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -3,6 +3,7 @@
 mod answer_support;
 mod support;
 
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use answer_support::{LIMIT_MS, RunningCall, SILENCE_LIMIT_MS, key_with_home};
@@ -12,6 +13,8 @@
 use standins::proxy::{Fault, FaultMode};
 use support::{booking, draft, quick_fleet, wait_lawful};
 
+/// Longest time to the first probe, which leaves three probes a second apart.
+const FIRST_PROBE_LIMIT_MS: u64 = SILENCE_LIMIT_MS - 3_000;
 const CONFIRMATION_WINDOW_MS: u64 = 3 * HEARTBEAT_INTERVAL_MS;
 /// Heartbeat interval of an instance whose settings don't name one, in milliseconds.
 const HEARTBEAT_INTERVAL_MS: u64 = 500;
@@ -164,6 +167,35 @@
         .unwrap();
 }
 
+/// Returns the time until the first probe of an idle connection to an address, in milliseconds.
+///
+/// The kernel lists each connection with its timer: kind 2 is that of probes, in hundredths of a
+/// second.
+fn probe_ms(address: SocketAddr) -> Option<u64> {
+    let local = format!(":{:04X}", address.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    table.lines().skip(1).find_map(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let established = fields[1].ends_with(&local) && fields[3] == "01";
+        let (kind, left) = fields[5].split_once(':')?;
+        let left = u64::from_str_radix(left, 16).ok()?;
+        (established && kind == "02").then_some(left * 10)
+    })
+}
+
+#[test]
+fn the_connection_of_a_silent_caller_is_probed() {
+    let fleet = quick_fleet(1).start().unwrap();
+    let address = fleet.caller_addresses()[0];
+
+    let caller = std::net::TcpStream::connect(address).unwrap();
+
+    wait_until("a probe is due", LIMIT_MS, || probe_ms(address).is_some()).unwrap();
+    let probe_ms = probe_ms(address).unwrap();
+    assert!(probe_ms <= FIRST_PROBE_LIMIT_MS, "{probe_ms} ms");
+    drop(caller);
+}
+
 fn fault(mode: FaultMode) -> Fault {
     Fault { mode, ..Fault::default() }
 }
