--- a/src/join_answer.rs
+++ b/src/join_answer.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use attohttpc::Method;
+use attohttpc::{Method, RequestBuilder};
 use serde_json::Value;
 
 use crate::answer_log::{AnswerEnd, AnswerLog, AnswerRead, AnswerTotals};
@@ -85,13 +85,7 @@
     target: &JoinTarget<'_>,
     settings: &DispatchSettings,
 ) -> attohttpc::Result<(u16, Value)> {
-    let JoinTarget { address, holder, key } = target;
-    let url = format!("http://{address}/v1/requests/{key}");
-    let response = http_request(Method::DELETE, &url)
-        .header(JOIN_HEADER, *holder)
-        .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
-        .read_timeout(Duration::from_millis(settings.idle_limit_ms))
-        .send()?;
+    let response = request_to(target, Method::DELETE, "", settings).send()?;
     let status = response.status().as_u16();
     Ok((status, serde_json::from_reader(response).unwrap_or_default()))
 }
@@ -159,13 +153,8 @@
     offset: usize,
     settings: &DispatchSettings,
 ) -> attohttpc::Result<Connection> {
-    let JoinTarget { address, holder, key } = target;
-    let url = format!("http://{address}/v1/requests/{key}?offset={offset}");
-    let response = http_request(Method::GET, &url)
-        .header(JOIN_HEADER, *holder)
-        .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
-        .read_timeout(Duration::from_millis(settings.idle_limit_ms))
-        .send()?;
+    let query = format!("?offset={offset}");
+    let response = request_to(target, Method::GET, &query, settings).send()?;
     let (status, _, reader) = response.split();
     if status.as_u16() == 200 {
         return Ok(Connection::Stream(Box::new(BufReader::new(reader))));
@@ -202,3 +191,16 @@
         events: usize::try_from(value["events"].as_u64().unwrap_or_default()).unwrap_or_default(),
     })
 }
+
+fn request_to(
+    target: &JoinTarget<'_>,
+    method: Method,
+    query: &str,
+    settings: &DispatchSettings,
+) -> RequestBuilder {
+    let JoinTarget { address, holder, key } = target;
+    http_request(method, &format!("http://{address}/v1/requests/{key}{query}"))
+        .header(JOIN_HEADER, *holder)
+        .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
+        .read_timeout(Duration::from_millis(settings.idle_limit_ms))
+}
--- a/tests/final_answers.rs
+++ b/tests/final_answers.rs
@@ -283,16 +283,16 @@
     let mut fleet = single(3).start().unwrap();
     wait_lawful(&fleet);
     let addresses = fleet.caller_addresses();
-    for instance in 0..3 {
+    for address in addresses {
         let key = fresh_key();
         let call = RunningCall::begin(draft(&fleet, 0, PROMPT, 3_000).key(&key));
         call.wait_tokens(SEEN_TOKENS);
 
-        let told = cancel(addresses[instance], &key).unwrap();
+        let told = cancel(address, &key).unwrap();
         assert_free(&mut fleet);
         let (answer, _) = call.finish();
-        let joined = join(addresses[instance], &key, 0).unwrap();
-        let again = cancel(addresses[instance], &key).unwrap();
+        let joined = join(address, &key, 0).unwrap();
+        let again = cancel(address, &key).unwrap();
 
         assert_eq!(told.status, 202, "{told:?}");
         assert_final(&answer, Outcome::Failed, "cancelled");
--- a/tests/whole_answers.rs
+++ b/tests/whole_answers.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use answer_support::{
-    LIMIT_MS, RunningCall, SILENCE_LIMIT_MS, busy_engine, key_with_home, raw_request, send_raw,
+    LIMIT_MS, RunningCall, SILENCE_LIMIT_MS, busy_engine, key_with_home, raw_request, read_rest,
+    send_raw,
 };
 use standins::caller::{Answer, Outcome, join};
 use standins::fleet::{Fleet, wait_until};
@@ -213,10 +214,10 @@
     let headers = format!("Idempotency-Key: {key}\r\n");
 
     let silent = send_raw(addresses[0], &raw_request("plan-model", &headers, &body));
-    wait_until("the request runs", LIMIT_MS, || {
+    let runs = wait_until("the request runs", LIMIT_MS, || {
         !fleet.engine_totals().unwrap().executions.is_empty()
-    })
-    .unwrap();
+    });
+    assert!(runs.is_ok(), "{}", read_rest(silent));
     let joined = join(addresses[1], &key, 0).unwrap();
 
     assert!(joined.matches(PROMPT), "{joined:?}");
