--- a/src/answers.rs
+++ b/src/answers.rs
@@ -21,6 +21,12 @@
     answer(error.http_status(), Outcome::NotRun, reason, message, None)
 }
 
+/// The request that a caller wants to cancel has ended.
+pub fn already_ended(outcome: Outcome) -> FinalAnswer {
+    let message = "The request of this key has ended, so there is nothing to cancel.";
+    answer(409, outcome, "already_ended", message, None)
+}
+
 /// Builds an answer.
 pub fn answer<S>(
     status: u16,
@@ -52,12 +58,25 @@
     answer(504, Outcome::NotRun, "deadline_passed", message, Some(DEFAULT_RETRY_AFTER_MS))
 }
 
+/// A planned stop did not leave the request the time to finish.
+pub fn drain_limit_passed() -> FinalAnswer {
+    let message = "The instance stopped before the request finished. It ran and was cancelled.";
+    answer(503, Outcome::Failed, "drain_limit_passed", message, Some(DEFAULT_RETRY_AFTER_MS))
+}
+
 /// The answer of a request that ran is no longer kept.
 pub fn answer_not_kept() -> FinalAnswer {
     let message = "The request of this key ran, but its answer is no longer kept.";
     answer(410, Outcome::Unknown, "answer_not_kept", message, None)
 }
 
+/// The offset of a join can't be read.
+pub fn bad_offset() -> FinalAnswer {
+    let message = "The query must be 'offset' with the number of tokens that the caller has, as in \
+                   '?offset=3'. Nothing ran under this call.";
+    answer(400, Outcome::Unknown, "bad_offset", message, None)
+}
+
 /// A request can't be read.
 pub fn bad_request<S>(status: u16, reason: &str, message: S) -> FinalAnswer
 where
--- a/src/apply_effects.rs
+++ b/src/apply_effects.rs
@@ -38,6 +38,7 @@
                 runners.tell(sequence, RunnerCommand::Answer(answer));
             }
             Effect::Cancel { sequence } => runners.tell(sequence, RunnerCommand::Cancel),
+            Effect::Cancelling { sequence } => runners.tell(sequence, RunnerCommand::Cancelling),
             Effect::Count { amount, counter } => self.traffic.telemetry.count(counter, amount),
             Effect::Dispatch(dispatch) => {
                 runners.tell(dispatch.sequence, RunnerCommand::Dispatch(dispatch));
@@ -49,8 +50,8 @@
             Effect::JoinLocal { holder, sequence } => {
                 runners.tell(sequence, RunnerCommand::JoinLocal { holder });
             }
-            Effect::JoinPeer { address, key, sequence } => {
-                runners.tell(sequence, RunnerCommand::JoinPeer { address, key });
+            Effect::JoinPeer { address, holder, key, sequence } => {
+                runners.tell(sequence, RunnerCommand::JoinPeer { address, holder, key });
             }
             Effect::Log { part, text } => log::info!(target: part, "{text}"),
             Effect::Measure { quantity, value } => {
--- a/src/build_core.rs
+++ b/src/build_core.rs
@@ -1,5 +1,6 @@
 //! Builds the decision core from the settings.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::config_adoption::ConfigAdoption;
@@ -27,6 +28,7 @@
         incarnation,
         inventory,
         key_home,
+        key_lookups: BTreeMap::new(),
         leaving: Vec::new(),
         linked_peers: Vec::new(),
         membership: build_membership(&settings, incarnation, now, view.clone()),
--- a/src/serve_request.rs
+++ b/src/serve_request.rs
@@ -9,7 +9,7 @@
 use crate::effect::Dispatch;
 use crate::event::Event;
 use crate::final_answer::FinalAnswer;
-use crate::join_answer::{KeepingWriter, join_local, join_peer};
+use crate::join_answer::{JoinTarget, KeepingWriter, join_local, join_peer};
 use crate::read_request::ReadRequest;
 use crate::request_trace::RequestTrace;
 use crate::run_model::run_model;
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Returns whether nobody can get the answer any more.
+    pub fn is_abandoned(&self) -> bool {
+        self.caller_gone && self.request.arrival.key.is_none()
+    }
+
     /// Shows the caller that the instance lives.
     pub fn keep_alive(&mut self) {
         if !self.caller_gone && self.writer.keep_alive().is_err() {
@@ -155,6 +160,7 @@
                 self.cancelled = true;
                 Next::Wait
             }
+            RunnerCommand::Cancelling => Next::Wait,
             RunnerCommand::Dispatch(_) if self.cancelled => {
                 self.report(Progress::Cancelled);
                 self.end_with(answers::cancelled_before_run())
@@ -172,9 +178,10 @@
                 join_local(&held, 0, &mut writer);
                 self.end_join()
             }
-            RunnerCommand::JoinPeer { address, key } => {
+            RunnerCommand::JoinPeer { address, holder, key } => {
+                let target = JoinTarget { address, holder: &holder, key: &key };
                 let mut writer = KeepingWriter { log: &self.log, writer: self.writer.as_mut() };
-                join_peer(address, &key, 0, &self.traffic.settings.dispatch, &mut writer);
+                join_peer(&target, 0, &self.traffic.settings.dispatch, &mut writer);
                 self.end_join()
             }
         }
--- a/tests/core_joins.rs
+++ b/tests/core_joins.rs
@@ -66,7 +66,8 @@
 
     fn join(&mut self, from_peer: bool) -> Vec<Effect> {
         let key = self.key.clone();
-        self.core.decide(self.now, Event::JoinAsked { from_peer, key, sequence: 1_000 })
+        let holder = from_peer.then(|| self.request.to_string().into());
+        self.core.decide(self.now, Event::JoinAsked { holder, key, sequence: 1_000 })
     }
 }
 
