Let an instance that starts without the platform learn from every peer

The first by name of two instances opens their link, and a started one has no list before it has the document: so nobody opened a link to the first of the fleet, and with the platform down it never became ready. Now the other one tries too while there is no link; an instance with a list refuses that.

Ruled out: both opening at all times, which would have two links compete.

The stand-in fleet's faults between an instance and the platform never took hold, since daemons don't read it from their own address: each instance now has a proxy route of its own.

Failing first: tests/config_changes.rs, 'readiness of entry-1' timed out after 8000 ms, and entry-4 had version 2 in a partition without the platform.

--- a/src/peer_registry.rs
+++ b/src/peer_registry.rs
@@ -104,6 +104,16 @@
         });
     }
 
+    /// Tells whether a link to a peer is open.
+    pub(crate) fn has_link(&self, peer: &Name) -> bool {
+        self.find(peer).is_ok()
+    }
+
+    /// Tells whether there is a list of peers.
+    pub(crate) fn has_list(&self) -> bool {
+        self.peers.borrow().is_some()
+    }
+
     /// Tells whether no link is open.
     pub(crate) fn is_empty(&self) -> bool {
         self.links.borrow().is_empty()
--- a/src/peer_supervisor.rs
+++ b/src/peer_supervisor.rs
@@ -76,7 +76,7 @@
     peers.dedup_by(|later, earlier| later.0 == earlier.0);
     registry.set_peers(peers.clone());
     openers.retain(|opener| keep_opener(registry, opener, &peers));
-    for (name, address) in peers.into_iter().filter(|(name, _)| registry.settings.name < *name) {
+    for (name, address) in peers {
         if !openers.iter().any(|opener| opener.peer == name) {
             let task = spawn_local(open_links(registry.clone(), name.clone(), address));
             openers.push(Opener { address, peer: name, task });
@@ -122,7 +122,8 @@
     stream.set_nodelay(true).ok()?;
     let mut socket = accept_async_with_config(stream, Some(socket_config())).await.ok()?;
     let hello = read_hello(&mut socket).await?;
-    if !registry.is_peer(&hello.name) || hello.name > registry.settings.name {
+    let is_opener = hello.name < registry.settings.name || !registry.has_list();
+    if !registry.is_peer(&hello.name) || !is_opener {
         debug!(target: PEER, "A link from '{}' is refused: it is not expected.", hello.name);
         return None;
     }
@@ -130,20 +131,34 @@
     Some((socket, hello))
 }
 
+/// Opens links to a peer, again and again.
+///
+/// The first by name of two instances opens their link. The other tries, too, while there is none,
+/// since the first may not have a list of instances yet; one that has a list refuses this.
 async fn open_links(registry: Rc<PeerRegistry>, peer: Name, address: SocketAddr) {
-    let mut back_off = BackOff::new(BACK_OFF_SHORTEST_MS, BACK_OFF_LONGEST_MS);
+    let is_first = registry.settings.name < peer;
+    let shortest_ms = if is_first { BACK_OFF_SHORTEST_MS } else { BACK_OFF_LONGEST_MS };
+    let mut back_off = BackOff::new(shortest_ms, BACK_OFF_LONGEST_MS);
+    if !is_first {
+        sleep(Duration::from_millis(back_off.next_wait_ms())).await;
+    }
     while !registry.stopping.get() {
-        let opening =
-            timeout(Duration::from_millis(OPEN_TIMEOUT_MS), open(&registry, &peer, address));
-        if let Ok(Some((socket, hello))) = opening.await
-            && run(&registry, socket, hello).await
-        {
+        if !registry.has_link(&peer) && open_once(&registry, &peer, address).await {
             back_off.reset();
         }
         sleep(Duration::from_millis(back_off.next_wait_ms())).await;
     }
 }
 
+/// Opens a link and carries its messages until it ends; tells whether it was ever the present one.
+async fn open_once(registry: &PeerRegistry, peer: &Name, address: SocketAddr) -> bool {
+    let opening = timeout(Duration::from_millis(OPEN_TIMEOUT_MS), open(registry, peer, address));
+    match opening.await {
+        Ok(Some((socket, hello))) => run(registry, socket, hello).await,
+        _ => false,
+    }
+}
+
 async fn open(
     registry: &PeerRegistry,
     peer: &Name,
--- a/standins/src/fleet/faults.rs
+++ b/standins/src/fleet/faults.rs
@@ -17,7 +17,8 @@
 }
 
 impl Fleet {
-    /// Sets a fault of a proxy route: `peer-{instance}`, `backend-{server}` or `platform`.
+    /// Sets a fault of a proxy route: `peer-{instance}`, `backend-{server}` or
+    /// `platform-{instance}`.
     ///
     /// # Errors
     ///
@@ -55,8 +56,9 @@
     ///
     /// Returns an error if the instance is unknown or the platform has no proxy.
     pub fn fault_platform_link(&mut self, name: &str, mode: FaultMode) -> Result<(), FleetError> {
-        let ip = self.instance(name)?.ip;
-        self.set_fault("platform", limited(mode, ip))
+        let name = &self.instance(name)?.name;
+        let route = format!("platform-{name}");
+        self.set_fault(&route, Fault { mode, ..Fault::default() })
     }
 
     /// Sets a fault in front of a backend server; `pass` heals it.
--- a/standins/src/fleet/running.rs
+++ b/standins/src/fleet/running.rs
@@ -80,8 +80,8 @@
     pub list: InstanceList,
     pub(super) folder: TempDir,
     pub(super) instances_started: u8,
-    pub(super) platform_seen_address: SocketAddr,
     pub(super) proxied_peers: bool,
+    pub(super) proxied_platform: bool,
     pub(super) proxy: Option<Proxy>,
     pub(super) published_instances: Vec<InstanceRow>,
     pub(super) settings: SettingsDocument,
@@ -151,7 +151,12 @@
         let ip = self.next_ip();
         let at = self.instances.len() % self.inventory.data_centres.len();
         let data_centre = self.inventory.data_centres[at].clone();
-        let settings = self.settings_of(name, &data_centre, ip);
+        let platform_address = match self.proxied_platform {
+            true => self.add_route(&format!("platform-{name}"), self.platform_address)?,
+            false => self.platform_address,
+        };
+        let mut settings = self.settings_of(name, &data_centre, ip);
+        settings.set("platform", "address", platform_address);
         let (process, addresses) = start::start_daemon(name, &settings, self.folder.path())?;
         let peer_address = match self.proxied_peers {
             true => self.add_route(&format!("peer-{name}"), addresses.peer)?,
@@ -338,7 +343,6 @@
         settings.set("instance", "data_centre", data_centre);
         settings.set("caller", "listen_address", SocketAddr::new(ip, 0));
         settings.set("peer", "listen_address", SocketAddr::new(ip, 0));
-        settings.set("platform", "address", self.platform_seen_address);
         settings
     }
 }
--- a/standins/src/fleet/start.rs
+++ b/standins/src/fleet/start.rs
@@ -51,18 +51,15 @@
         backends,
         platform,
         platform_address,
-        platform_seen_address: platform_address,
         proxy: start_proxy(&builder, folder.path())?,
         proxied_peers: builder.proxied_peers,
+        proxied_platform: builder.proxied_platform,
         inventory: inventory(&builder),
         list: InstanceList::default(),
         published_instances: Vec::new(),
         settings: builder.settings.clone(),
         folder,
     };
-    if builder.proxied_platform {
-        fleet.platform_seen_address = fleet.add_route("platform", platform_address)?;
-    }
     fleet.list_backends(&builder)?;
     for number in 1..=builder.instances {
         fleet.add_instance(&format!("entry-{number}"))?;
