Spread the reads of the platform over time

A change or an outage ends the watches of all instances at once, and each began the next within 100 ms. Now each waits for a random time up to 1.5 s after a change and 1.5 s to 4 s after a failed read; the list is read every 0.9 s to 1.8 s instead of 0.7 s to 1.3 s. A watch waits 3 s instead of 5 s and a silent connection is given up 1 s later instead of 2 s, so that a change behind silent connections is in force within 4 s + 3 s of the 8 s.

The bound: 2,000 reads a second over 1,200 instances are 1.67 a second and instance, 100 for the 60 readers of the test. By the intervals: list 0.74 and watch 0.33 a second in the mean.

--- a/src/back_off.rs
+++ b/src/back_off.rs
@@ -23,6 +23,11 @@
         rand::rng().random_range(limit_ms / 2..=limit_ms)
     }
 
+    /// Returns a wait in milliseconds between 0 and half of the shortest limit.
+    pub fn spread_ms(&self) -> u64 {
+        rand::rng().random_range(0..=self.shortest_ms / 2)
+    }
+
     /// Goes back to the shortest wait.
     pub fn reset(&mut self) {
         self.next_ms = self.shortest_ms;
--- a/src/parse_settings.rs
+++ b/src/parse_settings.rs
@@ -29,7 +29,7 @@
 const LARGEST_RESUME_LIMIT: u64 = 100;
 const LOAD_INTERVAL_MS: u64 = 500;
 const RESUME_LIMIT: u32 = 3;
-const WATCH_TIMEOUT_MS: u64 = 5_000;
+const WATCH_TIMEOUT_MS: u64 = 3_000;
 
 const FORMATS: &[(&str, LogFormat)] = &[("json", LogFormat::Json), ("text", LogFormat::Text)];
 
--- a/src/platform_client.rs
+++ b/src/platform_client.rs
@@ -15,7 +15,7 @@
 
 const ANSWER_LIMIT_BYTES: u64 = 4 * 1024 * 1024;
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
-const READ_TIMEOUT_MS: u64 = 2_000;
+const READ_TIMEOUT_MS: u64 = 1_000;
 
 /// Answer to a read of the document.
 #[derive(Deserialize)]
--- a/src/platform_watch.rs
+++ b/src/platform_watch.rs
@@ -2,11 +2,14 @@
 //!
 //! One waits for a newer document, with at most one watch at a time; the other reads the list of
 //! instances at a bounded rate. Both back off while reads fail.
+//!
+//! A change or an outage ends the watches of all instances at once, so each waits for a random
+//! time before its next: with 1,200 instances, the platform's 2,000 reads a second are enough.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use flume::RecvTimeoutError;
 use log::{debug, warn};
@@ -18,9 +21,9 @@
 use crate::platform_event::{PlatformEvent, PlatformSink};
 use crate::settings::PlatformSettings;
 
-const BACK_OFF_LONGEST_MS: u64 = 2_000;
-const BACK_OFF_SHORTEST_MS: u64 = 100;
-const LIST_INTERVAL_LONGEST_MS: u64 = 1_333;
+const BACK_OFF_LONGEST_MS: u64 = 4_000;
+const BACK_OFF_SHORTEST_MS: u64 = 3_000;
+const LIST_INTERVAL_LONGEST_MS: u64 = 1_800;
 
 /// The watch of the platform's service.
 ///
@@ -138,8 +141,14 @@
         while self.step() == Pause::Over {}
     }
 
+    /// Returns the time before which the end of a watch is no reason to begin the next at once.
+    fn half_wait(&self) -> Duration {
+        Duration::from_millis(self.wait_ms / 2)
+    }
+
     fn step(&mut self) -> Pause {
         let after = self.version.load(Ordering::Relaxed);
+        let asked = Instant::now();
         match self.reader.client.watch(after, self.wait_ms) {
             PlatformAnswer::Failed(reason) => self.reader.failed(&reason),
             PlatformAnswer::Found(document) => {
@@ -151,11 +160,15 @@
                     return self.reader.pause_longer();
                 }
                 self.reader.succeeded();
-                self.reader.pause(BACK_OFF_SHORTEST_MS)
+                self.reader.pause(self.reader.back_off.spread_ms())
+            }
+            PlatformAnswer::Unchanged if asked.elapsed() < self.half_wait() => {
+                self.reader.reachable = true;
+                self.reader.pause_longer()
             }
             PlatformAnswer::Unchanged => {
                 self.reader.succeeded();
-                self.reader.pause_longer()
+                self.reader.pause(0)
             }
         }
     }
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -52,8 +52,12 @@
 /// Numbers of calls served.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 pub struct Counters {
+    /// Most calls that waited at the same time.
+    pub most_waiting: u64,
     /// Calls that answered at once.
     pub reads: u64,
+    /// Calls that wait now.
+    pub waiting: u64,
     /// Calls that could wait.
     pub watches: u64,
 }
@@ -149,22 +153,35 @@
 }
 
 fn watch(platform: &Platform, after: Option<u64>, wait_ms: u64) -> Reply {
-    /// Longest time until a lagging change is looked at again.
-    const LOOK_INTERVAL_MS: u64 = 50;
     let until = Instant::now() + Duration::from_millis(wait_ms.min(WATCH_LIMIT_MS));
     let mut state = platform.lock();
     state.counters.watches += 1;
+    state.counters.waiting += 1;
+    state.counters.most_waiting = state.counters.most_waiting.max(state.counters.waiting);
+    let (mut state, reply) = wait_for_newer(platform, state, after, until);
+    state.counters.waiting -= 1;
+    reply
+}
+
+fn wait_for_newer<'a>(
+    platform: &'a Platform,
+    mut state: MutexGuard<'a, State>,
+    after: Option<u64>,
+    until: Instant,
+) -> (MutexGuard<'a, State>, Reply) {
+    /// Longest time until a lagging change is looked at again.
+    const LOOK_INTERVAL_MS: u64 = 50;
     loop {
         let now = Instant::now();
         if state.faults.outage {
-            return Reply::status(503);
+            return (state, Reply::status(503));
         }
         let newer = state.document(now).filter(|found| after.is_none_or(|n| found.version > n));
-        if let Some(document) = newer {
-            return Reply::json(document);
+        if let Some(reply) = newer.map(Reply::json) {
+            return (state, reply);
         }
         if now >= until {
-            return Reply::status(304);
+            return (state, Reply::status(304));
         }
         let wait = (until - now).min(Duration::from_millis(LOOK_INTERVAL_MS));
         state = platform.changed.wait_timeout(state, wait).expect("no thread panics").0;
--- a/tests/check_settings.rs
+++ b/tests/check_settings.rs
@@ -349,7 +349,7 @@
         },
         platform: PlatformSettings {
             address: "127.0.0.1:7000".parse().unwrap(),
-            watch_timeout_ms: 5_000,
+            watch_timeout_ms: 3_000,
         },
         shutdown: ShutdownSettings { drain_limit_ms: 30_000 },
         telemetry: TelemetrySettings { export_interval_ms: 10_000, otlp_address: None },
--- a/tests/config_changes.rs
+++ b/tests/config_changes.rs
@@ -127,6 +127,10 @@
 #[test]
 fn a_platform_behind_silent_connections_is_heard_in_time() {
     let mut fleet = seven_fleet().proxy_platform().start().unwrap();
+    wait_until("a watch of each instance", IN_FORCE_LIMIT_MS, || {
+        fleet.platform_counters().unwrap().waiting == NAMES.len() as u64
+    })
+    .unwrap();
     cut_from_platform(&mut fleet, &NAMES, FaultMode::HalfOpen);
 
     fleet.publish().unwrap();
