Let an instance that is listed as leaving finish and be not ready

The instance list was read for backend servers only. An instance that finds itself leaving there now tells the balancer that it is not ready, shows it in its status, serves what still comes and is ready again when listed as live. Changes of the list are logged. A receiver that knows of a leaving backend server before the steward does returns the grant and bids again without that server at once; before, the request waited 2 s and could get the same grant.

--- a/src/adopt.rs
+++ b/src/adopt.rs
@@ -53,6 +53,7 @@
         if leaving == self.leaving {
             return;
         }
+        self.log_leaving(&leaving);
         self.leaving = leaving;
         let event = self.fleet_event();
         self.schedule_all(now, &event);
@@ -73,6 +74,18 @@
         self.send(peer, PeerMessage::ConfigDocument { text, version });
     }
 
+    fn log_leaving(&mut self, leaving: &[Name]) {
+        for name in
+            leaving.iter().filter(|name| !self.is_leaving(name)).cloned().collect::<Vec<_>>()
+        {
+            self.log("platform", format!("{name} is leaving by the instance list."));
+        }
+        let returned = self.leaving.iter().filter(|name| leaving.binary_search(name).is_err());
+        for name in returned.cloned().collect::<Vec<_>>() {
+            self.log("platform", format!("{name} is no longer leaving by the instance list."));
+        }
+    }
+
     fn put_in_force(&mut self, now: Now, inventory: Arc<Inventory>) {
         self.log("config", format!("Version {} is in force.", inventory.version));
         let is_first = self.inventory.version == 0;
--- a/src/core.rs
+++ b/src/core.rs
@@ -94,7 +94,12 @@
 
     /// Returns whether the instance takes requests.
     pub fn is_ready(&self) -> bool {
-        self.adoption.is_ready() && self.stop.is_none()
+        self.adoption.is_ready() && self.stop.is_none() && !self.is_leaving(&self.own_name())
+    }
+
+    /// Returns whether the instance list says that an instance or a backend server is leaving.
+    pub(crate) fn is_leaving(&self, name: &Name) -> bool {
+        self.leaving.binary_search(name).is_ok()
     }
 
     pub(crate) fn log<S>(&mut self, part: &'static str, text: S)
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -16,6 +16,8 @@
 enum GrantUse {
     /// The request may be dispatched.
     Dispatch(Dispatch),
+    /// The backend server is leaving, which the steward does not know yet.
+    Leaving,
     /// The request runs already, by an earlier grant.
     RunsAlready,
     /// The request is not waiting, or the backend server is gone.
@@ -126,6 +128,12 @@
                 }
                 self.effects.push(Effect::Dispatch(dispatch));
             }
+            GrantUse::Leaving => {
+                let backend_server = grant.backend_server.clone();
+                self.note(now, sequence, format!("{backend_server} is leaving."));
+                self.return_grant(now, steward, grant);
+                self.wait_again(now, sequence, Some(backend_server));
+            }
             GrantUse::RunsAlready => self.report_running(now, sequence, steward.clone()),
             GrantUse::Void => self.return_grant(now, steward, grant),
         }
@@ -224,10 +232,8 @@
         let Some(backend_server) = self.inventory.backend_server(&grant.backend_server) else {
             return GrantUse::Void;
         };
-        let is_leaving =
-            backend_server.leaving || self.leaving.binary_search(&backend_server.name).is_ok();
-        if is_leaving {
-            return GrantUse::Void;
+        if backend_server.leaving || self.is_leaving(&backend_server.name) {
+            return GrantUse::Leaving;
         }
         let model = self
             .inventory
--- a/src/render_status.rs
+++ b/src/render_status.rs
@@ -27,10 +27,11 @@
 
 /// Renders whether an instance takes requests.
 pub fn render_readiness(status: &StatusReport) -> &'static str {
-    match (status.stopping, status.ready) {
-        (true, _) => "stopping",
-        (false, true) => "ready",
-        (false, false) => "not ready",
+    match (status.stopping, status.leaving, status.ready) {
+        (true, _, _) => "stopping",
+        (false, true, _) => "leaving",
+        (false, false, true) => "ready",
+        (false, false, false) => "not ready",
     }
 }
 
--- a/src/report_status.rs
+++ b/src/report_status.rs
@@ -49,6 +49,7 @@
                 capacity: self.settings.keys.capacity,
                 remembered: count(self.key_home.len()),
             },
+            leaving: self.is_leaving(&self.own_name()),
             list_version: self.view.list_version(),
             peers: self.peer_statuses(),
             platform: PlatformStatus { reachable: self.adoption.is_platform_reachable(), reads: 0 },
--- a/src/status_report.rs
+++ b/src/status_report.rs
@@ -21,6 +21,9 @@
     pub instance: String,
     /// Idempotency keys of which the instance is the home.
     pub keys: KeyStatus,
+    /// Whether the instance list says that the instance is leaving.
+    #[serde(default)]
+    pub leaving: bool,
     /// Version of the instance list in force.
     pub list_version: u64,
     /// The other instances, sorted by name.
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -129,6 +129,7 @@
         incarnation: 255,
         instance: "entry-1".into(),
         keys: KeyStatus { capacity: 100, remembered: 3 },
+        leaving: false,
         list_version: 2,
         peers: vec![peer("entry-2", DEAD, PeerState::Live)],
         platform: PlatformStatus { reachable: true, reads: 12 },
