--- /dev/null
+++ b/tests/rolling_replacement.rs
@@ -0,0 +1,218 @@
+//! Test of the replacement of every instance while requests run.
+
+mod seven;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use seven::{CUSTOMER, NAMES, draft_call, elapsed_ms, status, version_at};
+use standins::caller::{Answer, Call, CallError, Outcome};
+use standins::fleet::{Fleet, ServiceSpec, wait_until};
+use uuid::Uuid;
+
+/// Callers of each kind that send one request after the other.
+const CALLERS: usize = 6;
+/// Longest time to take one step, in milliseconds.
+const STEP_LIMIT_MS: u64 = 15_000;
+/// Sends of one request at other instances before its caller gives up.
+const SENDS_LIMIT: u32 = 40;
+/// Tokens of an answer.
+const OUTPUT_TOKENS: u32 = 120;
+/// Time per token in microseconds.
+const DECODE_US_PER_TOKEN: &str = "1000";
+
+/// What callers share: the balancer's list and what they saw.
+#[derive(Default)]
+struct Shared {
+    addresses: Mutex<Vec<SocketAddr>>,
+    broken: Mutex<Vec<String>>,
+    done: AtomicUsize,
+    ended: AtomicBool,
+    next: AtomicUsize,
+    refused_connections: AtomicUsize,
+    resent: AtomicUsize,
+}
+
+/// What a caller does after one send.
+enum Next {
+    Done,
+    /// Waits, then sends again at another instance.
+    Resend {
+        wait_ms: u64,
+    },
+    Broken(String),
+}
+
+impl Shared {
+    fn address(&self) -> SocketAddr {
+        let addresses = self.addresses.lock().unwrap();
+        addresses[self.next.fetch_add(1, Ordering::Relaxed) % addresses.len()]
+    }
+
+    /// The balancer's list follows readiness; here it is told.
+    fn set_addresses(&self, fleet: &Fleet) {
+        let ready = fleet.caller_addresses().into_iter();
+        *self.addresses.lock().unwrap() =
+            ready.filter(|address| status(*address)["ready"] == true).collect();
+    }
+
+    fn judge(&self, answer: Result<Answer, CallError>) -> Next {
+        let answer = match answer {
+            // No connection was made, so nothing was sent.
+            Err(error) if error.to_string().contains("refused") => {
+                self.refused_connections.fetch_add(1, Ordering::Relaxed);
+                return Next::Resend { wait_ms: 10 };
+            }
+            Err(error) => return Next::Broken(error.to_string()),
+            Ok(answer) => answer,
+        };
+        match (answer.outcome, answer.retry_after_ms) {
+            (Some(Outcome::Done), _) if answer.whole => Next::Done,
+            (Some(Outcome::NotRun), Some(wait_ms)) => Next::Resend { wait_ms },
+            _ => Next::Broken(format!("{answer:?}")),
+        }
+    }
+
+    fn print(&self, time_ms: u64) {
+        println!(
+            "{} done, {} sent again, {} connections refused, in {time_ms} ms",
+            self.done.load(Ordering::Relaxed),
+            self.resent.load(Ordering::Relaxed),
+            self.refused_connections.load(Ordering::Relaxed),
+        );
+    }
+
+    fn send(&self, call: &Call) {
+        for _ in 0..SENDS_LIMIT {
+            match self.judge(call.clone().address(self.address()).send()) {
+                Next::Done => {
+                    self.done.fetch_add(1, Ordering::Relaxed);
+                    return;
+                }
+                Next::Resend { wait_ms } => {
+                    self.resent.fetch_add(1, Ordering::Relaxed);
+                    thread::sleep(Duration::from_millis(wait_ms));
+                }
+                Next::Broken(answer) => return self.broken.lock().unwrap().push(answer),
+            }
+        }
+        self.broken.lock().unwrap().push("a request was refused again and again".to_owned());
+    }
+}
+
+fn arrange() -> Fleet {
+    let model = ServiceSpec::model("plan-model", "plan-13b", 3)
+        .options(&["--decode-us-per-token", DECODE_US_PER_TOKEN]);
+    let plain = ServiceSpec::plain("order-desk", 1).idempotent(false);
+    let sized =
+        |service: ServiceSpec| service.token_limit_tokens(65_536).prefill_tokens_per_s(20_000);
+    Fleet::builder()
+        .instances(NAMES.len())
+        .service(sized(model))
+        .service(sized(plain))
+        .setting("peer", "heartbeat_interval_ms", 100)
+        .setting("peer", "confirmation_window_ms", 600)
+        .setting("keys", "clock_margin_ms", 50)
+        .start()
+        .unwrap()
+}
+
+fn start_callers(
+    shared: &Arc<Shared>,
+    describe: fn(SocketAddr, &str) -> Call,
+) -> Vec<JoinHandle<()>> {
+    let address = shared.address();
+    (0..CALLERS)
+        .map(|number| {
+            let shared = shared.clone();
+            thread::spawn(move || {
+                let mut round = 0;
+                while !shared.ended.load(Ordering::Relaxed) {
+                    round += 1;
+                    shared.send(&describe(address, &format!("{number} {round} plan")));
+                }
+            })
+        })
+        .collect()
+}
+
+fn plan(address: SocketAddr, prompt: &str) -> Call {
+    draft_call(address, prompt, OUTPUT_TOKENS)
+}
+
+fn booking(address: SocketAddr, nonce: &str) -> Call {
+    let key = Uuid::now_v7().to_string();
+    Call::new(address, "order-desk", serde_json::json!({ "nonce": nonce }))
+        .customer(CUSTOMER)
+        .key(&key)
+}
+
+fn wait_for_list(fleet: &Fleet) {
+    let (version, list) = (fleet.inventory.version, fleet.inventory.instances_version);
+    for instance in fleet.instances.iter().map(|instance| instance.name.clone()) {
+        wait_until(&format!("version {version} at {instance}"), STEP_LIMIT_MS, || {
+            version_at(fleet, &instance) >= version
+        })
+        .unwrap();
+    }
+    wait_until(&format!("every instance may grant keys by list {list}"), STEP_LIMIT_MS, || {
+        fleet.caller_addresses().into_iter().all(|address| {
+            let page = status(address);
+            page["standing"]["lawful"] == true && page["list_version"] == list
+        })
+    })
+    .unwrap();
+}
+
+/// Publishes a list with a new instance and without those that ended, then stops the old one.
+fn replace(fleet: &mut Fleet, shared: &Shared, old: &str) {
+    let new = old.replace("entry", "fresh");
+    fleet.add_instance(&new).unwrap();
+    fleet.publish().unwrap();
+    wait_for_list(fleet);
+    shared.set_addresses(fleet);
+
+    let at = fleet.instances.iter().position(|instance| instance.name == old).unwrap();
+    let address = fleet.instances[at].caller_address;
+    fleet.instances[at].process.begin_terminate().unwrap();
+    shared.addresses.lock().unwrap().retain(|listed| *listed != address);
+    fleet.instances[at].process.wait(STEP_LIMIT_MS).unwrap();
+    fleet.instances.remove(at);
+    fleet.remove_from_inventory(old);
+}
+
+fn replace_all(describe: fn(SocketAddr, &str) -> Call) {
+    let mut fleet = arrange();
+    wait_for_list(&fleet);
+    let shared = Arc::new(Shared::default());
+    shared.set_addresses(&fleet);
+    let callers = start_callers(&shared, describe);
+    let start = Instant::now();
+
+    for old in NAMES {
+        replace(&mut fleet, &shared, old);
+    }
+    fleet.publish().unwrap();
+    wait_for_list(&fleet);
+    shared.ended.store(true, Ordering::Relaxed);
+    callers.into_iter().for_each(|caller| caller.join().unwrap());
+
+    shared.print(elapsed_ms(start));
+    let broken = shared.broken.lock().unwrap();
+    assert!(broken.is_empty(), "{} requests were cut, first {:#?}", broken.len(), broken.first());
+    assert!(shared.done.load(Ordering::Relaxed) > NAMES.len() * CALLERS);
+    assert!(fleet.instances.iter().all(|instance| instance.name.starts_with("fresh")));
+}
+
+#[test]
+fn a_rolling_replacement_of_all_seven_cuts_no_request() {
+    replace_all(plan);
+}
+
+#[test]
+fn a_rolling_replacement_of_all_seven_cuts_no_booking() {
+    replace_all(booking);
+}
