Test planned stops and the replacement of all seven under load

A new instance with other addresses is added, the list is published, the old one gets SIGTERM while callers still reach it, and so on through the fleet, with six callers that send one request after the other and follow Retry-After at the next instance. A second test stops an instance that has six long answers in progress, half of them under a key.

--- a/tests/rolling_replacement.rs
+++ b/tests/rolling_replacement.rs
@@ -15,12 +15,18 @@
 
 /// Callers of each kind that send one request after the other.
 const CALLERS: usize = 6;
+/// Margin between a home's beginning and the keys that it grants, in milliseconds.
+const CLOCK_MARGIN_MS: u64 = 50;
 /// Longest time to take one step, in milliseconds.
 const STEP_LIMIT_MS: u64 = 15_000;
 /// Sends of one request at other instances before its caller gives up.
 const SENDS_LIMIT: u32 = 40;
 /// Tokens of an answer.
 const OUTPUT_TOKENS: u32 = 120;
+/// Tokens of an answer that takes longer than [`LAST_WRITES_MS`].
+const LONG_TOKENS: u32 = 1_000;
+/// Time that answers get to reach their callers in any case, in milliseconds.
+const LAST_WRITES_MS: u64 = 2_000;
 /// Time per token in microseconds.
 const DECODE_US_PER_TOKEN: &str = "1000";
 
@@ -115,7 +121,7 @@
         .service(sized(plain))
         .setting("peer", "heartbeat_interval_ms", 100)
         .setting("peer", "confirmation_window_ms", 600)
-        .setting("keys", "clock_margin_ms", 50)
+        .setting("keys", "clock_margin_ms", CLOCK_MARGIN_MS)
         .start()
         .unwrap()
 }
@@ -178,8 +184,8 @@
     let at = fleet.instances.iter().position(|instance| instance.name == old).unwrap();
     let address = fleet.instances[at].caller_address;
     fleet.instances[at].process.begin_terminate().unwrap();
-    shared.addresses.lock().unwrap().retain(|listed| *listed != address);
     fleet.instances[at].process.wait(STEP_LIMIT_MS).unwrap();
+    shared.addresses.lock().unwrap().retain(|listed| *listed != address);
     fleet.instances.remove(at);
     fleet.remove_from_inventory(old);
 }
@@ -216,3 +222,40 @@
 fn a_rolling_replacement_of_all_seven_cuts_no_booking() {
     replace_all(booking);
 }
+
+#[test]
+fn a_planned_stop_finishes_what_it_has_and_sends_others_on() {
+    let mut fleet = arrange();
+    wait_for_list(&fleet);
+    let address = fleet.instances[0].caller_address;
+    thread::sleep(Duration::from_millis(2 * CLOCK_MARGIN_MS));
+    let running: Vec<JoinHandle<Answer>> = (0..CALLERS)
+        .map(|number| {
+            let call = draft_call(address, &format!("{number} long plan"), LONG_TOKENS);
+            let key = Uuid::now_v7().to_string();
+            let call = if number % 2 == 0 { call } else { call.key(&key) };
+            thread::spawn(move || call.send().unwrap())
+        })
+        .collect();
+    wait_until("the requests run", STEP_LIMIT_MS, || {
+        status(address)["requests"]["running"] == CALLERS
+    })
+    .unwrap();
+
+    fleet.instances[0].process.begin_terminate().unwrap();
+    wait_until("it is stopping", STEP_LIMIT_MS, || status(address)["stopping"] == true).unwrap();
+    let late = draft_call(address, "sent too late", 5);
+    let refused = late.send().unwrap();
+    let resent = late.address(fleet.instances[1].caller_address).send().unwrap();
+
+    assert_eq!((refused.status, refused.outcome), (503, Some(Outcome::NotRun)), "{refused:?}");
+    assert!(refused.retry_after_ms.is_some(), "{refused:?}");
+    assert_eq!(resent.outcome, Some(Outcome::Done), "{resent:?}");
+    for (number, answer) in running.into_iter().enumerate() {
+        let answer = answer.join().unwrap();
+        println!("answer {number} took {} ms", answer.total_ms);
+        assert!(answer.matches(&format!("{number} long plan")), "{answer:?}");
+        assert!(answer.total_ms > LAST_WRITES_MS, "{} ms", answer.total_ms);
+    }
+    assert!(fleet.instances[0].process.wait(STEP_LIMIT_MS).unwrap().success());
+}
