Let a woken process drop what it knew before it acts

After a gap between two decisions that is longer than three heartbeats and a grant's life (1.5 s by default), or than the confirmation window, an instance logs the pause, closes and reopens all links and hears nothing of a peer until its new link is up, drops its schedulers and the peers' versions, is not ready and dispatches nothing until it has asked the others for their version, and then bids again for what waits.

Before, a grant that lay in a socket over the pause held for a second from the time at which it was read, and a request that reached the paused instance was dispatched on the inventory from before the pause.

--- a/src/adopt.rs
+++ b/src/adopt.rs
@@ -19,7 +19,12 @@
 impl Core {
     /// Hands an event to the adoption of configuration and applies what follows.
     pub(crate) fn adopt(&mut self, now: Now, event: ConfigEvent) {
-        for effect in self.adoption.decide(now, event) {
+        let was_ready = self.adoption.is_ready();
+        let effects = self.adoption.decide(now, event);
+        if !was_ready && self.adoption.is_ready() {
+            self.bid_again(now);
+        }
+        for effect in effects {
             match effect {
                 ConfigEffect::Adopt { inventory } => self.put_in_force(now, inventory),
                 ConfigEffect::FetchFrom { peer } => {
--- a/src/bid.rs
+++ b/src/bid.rs
@@ -45,6 +45,14 @@
         }
     }
 
+    /// Sends all bids again, since grants were void until now.
+    pub(crate) fn bid_again(&mut self, now: Now) {
+        let waits = |request: &Request| matches!(request.state, RequestState::Waiting { .. });
+        for sequence in self.requests.sequences_where(waits) {
+            self.bid(now, sequence);
+        }
+    }
+
     /// Returns the instance that decides for a service.
     pub(crate) fn steward_of(&self, service: &Name) -> Name {
         let own_name = self.own_name();
--- a/src/build_core.rs
+++ b/src/build_core.rs
@@ -22,6 +22,7 @@
     let key_home = build_key_home(&settings, &inventory);
     Core {
         adoption: ConfigAdoption::new(settings.instance.name.clone()),
+        decided_ms: now.monotonic_ms,
         effects: Vec::new(),
         incarnation,
         inventory,
@@ -33,6 +34,7 @@
         quarantine: Quarantine::default(),
         quarantined: Vec::new(),
         refused_document: None,
+        renewed_links: Vec::new(),
         requests: Requests::default(),
         schedulers: Vec::new(),
         settings,
--- a/src/config_adoption.rs
+++ b/src/config_adoption.rs
@@ -86,6 +86,14 @@
         effects
     }
 
+    /// Asks the other instances for their versions again before it is ready, as after a start.
+    pub fn distrust(&mut self, now: Now) {
+        self.fetch = None;
+        self.first_adopted_ms = self.in_force.as_ref().map(|_| now.monotonic_ms);
+        self.peer_versions = PeerVersions::default();
+        self.ready = false;
+    }
+
     /// Returns the document in force if it is newer than the version that a peer has.
     pub fn document_after(&self, have_version: u64) -> Option<&ConfigDocument> {
         let (document, _) = self.in_force.as_ref()?;
@@ -108,7 +116,7 @@
     }
 
     /// Tells whether a document is in force and the other instances were asked for a newer one, or
-    /// [`READY_LIMIT_MS`] have passed; once true, it stays so.
+    /// [`READY_LIMIT_MS`] have passed; once true, it stays so until [`ConfigAdoption::distrust`].
     pub fn is_ready(&self) -> bool {
         self.ready
     }
--- a/src/core.rs
+++ b/src/core.rs
@@ -31,6 +31,7 @@
 /// The decision core of one instance.
 pub struct Core {
     pub(crate) adoption: ConfigAdoption,
+    pub(crate) decided_ms: u64,
     pub(crate) effects: Vec<Effect>,
     pub(crate) incarnation: u64,
     pub(crate) inventory: Arc<Inventory>,
@@ -42,6 +43,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) quarantined: Vec<u64>,
     pub(crate) refused_document: Option<RefusedDocument>,
+    pub(crate) renewed_links: Vec<Name>,
     pub(crate) requests: Requests,
     pub(crate) schedulers: Vec<(Name, Box<dyn Scheduler>)>,
     pub(crate) settings: Arc<Settings>,
@@ -64,6 +66,7 @@
 impl Core {
     /// Takes in one event and returns what follows from it.
     pub fn decide(&mut self, now: Now, event: Event) -> Vec<Effect> {
+        self.observe_pause(now);
         match event {
             Event::Arrived(arrival) => self.admit(now, *arrival),
             Event::CacheEvents { backend_server, events, service } => {
@@ -85,6 +88,7 @@
                 self.schedule(now, &service, event);
             }
             Event::PeerDown { peer } => self.lose_link(now, peer),
+            Event::PeerMessage { peer, .. } if self.is_outdated(&peer) => {}
             Event::PeerMessage { peer, message, .. } => self.route(now, peer, message),
             Event::PeerUp { peer, .. } => self.meet(now, &peer),
             Event::PlatformUnreachable => self.adopt(now, ConfigEvent::PlatformUnreachable),
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -258,6 +258,7 @@
         }
         match request.state {
             RequestState::Running { .. } => return GrantUse::RunsAlready,
+            RequestState::Waiting { .. } if !self.adoption.is_ready() => return GrantUse::Void,
             RequestState::Waiting { .. } => {}
             _ => return GrantUse::Void,
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -140,3 +140,4 @@
 pub mod view;
 mod vote_count;
 pub mod waiting_queue;
+mod wake;
--- a/src/route.rs
+++ b/src/route.rs
@@ -104,6 +104,7 @@
 
     /// A link came up: what was sent before it may be lost, so it is sent again.
     pub(crate) fn meet(&mut self, now: Now, peer: &Name) {
+        self.trust(peer);
         self.move_bids(now, Some(peer));
     }
 
--- /dev/null
+++ b/src/wake.rs
@@ -0,0 +1,59 @@
+//! What an instance does after its process was paused: it drops what it knew of others.
+
+use crate::core::Core;
+use crate::effect::Effect;
+use crate::granting::GRANT_EXPIRES_MS;
+use crate::membership_event::MembershipEvent;
+use crate::name::Name;
+use crate::now::Now;
+
+/// Heartbeats after whose absence the others take an instance for lost.
+const SILENT_INTERVALS: u64 = 3;
+
+impl Core {
+    /// Drops what was known if the time since the last event shows a pause.
+    pub(crate) fn observe_pause(&mut self, now: Now) {
+        let gap_ms = now.monotonic_ms.saturating_sub(self.decided_ms);
+        self.decided_ms = now.monotonic_ms;
+        if gap_ms > self.pause_limit_ms() {
+            self.wake(now, gap_ms);
+        }
+    }
+
+    /// Returns whether a message of a peer may have been sent before a pause of this process.
+    pub(crate) fn is_outdated(&self, peer: &Name) -> bool {
+        self.renewed_links.binary_search(peer).is_ok()
+    }
+
+    /// Takes in that a link came up: what arrives on it was sent after the pause.
+    pub(crate) fn trust(&mut self, peer: &Name) {
+        self.renewed_links.retain(|name| name != peer);
+    }
+
+    fn pause_limit_ms(&self) -> u64 {
+        let silence_ms = SILENT_INTERVALS * self.settings.peer.heartbeat_interval_ms;
+        silence_ms.max(GRANT_EXPIRES_MS).min(self.settings.peer.confirmation_window_ms)
+    }
+
+    fn wake(&mut self, now: Now, gap_ms: u64) {
+        self.log("stop", format!("The process was paused for {gap_ms} ms: it starts afresh."));
+        self.adoption.distrust(now);
+        self.peer_versions.clear();
+        self.stopping_peers.clear();
+        self.schedulers.clear();
+        self.renew_links();
+        for peer in self.renewed_links.clone() {
+            self.member(now, MembershipEvent::LinkLost { peer });
+        }
+        self.sweep_requests(now);
+        self.assign_stewards(now);
+        self.move_bids(now, Some(&self.own_name()));
+    }
+
+    fn renew_links(&mut self) {
+        let peers = self.linked_peers.clone();
+        self.renewed_links = peers.iter().map(|(name, _)| name.clone()).collect();
+        self.effects.push(Effect::SetPeers(Vec::new()));
+        self.effects.push(Effect::SetPeers(peers));
+    }
+}
--- /dev/null
+++ b/tests/woken_core.rs
@@ -0,0 +1,310 @@
+//! Tests of the decision core after its process was paused.
+
+use std::sync::Arc;
+
+use bergamotspan::build_core::build_core;
+use bergamotspan::config_event::ConfigDocument;
+use bergamotspan::core::Core;
+use bergamotspan::effect::Effect;
+use bergamotspan::event::{Arrival, Event};
+use bergamotspan::inventory::Inventory;
+use bergamotspan::name::Name;
+use bergamotspan::now::Now;
+use bergamotspan::parse_inventory::parse_inventory;
+use bergamotspan::parse_settings::parse_settings;
+use bergamotspan::peer_message::{Confirmation, Heartbeat, KeyClaim, KeyVerdict, PeerMessage};
+use bergamotspan::request_id::RequestId;
+use bergamotspan::scheduling::{Bid, Grant};
+
+const INVENTORY: &str = include_str!("../examples/norrland.ini");
+const SETTINGS: &str = include_str!("../examples/entry-1-settings.ini");
+
+/// Name of the instance under test.
+const OWN_NAME: &str = "entry-1";
+/// Time of a pause beyond every limit, in milliseconds.
+const PAUSE_MS: u64 = 5_000;
+/// Time between two rounds of heartbeats, in milliseconds.
+const ROUND_MS: u64 = 500;
+/// Rounds after which the instance may grant keys.
+const SETTLE_ROUNDS: u64 = 40;
+/// Services of the inventory.
+const SERVICES: [&str; 2] = ["order-desk", "plan-model"];
+
+/// An instance whose peers all live.
+struct Given {
+    core: Core,
+    inventory: Arc<Inventory>,
+    now: Now,
+}
+
+impl Given {
+    fn arrange() -> Self {
+        let now = Now { monotonic_ms: 10_000, wall_clock_ms: 1_000_000 };
+        let core = build_core(Arc::new(parse_settings("settings", SETTINGS).unwrap()), 1, now);
+        let inventory = Arc::new(parse_inventory("inventory", INVENTORY).unwrap());
+        let document = ConfigDocument { text: INVENTORY.into(), version: inventory.version };
+        let mut given = Self { core, inventory: inventory.clone(), now };
+        given.decide(Event::DocumentRead { document, parsed: Ok(inventory), peer: None });
+        given.links_come_up();
+        given.pass(SETTLE_ROUNDS);
+        assert!(given.core.is_ready());
+        given
+    }
+
+    fn decide(&mut self, event: Event) -> Vec<Effect> {
+        self.core.decide(self.now, event)
+    }
+
+    fn hear(&mut self, peer: &Name, message: PeerMessage) -> Vec<Effect> {
+        self.decide(Event::PeerMessage { incarnation: 2, message, peer: peer.clone() })
+    }
+
+    fn links_come_up(&mut self) {
+        for peer in self.peers() {
+            self.decide(Event::PeerUp { incarnation: 2, peer });
+        }
+    }
+
+    /// Lets rounds pass in which all peers send heartbeats and confirm those of this instance.
+    fn pass(&mut self, rounds: u64) -> Vec<Effect> {
+        let mut all = Vec::new();
+        for _ in 0..rounds {
+            self.wait(ROUND_MS);
+            all.extend(self.decide(Event::Tick));
+            for peer in self.peers() {
+                all.extend(self.hear(&peer, PeerMessage::Heartbeat(self.heartbeat())));
+                all.extend(self.hear(&peer, PeerMessage::Confirmation(self.confirmation())));
+            }
+        }
+        all
+    }
+
+    fn wait(&mut self, time_ms: u64) {
+        self.now.monotonic_ms += time_ms;
+        self.now.wall_clock_ms += time_ms;
+    }
+
+    fn peers(&self) -> Vec<Name> {
+        let names = self.inventory.instances.iter().map(|instance| instance.name.clone());
+        names.filter(|name| **name != *OWN_NAME).collect()
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            config_version: self.inventory.version,
+            incarnation: 2,
+            list_version: self.inventory.instances_version,
+            retired_version: self.inventory.instances_version - 1,
+            sent_ms: self.now.monotonic_ms,
+            ..Heartbeat::default()
+        }
+    }
+
+    fn confirmation(&self) -> Confirmation {
+        Confirmation {
+            confirms: true,
+            heartbeat_incarnation: 1,
+            heartbeat_sent_ms: self.now.monotonic_ms,
+            list_version: self.inventory.instances_version,
+            retired_version: self.inventory.instances_version - 1,
+        }
+    }
+
+    /// Takes in a request whose steward is another instance, and returns its bid.
+    fn arrive(&mut self) -> (Name, Bid) {
+        for (at, service) in SERVICES.iter().enumerate() {
+            let arrival = Arrival {
+                customer: "home-care-umea".into(),
+                path: "status".into(),
+                prompt_tokens: 10,
+                sequence: at as u64 + 1,
+                service: (*service).into(),
+                ..Arrival::default()
+            };
+            let effects = self.decide(Event::Arrived(Box::new(arrival)));
+            if let Some(found) = bids(&effects).into_iter().next() {
+                return found;
+            }
+        }
+        unreachable!("another instance is steward of a service")
+    }
+
+    /// Takes in a bid of a peer that waits, since this instance begins as steward with it.
+    fn bid_of_peer(&mut self) {
+        let peer = self.peers()[0].clone();
+        let waits = SERVICES.into_iter().any(|service| {
+            let bid = Bid {
+                customer: "home-care-umea".into(),
+                excluded: Vec::new(),
+                fingerprint: 1,
+                max_output_tokens: 10,
+                prefix_hashes: Vec::new(),
+                prompt_tokens: 10,
+                request: RequestId { instance: peer.clone(), incarnation: 2, sequence: 1 },
+                service: service.into(),
+                tier_rank: 1,
+                time_left_ms: 60_000,
+            };
+            !has_grant(&self.hear(&peer, PeerMessage::Bid(bid)))
+        });
+        assert!(waits);
+    }
+
+    fn claim(&self) -> KeyClaim {
+        let view = bergamotspan::view::View::of(&self.inventory, OWN_NAME.into());
+        let minted_ms = self.now.wall_clock_ms;
+        let mut keys = (0..).map(|number| uuid_minted(minted_ms, number));
+        KeyClaim {
+            fingerprint: 1,
+            key: keys.find(|key| *view.home(key) == *OWN_NAME).unwrap(),
+            list_version: self.inventory.instances_version,
+            request: RequestId { instance: self.peers()[0].clone(), incarnation: 2, sequence: 1 },
+            tier_rank: 1,
+        }
+    }
+
+    fn claim_key(&mut self) -> Option<KeyVerdict> {
+        let (peer, claim) = (self.peers()[0].clone(), self.claim());
+        let effects = self.hear(&peer, PeerMessage::KeyClaim(claim));
+        effects.into_iter().find_map(|effect| match effect {
+            Effect::SendPeer { message: PeerMessage::KeyVerdict { verdict, .. }, .. } => {
+                Some(verdict)
+            }
+            _ => None,
+        })
+    }
+}
+
+fn uuid_minted(wall_clock_ms: u64, number: u16) -> Name {
+    let high = wall_clock_ms >> 16;
+    let low = wall_clock_ms & 0xffff;
+    format!("{high:08x}-{low:04x}-7000-8000-00000000{number:04x}").into()
+}
+
+fn bids(effects: &[Effect]) -> Vec<(Name, Bid)> {
+    let bid = |effect: &Effect| match effect {
+        Effect::SendPeer { message: PeerMessage::Bid(bid), to } => Some((to.clone(), bid.clone())),
+        _ => None,
+    };
+    effects.iter().filter_map(bid).collect()
+}
+
+fn grant(given: &Given, bid: &Bid) -> PeerMessage {
+    let of_service =
+        |server: &&bergamotspan::inventory::BackendServer| server.service == bid.service;
+    let server = given.inventory.backend_servers.iter().find(of_service).unwrap();
+    PeerMessage::Grant(Grant {
+        backend_server: server.name.clone(),
+        expires_in_ms: 1_000,
+        request: bid.request.clone(),
+    })
+}
+
+fn has_dispatch(effects: &[Effect]) -> bool {
+    effects.iter().any(|effect| matches!(effect, Effect::Dispatch(_)))
+}
+
+fn has_grant(effects: &[Effect]) -> bool {
+    effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::SendPeer { message: PeerMessage::Grant(_), .. }))
+}
+
+#[test]
+fn without_a_pause_a_grant_dispatches() {
+    let mut given = Given::arrange();
+    let (steward, bid) = given.arrive();
+
+    let effects = given.hear(&steward, grant(&given, &bid));
+
+    assert!(has_dispatch(&effects), "{effects:?}");
+}
+
+#[test]
+fn a_grant_from_before_a_pause_dispatches_nothing() {
+    let mut given = Given::arrange();
+    let (steward, bid) = given.arrive();
+
+    given.wait(PAUSE_MS);
+    let effects = given.hear(&steward, grant(&given, &bid));
+
+    assert!(!has_dispatch(&effects), "{effects:?}");
+    assert!(!given.core.is_ready());
+}
+
+#[test]
+fn a_request_that_waited_over_a_pause_is_bid_for_again_and_runs() {
+    let mut given = Given::arrange();
+    let (_, bid) = given.arrive();
+    given.wait(PAUSE_MS);
+    given.decide(Event::Tick);
+
+    given.links_come_up();
+    let effects = given.pass(2);
+    let again = bids(&effects).into_iter().rfind(|(_, again)| again.request == bid.request);
+    let (steward, again) = again.expect("the request is bid for again");
+    let effects = given.hear(&steward, grant(&given, &again));
+
+    assert!(given.core.is_ready());
+    assert!(has_dispatch(&effects), "{effects:?}");
+}
+
+#[test]
+fn messages_of_old_links_are_not_heard_after_a_pause() {
+    let mut given = Given::arrange();
+    given.wait(PAUSE_MS);
+
+    given.pass(2);
+
+    let alive = |given: &Given| {
+        let page = given.core.status(given.now);
+        let is_live = |peer: &&bergamotspan::status_report::PeerStatus| {
+            peer.state == bergamotspan::status_report::PeerState::Live
+        };
+        page.peers.iter().filter(is_live).count()
+    };
+    assert_eq!(alive(&given), 0);
+    given.links_come_up();
+    given.pass(2);
+    assert_eq!(alive(&given), given.peers().len());
+}
+
+#[test]
+fn a_steward_grants_nothing_on_bids_from_before_a_pause() {
+    let mut given = Given::arrange();
+    given.bid_of_peer();
+
+    given.wait(PAUSE_MS);
+    let mut effects = given.decide(Event::Tick);
+    given.wait(ROUND_MS);
+    effects.extend(given.decide(Event::Tick));
+
+    assert!(!has_grant(&effects), "{effects:?}");
+}
+
+#[test]
+fn without_a_pause_a_steward_grants() {
+    let mut given = Given::arrange();
+    given.bid_of_peer();
+
+    let effects = given.pass(2);
+
+    assert!(has_grant(&effects), "{effects:?}");
+}
+
+#[test]
+fn a_key_home_grants_before_a_pause_and_not_right_after() {
+    let mut given = Given::arrange();
+    given.wait(ROUND_MS);
+    assert_eq!(given.claim_key(), Some(KeyVerdict::Granted));
+
+    given.wait(PAUSE_MS);
+    assert_eq!(given.claim_key(), None, "a claim on an old link");
+    given.links_come_up();
+
+    for _ in 0..4 {
+        given.pass(1);
+        let verdict = given.claim_key();
+        assert!(matches!(verdict, Some(KeyVerdict::Refused { .. })), "{verdict:?}");
+    }
+}
