Tell the end of an outage of the platform without a new document

Only a document read from the platform set it to reachable, so after an outage status said 'not reachable' until the next publication; seen while trying the operators' page. Each read of the instance list now tells it.

--- a/src/adopt.rs
+++ b/src/adopt.rs
@@ -55,6 +55,7 @@
     }
 
     pub(crate) fn read_instance_list(&mut self, now: Now, leaving: Vec<Name>) {
+        self.adopt(now, ConfigEvent::PlatformReachable);
         if leaving == self.leaving {
             return;
         }
--- a/src/config_adoption.rs
+++ b/src/config_adoption.rs
@@ -78,6 +78,7 @@
             }
             ConfigEvent::PeerDown { peer } => self.lose(&peer),
             ConfigEvent::PeerVersion { peer, version } => self.peer_versions.set(peer, version),
+            ConfigEvent::PlatformReachable => self.platform_reachable = true,
             ConfigEvent::PlatformUnreachable => self.platform_reachable = false,
             ConfigEvent::Tick => {}
         }
--- a/src/config_event.rs
+++ b/src/config_event.rs
@@ -48,6 +48,8 @@
         /// Version in force there; 0 if none is.
         version: u64,
     },
+    /// The platform's service was read.
+    PlatformReachable,
     /// The platform's service could not be read.
     PlatformUnreachable,
     /// Time passed.
--- a/tests/config_changes.rs
+++ b/tests/config_changes.rs
@@ -114,6 +114,24 @@
     assert_stays(&fleet, &NAMES, 1, 500);
 }
 
+#[test]
+fn the_end_of_an_outage_is_told_without_a_change() {
+    let fleet = arrange();
+    let told = |reachable: bool| {
+        let is_told = |name: &&str| {
+            status(address_of(&fleet, name))["platform"]["reachable"]
+                == serde_json::json!(reachable)
+        };
+        wait_until("every instance tells of it", IN_FORCE_LIMIT_MS, || NAMES.iter().all(is_told))
+    };
+
+    platform(&fleet, outage());
+    told(false).unwrap();
+    platform(&fleet, PlatformFaults::default());
+
+    told(true).unwrap();
+}
+
 #[test]
 fn instances_without_the_platform_follow_their_peers() {
     let mut fleet = seven_fleet().proxy_platform().start().unwrap();
