--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -27,6 +27,15 @@
     assert_eq!(servers_of(&norrland, "order-desk"), 3);
 }
 
+#[test]
+fn loopback_has_its_sizes() {
+    let loopback = inventory("loopback.ini");
+
+    assert_eq!(loopback.instances.len(), 3);
+    assert_eq!(servers_of(&loopback, "plan-model"), 2);
+    assert_eq!(servers_of(&loopback, "order-desk"), 1);
+}
+
 #[test]
 fn sierra_norte_has_its_sizes() {
     let sierra_norte = inventory("sierra-norte.ini");
