--- a/src/build_core.rs
+++ b/src/build_core.rs
@@ -24,6 +24,7 @@
     Core {
         adoption: ConfigAdoption::new(settings.instance.name.clone()),
         cell_inventory: inventory.clone(),
+        decided_ms: now.monotonic_ms,
         effects: Vec::new(),
         incarnation,
         inventory,
@@ -36,6 +37,7 @@
         quarantine: Quarantine::default(),
         quarantined: Vec::new(),
         refused_document: None,
+        renewed_links: Vec::new(),
         requests: Requests::default(),
         schedulers: Vec::new(),
         settings,
--- a/src/core.rs
+++ b/src/core.rs
@@ -34,6 +34,7 @@
 pub struct Core {
     pub(crate) adoption: ConfigAdoption,
     pub(crate) cell_inventory: Arc<Inventory>,
+    pub(crate) decided_ms: u64,
     pub(crate) effects: Vec<Effect>,
     pub(crate) incarnation: u64,
     pub(crate) inventory: Arc<Inventory>,
@@ -46,6 +47,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) quarantined: Vec<u64>,
     pub(crate) refused_document: Option<RefusedDocument>,
+    pub(crate) renewed_links: Vec<Name>,
     pub(crate) requests: Requests,
     pub(crate) schedulers: Vec<(Name, Box<dyn Scheduler>)>,
     pub(crate) settings: Arc<Settings>,
@@ -68,6 +70,7 @@
 impl Core {
     /// Takes in one event and returns what follows from it.
     pub fn decide(&mut self, now: Now, event: Event) -> Vec<Effect> {
+        self.observe_pause(now);
         match event {
             Event::Arrived(arrival) => self.admit(now, *arrival),
             Event::CacheEvents { backend_server, events, service } => {
@@ -91,6 +94,7 @@
                 self.schedule(now, &service, event);
             }
             Event::PeerDown { peer } => self.lose_link(now, peer),
+            Event::PeerMessage { peer, .. } if self.is_outdated(&peer) => {}
             Event::PeerMessage { peer, message, .. } => self.route(now, peer, message),
             Event::PeerUp { peer, .. } => self.meet(now, &peer),
             Event::PlatformUnreachable => self.adopt(now, ConfigEvent::PlatformUnreachable),
@@ -102,7 +106,12 @@
 
     /// Returns whether the instance takes requests.
     pub fn is_ready(&self) -> bool {
-        self.adoption.is_ready() && self.stop.is_none()
+        self.adoption.is_ready() && self.stop.is_none() && !self.is_leaving(&self.own_name())
+    }
+
+    /// Returns whether the instance list says that an instance or a backend server is leaving.
+    pub(crate) fn is_leaving(&self, name: &Name) -> bool {
+        self.leaving.binary_search(name).is_ok()
     }
 
     pub(crate) fn log<S>(&mut self, part: &'static str, text: S)
