Measure the slopes of capacity and the overhead of an instance

'standins capacity' runs real fleets and reads processor time per thread, resident memory, bytes between instances and calls to the platform; the example 'decision_slopes' drives the decision objects. Both fit lines. The status page now has the bytes of the links, and the threads that poll engines have a name, so that they can be told from traffic.

Ruled out: counting allocations (needs unsafe code), io counters of the kernel (they leave out recv and send), processor time by wall clock (the machine is shared).

--- /dev/null
+++ b/examples/decision_slopes/cost.rs
@@ -0,0 +1,43 @@
+//! Processor time and memory of a piece of work.
+
+use std::fs;
+
+use standins::capacity::{Point, Series, resident_kb};
+
+/// Runs a piece of work and returns the processor time of this thread, in microseconds.
+pub fn processor_us_of<W, T>(work: W) -> f64
+where
+    W: FnOnce() -> T,
+{
+    let before_ns = thread_ns();
+    let made = work();
+    let processor_us = (thread_ns() - before_ns) as f64 / 1_000.0;
+    drop(made);
+    processor_us
+}
+
+/// Makes something and returns by how much the resident memory grew, in bytes.
+pub fn resident_bytes_of<W, T>(work: W) -> f64
+where
+    W: FnOnce() -> T,
+{
+    let before_kb = resident_kb(std::process::id());
+    let made = work();
+    let after_kb = resident_kb(std::process::id());
+    drop(made);
+    after_kb.saturating_sub(before_kb) as f64 * 1_024.0
+}
+
+/// Measures one value for each of several sizes.
+pub fn series<M>(varied: &str, measured: &str, sizes: &[u64], measure: M) -> Series
+where
+    M: Fn(u64) -> f64,
+{
+    let points = sizes.iter().map(|size| Point { x: *size as f64, y: measure(*size) });
+    Series::new(varied, measured, points.collect())
+}
+
+fn thread_ns() -> u64 {
+    let text = fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    text.split_whitespace().next().and_then(|word| word.parse().ok()).unwrap_or(0)
+}
--- /dev/null
+++ b/examples/decision_slopes/documents.rs
@@ -0,0 +1,120 @@
+//! The published document and the view of the instances in it.
+
+use std::net::SocketAddr;
+
+use bergamotspan::inventory::Inventory;
+use bergamotspan::parse_inventory::parse_inventory;
+use bergamotspan::view::View;
+use standins::capacity::Series;
+use standins::fleet::{
+    BackendServerRow, CustomerRow, InstanceRow, InventoryDocument, ServiceRow, TierRow,
+};
+
+use crate::cost::{processor_us_of, resident_bytes_of, series};
+use crate::held::Held;
+
+const CUSTOMERS_PER_ENGINE_PERCENT: u64 = 63;
+const DATA_CENTRES: u64 = 13;
+const ENGINES: [u64; 5] = [500, 1_000, 2_000, 3_000, 4_000];
+const ENGINES_PER_INSTANCE: u64 = 8;
+const INSTANCES: [u64; 5] = [7, 150, 300, 600, 1_200];
+const MODELS: u64 = 6;
+const READS: u64 = 10;
+const VARIED: &str = "engines, with instances and customers in proportion";
+const VIEWS: u64 = 200;
+
+pub fn measure(divisor: u64) -> Vec<Series> {
+    let sizes = ENGINES.map(|engines| engines / divisor);
+    vec![
+        series(VARIED, "document, bytes", &sizes, |engines| text(engines).len() as f64),
+        series(VARIED, "reading the document, us of processor", &sizes, |engines| {
+            let text = text(engines);
+            processor_us_of(|| (0..READS).map(|_| read(&text)).collect::<Vec<_>>()) / READS as f64
+        }),
+        series(VARIED, "inventory in memory, bytes", &sizes, |engines| {
+            Held::Inventory.measure(engines)
+        }),
+        series("instances in the list", "making the view, us of processor", &INSTANCES, |count| {
+            let inventory = read(&document(1, count).render());
+            let view = || View::of(&inventory, "entry-00001".into());
+            processor_us_of(|| (0..VIEWS).map(|_| view()).collect::<Vec<_>>()) / VIEWS as f64
+        }),
+    ]
+}
+
+/// Returns the memory of an inventory, in bytes.
+pub fn resident_bytes(engines: u64) -> f64 {
+    let text = text(engines);
+    resident_bytes_of(|| read(&text))
+}
+
+fn text(engines: u64) -> String {
+    document(engines, (engines / ENGINES_PER_INSTANCE).max(1)).render()
+}
+
+fn read(text: &str) -> Inventory {
+    parse_inventory("inventory.ini", text).expect("document is right")
+}
+
+fn document(engines: u64, instances: u64) -> InventoryDocument {
+    let data_centre = |number: u64| format!("dc-{:02}", number % DATA_CENTRES);
+    let service = |number: u64| format!("service-{}", number % MODELS);
+    InventoryDocument {
+        version: 1,
+        instances_version: 1,
+        data_centres: (0..DATA_CENTRES).map(data_centre).collect(),
+        instances: (0..instances).map(|number| instance(number, data_centre(number))).collect(),
+        services: (0..MODELS)
+            .map(|number| ServiceRow {
+                name: service(number),
+                model: Some(format!("model-{number}")),
+                idempotent: true,
+            })
+            .collect(),
+        backend_servers: (0..engines)
+            .map(|number| BackendServerRow {
+                name: format!("engine-{number:05}"),
+                service: service(number),
+                data_centre: data_centre(number),
+                address: SocketAddr::from((host(2, number), 41_000)),
+                token_limit_tokens: Some(16_384),
+                prefill_tokens_per_s: Some(50_000),
+                leaving: false,
+                fencing: false,
+            })
+            .collect(),
+        tiers: (0..4).map(tier).collect(),
+        customers: (0..engines * CUSTOMERS_PER_ENGINE_PERCENT / 100)
+            .map(|number| CustomerRow {
+                name: format!("customer-{number:04}"),
+                weight: 1,
+                tier: "tier-1".to_owned(),
+            })
+            .collect(),
+        rules: Vec::new(),
+    }
+}
+
+fn host(net: u8, number: u64) -> [u8; 4] {
+    let [_, _, high, low] = (number as u32 + 1).to_be_bytes();
+    [10, net, high, low]
+}
+
+fn instance(number: u64, data_centre: String) -> InstanceRow {
+    InstanceRow {
+        name: format!("entry-{number:05}"),
+        data_centre,
+        caller_address: SocketAddr::from((host(1, number), 41_000)),
+        peer_address: SocketAddr::from((host(1, number), 41_001)),
+    }
+}
+
+fn tier(rank: u8) -> TierRow {
+    TierRow {
+        name: format!("tier-{rank}"),
+        rank,
+        deadline_ms: 600_000,
+        first_token_ms: 1_200,
+        between_tokens_ms: 73,
+    }
+}
--- /dev/null
+++ b/examples/decision_slopes/held.rs
@@ -0,0 +1,62 @@
+//! Memory of one thing, measured in a process of its own, in which nothing was freed before.
+
+use std::process::Command;
+use std::str::FromStr;
+
+use crate::cost::resident_bytes_of;
+use crate::{documents, keys, stewards};
+
+/// A thing whose memory is measured.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Held {
+    /// An inventory, by its engines.
+    Inventory,
+    /// The memory of a home, by its keys.
+    Keys,
+    /// A steward, by its running requests.
+    Running,
+    /// A steward, by its waiting requests.
+    Waiting,
+}
+
+const NAMES: [(&str, Held); 4] = [
+    ("inventory", Held::Inventory),
+    ("keys", Held::Keys),
+    ("running", Held::Running),
+    ("waiting", Held::Waiting),
+];
+
+impl FromStr for Held {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let found = NAMES.iter().find(|(name, _)| *name == text);
+        found.map(|(_, held)| *held).ok_or_else(|| format!("nothing is called {text}"))
+    }
+}
+
+impl Held {
+    /// Measures it in a new process, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process does not start or prints no number.
+    pub fn measure(self, count: u64) -> f64 {
+        let name = NAMES.iter().find(|(_, held)| *held == self).map_or("", |(name, _)| name);
+        let own = std::env::current_exe().expect("own path");
+        let mut command = Command::new(own);
+        command.args(["--held", name, "--count", &count.to_string()]);
+        let output = command.output().expect("process starts");
+        String::from_utf8_lossy(&output.stdout).trim().parse().expect("process prints a number")
+    }
+
+    /// Builds it in this process and returns the growth of the resident memory, in bytes.
+    pub fn resident_bytes(self, count: u64) -> f64 {
+        match self {
+            Self::Inventory => documents::resident_bytes(count),
+            Self::Keys => resident_bytes_of(|| keys::fill(count)),
+            Self::Running => resident_bytes_of(|| stewards::holding(count, u32::MAX / 4)),
+            Self::Waiting => resident_bytes_of(|| stewards::holding(count, 1)),
+        }
+    }
+}
--- /dev/null
+++ b/examples/decision_slopes/keys.rs
@@ -0,0 +1,55 @@
+//! The home of keys.
+
+use bergamotspan::home_standing::HomeStanding;
+use bergamotspan::key_home::KeyHome;
+use bergamotspan::key_home_builder::KeyHomeBuilder;
+use bergamotspan::now::Now;
+use bergamotspan::peer_message::KeyClaim;
+use bergamotspan::request_id::RequestId;
+use standins::capacity::Series;
+use uuid::{NoContext, Timestamp, Uuid};
+
+use crate::cost::{processor_us_of, series};
+use crate::held::Held;
+
+const KEYS: [u64; 4] = [50_000, 100_000, 150_000, 200_000];
+const SINCE: Now = Now { monotonic_ms: 10_000, wall_clock_ms: 1_700_000_000_000 };
+/// Time after the home became lawful at which the keys are minted, in seconds.
+const MINTED_AFTER_S: u64 = 60;
+const VARIED: &str = "keys held";
+
+pub fn measure(divisor: u64) -> Vec<Series> {
+    let sizes = KEYS.map(|keys| keys / divisor);
+    vec![
+        series(VARIED, "all claims, us of processor", &sizes, |keys| {
+            processor_us_of(|| fill(keys))
+        }),
+        series(VARIED, "memory, bytes", &sizes, |keys| Held::Keys.measure(keys)),
+    ]
+}
+
+/// Lets a home grant keys.
+pub fn fill(keys: u64) -> KeyHome {
+    let mut home = KeyHomeBuilder::default().capacity(u32::MAX).build();
+    let standing = HomeStanding::Lawful { since: SINCE };
+    let now = Now {
+        monotonic_ms: SINCE.monotonic_ms + MINTED_AFTER_S * 1_000,
+        wall_clock_ms: SINCE.wall_clock_ms + MINTED_AFTER_S * 1_000,
+    };
+    for sequence in 0..keys {
+        home.claim(now, &claim(sequence, now), &standing, true, 1);
+    }
+    assert_eq!(home.len() as u64, keys, "every key is granted");
+    home
+}
+
+fn claim(sequence: u64, now: Now) -> KeyClaim {
+    let time = Timestamp::from_unix(NoContext, now.wall_clock_ms / 1_000, 0);
+    KeyClaim {
+        fingerprint: sequence,
+        key: Uuid::new_v7(time).to_string().into(),
+        list_version: 1,
+        request: RequestId { instance: "entry-1".into(), incarnation: u64::MAX / 3, sequence },
+        tier_rank: 0,
+    }
+}
--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -19,6 +19,7 @@
 use crate::event::Event;
 use crate::final_answer::{FinalAnswer, Outcome};
 use crate::join_answer::{JOIN_HEADER, join_local, join_peer};
+use crate::peer_links::PeerLinks;
 use crate::platform_watch::PlatformWatch;
 use crate::read_request::{header, read_request, wants_json};
 use crate::runners::RunnerCommand;
@@ -46,6 +47,15 @@
     stopped: Arc<AtomicBool>,
 }
 
+/// What the status page counts beside the state of the core.
+#[derive(Clone)]
+pub struct Usage {
+    /// The links to other instances.
+    pub peer_links: Arc<PeerLinks>,
+    /// The watch of the platform.
+    pub platform_watch: Arc<PlatformWatch>,
+}
+
 /// What a caller asks for.
 enum Route {
     Cancel(String),
@@ -65,7 +75,7 @@
     /// # Errors
     ///
     /// Returns an error if the address can't be listened on.
-    pub fn start(traffic: Arc<Traffic>, watch: Arc<PlatformWatch>) -> Result<Self, Error> {
+    pub fn start(traffic: Arc<Traffic>, usage: Usage) -> Result<Self, Error> {
         let listener = listen(traffic.settings.caller.listen_address)?;
         let server = Server::from_listener(listener, None).map_err(|error| {
             Error::io("Listening for callers failed", std::io::Error::other(error))
@@ -75,8 +85,8 @@
         std::thread::spawn(move || {
             while !stopped.load(Ordering::Acquire) {
                 let Ok(request) = server.recv() else { continue };
-                let (traffic, watch) = (traffic.clone(), watch.clone());
-                std::thread::spawn(move || serve(&traffic, &watch, request));
+                let (traffic, usage) = (traffic.clone(), usage.clone());
+                std::thread::spawn(move || serve(&traffic, &usage, request));
             }
         });
         Ok(edge)
@@ -209,7 +219,7 @@
     }
 }
 
-fn serve(traffic: &Arc<Traffic>, watch: &PlatformWatch, request: Request) {
+fn serve(traffic: &Arc<Traffic>, usage: &Usage, request: Request) {
     match route(request.method(), request.url()) {
         Route::Cancel(key) => {
             traffic.tell(Event::CancelAsked { key: key.into() });
@@ -232,7 +242,8 @@
         Route::Status => {
             let mut report = ask(traffic, ControlInput::Status);
             if let Some(report) = &mut report {
-                report.platform.reads = watch.reads();
+                report.peer_traffic = usage.peer_links.traffic();
+                report.platform.reads = usage.platform_watch.reads();
             }
             answer_json(request, report);
         }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,7 +11,7 @@
 
 use crate::apply_effects::EffectRouter;
 use crate::build_core::build_core;
-use crate::caller_edge::CallerEdge;
+use crate::caller_edge::{CallerEdge, Usage};
 use crate::clock::Clock;
 use crate::control::{ControlInput, ControlPeerSink, run_control};
 use crate::control_platform_sink::ControlPlatformSink;
@@ -159,8 +159,11 @@
 
     fn start(&mut self, directory: &mut Directory) -> Result<(), Error> {
         let (traffic, _) = find_settings(directory)?;
-        let platform_watch = directory.find::<PlatformWatch>(PLATFORM_WATCH)?;
-        let edge = Arc::new(CallerEdge::start(traffic, platform_watch)?);
+        let usage = Usage {
+            peer_links: directory.find::<PeerLinks>(PEER_LINKS)?,
+            platform_watch: directory.find::<PlatformWatch>(PLATFORM_WATCH)?,
+        };
+        let edge = Arc::new(CallerEdge::start(traffic, usage)?);
         directory.register(CALLER_EDGE, edge.clone());
         self.edge = Some(edge);
         Ok(())
--- a/src/load_poller.rs
+++ b/src/load_poller.rs
@@ -11,10 +11,13 @@
 use crate::event::Event;
 use crate::http_client::http_request;
 use crate::load_report::{CacheEvent, LoadReport};
+use crate::log_part::SCHEDULER;
 
 /// Time for one question, in milliseconds.
 const POLL_TIMEOUT_MS: u64 = 1_000;
 
+const THREAD_NAME: &str = "load-poll";
+
 /// Asks model engines for their load and cache events.
 pub struct LoadPoller {
     control: flume::Sender<ControlInput>,
@@ -47,7 +50,8 @@
         self.polls.push((target.clone(), active.clone()));
         let control = self.control.clone();
         let interval = self.interval;
-        std::thread::spawn(move || {
+        let thread = std::thread::Builder::new().name(THREAD_NAME.into());
+        let started = thread.spawn(move || {
             let mut sequence = 0;
             while active.load(Ordering::Acquire) {
                 poll_load(&target, &control);
@@ -55,6 +59,9 @@
                 std::thread::sleep(interval);
             }
         });
+        if let Err(error) = started {
+            log::warn!(target: SCHEDULER, "No thread can be started: {error}.");
+        }
     }
 }
 
--- a/src/peer_links.rs
+++ b/src/peer_links.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::thread::{self, JoinHandle};
 
+use serde::{Deserialize, Serialize};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::runtime::{Builder, Runtime};
 use tokio::task::LocalSet;
@@ -23,7 +24,7 @@
 const THREAD_NAME: &str = "peer-links";
 
 /// Bytes of messages that went over all links since the start.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerTraffic {
     /// Bytes that arrived.
     pub received_bytes: u64,
--- a/src/report_status.rs
+++ b/src/report_status.rs
@@ -5,6 +5,7 @@
 use crate::explain_report::{ExplainReport, ExplainStep};
 use crate::home_standing::{HomeStanding, NotLawfulReason};
 use crate::now::Now;
+use crate::peer_links::PeerTraffic;
 use crate::request::{Request, RequestState};
 use crate::status_report::{
     KeyStatus, PeerState, PeerStatus, PlatformStatus, RequestCounts, Standing, StatusReport,
@@ -51,6 +52,7 @@
             },
             list_version: self.view.list_version(),
             peers: self.peer_statuses(),
+            peer_traffic: PeerTraffic::default(),
             platform: PlatformStatus { reachable: self.adoption.is_platform_reachable(), reads: 0 },
             quarantined: self.quarantined.iter().map(|print| format!("{print:016x}")).collect(),
             ready: self.is_ready(),
--- a/src/status_report.rs
+++ b/src/status_report.rs
@@ -6,6 +6,7 @@
 
 use crate::finding::Finding;
 use crate::name::Name;
+use crate::peer_links::PeerTraffic;
 use crate::scheduler::SchedulerReport;
 
 /// State of one instance.
@@ -25,6 +26,9 @@
     pub list_version: u64,
     /// The other instances, sorted by name.
     pub peers: Vec<PeerStatus>,
+    /// Bytes of messages between instances.
+    #[serde(default)]
+    pub peer_traffic: PeerTraffic,
     /// The platform as the instance sees it.
     pub platform: PlatformStatus,
     /// Fingerprints that are quarantined, sorted, as 16 hexadecimal digits each.
--- /dev/null
+++ b/standins/src/capacity/engines_trial.rs
@@ -0,0 +1,38 @@
+//! Cost of an idle steward by the number of its engines.
+
+use std::thread;
+use std::time::Duration;
+
+use super::fit::Point;
+use super::sampler::{Sample, Spent};
+use super::series::Series;
+use crate::fleet::{Fleet, FleetError, ServiceSpec};
+
+/// Time that the steward gets before a window begins.
+const SETTLE_MS: u64 = 1_000;
+
+const VARIED: &str = "engines of one steward";
+
+/// Measures one instance before idle engines.
+pub(super) fn run(counts: &[usize], window: Duration) -> Result<Vec<Series>, FleetError> {
+    let measured: Vec<(f64, Spent)> =
+        counts.iter().map(|count| measure(*count, window)).collect::<Result<_, _>>()?;
+    let series = |name: &str, value: fn(&Spent) -> f64| {
+        let points = measured.iter().map(|(count, spent)| Point { x: *count, y: value(spent) });
+        Series::new(VARIED, name, points.collect())
+    };
+    Ok(vec![
+        series("idle control, us of processor/s", |spent| spent.control_us_per_s),
+        series("idle resident memory, kB", |spent| spent.resident_kb),
+        series("threads", |spent| spent.threads),
+    ])
+}
+
+fn measure(count: usize, window: Duration) -> Result<(f64, Spent), FleetError> {
+    let service = ServiceSpec::model("plan", "m", count);
+    let fleet = Fleet::builder().instances(1).service(service).start()?;
+    thread::sleep(Duration::from_millis(SETTLE_MS));
+    let before = Sample::take(&fleet, 0)?;
+    thread::sleep(window);
+    Ok((count as f64, before.until(&Sample::take(&fleet, 0)?)))
+}
--- /dev/null
+++ b/standins/src/capacity/overhead.rs
@@ -0,0 +1,204 @@
+//! Measures what an instance adds to the time to the first token.
+
+use std::io;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use attohttpc::{Method, RequestBuilder};
+use serde_json::{Value, json};
+
+use super::overhead_report::{FirstTokenUs, OverheadReport};
+use super::series::load_average;
+use super::streams_trial::{STREAM_OPTIONS, open_streams, wait_running};
+use super::usage::resident_kb;
+use crate::caller::{Call, EventReader, direct};
+use crate::fleet::{Fleet, FleetError, ServiceSpec};
+use crate::load::{Class, Mix, Plan};
+
+const CUSTOMER: &str = "customer-1";
+const DEADLINE_MS: u64 = 600_000;
+const OUTPUT_TOKENS: u64 = 2;
+const PROBE_SERVICE: &str = "probe";
+/// Short steps, so that the engine's own time hides little.
+const PROBE_OPTIONS: [&str; 8] = [
+    "--max-running",
+    "512",
+    "--step-base-us",
+    "200",
+    "--decode-us-per-token",
+    "1",
+    "--prefill-us-per-token",
+    "1",
+];
+const PROMPT_TOKENS: u64 = 256;
+const STACK_BYTES: usize = 256 * 1024;
+const STREAM_ENGINES: usize = 8;
+const STREAM_SERVICE: &str = "plan";
+const TIMEOUT_MS: u64 = 30_000;
+const TOKEN_LIMIT_TOKENS: u32 = 100_000_000;
+/// Sends before the measured ones, so that every part has run once.
+const WARM_UP_SENDS: usize = 50;
+
+/// Compares requests through an instance with requests straight to the same engine.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "overhead")]
+pub struct OverheadCommand {
+    /// fails if the instance adds more than it may
+    #[argh(switch)]
+    pub check: bool,
+    /// duration of the arrivals in milliseconds
+    #[argh(option, default = "20000")]
+    pub duration_ms: u64,
+    /// prints JSON in place of text
+    #[argh(switch)]
+    pub json: bool,
+    /// requests per second on each of the two ways
+    #[argh(option, default = "150.0")]
+    pub rate_per_s: f64,
+    /// seed of the arrivals
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// streams that are open all the time
+    #[argh(option, default = "1000")]
+    pub streams: usize,
+}
+
+/// A way to the engine.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    Direct(SocketAddr),
+    Instance(SocketAddr),
+}
+
+impl OverheadCommand {
+    /// Runs both ways at once and prints the result.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the fleet does not start, or a check was asked for and fails.
+    pub fn run(self) -> io::Result<()> {
+        let report = self.measure().map_err(io::Error::other)?;
+        match self.json {
+            true => println!("{}", serde_json::to_string(&report)?),
+            false => print!("{report}"),
+        }
+        match self.check && !report.is_within_limits() {
+            true => Err(io::Error::other("the instance adds more than it may")),
+            false => Ok(()),
+        }
+    }
+
+    fn measure(&self) -> Result<OverheadReport, FleetError> {
+        let mut fleet = start()?;
+        let instance = Way::Instance(fleet.caller_addresses()[0]);
+        let direct = Way::Direct(fleet.backend("probe-1")?.address);
+        for way in [instance, direct].repeat(WARM_UP_SENDS) {
+            send(way, "warm up");
+        }
+        let process_id = fleet.instances[0].process.id();
+        let empty_kb = resident_kb(process_id);
+        open_streams(&fleet, self.streams);
+        wait_running(&mut fleet, self.streams)?;
+        let instance = self.drive(instance, self.seed);
+        let direct = self.drive(direct, self.seed + 1);
+        let (instance, direct) = (collect(instance), collect(direct));
+        let open_kb = resident_kb(process_id);
+        wait_running(&mut fleet, self.streams)?;
+        Ok(OverheadReport {
+            direct,
+            instance,
+            kb_per_stream: open_kb.saturating_sub(empty_kb) as f64 / self.streams.max(1) as f64,
+            load_average: load_average().unwrap_or_default(),
+            streams: self.streams,
+        })
+    }
+
+    /// Sends Poisson arrivals along a way, beside whatever else runs.
+    fn drive(&self, way: Way, seed: u64) -> flume::Receiver<Option<u64>> {
+        let class = Class {
+            prefixes: 0,
+            prompt_tokens_max: PROMPT_TOKENS,
+            prompt_tokens_min: PROMPT_TOKENS,
+            ..Class::default()
+        };
+        let duration = Duration::from_millis(self.duration_ms);
+        let plan = Plan::poisson(Mix { classes: vec![class] }, self.rate_per_s, duration, seed);
+        let (sender, receiver) = flume::unbounded();
+        thread::spawn(move || {
+            let start = Instant::now();
+            for arrival in plan.arrivals {
+                thread::sleep((start + arrival.at).saturating_duration_since(Instant::now()));
+                let sender = sender.clone();
+                let work = move || {
+                    // The receiver lives until all senders are gone.
+                    let _ = sender.send(send(way, &arrival.prompt));
+                };
+                let thread = thread::Builder::new().stack_size(STACK_BYTES);
+                thread.spawn(work).expect("a thread can be started");
+            }
+        });
+        receiver
+    }
+}
+
+fn start() -> Result<Fleet, FleetError> {
+    let probe = ServiceSpec::model(PROBE_SERVICE, "m", 1).options(&PROBE_OPTIONS);
+    let streams = ServiceSpec::model(STREAM_SERVICE, "m", STREAM_ENGINES).options(&STREAM_OPTIONS);
+    Fleet::builder()
+        .instances(1)
+        .service(probe.token_limit_tokens(TOKEN_LIMIT_TOKENS))
+        .service(streams.token_limit_tokens(TOKEN_LIMIT_TOKENS))
+        .tier("high", DEADLINE_MS)
+        .start()
+}
+
+fn collect(times_us: flume::Receiver<Option<u64>>) -> FirstTokenUs {
+    FirstTokenUs::of(&times_us.iter().collect::<Vec<_>>())
+}
+
+/// Sends one request and returns its time to the first token, in microseconds; nothing if its
+/// answer is not whole.
+fn send(way: Way, prompt: &str) -> Option<u64> {
+    let body = json!({
+        "prompt": prompt, "max_output_tokens": OUTPUT_TOKENS, "output_tokens": OUTPUT_TOKENS,
+    });
+    match way {
+        Way::Direct(address) => send_direct(address, &body),
+        Way::Instance(address) => send_instance(address, body),
+    }
+}
+
+fn send_direct(address: SocketAddr, body: &Value) -> Option<u64> {
+    let url = format!("http://{address}/v1/generate");
+    let timeout = Duration::from_millis(TIMEOUT_MS);
+    let request = direct(RequestBuilder::new(Method::POST, url), timeout);
+    let sent = Instant::now();
+    let mut reader = EventReader::new(request.json(body).ok()?.send().ok()?);
+    let mut first_us = None;
+    while let Ok(Some(event)) = reader.next_event() {
+        match event.name.as_str() {
+            "token" => note_first(&mut first_us, sent),
+            "end" => return first_us,
+            _ => return None,
+        }
+    }
+    None
+}
+
+fn send_instance(address: SocketAddr, body: Value) -> Option<u64> {
+    let call = Call::new(address, PROBE_SERVICE, body).customer(CUSTOMER).timeout_ms(TIMEOUT_MS);
+    let mut first_us = None;
+    let sent = Instant::now();
+    let answer = call.send_observed(|event| {
+        if event.name == "token" {
+            note_first(&mut first_us, sent);
+        }
+    });
+    answer.ok().filter(|answer| answer.whole).and(first_us)
+}
+
+fn note_first(first_us: &mut Option<u64>, sent: Instant) {
+    first_us.get_or_insert_with(|| sent.elapsed().as_micros() as u64);
+}
--- a/standins/src/command.rs
+++ b/standins/src/command.rs
@@ -5,6 +5,7 @@
 
 use argh::FromArgs;
 
+use crate::capacity::{CapacityCommand, OverheadCommand};
 use crate::engine::EngineCommand;
 use crate::experiment::ExperimentCommand;
 use crate::load::LoadCommand;
@@ -22,9 +23,11 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Verb {
+    Capacity(CapacityCommand),
     Engine(EngineCommand),
     Experiment(ExperimentCommand),
     Load(LoadCommand),
+    Overhead(OverheadCommand),
     PlainService(PlainServiceCommand),
     Platform(PlatformCommand),
     Proxy(ProxyCommand),
@@ -41,9 +44,11 @@
 
 fn dispatch(verb: Verb) -> io::Result<()> {
     match verb {
+        Verb::Capacity(command) => command.run(),
         Verb::Engine(command) => command.run(),
         Verb::Experiment(command) => command.run(),
         Verb::Load(command) => command.run(),
+        Verb::Overhead(command) => command.run(),
         Verb::PlainService(command) => command.run(),
         Verb::Platform(command) => command.run(),
         Verb::Proxy(command) => command.run(),
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Small stand-ins for the systems around bergamotspan, and the tools that drive them.
 
 pub mod caller;
+pub mod capacity;
 pub mod command;
 pub mod engine;
 pub mod experiment;
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -10,6 +10,7 @@
 use bergamotspan::explain_report::{ExplainReport, ExplainStep};
 use bergamotspan::finding::Finding;
 use bergamotspan::fleet_report::FleetReport;
+use bergamotspan::peer_links::PeerTraffic;
 use bergamotspan::scheduler::{BackendServerReport, SchedulerReport};
 use bergamotspan::status_report::{
     KeyStatus, PeerState, PeerStatus, PlatformStatus, RefusedDocument, RequestCounts, Standing,
@@ -131,6 +132,7 @@
         keys: KeyStatus { capacity: 100, remembered: 3 },
         list_version: 2,
         peers: vec![peer("entry-2", DEAD, PeerState::Live)],
+        peer_traffic: PeerTraffic { received_bytes: 700, sent_bytes: 800 },
         platform: PlatformStatus { reachable: true, reads: 12 },
         quarantined: vec!["00000000000000ff".into()],
         ready: true,
