Send frequent messages without the names of their fields

Ruled out: another codec (the house style names ciborium); one-letter renames of all fields (keeps the maps, longer than arrays).

Change: structs are CBOR arrays by serde_tuple, variants of the frequent messages have short names; protocol version 2. Before, the new test failed: 'Confirmation spells out incarnation'. The test of a foreign version names the new numbers and is as strict.

--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -1,25 +1,31 @@
 //! The messages between instances.
 
 use serde::{Deserialize, Serialize};
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 use crate::name::Name;
 use crate::request_id::RequestId;
 use crate::scheduling::{Bid, Grant, Progress, Refusal, RunningRequest};
 
 /// Version byte in front of each encoded message.
-pub const PEER_PROTOCOL_VERSION: u8 = 1;
+pub const PEER_PROTOCOL_VERSION: u8 = 2;
 
 /// A message from one instance to another.
+///
+/// Frequent messages have short names and no names of fields on the wire.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerMessage {
     /// Asks the steward for a backend server.
+    #[serde(rename = "b")]
     Bid(Bid),
     /// Asks for the published document if it is newer than the version given.
+    #[serde(rename = "cf")]
     ConfigFetch {
         /// Version that the sender has.
         have_version: u64,
     },
     /// The published document.
+    #[serde(rename = "cd")]
     ConfigDocument {
         /// Its text.
         text: String,
@@ -27,73 +33,99 @@
         version: u64,
     },
     /// Answers a heartbeat.
+    #[serde(rename = "c")]
     Confirmation(Confirmation),
     /// Lets a receiver dispatch.
+    #[serde(rename = "g")]
     Grant(Grant),
     /// Tells that the sender lives and what it knows.
+    #[serde(rename = "h")]
     Heartbeat(Heartbeat),
     /// Asks the home of a key for leave to run.
+    #[serde(rename = "kc")]
     KeyClaim(KeyClaim),
     /// Hands the keys of a stopping home to its successors.
+    #[serde(rename = "kh")]
     KeyHandover(Vec<KeyRecord>),
     /// Answers a query.
+    #[serde(rename = "ko")]
     KeyHolder {
         /// The request that holds the key, if the home knows one.
         holder: Option<RequestId>,
         /// The key.
+        #[serde(rename = "k")]
         key: Name,
         /// Number of the query at the asking instance.
         sequence: u64,
     },
     /// Asks the home of a key which request holds it.
+    #[serde(rename = "kq")]
     KeyQuery {
         /// The key.
+        #[serde(rename = "k")]
         key: Name,
         /// Number of the query at the asking instance.
         sequence: u64,
     },
     /// Gives a key back: its holder did not run the request and never will.
+    #[serde(rename = "kr")]
     KeyRelease {
         /// The key.
+        #[serde(rename = "k")]
         key: Name,
         /// The claim's request.
+        #[serde(rename = "r")]
         request: RequestId,
     },
     /// Answers a claim.
+    #[serde(rename = "kv")]
     KeyVerdict {
         /// The key.
+        #[serde(rename = "k")]
         key: Name,
         /// The claim's request.
+        #[serde(rename = "r")]
         request: RequestId,
         /// The answer.
+        #[serde(rename = "v")]
         verdict: KeyVerdict,
     },
     /// Tells the steward how a granted request goes.
+    #[serde(rename = "p")]
     Progress {
         /// How it goes.
+        #[serde(rename = "p")]
         progress: Progress,
         /// The request.
+        #[serde(rename = "r")]
         request: RequestId,
         /// Its service.
+        #[serde(rename = "s")]
         service: Name,
     },
     /// Tells a receiver that a request gets no backend server.
+    #[serde(rename = "r")]
     Refusal(Refusal),
     /// Tells a new steward what already runs.
+    #[serde(rename = "rr")]
     Running(RunningRequest),
     /// Tells at once which requests were running at a backend server that died.
+    #[serde(rename = "s")]
     Suspects(Vec<Suspect>),
     /// Takes back a bid.
+    #[serde(rename = "w")]
     Withdraw {
         /// The request.
+        #[serde(rename = "r")]
         request: RequestId,
         /// Its service.
+        #[serde(rename = "s")]
         service: Name,
     },
 }
 
 /// Tells that the sender lives and what it knows.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize_tuple, PartialEq, Serialize_tuple)]
 pub struct Heartbeat {
     /// Version of the configuration in force at the sender.
     pub config_version: u64,
@@ -115,7 +147,7 @@
 }
 
 /// Answers a heartbeat: the sender confirms the home's list version and incarnation.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize_tuple, PartialEq, Serialize_tuple)]
 pub struct Confirmation {
     /// Whether the sender may confirm; a newly started instance may not yet.
     pub confirms: bool,
@@ -130,7 +162,7 @@
 }
 
 /// Asks the home of a key for leave to run a request.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize_tuple, PartialEq, Serialize_tuple)]
 pub struct KeyClaim {
     /// Hash of the body; one key with another body is refused.
     pub fingerprint: u64,
@@ -145,7 +177,7 @@
 }
 
 /// What a home remembers of a key.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize_tuple, PartialEq, Serialize_tuple)]
 pub struct KeyRecord {
     /// Hash of the body.
     pub fingerprint: u64,
@@ -161,15 +193,19 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum KeyVerdict {
     /// The key is used with another body.
+    #[serde(rename = "d")]
     BodyDiffers,
     /// The claimant may run the request.
+    #[serde(rename = "g")]
     Granted,
     /// Another request holds the key.
+    #[serde(rename = "h")]
     Held {
         /// The request that holds it.
         by: RequestId,
     },
     /// Nothing was granted by this claim; the claimant may be told that this send did not run.
+    #[serde(rename = "r")]
     Refused {
         /// Why.
         reason: KeyRefusal,
@@ -177,6 +213,7 @@
         retry_after_ms: u64,
     },
     /// An earlier home may have granted the key; whether it ran can't be known.
+    #[serde(rename = "u")]
     Unknown,
 }
 
@@ -197,7 +234,7 @@
 }
 
 /// A request that was running at a backend server that died.
-#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Debug, Deserialize_tuple, Eq, Ord, PartialEq, PartialOrd, Serialize_tuple)]
 pub struct Suspect {
     /// Backend servers that died while they ran it, sorted.
     pub backend_servers: Vec<Name>,
--- a/src/request_id.rs
+++ b/src/request_id.rs
@@ -2,12 +2,14 @@
 
 use std::fmt::{self, Display, Formatter};
 
-use serde::{Deserialize, Serialize};
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 use crate::name::Name;
 
 /// Identifies one send of a request, unique over all instances and their restarts.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Debug, Deserialize_tuple, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize_tuple,
+)]
 pub struct RequestId {
     /// Instance that received the request.
     pub instance: Name,
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -1,12 +1,13 @@
 //! What receivers and stewards of a service tell each other.
 
 use serde::{Deserialize, Serialize};
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 use crate::name::Name;
 use crate::request_id::RequestId;
 
 /// Asks a steward for a backend server for one request.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize_tuple, Eq, PartialEq, Serialize_tuple)]
 pub struct Bid {
     /// Customer that sent the request.
     pub customer: Name,
@@ -31,7 +32,7 @@
 }
 
 /// Lets a receiver dispatch one request to one backend server.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize_tuple, Eq, PartialEq, Serialize_tuple)]
 pub struct Grant {
     /// Backend server that the request goes to.
     pub backend_server: Name,
@@ -45,38 +46,51 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Progress {
     /// The request ended before anything was sent to the backend server, or its grant was void.
+    #[serde(rename = "a")]
     Abandoned,
     /// No connection could be made; nothing was sent, and the receiver bids again.
+    #[serde(rename = "cf")]
     ConnectFailed,
     /// The backend server died or lost the request while it ran it.
+    #[serde(rename = "d")]
     Died,
     /// The answer is whole.
+    #[serde(rename = "f")]
     Finished {
         /// Tokens of the prompt that the engine took from its cache.
+        #[serde(rename = "c")]
         cached_tokens: u32,
         /// Tokens of the answer.
+        #[serde(rename = "o")]
         output_tokens: u32,
     },
     /// The first token arrived.
+    #[serde(rename = "ft")]
     FirstToken {
         /// Time from dispatch to the first token, in milliseconds.
+        #[serde(rename = "e")]
         elapsed_ms: u64,
     },
     /// The caller went away or the deadline passed, and the backend server was told to stop.
+    #[serde(rename = "c")]
     Cancelled,
     /// The backend server can't be reached any more; the request may still run there.
+    #[serde(rename = "l")]
     Lost,
     /// Further tokens arrived.
+    #[serde(rename = "t")]
     Tokens {
         /// Mean time between tokens since the last report, in milliseconds.
+        #[serde(rename = "b")]
         between_tokens_ms: u64,
         /// Tokens so far.
+        #[serde(rename = "o")]
         output_tokens: u32,
     },
 }
 
 /// Tells a receiver that a request gets no backend server.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize_tuple, Eq, PartialEq, Serialize_tuple)]
 pub struct Refusal {
     /// Why.
     pub reason: RefusalReason,
@@ -101,7 +115,7 @@
 }
 
 /// A request that a receiver reports as running to a steward that is new to it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize_tuple, Eq, PartialEq, Serialize_tuple)]
 pub struct RunningRequest {
     /// Backend server that runs the request.
     pub backend_server: Name,
--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -225,7 +225,7 @@
 fn another_version_is_an_error() {
     assert_eq!(
         error_of(&[PEER_PROTOCOL_VERSION + 1, 0]),
-        "A message from instance 'entry-2' can't be read: it has version 2, and 1 is known."
+        "A message from instance 'entry-2' can't be read: it has version 3, and 2 is known."
     );
 }
 
@@ -258,3 +258,28 @@
     assert!(written.unwrap_err().to_string().ends_with("and 4194304 are allowed."));
     assert_eq!(error_of(&vec![PEER_PROTOCOL_VERSION; PEER_FRAME_LIMIT_BYTES + 1]), message);
 }
+
+#[test]
+fn frequent_messages_spend_no_bytes_on_the_names_of_fields() {
+    let request = RequestId { instance: "entry-1".into(), incarnation: 7, sequence: 8 };
+    let grant = Grant { backend_server: "e".into(), expires_in_ms: 9, request: request.clone() };
+    let tokens = Progress::Tokens { between_tokens_ms: 60, output_tokens: 100 };
+    let progress = PeerMessage::Progress { progress: tokens, request, service: "s".into() };
+    let messages = [
+        PeerMessage::Confirmation(Confirmation::default()),
+        PeerMessage::Grant(grant),
+        PeerMessage::Heartbeat(Heartbeat::default()),
+        progress,
+    ];
+    let names: [&[u8]; 6] =
+        [b"incarnation", b"list_version", b"request", b"sequence", b"service", b"tokens"];
+
+    for message in messages {
+        let bytes = encode("entry-2", &message).unwrap();
+
+        for name in names {
+            let is_there = bytes.windows(name.len()).any(|window| window == name);
+            assert!(!is_there, "{message:?} spells out {}", String::from_utf8_lossy(name));
+        }
+    }
+}
