Fault the platform links of all instances in the tests of silence

Cause: each instance has a proxy route to the platform of its own since the tests of partitions, so the one route that these tests named is gone. The same faults are now set on every route.

--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -141,11 +141,18 @@
     assert_eq!(executions.values().sum::<u64>(), 1, "{executions:?}");
 }
 
+fn fault_platform_links(fleet: &mut Fleet, mode: FaultMode) {
+    let names: Vec<String> = fleet.instances.iter().map(|instance| instance.name.clone()).collect();
+    for name in names {
+        fleet.fault_platform_link(&name, mode).unwrap();
+    }
+}
+
 #[test]
 fn a_silent_connection_to_the_platform_is_replaced() {
     let mut fleet = quick_fleet(3).proxy_platform().start().unwrap();
 
-    fleet.set_fault("platform", fault(FaultMode::HalfOpen)).unwrap();
+    fault_platform_links(&mut fleet, FaultMode::HalfOpen);
     fleet.publish().unwrap();
 
     let version = fleet.inventory.version;
@@ -157,10 +164,10 @@
 fn work_goes_on_while_the_platform_is_silent() {
     let mut fleet = quick_fleet(3).proxy_platform().start().unwrap();
 
-    fleet.set_fault("platform", fault(FaultMode::Freeze)).unwrap();
+    fault_platform_links(&mut fleet, FaultMode::Freeze);
     assert_drafts_in_time(&fleet);
     fleet.publish().unwrap();
-    fleet.set_fault("platform", fault(FaultMode::Pass)).unwrap();
+    fault_platform_links(&mut fleet, FaultMode::Pass);
 
     let version = fleet.inventory.version;
     wait_until("the document is in force", SILENCE_LIMIT_MS, || config_in_force(&fleet, version))
