Answer for a while after a planned stop, until the balancer notices

An instance without requests ended at once on SIGTERM, so callers that a balancer still sent to it were refused a connection, or, at the very moment of the end, lost one on which they had sent a request.

[shutdown] notice_ms (2,000 by default) is the shortest time from the begin of a stop to its end.

Ruled out: closing the listener first and serving what was accepted, since connections in the system's queue would still be reset.

Failing first, with the mechanism off: the idle instance refuses the connection after 150 ms, and the rolling replacement can't see it stopping.

--- a/src/core.rs
+++ b/src/core.rs
@@ -61,6 +61,8 @@
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct StopState {
+    /// Monotonic time before which the stop does not end, in milliseconds.
+    pub earliest_ms: u64,
     /// Monotonic time at which the requests left are given up, in milliseconds.
     pub limit_ms: u64,
     /// Whether the end was told.
--- a/src/parse_settings.rs
+++ b/src/parse_settings.rs
@@ -29,6 +29,7 @@
 const LARGEST_RESUME_LIMIT: u64 = 100;
 const LOAD_INTERVAL_MS: u64 = 500;
 const RESUME_LIMIT: u32 = 3;
+const NOTICE_MS: u64 = 2_000;
 const WATCH_TIMEOUT_MS: u64 = 3_000;
 
 const FORMATS: &[(&str, LogFormat)] = &[("json", LogFormat::Json), ("text", LogFormat::Text)];
@@ -59,7 +60,7 @@
     section("log", &["format", "level"]),
     section("peer", &["confirmation_window_ms", "heartbeat_interval_ms", "listen_address"]),
     section("platform", &["address", "watch_timeout_ms"]),
-    section("shutdown", &["drain_limit_ms"]),
+    section("shutdown", &["drain_limit_ms", "notice_ms"]),
     section("telemetry", &["export_interval_ms", "otlp_address"]),
 ];
 
@@ -214,7 +215,8 @@
 
 fn read_shutdown(section: &mut SectionReader<'_>) -> Option<ShutdownSettings> {
     let drain_limit_ms = time(section, "drain_limit_ms", DRAIN_LIMIT_MS);
-    Some(ShutdownSettings { drain_limit_ms: drain_limit_ms? })
+    let notice_ms = time(section, "notice_ms", NOTICE_MS);
+    Some(ShutdownSettings { drain_limit_ms: drain_limit_ms?, notice_ms: notice_ms? })
 }
 
 fn read_telemetry(section: &mut SectionReader<'_>) -> Option<TelemetrySettings> {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -128,6 +128,9 @@
 pub struct ShutdownSettings {
     /// Longest time that running requests get to finish, in milliseconds.
     pub drain_limit_ms: u64,
+    /// Time for which an instance without requests still answers, so that the balancer notices the
+    /// stop, in milliseconds.
+    pub notice_ms: u64,
 }
 
 /// Section `[telemetry]`.
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -12,7 +12,8 @@
             return;
         }
         let limit_ms = now.monotonic_ms + self.settings.shutdown.drain_limit_ms;
-        self.stop = Some(StopState { limit_ms, told: false });
+        let earliest_ms = now.monotonic_ms + self.settings.shutdown.notice_ms;
+        self.stop = Some(StopState { earliest_ms, limit_ms, told: false });
         self.log("stop", "Stopping: no new requests are taken.");
         self.hand_over_keys();
         self.move_bids(now, None);
@@ -28,7 +29,8 @@
             self.give_up_running();
         }
         let is_empty = self.requests.active().next().is_none();
-        if !is_empty && now.monotonic_ms < stop.limit_ms {
+        let is_noticed = now.monotonic_ms >= stop.earliest_ms;
+        if !(is_empty && is_noticed) && now.monotonic_ms < stop.limit_ms {
             return;
         }
         self.stop = Some(StopState { told: true, ..stop });
--- a/tests/rolling_replacement.rs
+++ b/tests/rolling_replacement.rs
@@ -15,6 +15,10 @@
 
 /// Callers of each kind that send one request after the other.
 const CALLERS: usize = 6;
+/// Time for which the balancer still sends to an instance that is not ready, in milliseconds.
+const BALANCER_LAG_MS: u64 = 150;
+/// Time for which a stopping instance answers at least, in milliseconds.
+const NOTICE_MS: u64 = 500;
 /// Margin between a home's beginning and the keys that it grants, in milliseconds.
 const CLOCK_MARGIN_MS: u64 = 50;
 /// Longest time to take one step, in milliseconds.
@@ -119,6 +123,7 @@
         .instances(NAMES.len())
         .service(sized(model))
         .service(sized(plain))
+        .setting("shutdown", "notice_ms", NOTICE_MS)
         .setting("peer", "heartbeat_interval_ms", 100)
         .setting("peer", "confirmation_window_ms", 600)
         .setting("keys", "clock_margin_ms", CLOCK_MARGIN_MS)
@@ -184,8 +189,10 @@
     let at = fleet.instances.iter().position(|instance| instance.name == old).unwrap();
     let address = fleet.instances[at].caller_address;
     fleet.instances[at].process.begin_terminate().unwrap();
-    fleet.instances[at].process.wait(STEP_LIMIT_MS).unwrap();
+    wait_until("it is stopping", STEP_LIMIT_MS, || status(address)["stopping"] == true).unwrap();
+    thread::sleep(Duration::from_millis(BALANCER_LAG_MS));
     shared.addresses.lock().unwrap().retain(|listed| *listed != address);
+    fleet.instances[at].process.wait(STEP_LIMIT_MS).unwrap();
     fleet.instances.remove(at);
     fleet.remove_from_inventory(old);
 }
@@ -259,3 +266,17 @@
     }
     assert!(fleet.instances[0].process.wait(STEP_LIMIT_MS).unwrap().success());
 }
+
+#[test]
+fn an_idle_instance_that_stops_sends_callers_on_until_the_balancer_notices() {
+    let mut fleet = arrange();
+    let address = fleet.instances[0].caller_address;
+
+    fleet.instances[0].process.begin_terminate().unwrap();
+    thread::sleep(Duration::from_millis(BALANCER_LAG_MS));
+    let refused = draft_call(address, "sent before the balancer knew", 5).send().unwrap();
+
+    assert_eq!((refused.status, refused.outcome), (503, Some(Outcome::NotRun)), "{refused:?}");
+    assert!(refused.retry_after_ms.is_some(), "{refused:?}");
+    assert!(fleet.instances[0].process.wait(STEP_LIMIT_MS).unwrap().success());
+}
