Test whole decision cores over random schedules, and mend a round of bids

The schedules connect real cores by a network without sockets and check answers, dispatches of requests and of keys, deadlines and memory. Cause of the fault found: bids are sent again in a round over all that wait. Where the instance is its own steward, an earlier bid of the round can lead it to grant a later one, which is dispatched at once. The round then bid for that request, too, so that it counted as waiting: its caller was told 'not_run' at the deadline while it ran, and a second grant would have dispatched it twice. The rounds that end requests, at deadlines and at a stop, could answer a request that they had led to run. Ruled out: the steward, which granted each request once.

--- a/src/bid.rs
+++ b/src/bid.rs
@@ -13,9 +13,15 @@
 const BID_REPEAT_MS: u64 = 2_000;
 
 impl Core {
-    /// Sends a request that runs no longer waits for its key to the steward of its service.
+    /// Sends a request that no longer waits for its key to the steward of its service.
+    ///
+    /// A request that runs is left alone: an earlier bid of the same round may have led this
+    /// instance's own steward to grant it.
     pub(crate) fn bid(&mut self, now: Now, sequence: u64) {
         let Some(request) = self.requests.get_active_mut(sequence) else { return };
+        if request.is_running() {
+            return;
+        }
         let bid = request.bid(now);
         let steward = self.steward_of(&bid.service);
         if let Some(request) = self.requests.get_active_mut(sequence) {
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -27,8 +27,15 @@
 }
 
 impl Core {
-    /// Gives a request that has no whole answer its final answer, and ends it.
+    /// Gives a request that waits its final answer, and ends it.
+    ///
+    /// A request that runs or has ended is left alone: the end of an earlier one of the same round
+    /// may have led this instance's own steward to grant or refuse it.
     pub(crate) fn end_with(&mut self, now: Now, sequence: u64, answer: FinalAnswer) {
+        let Some(request) = self.requests.get_active_mut(sequence) else { return };
+        if request.is_running() {
+            return;
+        }
         self.note(now, sequence, format!("Answered {}.", answer.reason));
         let outcome = answer.outcome;
         self.effects.push(Effect::Answer { answer, sequence });
--- /dev/null
+++ b/tests/cores/judge.rs
@@ -0,0 +1,144 @@
+//! Judges what the cores do with each send and each key.
+
+use std::collections::BTreeMap;
+
+use bergamotspan::final_answer::Outcome;
+use bergamotspan::name::Name;
+use bergamotspan::scheduling::Progress;
+
+use super::node::Node;
+
+/// Time after its deadline within which a waiting request has to have its answer.
+const DEADLINE_SLACK_MS: u64 = 100;
+
+/// What is known of one send at the instance that received it.
+#[derive(Clone, Debug, Default)]
+pub struct Send {
+    pub answers: u32,
+    pub deadline_ms: Option<u64>,
+    pub dispatched: bool,
+    pub kept: bool,
+    pub key: Option<Name>,
+    /// Whether the first byte may have been sent.
+    pub ran: bool,
+}
+
+/// What went wrong, and how much went well.
+#[derive(Debug, Default)]
+pub struct Judge {
+    pub done: u64,
+    pub faults: Vec<String>,
+    runs_of_key: BTreeMap<Name, u32>,
+}
+
+impl Send {
+    pub fn request(deadline_ms: u64, key: Option<Name>) -> Self {
+        Self { deadline_ms: Some(deadline_ms), kept: true, key, ..Self::default() }
+    }
+}
+
+impl Judge {
+    /// Takes in a final answer, or the answer of another request if there is no outcome.
+    pub fn answered(&mut self, node: &mut Node, sequence: u64, outcome: Option<Outcome>) {
+        let name = node.name.clone();
+        let Some(send) = node.send_mut(sequence) else {
+            return self.fault(format!("{name}: an answer to {sequence}, which was never sent"));
+        };
+        send.answers += 1;
+        let is_second = send.answers > 1;
+        let is_lie = outcome == Some(Outcome::NotRun) && send.dispatched;
+        if is_second {
+            self.fault(format!("{name}: a second answer to {sequence}: {outcome:?}"));
+        }
+        if is_lie {
+            self.fault(format!("{name}: {sequence} is told 'not_run' while it is dispatched"));
+        }
+    }
+
+    pub fn dispatched(&mut self, node: &mut Node, sequence: u64) {
+        let name = node.name.clone();
+        let instance = node.id();
+        let Some(send) = node.send_mut(sequence) else {
+            return self.fault(format!("{name}: dispatches {sequence}, which was never sent"));
+        };
+        let is_again = send.dispatched || send.ran;
+        let is_answered = send.answers > 0;
+        send.dispatched = true;
+        let key = send.key.clone();
+        if is_again {
+            self.fault(format!("{name}: {sequence} is dispatched twice"));
+        }
+        if is_answered {
+            self.fault(format!("{name}: {sequence} is dispatched after its answer"));
+        }
+        // A key without a later take-back counts as run from its dispatch on.
+        let runs = self.runs_of_key.entry(key_of(key, &instance, sequence)).or_default();
+        *runs += 1;
+        if *runs > 1 {
+            self.fault(format!("{name}: the key of {sequence} is dispatched twice"));
+        }
+    }
+
+    /// Takes in what a backend server reports, before the core does.
+    pub fn progressed(&mut self, node: &mut Node, sequence: u64, progress: &Progress) {
+        let name = node.name.clone();
+        let instance = node.id();
+        let Some(send) = node.send_mut(sequence) else { return };
+        match progress {
+            Progress::Abandoned | Progress::ConnectFailed => {
+                send.dispatched = false;
+                let key = key_of(send.key.clone(), &instance, sequence);
+                self.runs_of_key.entry(key).and_modify(|runs| *runs -= 1);
+            }
+            _ => {
+                send.dispatched = false;
+                send.ran = true;
+                // The thread that serves the request gives it its answer.
+                send.answers += 1;
+                let is_second = send.answers > 1;
+                self.done += u64::from(matches!(progress, Progress::Finished { .. }));
+                if is_second {
+                    self.fault(format!("{name}: {sequence} ran after its answer"));
+                }
+            }
+        }
+    }
+
+    pub fn check_deadlines(&mut self, node: &Node, now_ms: u64) {
+        let late = |send: &Send| {
+            let limit_ms = send.deadline_ms.map(|deadline_ms| deadline_ms + DEADLINE_SLACK_MS);
+            let waits = send.answers == 0 && !send.dispatched;
+            waits && limit_ms.is_some_and(|limit_ms| limit_ms < now_ms)
+        };
+        for (index, _) in node.sends.iter().enumerate().filter(|(_, send)| late(send)) {
+            self.fault(format!("{}: {} waits beyond its deadline", node.name, index + 1));
+        }
+    }
+
+    /// Checks that a core has nothing left of what ended.
+    pub fn check_quiet(&mut self, node: &Node, now_ms: u64) {
+        let open = node.open_requests(now_ms);
+        if node.runs(now_ms) && open > 0 {
+            self.fault(format!("{}: {open} requests never end", node.name));
+        }
+        let remembered = node.remembered_keys(now_ms);
+        if node.runs(now_ms) && remembered > 0 {
+            self.fault(format!("{}: {remembered} keys stay beyond their lifetime", node.name));
+        }
+        let kept = node.sends.iter().filter(|send| send.kept && send.ran).count();
+        if node.runs(now_ms) && kept > 0 {
+            self.fault(format!("{}: {kept} answers are kept for ever", node.name));
+        }
+    }
+
+    fn fault(&mut self, text: String) {
+        if self.faults.len() < 10 {
+            self.faults.push(text);
+        }
+    }
+}
+
+/// Returns the key, or a name for the one send without it.
+fn key_of(key: Option<Name>, instance: &str, sequence: u64) -> Name {
+    key.unwrap_or_else(|| format!("{instance} {sequence}").into())
+}
--- /dev/null
+++ b/tests/cores/mod.rs
@@ -0,0 +1,336 @@
+//! Several decision cores on a random network, with callers and backend servers, and no sockets.
+
+pub mod documents;
+pub mod judge;
+pub mod network;
+pub mod node;
+
+use std::sync::Arc;
+
+use bergamotspan::event::{Arrival, Event};
+use bergamotspan::name::Name;
+use bergamotspan::scheduling::Progress;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use uuid::{Builder, Uuid};
+
+use documents::{CUSTOMER, Documents, PLAIN};
+use judge::Judge;
+use network::{Network, Sent};
+use node::{Node, Outlet};
+
+/// Deadline of every request, in milliseconds.
+pub const DEADLINE_MS: u64 = 2_000;
+/// Time from the start to the first fault, in milliseconds.
+const CALM_MS: u64 = 4_000;
+/// Time with faults, in milliseconds.
+const FAULTY_MS: u64 = 10_000;
+/// Longest time that a backend server takes, in milliseconds.
+const LONGEST_RUN_MS: u64 = 1_500;
+/// Longest pause of a core, in milliseconds.
+const LONGEST_PAUSE_MS: u64 = 2_500;
+/// Time until nothing may be kept any more, in milliseconds.
+const QUIET_MS: u64 = documents::LIFETIME_MS + LONGEST_RUN_MS + 2 * DEADLINE_MS;
+const START_WALL_CLOCK_MS: u64 = 1_700_000_000_000;
+const STEP_MS: u64 = 20;
+
+/// Cores, network, callers and backend servers.
+pub struct World {
+    documents: Documents,
+    pub judge: Judge,
+    keys: Vec<Name>,
+    network: Network,
+    nodes: Vec<Node>,
+    now_ms: u64,
+    random: StdRng,
+}
+
+impl World {
+    /// Starts a number of cores that know the first document.
+    pub fn start(seed: u64, count: usize) -> Self {
+        let documents = Documents::of(count);
+        let nodes = (0..count).map(Node::new).collect();
+        let mut world = Self {
+            documents,
+            judge: Judge::default(),
+            keys: Vec::new(),
+            network: Network::new(count),
+            nodes,
+            now_ms: 0,
+            random: StdRng::seed_from_u64(seed),
+        };
+        for index in 0..count {
+            world.boot(index, 1);
+        }
+        world
+    }
+
+    /// Runs calm, then with faults, then until everything has to be over.
+    pub fn run(mut self) -> Judge {
+        self.run_until(CALM_MS, false);
+        self.run_until(CALM_MS + FAULTY_MS, true);
+        self.heal();
+        let end_ms = self.now_ms + QUIET_MS;
+        self.run_until(end_ms, false);
+        for node in &self.nodes {
+            self.judge.check_quiet(node, self.now_ms);
+        }
+        self.judge
+    }
+
+    fn run_until(&mut self, until_ms: u64, faulty: bool) {
+        let takes_requests = self.now_ms < CALM_MS + FAULTY_MS;
+        while self.now_ms < until_ms {
+            self.now_ms += STEP_MS;
+            if faulty {
+                self.fault();
+            }
+            if takes_requests && self.random.random_bool(0.25) {
+                self.arrive();
+            }
+            self.deliver();
+            for index in 0..self.nodes.len() {
+                self.step(index);
+            }
+        }
+    }
+
+    /// Lets one core see the time, its backend servers' news and its documents.
+    fn step(&mut self, index: usize) {
+        if !self.nodes[index].runs(self.now_ms) {
+            return;
+        }
+        if let Some(at_ms) = self.nodes[index].document_ms
+            && at_ms <= self.now_ms
+        {
+            self.nodes[index].document_ms = None;
+            let version = self.documents.newest();
+            self.read_document(index, version);
+        }
+        for (sequence, progress) in self.nodes[index].due_progress(self.now_ms) {
+            self.judge.progressed(&mut self.nodes[index], sequence, &progress);
+            self.decide(index, Event::Dispatch { progress, sequence });
+        }
+        self.decide(index, Event::Tick);
+        self.judge.check_deadlines(&self.nodes[index], self.now_ms);
+    }
+
+    fn decide(&mut self, index: usize, event: Event) {
+        let effects = self.nodes[index].decide(self.now_ms, event);
+        for effect in effects {
+            let outlet = self.nodes[index].apply(effect, &mut self.judge);
+            match outlet {
+                Outlet::Dispatched(sequence) => self.run_at_server(index, sequence),
+                Outlet::JoinAt { address, holder, key } => {
+                    self.join_at(address.port(), holder, key);
+                }
+                Outlet::Nothing => {}
+                Outlet::Send { message, to } => {
+                    let Some(to) = self.documents.index_of(&to) else { continue };
+                    let incarnation = self.nodes[index].incarnation;
+                    let sent = Sent { from: index, incarnation, message, to };
+                    self.network.send(self.now_ms, sent, &mut self.random);
+                }
+            }
+        }
+    }
+
+    /// Draws what a backend server does with a dispatched request.
+    fn run_at_server(&mut self, index: usize, sequence: u64) {
+        let after_ms = self.random.random_range(0..LONGEST_RUN_MS);
+        let progress = match self.random.random_range(0..10u8) {
+            0 => Progress::Abandoned,
+            1 => Progress::ConnectFailed,
+            2 => Progress::Died,
+            3 => Progress::Lost,
+            4 => Progress::Cancelled,
+            _ => Progress::Finished { cached_tokens: 0, output_tokens: 0 },
+        };
+        let is_short = matches!(progress, Progress::Abandoned | Progress::ConnectFailed);
+        let at_ms = self.now_ms + if is_short { after_ms / 10 } else { after_ms };
+        self.nodes[index].plan_progress(at_ms, sequence, progress);
+    }
+
+    /// Asks the instance at a caller address for the answer of a key, as another instance does.
+    fn join_at(&mut self, port: u16, holder: Name, key: Name) {
+        let index = usize::from(port - documents::FIRST_PORT);
+        if self.nodes[index].runs(self.now_ms) {
+            let sequence = self.nodes[index].open_join();
+            self.decide(index, Event::JoinAsked { holder: Some(holder), key, sequence });
+        }
+    }
+
+    fn arrive(&mut self) {
+        let key = match self.keys.len() {
+            known if known > 0 && self.random.random_bool(0.6) => {
+                // Recent keys are the interesting ones.
+                let back = self.random.random_range(0..known.min(6));
+                self.keys[known - 1 - back].clone()
+            }
+            _ => self.mint(),
+        };
+        let sends = if self.random.random_bool(0.3) { 3 } else { 1 };
+        for _ in 0..sends {
+            let index = self.random.random_range(0..self.nodes.len());
+            if self.nodes[index].runs(self.now_ms) {
+                match self.random.random_range(0..12u8) {
+                    0 => self.ask_to_join(index, key.clone()),
+                    1 => self.ask_to_cancel(index, key.clone()),
+                    _ => self.send(index, key.clone()),
+                }
+            }
+        }
+    }
+
+    fn ask_to_cancel(&mut self, index: usize, key: Name) {
+        let sequence = self.nodes[index].open_join();
+        self.decide(index, Event::CancelAsked { holder: None, key, sequence });
+    }
+
+    fn ask_to_join(&mut self, index: usize, key: Name) {
+        let sequence = self.nodes[index].open_join();
+        self.decide(index, Event::JoinAsked { holder: None, key, sequence });
+    }
+
+    fn send(&mut self, index: usize, key: Name) {
+        let with_key = self.random.random_bool(0.9);
+        let key = with_key.then_some(key);
+        let sequence = self.nodes[index].open_request(self.now_ms, key.clone());
+        let arrival = Arrival {
+            customer: CUSTOMER.into(),
+            deadline_ms: Some(DEADLINE_MS),
+            fingerprint: 1,
+            key,
+            path: if with_key { "bookings" } else { "status" }.into(),
+            sequence,
+            service: PLAIN.into(),
+            ..Arrival::default()
+        };
+        self.decide(index, Event::Arrived(Box::new(arrival)));
+    }
+
+    fn mint(&mut self) -> Name {
+        let wall_clock_ms = START_WALL_CLOCK_MS + self.now_ms;
+        let random: [u8; 10] = self.random.random();
+        let uuid: Uuid = Builder::from_unix_timestamp_millis(wall_clock_ms, &random).into_uuid();
+        let key: Name = uuid.to_string().into();
+        self.keys.push(key.clone());
+        key
+    }
+
+    fn fault(&mut self) {
+        let index = self.random.random_range(0..self.nodes.len());
+        let other = self.random.random_range(0..self.nodes.len());
+        match self.random.random_range(0..400u16) {
+            0..=5 => {
+                let up = self.random.random_bool(0.5);
+                self.set_link(index, other, up);
+            }
+            6..=8 => self.network.silence(index, other, true),
+            9..=14 => self.network.silence(index, other, false),
+            15..=18 => {
+                let pause_ms = self.random.random_range(0..LONGEST_PAUSE_MS);
+                self.nodes[index].paused_until_ms = self.now_ms + pause_ms;
+            }
+            19..=20 => self.restart(index),
+            21..=22 => self.change_list(),
+            23 => self.decide_if_running(index, Event::Stop),
+            24..=27 => self.decide_if_running(index, Event::PlatformUnreachable),
+            _ => {}
+        }
+    }
+
+    fn decide_if_running(&mut self, index: usize, event: Event) {
+        if self.nodes[index].runs(self.now_ms) {
+            self.decide(index, event);
+        }
+    }
+
+    fn set_link(&mut self, a: usize, b: usize, up: bool) {
+        if a == b || self.network.is_up(a, b) == up {
+            return;
+        }
+        self.network.set_link(a, b, up);
+        self.tell_link(a, b, up);
+        self.tell_link(b, a, up);
+    }
+
+    fn tell_link(&mut self, at: usize, peer: usize, up: bool) {
+        let (peer, incarnation) = (self.nodes[peer].name.clone(), self.nodes[peer].incarnation);
+        let event = match up {
+            true => Event::PeerUp { peer, incarnation },
+            false => Event::PeerDown { peer },
+        };
+        self.decide_if_running(at, event);
+    }
+
+    fn change_list(&mut self) {
+        let index = self.random.random_range(0..self.nodes.len());
+        self.documents.toggle(index);
+        for node in &mut self.nodes {
+            node.document_ms = Some(self.now_ms + self.random.random_range(0..2_000));
+        }
+    }
+
+    /// Replaces a core in place; its platform may be stale.
+    ///
+    /// What the old incarnation sent is still read by the others, and their replies may go out on
+    /// the link to the new one.
+    fn restart(&mut self, index: usize) {
+        let newest = self.documents.newest();
+        let version = self.random.random_range(newest.saturating_sub(1).max(1)..=newest);
+        let last_words = self.network.take_all(index);
+        self.boot(index, version);
+        let linked: Vec<usize> =
+            (0..self.nodes.len()).filter(|other| self.network.is_up(index, *other)).collect();
+        for Sent { from, incarnation, message, to } in last_words {
+            let peer = self.nodes[from].name.clone();
+            self.decide_if_running(to, Event::PeerMessage { incarnation, message, peer });
+        }
+        for other in linked.into_iter().filter(|other| *other != index) {
+            self.tell_link(index, other, true);
+            self.decide_if_running(other, Event::PeerDown { peer: self.nodes[index].name.clone() });
+            self.tell_link(other, index, true);
+        }
+    }
+
+    fn boot(&mut self, index: usize, version: u64) {
+        let wall_clock_ms = START_WALL_CLOCK_MS + self.random.random_range(0..documents::MARGIN_MS);
+        self.nodes[index].boot(self.now_ms, wall_clock_ms);
+        self.read_document(index, version);
+    }
+
+    fn read_document(&mut self, index: usize, version: u64) {
+        let (document, inventory) = self.documents.get(version);
+        let parsed = Ok(Arc::new(inventory));
+        self.decide(index, Event::DocumentRead { document, parsed, peer: None });
+    }
+
+    fn deliver(&mut self) {
+        while let Some(sent) = self.network.next(self.now_ms) {
+            let Sent { from, incarnation, message, to } = sent;
+            if self.nodes[to].has_stopped() {
+                continue;
+            }
+            if !self.nodes[to].runs(self.now_ms) {
+                let wait_ms = self.nodes[to].paused_until_ms;
+                self.network.hold(wait_ms + 1, Sent { from, incarnation, message, to });
+                continue;
+            }
+            let peer = self.nodes[from].name.clone();
+            self.decide(to, Event::PeerMessage { incarnation, message, peer });
+        }
+    }
+
+    fn heal(&mut self) {
+        for a in 0..self.nodes.len() {
+            self.nodes[a].paused_until_ms = 0;
+            for b in 0..self.nodes.len() {
+                self.network.silence(a, b, false);
+                if a < b {
+                    self.set_link(a, b, true);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/cores/node.rs
@@ -0,0 +1,183 @@
+//! One decision core with the threads that would serve its callers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bergamotspan::build_core::build_core;
+use bergamotspan::core::Core;
+use bergamotspan::effect::Effect;
+use bergamotspan::event::Event;
+use bergamotspan::name::Name;
+use bergamotspan::now::Now;
+use bergamotspan::parse_settings::parse_settings;
+use bergamotspan::peer_message::PeerMessage;
+use bergamotspan::scheduling::Progress;
+
+use super::DEADLINE_MS;
+use super::documents::{LIFETIME_MS, MARGIN_MS, name_of};
+use super::judge::{Judge, Send};
+
+/// What an effect asks of the world outside the instance.
+pub enum Outlet {
+    Dispatched(u64),
+    JoinAt { address: SocketAddr, holder: Name, key: Name },
+    Nothing,
+    Send { message: PeerMessage, to: Name },
+}
+
+/// One instance.
+pub struct Node {
+    core: Core,
+    pub document_ms: Option<u64>,
+    pub incarnation: u64,
+    pub name: Name,
+    pub paused_until_ms: u64,
+    planned: Vec<(u64, u64, Progress)>,
+    pub sends: Vec<Send>,
+    started_ms: u64,
+    stopped: bool,
+    wall_clock_ms: u64,
+}
+
+impl Node {
+    pub fn new(index: usize) -> Self {
+        let name = name_of(index);
+        Self {
+            core: core_of(&name, 0),
+            document_ms: None,
+            incarnation: 0,
+            name: name.into(),
+            paused_until_ms: 0,
+            planned: Vec::new(),
+            sends: Vec::new(),
+            started_ms: 0,
+            stopped: false,
+            wall_clock_ms: 0,
+        }
+    }
+
+    /// Starts a new incarnation, which knows nothing.
+    pub fn boot(&mut self, now_ms: u64, start_wall_clock_ms: u64) {
+        self.incarnation += 1;
+        self.core = core_of(&self.name, self.incarnation);
+        self.planned.clear();
+        self.sends.clear();
+        self.paused_until_ms = 0;
+        self.started_ms = now_ms;
+        self.stopped = false;
+        self.wall_clock_ms = start_wall_clock_ms + now_ms;
+    }
+
+    pub fn runs(&self, now_ms: u64) -> bool {
+        now_ms >= self.paused_until_ms && !self.stopped
+    }
+
+    pub fn has_stopped(&self) -> bool {
+        self.stopped
+    }
+
+    /// Returns its name and incarnation.
+    pub fn id(&self) -> String {
+        format!("{} {}", self.name, self.incarnation)
+    }
+
+    pub fn now(&self, now_ms: u64) -> Now {
+        let monotonic_ms = now_ms - self.started_ms;
+        Now { monotonic_ms, wall_clock_ms: self.wall_clock_ms + monotonic_ms }
+    }
+
+    pub fn decide(&mut self, now_ms: u64, event: Event) -> Vec<Effect> {
+        let now = self.now(now_ms);
+        self.core.decide(now, event)
+    }
+
+    pub fn open_join(&mut self) -> u64 {
+        self.open(Send::default())
+    }
+
+    pub fn open_request(&mut self, now_ms: u64, key: Option<Name>) -> u64 {
+        self.open(Send::request(now_ms + DEADLINE_MS, key))
+    }
+
+    pub fn plan_progress(&mut self, at_ms: u64, sequence: u64, progress: Progress) {
+        self.planned.push((at_ms, sequence, progress));
+    }
+
+    /// Returns what the backend servers report now, one report for each request.
+    pub fn due_progress(&mut self, now_ms: u64) -> Vec<(u64, Progress)> {
+        let (due, rest) =
+            std::mem::take(&mut self.planned).into_iter().partition(|(at, ..)| *at <= now_ms);
+        self.planned = rest;
+        due.into_iter()
+            .map(|(_, sequence, progress): (u64, u64, Progress)| (sequence, progress))
+            .collect()
+    }
+
+    /// Carries out an effect as the threads of the instance would.
+    pub fn apply(&mut self, effect: Effect, judge: &mut Judge) -> Outlet {
+        match effect {
+            Effect::Answer { answer, sequence } => {
+                judge.answered(self, sequence, Some(answer.outcome));
+                Outlet::Nothing
+            }
+            Effect::Dispatch(dispatch) => {
+                judge.dispatched(self, dispatch.sequence);
+                Outlet::Dispatched(dispatch.sequence)
+            }
+            Effect::ForgetAnswer { sequence } => {
+                if let Some(send) = self.send_mut(sequence) {
+                    send.kept = false;
+                }
+                Outlet::Nothing
+            }
+            Effect::Cancelling { sequence } | Effect::JoinLocal { sequence, .. } => {
+                judge.answered(self, sequence, None);
+                Outlet::Nothing
+            }
+            Effect::JoinPeer { address, holder, key, sequence } => {
+                judge.answered(self, sequence, None);
+                Outlet::JoinAt { address, holder, key }
+            }
+            Effect::SendPeer { message, to } => Outlet::Send { message, to },
+            Effect::Stopped => {
+                self.stopped = true;
+                Outlet::Nothing
+            }
+            _ => Outlet::Nothing,
+        }
+    }
+
+    pub fn send_mut(&mut self, sequence: u64) -> Option<&mut Send> {
+        self.sends.get_mut(usize::try_from(sequence).ok()?.checked_sub(1)?)
+    }
+
+    /// Returns how many requests the core holds that have not ended.
+    pub fn open_requests(&self, now_ms: u64) -> u32 {
+        let counts = self.core.status(self.now(now_ms)).requests;
+        counts.running + counts.waiting
+    }
+
+    /// Returns how many keys the core remembers as their home.
+    pub fn remembered_keys(&self, now_ms: u64) -> u32 {
+        self.core.status(self.now(now_ms)).keys.remembered
+    }
+
+    fn open(&mut self, send: Send) -> u64 {
+        self.sends.push(send);
+        self.sends.len() as u64
+    }
+}
+
+fn core_of(name: &str, incarnation: u64) -> Core {
+    let text = format!(
+        "[instance]\nname = {name}\ndata_centre = dc-a\n\
+         [caller]\nlisten_address = 127.0.0.1:0\n\
+         [keys]\nclock_margin_ms = {MARGIN_MS}\ngrant_limit_ms = 500\nlifetime_ms = {LIFETIME_MS}\n\
+         [peer]\nlisten_address = 127.0.0.1:0\nconfirmation_window_ms = 600\n\
+         heartbeat_interval_ms = 100\n\
+         [platform]\naddress = 127.0.0.1:1\n\
+         [shutdown]\ndrain_limit_ms = 3000\n"
+    );
+    let settings = Arc::new(parse_settings("settings", &text).unwrap());
+    build_core(settings, incarnation, Now::default())
+}
