Test that answers about keys reach only who asked

Answers to a question that this incarnation did not ask, joins of a key that was given back, and a key whose return was lost.

--- a/tests/core_joins.rs
+++ b/tests/core_joins.rs
@@ -64,6 +64,26 @@
         self.core.decide(self.now, Event::PeerMessage { incarnation: 2, message, peer })
     }
 
+    fn hear_holder(&mut self, sequence: u64, key: Name) -> Vec<Effect> {
+        let message = PeerMessage::KeyHolder { holder: None, key, sequence };
+        let peer = self.home.clone();
+        self.core.decide(self.now, Event::PeerMessage { incarnation: 2, message, peer })
+    }
+
+    /// Sends the key a second time; what follows is about that send.
+    fn send_again(&mut self, sequence: u64) {
+        let arrival = Arrival {
+            customer: "home-care-umea".into(),
+            key: Some(self.key.clone()),
+            path: "bookings".into(),
+            sequence,
+            service: "order-desk".into(),
+            ..Arrival::default()
+        };
+        self.core.decide(self.now, Event::Arrived(Box::new(arrival)));
+        self.request.sequence = sequence;
+    }
+
     fn join(&mut self, from_peer: bool) -> Vec<Effect> {
         let key = self.key.clone();
         let holder = from_peer.then(|| self.request.to_string().into());
@@ -71,6 +91,17 @@
     }
 }
 
+fn asks_home(effect: &Effect) -> bool {
+    matches!(message_of(effect), Some(PeerMessage::KeyQuery { .. }))
+}
+
+fn message_of(effect: &Effect) -> Option<&PeerMessage> {
+    match effect {
+        Effect::SendPeer { message, .. } => Some(message),
+        _ => None,
+    }
+}
+
 fn outcomes(effects: &[Effect]) -> Vec<Outcome> {
     let outcome = |effect: &Effect| match effect {
         Effect::Answer { answer, .. } => Some(answer.outcome),
@@ -106,3 +137,51 @@
         assert_eq!(outcomes(&effects), []);
     }
 }
+
+#[test]
+fn a_caller_that_joins_a_key_that_was_given_back_is_answered_by_its_home() {
+    let mut claimant = Claimant::arrange();
+    claimant.hear(KeyVerdict::Granted);
+    let sequence = claimant.request.sequence;
+    claimant.core.decide(claimant.now, Event::CallerGone { sequence });
+
+    let effects = claimant.join(false);
+
+    // Another instance may have run the key since.
+    assert_eq!(outcomes(&effects), [], "{effects:?}");
+    assert!(effects.iter().any(asks_home), "{effects:?}");
+}
+
+#[test]
+fn an_answer_about_a_key_that_was_not_asked_for_reaches_nobody() {
+    let mut claimant = Claimant::arrange();
+    let sequence = claimant.request.sequence;
+
+    let other_number = claimant.hear_holder(sequence, claimant.key.clone());
+    claimant.hear(KeyVerdict::Unknown);
+    claimant.join(false);
+    let other_key = claimant.hear_holder(1_000, "another-key".into());
+    let asked_for = claimant.hear_holder(1_000, claimant.key.clone());
+    let repeated = claimant.hear_holder(1_000, claimant.key.clone());
+
+    assert_eq!(outcomes(&other_number), [], "{other_number:?}");
+    assert_eq!(outcomes(&other_key), [], "{other_key:?}");
+    assert_eq!(outcomes(&asked_for), [Outcome::Unknown], "{asked_for:?}");
+    assert_eq!(outcomes(&repeated), [], "{repeated:?}");
+}
+
+#[test]
+fn a_key_whose_return_was_lost_is_returned_again() {
+    let mut claimant = Claimant::arrange();
+    claimant.hear(KeyVerdict::Granted);
+    let first = claimant.request.clone();
+    claimant.core.decide(claimant.now, Event::CallerGone { sequence: first.sequence });
+    claimant.send_again(2_000);
+
+    let effects = claimant.hear(KeyVerdict::Held { by: first.clone() });
+
+    let sent: Vec<&PeerMessage> = effects.iter().filter_map(message_of).collect();
+    let [PeerMessage::KeyRelease { request, .. }] = sent[..] else { panic!("{effects:?}") };
+    assert_eq!(*request, first);
+    assert_eq!(outcomes(&effects), [Outcome::NotRun]);
+}
