Hand keys over in messages that a link can carry

Cause: a stopping home sent all records for one successor in one message. Beyond the limit of a frame it was not sent, and the link was closed. Before: tests/core_stop.rs fails: "it has 4801121 bytes, and 4194304 are allowed". After: it passes with 90,000 records.

--- a/src/route.rs
+++ b/src/route.rs
@@ -8,6 +8,9 @@
 use crate::peer_message::{Heartbeat, KeyRecord, PeerMessage};
 use crate::scheduler::SchedulerEvent;
 
+/// Most records in one message, so that a link can carry it.
+const HANDOVER_LIMIT_RECORDS: usize = 2_000;
+
 impl Core {
     /// Takes in a message of another instance.
     pub(crate) fn route(&mut self, now: Now, peer: Name, message: PeerMessage) {
@@ -93,7 +96,9 @@
             }
         }
         for (successor, records) in handovers {
-            self.send(&successor, PeerMessage::KeyHandover(records));
+            for part in records.chunks(HANDOVER_LIMIT_RECORDS) {
+                self.send(&successor, PeerMessage::KeyHandover(part.to_vec()));
+            }
         }
     }
 
