Count a call as not sent only if no byte was

Cause: the HTTP client writes a request's head out when the body is refused, too. A call whose grant expired before its body was told to have sent nothing, and the request was dispatched again; with an empty body the head is the whole request, so a backend server ran it twice. A refused connection without a body counted as lost. Now the grant is looked at before the connection; once the head may be out, the call is lost and its caller is told 'unknown'. Ruled out: a body in chunks, which leaves an incomplete request at the server all the same.

--- a/src/backend_call.rs
+++ b/src/backend_call.rs
@@ -34,7 +34,7 @@
     Unknown,
 }
 
-/// A body whose first byte is only sent in time.
+/// A body that is only sent in time.
 struct TimedBody<'a> {
     bytes: &'a [u8],
     clock: Clock,
@@ -43,8 +43,7 @@
 }
 
 const NOT_SENT: u8 = 0;
-const EXPIRED: u8 = 1;
-const SENT: u8 = 2;
+const SENT: u8 = 1;
 
 impl Body for TimedBody<'_> {
     fn kind(&mut self) -> io::Result<BodyKind> {
@@ -55,11 +54,11 @@
     where
         W: Write,
     {
+        // The client writes the head out whatever becomes of the body.
+        self.state.store(SENT, Ordering::Release);
         if self.clock.monotonic_ms() >= self.expires_ms {
-            self.state.store(EXPIRED, Ordering::Release);
             return Err(io::Error::from(io::ErrorKind::TimedOut));
         }
-        self.state.store(SENT, Ordering::Release);
         writer.write_all(self.bytes)
     }
 }
@@ -173,6 +172,9 @@
     settings: &DispatchSettings,
     read_timeout: Duration,
 ) -> Result<Response, CallFailure> {
+    if clock.monotonic_ms() >= dispatch.expires_ms {
+        return Err(CallFailure::Expired);
+    }
     let state = AtomicU8::new(NOT_SENT);
     let body =
         TimedBody { bytes: request.body, clock, expires_ms: dispatch.expires_ms, state: &state };
@@ -184,8 +186,7 @@
     let builder = optional_header(builder, "Idempotency-Key", request.key);
     let builder = optional_header(builder, "traceparent", request.traceparent);
     builder.body(body).send().map_err(|_| match state.load(Ordering::Acquire) {
-        EXPIRED => CallFailure::Expired,
-        NOT_SENT if !request.body.is_empty() => CallFailure::NotSent,
+        NOT_SENT => CallFailure::NotSent,
         _ => CallFailure::Lost,
     })
 }
--- /dev/null
+++ b/tests/first_byte.rs
@@ -0,0 +1,143 @@
+//! Tests of what a backend server may have seen of a call that counts as not sent.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use bergamotspan::backend_call::{BackendRequest, CallFailure, call_plain};
+use bergamotspan::clock::Clock;
+use bergamotspan::effect::Dispatch;
+use bergamotspan::settings::{DispatchSettings, Policy};
+
+const CALLS: u64 = 300;
+const READ_LIMIT_MS: u64 = 200;
+
+/// A server that counts the bytes of all requests and gives a fixed answer.
+struct Server {
+    address: SocketAddr,
+    connections: Arc<AtomicUsize>,
+}
+
+impl Server {
+    fn start(answer: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let connections = Arc::new(AtomicUsize::new(0));
+        let (answer, seen) = (answer.to_owned(), connections.clone());
+        thread::spawn(move || {
+            for mut connection in listener.incoming().flatten() {
+                let limit = Duration::from_millis(READ_LIMIT_MS);
+                connection.set_read_timeout(Some(limit)).unwrap();
+                // A connection without a byte ends at once, one with a request waits for its answer.
+                let count = connection.read(&mut [0; 4_096]).unwrap_or(0);
+                seen.fetch_add(usize::from(count > 0), Ordering::SeqCst);
+                // The other end may be gone.
+                let _ = connection.write_all(answer.as_bytes());
+            }
+        });
+        Self { address, connections }
+    }
+
+    /// Returns how many connections carried a byte, once every earlier one was read.
+    fn requests(&self) -> usize {
+        let before = self.connections.load(Ordering::SeqCst);
+        let mut last = std::net::TcpStream::connect(self.address).unwrap();
+        last.write_all(b"x").unwrap();
+        last.read_to_end(&mut Vec::new()).unwrap_or(0);
+        let after = self.connections.load(Ordering::SeqCst);
+        assert!(after > before);
+        after - 1
+    }
+}
+
+fn call(
+    clock: Clock,
+    address: SocketAddr,
+    expires_ms: u64,
+    body: &str,
+) -> Result<String, CallFailure> {
+    let dispatch = Dispatch {
+        address,
+        backend_server: "order-desk-1".into(),
+        deadline_ms: 5_000,
+        expires_ms,
+        granted_ms: 0,
+        model: false,
+        path: "bookings".into(),
+        request: "entry-1-1-1".to_owned(),
+        sequence: 1,
+    };
+    let settings = DispatchSettings {
+        connect_timeout_ms: 1_000,
+        idle_limit_ms: 1_000,
+        load_interval_ms: 1_000,
+        policy: Policy::Steward,
+        resume_limit: 0,
+    };
+    let request = BackendRequest { body: body.as_bytes(), key: Some("key"), traceparent: None };
+    call_plain(clock, &dispatch, &request, &settings)
+}
+
+fn done() -> Server {
+    Server::start("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}")
+}
+
+#[test]
+fn no_byte_is_sent_once_the_grant_has_expired() {
+    for body in ["", "{}"] {
+        let server = done();
+
+        let answer = call(Clock::start(), server.address, 0, body);
+
+        assert_eq!(answer, Err(CallFailure::Expired));
+        assert_eq!(server.requests(), 0);
+    }
+}
+
+#[test]
+fn a_refused_connection_counts_as_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+
+    let answers = ["", "{}"].map(|body| call(Clock::start(), address, u64::MAX, body));
+
+    assert_eq!(answers, [Err(CallFailure::NotSent), Err(CallFailure::NotSent)]);
+}
+
+#[test]
+fn a_call_that_counts_as_not_sent_has_sent_no_byte() {
+    for body in ["", "{}"] {
+        let server = done();
+        let clock = Clock::start();
+        let may_have_sent = |index: &u64| {
+            let expires_ms = clock.monotonic_ms() + index % 3;
+            let answer = call(clock, server.address, expires_ms, body);
+            !matches!(answer, Err(CallFailure::Expired | CallFailure::NotSent))
+        };
+
+        let sent = (0..CALLS).filter(may_have_sent).count();
+
+        assert_eq!(server.requests(), sent, "body {body:?}");
+    }
+}
+
+#[test]
+fn a_call_is_not_sent_on_to_where_a_backend_server_points() {
+    for status in [301, 302, 307, 308] {
+        let other = done();
+        let server = Server::start(&format!(
+            "HTTP/1.1 {status} Moved\r\nLocation: http://{}/v1/call/bookings\r\n\
+             Content-Length: 0\r\nConnection: close\r\n\r\n",
+            other.address
+        ));
+
+        let answer = call(Clock::start(), server.address, u64::MAX, "{}");
+
+        assert_eq!(other.requests(), 0, "status {status}");
+        assert_eq!(answer, Err(CallFailure::Status(status)));
+    }
+}
