Forget the answers of requests that did not run here

Cause: the answer to a refused request, and the copy of another request's answer, stayed in memory: only a bound of bytes ended them, which empty answers never reach. Before: tests/answer_memory.rs, 2 of 2 tests fail. After: both pass.

--- a/src/serve_request.rs
+++ b/src/serve_request.rs
@@ -33,6 +33,7 @@
     caller_gone: bool,
     cancelled: bool,
     log: Arc<AnswerLog>,
+    ran: bool,
     /// The trace that the request belongs to.
     pub trace: RequestTrace,
     writer: Box<dyn AnswerWriter>,
@@ -66,6 +67,7 @@
             cancelled: false,
             commands,
             log,
+            ran: false,
             request,
             trace,
             traffic,
@@ -123,7 +125,11 @@
         }
         self.trace.end(&self.traffic);
         self.traffic.runners.remove(sequence);
-        self.traffic.answer_logs.settle(sequence);
+        match self.ran {
+            true => self.traffic.answer_logs.settle(sequence),
+            // Those who joined have the answer; nobody else comes for it here.
+            false => self.traffic.answer_logs.forget(sequence),
+        }
     }
 
     fn end(&mut self, end: &AnswerEnd) {
@@ -195,6 +201,7 @@
             false => run_plain(self, dispatch),
         };
         self.trace.end_dispatch(&self.traffic, started_ms);
+        self.ran = matches!(run_end, RunEnd::Ended(..));
         match run_end {
             RunEnd::Ended(AnswerEnd::Done(_), progress) => {
                 let totals = self.log.finish();
--- /dev/null
+++ b/tests/answer_memory.rs
@@ -0,0 +1,77 @@
+//! Tests of which answers stay in memory once their requests ended.
+
+use std::io;
+use std::sync::Arc;
+use std::thread;
+
+use bergamotspan::answer_log::AnswerEnd;
+use bergamotspan::answer_writer::AnswerWriter;
+use bergamotspan::answers;
+use bergamotspan::clock::Clock;
+use bergamotspan::control::ControlInput;
+use bergamotspan::event::Arrival;
+use bergamotspan::parse_settings::parse_settings;
+use bergamotspan::read_request::ReadRequest;
+use bergamotspan::runners::RunnerCommand;
+use bergamotspan::serve_request::RequestRunner;
+use bergamotspan::telemetry::NoTelemetry;
+use bergamotspan::traffic::Traffic;
+
+const HOLDER: u64 = 1;
+const SEQUENCE: u64 = 2;
+const SETTINGS: &str = include_str!("../examples/entry-1-settings.ini");
+
+/// A caller that passes over its answer.
+struct Caller;
+
+impl AnswerWriter for Caller {
+    fn end(&mut self, _end: &AnswerEnd) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn events(&mut self, _events: &[Arc<str>]) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn keep_alive(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// An instance's threads, with a control thread that only listens.
+fn arrange() -> (Arc<Traffic>, flume::Receiver<ControlInput>) {
+    let settings = Arc::new(parse_settings("settings", SETTINGS).unwrap());
+    let (control, inputs) = flume::unbounded();
+    let traffic = Traffic::new(Clock::start(), control, settings, Arc::new(NoTelemetry));
+    (Arc::new(traffic), inputs)
+}
+
+fn serve_with(traffic: &Arc<Traffic>, command: RunnerCommand) {
+    let arrival = Arrival { sequence: SEQUENCE, ..Arrival::default() };
+    let request = ReadRequest { arrival, ..ReadRequest::default() };
+    let runner = RequestRunner::new(traffic.clone(), request, Box::new(Caller));
+    traffic.runners.tell(SEQUENCE, command);
+    thread::spawn(move || runner.serve()).join().unwrap();
+}
+
+#[test]
+fn the_answer_of_a_request_that_was_refused_is_forgotten() {
+    let (traffic, _inputs) = arrange();
+
+    serve_with(&traffic, RunnerCommand::Answer(answers::missing_key()));
+
+    assert!(traffic.answer_logs.find(SEQUENCE).is_none());
+}
+
+#[test]
+fn the_copy_of_an_answer_of_another_request_is_forgotten() {
+    let (traffic, _inputs) = arrange();
+    let held = traffic.answer_logs.open(HOLDER);
+    held.push("{}".into());
+    held.finish();
+
+    serve_with(&traffic, RunnerCommand::JoinLocal { holder: HOLDER });
+
+    assert!(traffic.answer_logs.find(SEQUENCE).is_none());
+    assert!(traffic.answer_logs.find(HOLDER).is_some());
+}
