Prove at most once with seven real processes under failure

The counter at the plain service is the judge: no key and no request runs twice, and each execution has a send that was not told 'not_run'. After each failure fresh keys are granted within a bound.

--- /dev/null
+++ b/tests/at_most_once.rs
@@ -0,0 +1,274 @@
+//! Tests that a key runs at most once while processes die and pause, with real processes.
+//!
+//! Each row of a test names the processes that fail and the step at which they do. The key is
+//! sent again through other instances during the failure, and through all once it is over.
+
+mod bookings;
+
+use bookings::{ALL_LIMIT_MS, Bookings, LONG_PAUSE_MS, OTHERS_LIMIT_MS, bookings};
+use standins::caller::Outcome;
+use standins::fleet::Process;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+const INSTANCES: usize = 7;
+const SERVERS: [&str; 2] = ["order-desk-1", "order-desk-2"];
+
+/// What happens to a process.
+#[derive(Clone, Copy, PartialEq)]
+enum Act {
+    Kill,
+    Pause,
+}
+
+/// Where a request is when processes fail.
+#[derive(Clone, Copy, PartialEq)]
+enum Step {
+    /// The request is sent during the failure.
+    BeforeGrant,
+    /// Its key is granted, and its bid waits at a steward that is paused.
+    AfterGrant,
+    /// It runs, and its answer is not there yet.
+    AfterFirstByte,
+}
+
+/// Which process fails.
+#[derive(Clone, Copy)]
+enum Who {
+    Home,
+    Receiver,
+    Server(usize),
+}
+
+use Act::{Kill, Pause};
+use Step::{AfterFirstByte, AfterGrant, BeforeGrant};
+use Who::{Home, Receiver, Server};
+
+/// One row: processes that fail at a step of a request.
+struct Row {
+    bookings: Bookings,
+    failures: Vec<(Who, Act)>,
+    /// Names of the instances, the steward last.
+    names: Vec<String>,
+}
+
+impl Row {
+    fn arrange(failures: &[(Who, Act)]) -> Self {
+        let bookings = Bookings::start(bookings(INSTANCES));
+        let steward = bookings.steward();
+        let mut names = bookings.names();
+        names.retain(|name| *name != steward);
+        names.push(steward);
+        Self { bookings, failures: failures.to_vec(), names }
+    }
+
+    fn receiver(&self) -> &str {
+        &self.names[0]
+    }
+
+    fn home(&self) -> &str {
+        &self.names[1]
+    }
+
+    /// Returns instances that do not fail.
+    fn others(&self) -> &[String] {
+        &self.names[2..6]
+    }
+
+    fn steward(&mut self) -> &mut Process {
+        let name = self.names[6].clone();
+        &mut self.bookings.fleet.instance(&name).unwrap().process
+    }
+
+    fn name_of(&self, who: Who) -> String {
+        match who {
+            Home => self.home().to_owned(),
+            Receiver => self.receiver().to_owned(),
+            Server(number) => SERVERS[number].to_owned(),
+        }
+    }
+
+    fn process(&mut self, who: Who) -> &mut Process {
+        let name = self.name_of(who);
+        match who {
+            Server(_) => &mut self.bookings.fleet.backend(&name).unwrap().process,
+            _ => &mut self.bookings.fleet.instance(&name).unwrap().process,
+        }
+    }
+
+    fn fail(&mut self) {
+        for (who, act) in self.failures.clone() {
+            match act {
+                Kill => self.process(who).kill(),
+                Pause => self.process(who).stop().unwrap(),
+            }
+        }
+    }
+
+    fn mend(&mut self) {
+        for (who, act) in self.failures.clone() {
+            let name = self.name_of(who);
+            match (act, who) {
+                (Kill, Server(_)) => self.bookings.fleet.restart_backend(&name).unwrap(),
+                (Kill, _) => self.bookings.fleet.restart_instance(&name).unwrap(),
+                (Pause, _) => self.process(who).cont().unwrap(),
+            }
+        }
+    }
+
+    /// Sends the request and lets the processes fail when it is at the step.
+    fn send_and_fail(&mut self, step: Step, key: &str) -> JoinHandle<Option<Outcome>> {
+        let receiver = self.receiver().to_owned();
+        match step {
+            BeforeGrant => {
+                self.fail();
+                self.bookings.send_in_background(&receiver, key)
+            }
+            AfterGrant => {
+                self.steward().stop().unwrap();
+                let first = self.bookings.send_in_background(&receiver, key);
+                self.bookings.wait_granted(self.home());
+                self.fail();
+                first
+            }
+            AfterFirstByte => {
+                let first = self.bookings.send_in_background(&receiver, key);
+                self.bookings.wait_executed(key);
+                self.fail();
+                first
+            }
+        }
+    }
+}
+
+/// Runs one row and judges it.
+fn check(step: Step, failures: &[(Who, Act)]) {
+    let mut row = Row::arrange(failures);
+    let key = row.bookings.key_at(row.home());
+    let mut calls = vec![row.send_and_fail(step, &key)];
+    for name in &row.others()[..2] {
+        calls.push(row.bookings.send_in_background(name, &key));
+    }
+    if failures.iter().any(|(_, act)| *act == Pause) {
+        thread::sleep(Duration::from_millis(LONG_PAUSE_MS));
+    }
+    row.bookings.check_useful(&row.names[2], &row.others()[2..], OTHERS_LIMIT_MS);
+    row.mend();
+    if step == AfterGrant {
+        row.steward().cont().unwrap();
+    }
+    row.bookings.send_through(&row.bookings.names(), &key);
+    for call in calls {
+        call.join().unwrap();
+    }
+    row.bookings.check_useful(&row.names[3], &row.names[..2], ALL_LIMIT_MS);
+    row.bookings.send_through(&row.bookings.names(), &key);
+    row.bookings.judge();
+}
+
+#[test]
+fn a_key_sent_to_all_instances_at_once_runs_once() {
+    let bookings = Bookings::start(bookings(INSTANCES));
+    for home in ["entry-1", "entry-4", "entry-7"] {
+        let key = bookings.key_at(home);
+        let names = bookings.names();
+        let twice: Vec<&String> = names.iter().chain(&names).collect();
+
+        let told = bookings.send_through(&twice, &key);
+
+        let done = told.iter().filter(|told| **told == Some(Outcome::Done)).count();
+        assert_eq!(done, twice.len(), "{told:?}");
+    }
+    bookings.judge();
+}
+
+#[test]
+fn the_receiver_is_killed_after_its_grant() {
+    check(AfterGrant, &[(Receiver, Kill)]);
+}
+
+#[test]
+fn the_receiver_is_killed_after_the_first_byte() {
+    check(AfterFirstByte, &[(Receiver, Kill)]);
+}
+
+#[test]
+fn the_receiver_is_paused_after_its_grant() {
+    check(AfterGrant, &[(Receiver, Pause)]);
+}
+
+#[test]
+fn the_receiver_is_paused_after_the_first_byte() {
+    check(AfterFirstByte, &[(Receiver, Pause)]);
+}
+
+#[test]
+fn the_home_is_killed_before_the_grant() {
+    check(BeforeGrant, &[(Home, Kill)]);
+}
+
+#[test]
+fn the_home_is_killed_after_its_grant() {
+    check(AfterGrant, &[(Home, Kill)]);
+}
+
+#[test]
+fn the_home_is_killed_after_the_first_byte() {
+    check(AfterFirstByte, &[(Home, Kill)]);
+}
+
+#[test]
+fn the_home_is_paused_before_the_grant() {
+    check(BeforeGrant, &[(Home, Pause)]);
+}
+
+#[test]
+fn the_home_is_paused_after_its_grant() {
+    check(AfterGrant, &[(Home, Pause)]);
+}
+
+#[test]
+fn the_home_is_paused_after_the_first_byte() {
+    check(AfterFirstByte, &[(Home, Pause)]);
+}
+
+#[test]
+fn a_backend_server_is_killed_before_the_grant() {
+    check(BeforeGrant, &[(Server(0), Kill)]);
+}
+
+#[test]
+fn the_backend_servers_are_killed_after_the_first_byte() {
+    let mut row = Row::arrange(&[(Server(0), Kill), (Server(1), Kill)]);
+    let key = row.bookings.key_at(row.home());
+    let first = row.send_and_fail(AfterFirstByte, &key);
+
+    let during = row.bookings.send_through(&row.others()[..2], &key);
+    row.mend();
+
+    assert!(!during.contains(&Some(Outcome::Done)), "{during:?}");
+    assert_eq!(first.join().unwrap(), Some(Outcome::Unknown));
+    row.bookings.check_useful(&row.names[2], &row.names[..2], OTHERS_LIMIT_MS);
+    row.bookings.send_through(&row.bookings.names(), &key);
+    row.bookings.judge();
+}
+
+#[test]
+fn receiver_and_home_are_killed_at_once() {
+    check(AfterFirstByte, &[(Receiver, Kill), (Home, Kill)]);
+}
+
+#[test]
+fn the_receiver_is_paused_and_the_home_killed_after_the_grant() {
+    check(AfterGrant, &[(Receiver, Pause), (Home, Kill)]);
+}
+
+#[test]
+fn receiver_and_home_are_paused_after_the_grant() {
+    check(AfterGrant, &[(Receiver, Pause), (Home, Pause)]);
+}
+
+#[test]
+fn the_home_is_killed_and_a_backend_server_paused() {
+    check(AfterFirstByte, &[(Home, Kill), (Server(1), Pause)]);
+}
--- /dev/null
+++ b/tests/at_most_once_network.rs
@@ -0,0 +1,169 @@
+//! Tests that a key runs at most once while the network between the instances fails, with real
+//! processes.
+//!
+//! The key is sent on both sides of the failure, and through all instances once it is over.
+
+mod bookings;
+
+use std::thread;
+use std::time::Duration;
+
+use bookings::{ALL_LIMIT_MS, Bookings, LONG_PAUSE_MS, OTHERS_LIMIT_MS, bookings};
+use standins::caller::Outcome;
+use standins::proxy::FaultMode;
+
+const INSTANCES: usize = 7;
+
+/// What fails between the instances.
+#[derive(Clone, Copy)]
+enum Failure {
+    /// Every link of the home.
+    Home(FaultMode),
+    /// The links between the first three instances and the other four.
+    Partition(FaultMode),
+    /// The link between receiver and home.
+    ReceiverAndHome(FaultMode),
+}
+
+/// When the links fail.
+#[derive(Clone, Copy, PartialEq)]
+enum Step {
+    BeforeSend,
+    WhileItRuns,
+}
+
+/// Places of receiver and home in the order of the names; the first three are the smaller side.
+#[derive(Clone, Copy)]
+struct Places {
+    home: usize,
+    receiver: usize,
+}
+
+const ACROSS: Places = Places { home: 5, receiver: 0 };
+const BACK_ACROSS: Places = Places { home: 1, receiver: 4 };
+const SMALLER_SIDE: Places = Places { home: 1, receiver: 0 };
+
+fn set(bookings: &mut Bookings, places: Places, failure: Failure, heal: bool) {
+    let names = bookings.names();
+    let fleet = &mut bookings.fleet;
+    let choose = |mode| if heal { FaultMode::Pass } else { mode };
+    match failure {
+        Failure::Home(mode) => fleet.fault_instance(&names[places.home], choose(mode)).unwrap(),
+        Failure::Partition(mode) => {
+            for (a, b) in names[..3].iter().flat_map(|a| names[3..].iter().map(move |b| (a, b))) {
+                fleet.fault_link(a, b, choose(mode)).unwrap();
+            }
+        }
+        Failure::ReceiverAndHome(mode) => {
+            let (home, receiver) = (&names[places.home], &names[places.receiver]);
+            fleet.fault_link(receiver, home, choose(mode)).unwrap();
+        }
+    }
+}
+
+/// Runs one row and judges it; the home may die, too.
+fn check_with(places: Places, failure: Failure, step: Step, home_dies: bool) {
+    let mut bookings = Bookings::start(bookings(INSTANCES));
+    let names = bookings.names();
+    let (home, receiver) = (&names[places.home], &names[places.receiver]);
+    let key = bookings.key_at(home);
+    if step == Step::BeforeSend {
+        set(&mut bookings, places, failure, false);
+    }
+    let mut calls = vec![bookings.send_in_background(receiver, &key)];
+    if step == Step::WhileItRuns {
+        bookings.wait_executed(&key);
+        set(&mut bookings, places, failure, false);
+    }
+    if home_dies {
+        bookings.fleet.restart_instance(home).unwrap();
+    }
+    for _ in 0..2 {
+        let both_sides = [2, 3, 6].map(|at| bookings.send_in_background(&names[at], &key));
+        calls.extend(both_sides);
+        thread::sleep(Duration::from_millis(LONG_PAUSE_MS / 2));
+    }
+    bookings.check_useful(&names[3], &[&names[4], &names[6]], OTHERS_LIMIT_MS);
+    set(&mut bookings, places, failure, true);
+    bookings.send_through(&names, &key);
+    for call in calls {
+        call.join().unwrap();
+    }
+    bookings.check_useful(&names[2], &[home, receiver], ALL_LIMIT_MS);
+    bookings.send_through(&names, &key);
+    bookings.judge();
+}
+
+fn check(places: Places, failure: Failure, step: Step) {
+    check_with(places, failure, step, false);
+}
+
+#[test]
+fn a_partition_between_receiver_and_home_before_the_send() {
+    check(ACROSS, Failure::Partition(FaultMode::Cut), Step::BeforeSend);
+}
+
+#[test]
+fn a_partition_between_receiver_and_home_while_it_runs() {
+    check(ACROSS, Failure::Partition(FaultMode::Freeze), Step::WhileItRuns);
+}
+
+#[test]
+fn a_partition_with_the_home_on_the_smaller_side() {
+    check(BACK_ACROSS, Failure::Partition(FaultMode::Freeze), Step::WhileItRuns);
+}
+
+#[test]
+fn a_partition_with_both_on_the_smaller_side() {
+    check(SMALLER_SIDE, Failure::Partition(FaultMode::Freeze), Step::BeforeSend);
+}
+
+#[test]
+fn the_home_is_not_heard_one_way() {
+    check(ACROSS, Failure::Home(FaultMode::FreezeToClient), Step::BeforeSend);
+}
+
+#[test]
+fn the_home_does_not_hear_one_way() {
+    check(ACROSS, Failure::Home(FaultMode::FreezeToTarget), Step::BeforeSend);
+}
+
+#[test]
+fn the_receiver_and_the_home_hear_each_other_one_way() {
+    check(ACROSS, Failure::ReceiverAndHome(FaultMode::FreezeToClient), Step::WhileItRuns);
+    // Either end may have opened the link.
+    check(BACK_ACROSS, Failure::ReceiverAndHome(FaultMode::FreezeToClient), Step::BeforeSend);
+}
+
+#[test]
+fn the_links_of_the_home_go_silent_for_good() {
+    check(ACROSS, Failure::Home(FaultMode::HalfOpen), Step::BeforeSend);
+}
+
+#[test]
+fn a_partition_and_a_home_replaced_in_place() {
+    check_with(BACK_ACROSS, Failure::Partition(FaultMode::Freeze), Step::WhileItRuns, true);
+}
+
+#[test]
+fn links_gone_silent_and_a_home_replaced_in_place() {
+    check_with(ACROSS, Failure::Home(FaultMode::HalfOpen), Step::WhileItRuns, true);
+}
+
+#[test]
+fn a_claim_that_is_held_back_beyond_its_limit_is_not_run_twice() {
+    let mut bookings = Bookings::start(bookings(INSTANCES));
+    let names = bookings.names();
+    let key = bookings.key_at(&names[5]);
+    let held_back = Failure::ReceiverAndHome(FaultMode::Freeze);
+    set(&mut bookings, ACROSS, held_back, false);
+
+    let first = bookings.send(&names[0], &key);
+    set(&mut bookings, ACROSS, held_back, true);
+    bookings.check_useful(&names[3], &[&names[5]], ALL_LIMIT_MS);
+    let again = bookings.send_through(&names, &key);
+
+    assert_eq!(first, Some(Outcome::NotRun));
+    assert!(again.contains(&Some(Outcome::Done)), "{again:?}");
+    bookings.judge();
+}
--- /dev/null
+++ b/tests/bookings/mod.rs
@@ -0,0 +1,242 @@
+//! A fleet that takes bookings, and a record of what its callers were told.
+//!
+//! The counter at the plain service is the judge. No key may be executed twice, no request may be
+//! executed twice, and an execution of a key needs a send that was not told `not_run`.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub mod turn;
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use bergamotspan::inventory::{Instance, Inventory};
+use bergamotspan::name::Name;
+use bergamotspan::view::View;
+use serde_json::{Value, json};
+use standins::caller::{Call, Outcome};
+use standins::fleet::{Fleet, FleetBuilder, ServiceSpec, get_json, wait_until};
+use standins::plain_service::Executions;
+use turn::Turn;
+use uuid::Uuid;
+
+/// Clock margin of the instances, in milliseconds.
+pub const CLOCK_MARGIN_MS: u64 = 50;
+/// Confirmation window of the instances, in milliseconds.
+pub const WINDOW_MS: u64 = 600;
+/// A pause longer than the confirmation window, a grant and the wait for a home together.
+pub const LONG_PAUSE_MS: u64 = 3_000;
+/// Longest time after which fresh keys are granted by homes that a fault does not touch: the time
+/// within which a silent connection has to be found.
+pub const OTHERS_LIMIT_MS: u64 = 5_000;
+/// Longest time after which every home grants fresh keys once a fault is over: a silent link is
+/// found, two windows of abstention, one to hear the others and one to settle.
+pub const ALL_LIMIT_MS: u64 = OTHERS_LIMIT_MS + 4 * WINDOW_MS;
+
+const CALL_LIMIT_MS: u64 = 8_000;
+const CUSTOMER: &str = "customer-1";
+const SERVICE: &str = "order-desk";
+const SERVICE_DELAY_MS: &str = "600";
+const SETTLE_LIMIT_MS: u64 = 20_000;
+
+/// What one send was told; `None` if its answer broke off.
+type Told = Option<Outcome>;
+
+/// What every send of every key was told.
+type Sends = Arc<Mutex<BTreeMap<String, Vec<Told>>>>;
+
+/// A fleet that takes bookings.
+pub struct Bookings {
+    /// The fleet.
+    pub fleet: Fleet,
+    sends: Sends,
+    _turn: Turn,
+}
+
+/// Describes a fleet with short windows and two servers that take bookings.
+pub fn bookings(instances: usize) -> FleetBuilder {
+    let options = ["--delay-ms", SERVICE_DELAY_MS];
+    let service = ServiceSpec::plain(SERVICE, 2).idempotent(false).options(&options);
+    Fleet::builder()
+        .instances(instances)
+        .service(service.token_limit_tokens(16_384).prefill_tokens_per_s(20_000))
+        .proxy_peers()
+        .setting("keys", "clock_margin_ms", CLOCK_MARGIN_MS)
+        .setting("peer", "confirmation_window_ms", WINDOW_MS)
+        .setting("peer", "heartbeat_interval_ms", 100)
+}
+
+impl Bookings {
+    /// Starts a fleet and waits until every instance may grant keys.
+    pub fn start(builder: FleetBuilder) -> Self {
+        let turn = Turn::wait();
+        let fleet = builder.start().unwrap();
+        let bookings = Self { fleet, sends: Sends::default(), _turn: turn };
+        bookings.wait_lawful(&bookings.names(), SETTLE_LIMIT_MS);
+        // Keys have to be minted more than twice the clock margin after that.
+        thread::sleep(Duration::from_millis(3 * CLOCK_MARGIN_MS));
+        bookings
+    }
+
+    /// Returns the names of the instances that run or are paused, in the order of their start.
+    pub fn names(&self) -> Vec<String> {
+        self.fleet.instances.iter().map(|instance| instance.name.clone()).collect()
+    }
+
+    /// Mints a key whose home is the given instance, by the inventory that is published next.
+    ///
+    /// # Panics
+    ///
+    /// Panics if that inventory lacks the instance.
+    pub fn key_at(&self, home: &str) -> String {
+        let view = self.view();
+        assert!(view.members().iter().any(|name| **name == *home), "{home} is not published");
+        let mut keys = (0..).map(|_| Uuid::now_v7().to_string());
+        keys.find(|key| *view.home(key) == *home).unwrap()
+    }
+
+    /// Sends a booking and returns what its caller is told.
+    pub fn send(&self, instance: &str, key: &str) -> Told {
+        self.send_in_background(instance, key).join().unwrap()
+    }
+
+    /// Sends a booking of a key through each of several instances at the same moment.
+    pub fn send_through<S>(&self, instances: &[S], key: &str) -> Vec<Told>
+    where
+        S: AsRef<str>,
+    {
+        let calls: Vec<_> =
+            instances.iter().map(|name| self.send_in_background(name.as_ref(), key)).collect();
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    }
+
+    /// Sends a booking on a thread of its own.
+    pub fn send_in_background(&self, instance: &str, key: &str) -> JoinHandle<Told> {
+        self.send_body(instance, key, json!({ "nonce": key }))
+    }
+
+    /// Sends a booking with the given body on a thread of its own.
+    pub fn send_body(&self, instance: &str, key: &str, body: Value) -> JoinHandle<Told> {
+        let names = self.names();
+        let at = names.iter().position(|name| name == instance).unwrap();
+        let call = Call::new(self.fleet.instances[at].caller_address, SERVICE, body)
+            .customer(CUSTOMER)
+            .deadline_ms(CALL_LIMIT_MS)
+            .key(key)
+            .path("bookings")
+            .timeout_ms(CALL_LIMIT_MS);
+        let (key, sends) = (key.to_owned(), self.sends.clone());
+        thread::spawn(move || {
+            let told = call.send().ok().and_then(|answer| answer.outcome);
+            sends.lock().unwrap().entry(key).or_default().push(told);
+            told
+        })
+    }
+
+    /// Waits until a key was executed.
+    pub fn wait_executed(&self, key: &str) {
+        wait_until("an execution", OTHERS_LIMIT_MS, || {
+            self.fleet.executions_of_key(key).is_ok_and(|count| count > 0)
+        })
+        .unwrap();
+    }
+
+    /// Waits until an instance remembers a key or more.
+    pub fn wait_granted(&self, home: &str) {
+        wait_until("a granted key", OTHERS_LIMIT_MS, || {
+            self.status(home).is_some_and(|status| status["keys"]["remembered"] != json!(0))
+        })
+        .unwrap();
+    }
+
+    /// Waits until the instances may grant keys.
+    pub fn wait_lawful<S>(&self, instances: &[S], limit_ms: u64)
+    where
+        S: AsRef<str>,
+    {
+        let is_lawful = |name: &S| {
+            self.status(name.as_ref())
+                .is_some_and(|status| status["standing"]["lawful"] == json!(true))
+        };
+        wait_until("lawful homes", limit_ms, || instances.iter().all(is_lawful)).unwrap();
+    }
+
+    /// Waits until the instances use a list version.
+    pub fn wait_list(&self, instances: &[String], version: u64) {
+        let has_it = |name: &String| {
+            self.status(name).is_some_and(|status| status["list_version"] == json!(version))
+        };
+        wait_until("the list", SETTLE_LIMIT_MS, || instances.iter().all(has_it)).unwrap();
+    }
+
+    /// Checks that a fresh key of each home is granted and runs within a bound.
+    pub fn check_useful<S>(&self, receiver: &str, homes: &[S], limit_ms: u64)
+    where
+        S: AsRef<str>,
+    {
+        let started = Instant::now();
+        for home in homes {
+            let is_done = || {
+                let key = self.key_at(home.as_ref());
+                self.send(receiver, &key) == Some(Outcome::Done)
+            };
+            let used_ms = started.elapsed().as_millis() as u64;
+            let left_ms = limit_ms.saturating_sub(used_ms);
+            let name = format!("fresh keys of {} through {receiver}", home.as_ref());
+            wait_until(&name, left_ms, is_done).unwrap();
+        }
+    }
+
+    /// Checks every execution against what the callers were told.
+    pub fn judge(&self) {
+        let sends = self.sends.lock().unwrap();
+        let executions = self.executions();
+        for (request, count) in &executions.requests {
+            assert_eq!(*count, 1, "request {request} ran {count} times");
+        }
+        for (key, told) in sends.iter() {
+            let count = executions.keys.get(key).copied().unwrap_or(0);
+            let is_done = told.contains(&Some(Outcome::Done));
+            let may_have_run = told.iter().any(|told| *told != Some(Outcome::NotRun));
+            assert!(count <= 1, "key {key} ran {count} times: {told:?}");
+            assert!(count == 0 || may_have_run, "key {key} ran, but all were told: {told:?}");
+            assert!(count == 1 || !is_done, "key {key} did not run, but was told: {told:?}");
+        }
+    }
+
+    /// Returns how often keys and requests were executed by all servers together.
+    pub fn executions(&self) -> Executions {
+        let mut sum = Executions::default();
+        for backend in &self.fleet.backends {
+            let part: Executions = get_json(backend.address, "/v1/executions").unwrap();
+            part.keys.into_iter().for_each(|(key, n)| *sum.keys.entry(key).or_default() += n);
+            let requests = part.requests.into_iter();
+            requests.for_each(|(id, n)| *sum.requests.entry(id).or_default() += n);
+        }
+        sum
+    }
+
+    /// Returns the status page of an instance, if it answers.
+    pub fn status(&self, name: &str) -> Option<Value> {
+        let instance = self.fleet.instances.iter().find(|instance| instance.name == name)?;
+        get_json(instance.caller_address, "/status").ok()
+    }
+
+    /// Returns the instance that is steward of the bookings while all live.
+    pub fn steward(&self) -> String {
+        let names: Vec<Name> = self.names().iter().map(|name| name.as_str().into()).collect();
+        self.view().steward(SERVICE, &names).unwrap().to_string()
+    }
+
+    fn view(&self) -> View {
+        let instances = self.fleet.inventory.instances.iter().map(|row| Instance {
+            caller_address: row.caller_address,
+            data_centre: row.data_centre.as_str().into(),
+            name: row.name.as_str().into(),
+            peer_address: row.peer_address,
+        });
+        let inventory = Inventory { instances: instances.collect(), ..Inventory::default() };
+        View::of(&inventory, "observer".into())
+    }
+}
--- /dev/null
+++ b/tests/bookings/turn.rs
@@ -0,0 +1,32 @@
+//! Keeps the number of fleets that run at once in one test program small.
+
+use std::sync::{Condvar, Mutex};
+
+const FLEETS_AT_ONCE: usize = 5;
+
+static CHANGED: Condvar = Condvar::new();
+static RUNNING: Mutex<usize> = Mutex::new(0);
+
+/// Leave to run a fleet, given back when it is dropped.
+#[derive(Debug)]
+pub struct Turn;
+
+impl Turn {
+    /// Waits for leave to run a fleet.
+    pub fn wait() -> Self {
+        let running = RUNNING.lock().unwrap();
+        let mut running =
+            CHANGED.wait_while(running, |running| *running >= FLEETS_AT_ONCE).unwrap();
+        *running += 1;
+        Self
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        // A panic of another test does not touch the count.
+        let mut running = RUNNING.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        *running -= 1;
+        CHANGED.notify_one();
+    }
+}
