Count a request in for as long as it is heard of, and test lost grants

Each report now moves the time of forgetting.

tests/lost_grants.rs with both mechanisms off: three of four tests fail (a late death, a late first token, tokens beyond the deadline); with them on, all pass. tests/decision_cost.rs passes (2 tests, 20 s in a debug build).

--- a/src/learning.rs
+++ b/src/learning.rs
@@ -55,8 +55,8 @@
     fn hear(&mut self, now_ms: u64, request: &RequestId) {
         let Some(running) = self.running.get(request) else { return };
         let backend_server = running.backend_server.clone();
-        if !running.heard {
-            let forget_ms = RunningRequests::overdue_ms(running.deadline_ms);
+        let forget_ms = RunningRequests::overdue_ms(running.deadline_ms.max(now_ms));
+        if !running.heard || running.forget_ms < forget_ms {
             self.running.hear(request, forget_ms);
         }
         self.succeed(now_ms, &backend_server);
--- /dev/null
+++ b/tests/lost_grants.rs
@@ -0,0 +1,91 @@
+//! Tests of grants that counted as lost and are heard of after all.
+
+mod schedulers;
+
+use bergamotspan::lost_grants::{LOST_GRANTS_LIMIT, LostGrants};
+use bergamotspan::running_requests::Running;
+use bergamotspan::scheduling::Progress;
+use bergamotspan::steward::SETTLE_MS;
+use schedulers::{BidBuilder, Harness, InventoryBuilder};
+
+/// Time after which a grant that is not heard of counts as lost in any case, in milliseconds.
+const LOST_MS: u64 = 30_000;
+const TIME_LEFT_MS: u64 = 100_000;
+
+fn with_a_lost_grant() -> Harness {
+    let mut harness = Harness::steward(InventoryBuilder::new().engine("e1", 1_000));
+    harness.advance(SETTLE_MS);
+    let granted = harness.bid(bid(1)).granted();
+    assert_eq!(granted.len(), 1);
+    harness.advance(LOST_MS);
+    harness.tick();
+    assert_eq!(harness.engine("e1").running_requests, 0);
+    harness
+}
+
+fn bid(sequence: u64) -> BidBuilder {
+    BidBuilder::new(sequence).prompt_tokens(800).time_left_ms(TIME_LEFT_MS)
+}
+
+#[test]
+fn a_late_death_takes_the_server_out_of_use() {
+    let mut harness = with_a_lost_grant();
+
+    harness.progress(1, Progress::Died);
+
+    assert!(harness.bid(bid(2)).granted().is_empty());
+}
+
+#[test]
+fn a_request_that_is_heard_of_late_counts_as_running() {
+    let mut harness = with_a_lost_grant();
+
+    harness.progress(1, Progress::FirstToken { elapsed_ms: LOST_MS });
+
+    assert!(harness.bid(bid(2)).granted().is_empty());
+    let finished = Progress::Finished { cached_tokens: 0, output_tokens: 1 };
+    assert_eq!(harness.progress(1, finished).granted().len(), 1);
+}
+
+#[test]
+fn a_late_request_counts_while_its_tokens_arrive() {
+    let mut harness = Harness::steward(InventoryBuilder::new().engine("e1", 1_000));
+    harness.advance(SETTLE_MS);
+    harness.bid(bid(1).time_left_ms(2_000));
+    harness.progress(1, Progress::FirstToken { elapsed_ms: 100 });
+    harness.advance(6_000);
+
+    harness.progress(1, Progress::Tokens { between_tokens_ms: 20, output_tokens: 10 });
+    harness.advance(3_000);
+    harness.tick();
+
+    assert_eq!(harness.engine("e1").running_requests, 1);
+}
+
+#[test]
+fn remembers_a_bounded_number() {
+    let mut lost_grants = LostGrants::default();
+
+    for sequence in 0..LOST_GRANTS_LIMIT as u64 + 10 {
+        lost_grants.insert(running(sequence), 1_000 + sequence);
+    }
+
+    assert_eq!(lost_grants.len(), LOST_GRANTS_LIMIT);
+    lost_grants.expire(u64::MAX);
+    assert!(lost_grants.is_empty());
+}
+
+fn running(sequence: u64) -> Running {
+    Running {
+        backend_server: "e1".into(),
+        bid: bid(sequence).build(),
+        bid_again: None,
+        cost_tokens: 1,
+        deadline_ms: 0,
+        forget_ms: 0,
+        granted_ms: 0,
+        heard: false,
+        prefill_backlog_tokens: 0,
+        prefill_tokens: 0,
+    }
+}
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -182,7 +182,8 @@
 
     /// Sends a bid again, of a request that waits or whose grant may have been lost.
     ///
-    /// A receiver ends a request that runs at its deadline, and bids for none that ended.
+    /// A receiver bids for no request that it had a token of; such bids are tried all the same
+    /// until the deadline.
     pub fn resend(&mut self, pick: usize) {
         let may_bid = |entry: &Request| match entry.status {
             Status::Ended => false,
