Run both deployments in the experiment tool, at a fraction of their capacity

A burst, a straggler, a dead engine and a killed instance are switches. A caller whose connection is refused goes to the next address, as behind a balancer. Wasted prefill is what the engines computed beyond the least that the answers in time needed: each prompt's own part, and each shared prefix once. Inversions come from the stewards' counts.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 cargo build --quiet --workspace --release
 exec target/release/standins experiment --deployment norrland --policy steward --seed 1 \
-  --load 0.7 --seconds 10
+  --load 0.7 --duration-ms 10000
--- a/standins/src/caller/call.rs
+++ b/standins/src/caller/call.rs
@@ -1,9 +1,10 @@
 //! One call to an instance.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use attohttpc::{Method, ProxySettings, RequestBuilder};
+use attohttpc::{ErrorKind, Method, ProxySettings, RequestBuilder};
 use serde_json::Value;
 use thiserror::Error;
 
@@ -25,6 +26,18 @@
     Connection(attohttpc::Error),
 }
 
+impl CallError {
+    /// Returns whether the connection was refused, so that nothing was sent.
+    pub fn is_refused(&self) -> bool {
+        let Self::Connection(error) = self else { return false };
+        match error.kind() {
+            ErrorKind::ConnectError { .. } => true,
+            ErrorKind::Io(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+            _ => false,
+        }
+    }
+}
+
 /// Builds and sends one call.
 #[derive(Clone, Debug)]
 pub struct Call {
--- /dev/null
+++ b/standins/src/experiment/capacity.rs
@@ -0,0 +1,65 @@
+//! Capacity of a set of engines for a mix, by the engines' own time model.
+//!
+//! An engine at its most streams spends, on each request, the time of its prompt without the
+//! shared prefix, which is taken to be cached, and for each token of the answer the time of one
+//! decode plus its share of the fixed time of a step.
+
+use crate::load::{Class, Mix};
+
+/// Time model of an engine at speed 1.
+#[derive(Clone, Copy, Debug)]
+pub struct TimeModel {
+    /// Tokens computed in one step.
+    pub batch_tokens: u64,
+    /// Blocks kept in the prefix cache.
+    pub cache_blocks: u64,
+    /// Time per decoded token in microseconds.
+    pub decode_us_per_token: u64,
+    /// Most streams in a batch.
+    pub max_running: u64,
+    /// Time per prompt token in microseconds.
+    pub prefill_us_per_token: u64,
+    /// Fixed time per step in microseconds.
+    pub step_base_us: u64,
+}
+
+impl TimeModel {
+    /// Returns the command-line options of an engine that runs by this model.
+    pub fn options(&self) -> Vec<String> {
+        let pairs = [
+            ("--batch-tokens", self.batch_tokens),
+            ("--cache-blocks", self.cache_blocks),
+            ("--decode-us-per-token", self.decode_us_per_token),
+            ("--max-running", self.max_running),
+            ("--prefill-us-per-token", self.prefill_us_per_token),
+            ("--step-base-us", self.step_base_us),
+        ];
+        pairs.into_iter().flat_map(|(key, value)| [key.to_owned(), value.to_string()]).collect()
+    }
+
+    /// Returns the requests per second of a mix that engines of the given speeds can serve; the
+    /// rate counts also the requests to other services than `service`, which cost nothing here.
+    pub fn capacity_per_s(&self, mix: &Mix, service: &str, speeds: &[f64]) -> f64 {
+        let shares: f64 = mix.classes.iter().map(|class| class.share).sum();
+        let costs = mix.classes.iter().filter(|class| class.service == service);
+        let cost_us: f64 = costs.map(|class| class.share / shares * self.cost_us(class)).sum();
+        speeds.iter().sum::<f64>() * 1_000_000.0 / cost_us
+    }
+
+    fn cost_us(&self, class: &Class) -> f64 {
+        let step_share_us = self.step_base_us as f64 / self.max_running as f64;
+        let token_us = self.decode_us_per_token as f64 + step_share_us;
+        let prompt_tokens = mean_tokens(class.prompt_tokens_min, class.prompt_tokens_max);
+        let output_tokens = mean_tokens(class.output_tokens_min, class.output_tokens_max);
+        prompt_tokens * self.prefill_us_per_token as f64 + output_tokens * token_us
+    }
+}
+
+/// Returns the mean of lengths of which each order of magnitude is equally likely.
+fn mean_tokens(min: u64, max: u64) -> f64 {
+    let (min, max) = (min.max(1) as f64, max.max(min).max(1) as f64);
+    match max > min {
+        true => (max - min) / (max / min).ln(),
+        false => min,
+    }
+}
--- /dev/null
+++ b/standins/src/experiment/setup.rs
@@ -0,0 +1,116 @@
+//! What all trials of an experiment share.
+
+use std::time::Duration;
+
+use super::deployment::Deployment;
+use super::timed_faults::TimedFault;
+use crate::fleet::{Fleet, FleetBuilder, ServiceSpec, TierRow};
+use crate::load::{Mix, Plan};
+
+/// Policy that sends the load to the engines in turn, without bergamotspan.
+pub(super) const DIRECT: &str = "direct";
+
+/// Speeds given to the engines of a service in turn.
+const SPEEDS: [&str; 4] = ["1.0", "0.7", "0.4", "1.3"];
+
+/// Further arrivals for a while.
+#[derive(Clone, Copy, Debug)]
+pub struct Burst {
+    /// Start after the start of the load.
+    pub at: Duration,
+    /// Duration.
+    pub duration: Duration,
+    /// Requests per second, beside the others.
+    pub rate_per_s: f64,
+}
+
+/// What all trials of an experiment share.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Burst, if there is one.
+    pub burst: Option<Burst>,
+    /// Deployment, in place of the services of the mix on equal terms.
+    pub deployment: Option<Deployment>,
+    /// Duration of the arrivals.
+    pub duration: Duration,
+    /// Engines of each service, without a deployment.
+    pub engines: usize,
+    /// Faults under load.
+    pub faults: Vec<TimedFault>,
+    /// Instances, without a deployment.
+    pub instances: usize,
+    /// Classes of requests.
+    pub mix: Mix,
+    /// Requests per second.
+    pub rate_per_s: f64,
+}
+
+impl Setup {
+    pub(super) fn plan(&self, seed: u64) -> Plan {
+        let plan = Plan::poisson(self.mix.clone(), self.rate_per_s, self.duration, seed);
+        match self.burst {
+            Some(burst) => plan.burst(burst.rate_per_s, burst.at, burst.duration, seed),
+            None => plan,
+        }
+    }
+
+    pub(super) fn fleet(&self, policy: &str) -> FleetBuilder {
+        let builder = match self.deployment {
+            Some(deployment) => deployment.fleet(),
+            None => self.equal_services().instances(self.instances),
+        };
+        match policy {
+            DIRECT => builder.instances(0),
+            _ => builder.setting("dispatch", "policy", policy),
+        }
+    }
+
+    fn equal_services(&self) -> FleetBuilder {
+        let mut builder = Fleet::builder();
+        for service in distinct(self.mix.classes.iter().map(|class| &class.service)) {
+            let mut spec = ServiceSpec::model(service, service, self.engines);
+            for (number, speed) in (1..=self.engines).zip(SPEEDS.iter().cycle()) {
+                spec = spec.options_of(number, &["--speed", speed]);
+            }
+            builder = builder.service(spec);
+        }
+        builder = add_tiers(builder, &self.mix);
+        // A request may lower the tier of its customer, but not raise it.
+        let highest = self.mix.classes.first().map_or("", |class| class.tier.as_str());
+        for customer in distinct(self.mix.classes.iter().map(|class| &class.customer)) {
+            builder = builder.customer(customer, highest);
+        }
+        builder
+    }
+}
+
+/// Ranks the tiers in the order in which the mix first names them.
+fn add_tiers(mut builder: FleetBuilder, mix: &Mix) -> FleetBuilder {
+    for (rank, name) in (0..).zip(distinct(mix.classes.iter().map(|class| &class.tier))) {
+        let classes = mix.classes.iter().filter(|class| class.tier == *name);
+        let deadline_ms = classes.clone().map(|class| class.deadline_ms).max().unwrap_or_default();
+        let first_token_ms = classes.filter_map(|class| class.first_token_ms).max();
+        builder = builder.tier_row(TierRow {
+            name: name.clone(),
+            rank,
+            deadline_ms,
+            first_token_ms: first_token_ms.unwrap_or(deadline_ms),
+            between_tokens_ms: deadline_ms,
+        });
+    }
+    builder
+}
+
+/// Returns names without repeats, in the order of their first appearance.
+fn distinct<'a, I>(names: I) -> Vec<&'a String>
+where
+    I: Iterator<Item = &'a String>,
+{
+    let mut found = Vec::new();
+    for name in names {
+        if !found.contains(&name) {
+            found.push(name);
+        }
+    }
+    found
+}
--- /dev/null
+++ b/standins/src/experiment/timed_faults.rs
@@ -0,0 +1,46 @@
+//! Faults that strike a fleet while it is under load.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::fleet::{Fleet, FleetError};
+
+/// What strikes.
+#[derive(Clone, Debug)]
+pub enum Strike {
+    /// A backend server dies.
+    KillBackend(String),
+    /// An instance dies.
+    KillInstance(String),
+    /// An engine changes its speed.
+    Slow(String, f64),
+}
+
+/// A strike and its time after the start of the load.
+#[derive(Clone, Debug)]
+pub struct TimedFault {
+    /// Time.
+    pub at: Duration,
+    /// What strikes.
+    pub strike: Strike,
+}
+
+/// Lets each fault strike at its time.
+///
+/// # Errors
+///
+/// Returns an error if a name is unknown or an engine doesn't answer.
+pub(super) fn strike(fleet: &mut Fleet, faults: &[TimedFault]) -> Result<(), FleetError> {
+    let start = Instant::now();
+    let mut faults = faults.to_vec();
+    faults.sort_by_key(|fault| fault.at);
+    for fault in faults {
+        thread::sleep((start + fault.at).saturating_duration_since(Instant::now()));
+        match fault.strike {
+            Strike::KillBackend(name) => fleet.backend(&name)?.process.kill(),
+            Strike::KillInstance(name) => fleet.instance(&name)?.process.kill(),
+            Strike::Slow(name, speed) => fleet.set_engine_speed(&name, speed)?,
+        }
+    }
+    Ok(())
+}
--- a/standins/src/experiment/trial.rs
+++ b/standins/src/experiment/trial.rs
@@ -1,40 +1,25 @@
 //! One trial: a fresh fleet, one policy, one seed.
 
+use std::fs;
 use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
 use serde::Serialize;
-use serde_json::{Value, json};
+use serde_json::Value;
 
-use crate::engine::EngineStatistics;
-use crate::fleet::{Fleet, FleetBuilder, FleetError, ServiceSpec, TierRow, post_json};
-use crate::load::{LoadReport, Mix, Plan, Target, drive};
+use super::setup::{DIRECT, Setup};
+use super::steward_counts::{self, StewardCounts};
+use super::timed_faults;
+use crate::fleet::{Fleet, FleetError, get_json, wait_until};
+use crate::load::{LoadReport, Target, drive};
 
-/// Policy that sends the load to the engines in turn, without bergamotspan.
-const DIRECT: &str = "direct";
-
-/// Speeds given to the engines of a service in turn.
-const SPEEDS: [&str; 4] = ["1.0", "0.7", "0.4", "1.3"];
-
-/// What all trials of an experiment share.
-#[derive(Clone, Debug)]
-pub struct Setup {
-    /// Duration of the arrivals.
-    pub duration: Duration,
-    /// Engines of each service.
-    pub engines: usize,
-    /// Instances.
-    pub instances: usize,
-    /// Classes of requests.
-    pub mix: Mix,
-    /// Requests per second.
-    pub rate_per_s: f64,
-    /// Time at which the first engine becomes a straggler, if it does.
-    pub straggler_at: Option<Duration>,
-    /// Speed of the straggler.
-    pub straggler_speed: f64,
-}
+/// Longest time until every instance may grant keys.
+const LAWFUL_LIMIT_MS: u64 = 30_000;
+/// Time by which the clocks of instances may differ, in milliseconds.
+const CLOCK_MARGIN_MS: u64 = 1_000;
+/// Page of the system with its load average.
+const LOAD_AVERAGE_FILE: &str = "/proc/loadavg";
 
 /// Result of one trial.
 #[derive(Clone, Debug, Serialize)]
@@ -45,101 +30,78 @@
     pub seed: u64,
     /// Results by tier.
     pub load: LoadReport,
-    /// Prompt tokens computed by all engines.
+    /// Prompt tokens computed by the engines that answer.
     pub prefilled_tokens: u64,
-    /// Prompt tokens found in the caches of all engines.
+    /// Prompt tokens found in the caches of these engines.
     pub cached_tokens: u64,
     /// Prompt tokens computed for streams that were cancelled.
     pub wasted_tokens: u64,
+    /// Prompt tokens computed beyond the least that the answers in time needed.
+    pub wasted_prefill_tokens: u64,
+    /// What the stewards counted.
+    pub stewards: StewardCounts,
+    /// Load average of the machine over the last minute, at the end.
+    pub load_average: f64,
 }
 
 /// Runs the load of a seed under a policy.
 ///
 /// # Errors
 ///
-/// Returns an error if the fleet doesn't start or an engine doesn't answer afterwards.
+/// Returns an error if the fleet doesn't start, a fault names an unknown process or a live engine
+/// doesn't answer afterwards.
 pub fn run_trial(setup: &Setup, policy: &str, seed: u64) -> Result<TrialResult, FleetError> {
-    let plan = Plan::poisson(setup.mix.clone(), setup.rate_per_s, setup.duration, seed);
-    let fleet = describe(setup, policy).start()?;
+    let plan = setup.plan(seed);
+    let mut fleet = setup.fleet(policy).start()?;
+    wait_lawful(&fleet)?;
     let engines: Vec<SocketAddr> = fleet.backends.iter().map(|backend| backend.address).collect();
-    if let (Some(at), Some(engine)) = (setup.straggler_at, engines.first()) {
-        slow_down_later(*engine, at, setup.straggler_speed);
-    }
     let target = match policy {
         DIRECT => Target::Direct(engines),
         _ => Target::Instances(fleet.caller_addresses()),
     };
-    let load = drive(&plan, &target);
-    Ok(result(policy, seed, load, &fleet.engine_totals()?))
+    let (load, struck) = thread::scope(|scope| {
+        let strikes = scope.spawn(|| timed_faults::strike(&mut fleet, &setup.faults));
+        let load = drive(&plan, &target);
+        (load, strikes.join().expect("no fault panics"))
+    });
+    struck?;
+    result(policy, seed, load, &fleet)
+}
+
+/// Waits until each instance may grant keys, so that keyed requests run from the start.
+fn wait_lawful(fleet: &Fleet) -> Result<(), FleetError> {
+    let lawful = |address| {
+        get_json::<Value>(address, "/status")
+            .is_ok_and(|status| status["standing"]["lawful"] == Value::Bool(true))
+    };
+    let all = || fleet.caller_addresses().into_iter().all(lawful);
+    wait_until("lawful key homes", LAWFUL_LIMIT_MS, all)?;
+    // Keys that are minted within the clock margin after that are not run either.
+    thread::sleep(Duration::from_millis(CLOCK_MARGIN_MS));
+    Ok(())
 }
 
-fn result(policy: &str, seed: u64, load: LoadReport, totals: &EngineStatistics) -> TrialResult {
-    TrialResult {
+fn result(
+    policy: &str,
+    seed: u64,
+    load: LoadReport,
+    fleet: &Fleet,
+) -> Result<TrialResult, FleetError> {
+    let totals = fleet.engine_totals()?;
+    Ok(TrialResult {
         policy: policy.to_owned(),
         seed,
-        load,
         prefilled_tokens: totals.prefilled_tokens,
         cached_tokens: totals.cached_tokens,
         wasted_tokens: totals.wasted_tokens,
-    }
-}
-
-fn describe(setup: &Setup, policy: &str) -> FleetBuilder {
-    let mut builder = Fleet::builder();
-    for service in distinct(setup.mix.classes.iter().map(|class| &class.service)) {
-        let mut spec = ServiceSpec::model(service, service, setup.engines);
-        for (number, speed) in (1..=setup.engines).zip(SPEEDS.iter().cycle()) {
-            spec = spec.options_of(number, &["--speed", speed]);
-        }
-        builder = builder.service(spec);
-    }
-    builder = add_tiers(builder, &setup.mix);
-    // A request may lower the tier of its customer, but not raise it.
-    let highest = setup.mix.classes.first().map_or("", |class| class.tier.as_str());
-    for customer in distinct(setup.mix.classes.iter().map(|class| &class.customer)) {
-        builder = builder.customer(customer, highest);
-    }
-    match policy {
-        DIRECT => builder.instances(0),
-        _ => builder.instances(setup.instances).setting("dispatch", "policy", policy),
-    }
-}
-
-/// Ranks the tiers in the order in which the mix first names them.
-fn add_tiers(mut builder: FleetBuilder, mix: &Mix) -> FleetBuilder {
-    for (rank, name) in (0..).zip(distinct(mix.classes.iter().map(|class| &class.tier))) {
-        let classes = mix.classes.iter().filter(|class| class.tier == *name);
-        let deadline_ms = classes.clone().map(|class| class.deadline_ms).max().unwrap_or_default();
-        let first_token_ms = classes.filter_map(|class| class.first_token_ms).max();
-        builder = builder.tier_row(TierRow {
-            name: name.clone(),
-            rank,
-            deadline_ms,
-            first_token_ms: first_token_ms.unwrap_or(deadline_ms),
-            between_tokens_ms: deadline_ms,
-        });
-    }
-    builder
-}
-
-/// Returns names without repeats, in the order of their first appearance.
-fn distinct<'a, I>(names: I) -> Vec<&'a String>
-where
-    I: Iterator<Item = &'a String>,
-{
-    let mut found = Vec::new();
-    for name in names {
-        if !found.contains(&name) {
-            found.push(name);
-        }
-    }
-    found
+        wasted_prefill_tokens: totals.prefilled_tokens.saturating_sub(load.useful_prompt_tokens),
+        load,
+        stewards: steward_counts::read(fleet),
+        load_average: load_average(),
+    })
 }
 
-fn slow_down_later(engine: SocketAddr, at: Duration, speed: f64) {
-    thread::spawn(move || {
-        thread::sleep(at);
-        // The trial may be over.
-        let _ = post_json::<_, Value>(engine, "/v1/admin/speed", &json!({"speed": speed}));
-    });
+fn load_average() -> f64 {
+    let text = fs::read_to_string(LOAD_AVERAGE_FILE).unwrap_or_default();
+    text.split_whitespace().next().and_then(|word| word.parse().ok()).unwrap_or_default()
 }
--- a/standins/src/fleet/builder.rs
+++ b/standins/src/fleet/builder.rs
@@ -124,6 +124,12 @@
 }
 
 impl FleetBuilder {
+    /// Sets the data centres, over which instances and backend servers are spread in turn.
+    pub fn data_centres(mut self, names: &[&str]) -> Self {
+        self.data_centres = names.iter().map(ToString::to_string).collect();
+        self
+    }
+
     /// Sets the number of instances, which are named `entry-1` and so on.
     pub fn instances(mut self, count: usize) -> Self {
         self.instances = count;
--- a/standins/src/load/drive.rs
+++ b/standins/src/load/drive.rs
@@ -10,7 +10,7 @@
 use super::direct;
 use super::mix::Class;
 use super::plan::{Arrival, Plan};
-use super::report::{Ending, LoadReport, Sample};
+use super::report::{Ending, LoadReport, Prompt, Sample, SharedPrefix};
 use crate::caller::{Answer, Call, CallError, Outcome};
 
 /// Stack of the thread of one request.
@@ -50,8 +50,7 @@
         let (class, arrival) = (plan.mix.classes[arrival.class].clone(), arrival.clone());
         let (sender, target) = (sender.clone(), Arc::clone(&target));
         let work = move || {
-            let address = target.addresses()[number % target.addresses().len()];
-            let answer = send(&target, address, &class, &arrival);
+            let answer = send_in_turn(&target, number, &class, &arrival);
             // The receiver lives until all senders are gone.
             let _ = sender.send(sample(&class, &arrival, answer));
         };
@@ -62,6 +61,24 @@
     LoadReport::new(receiver.iter().collect())
 }
 
+/// Sends a request to the next address that takes the connection, as a balancer does.
+fn send_in_turn(
+    target: &Target,
+    number: usize,
+    class: &Class,
+    arrival: &Arrival,
+) -> Result<Answer, CallError> {
+    let addresses = target.addresses();
+    let mut answer = send(target, addresses[number % addresses.len()], class, arrival);
+    for step in 1..addresses.len() {
+        if !answer.as_ref().is_err_and(CallError::is_refused) {
+            break;
+        }
+        answer = send(target, addresses[(number + step) % addresses.len()], class, arrival);
+    }
+    answer
+}
+
 fn send(
     target: &Target,
     address: SocketAddr,
@@ -88,13 +105,28 @@
     if class.keyed {
         call = call.key(&uuid::Uuid::now_v7().to_string());
     }
+    if class.plain {
+        call = call.json();
+    }
     call.send()
 }
 
 fn sample(class: &Class, arrival: &Arrival, answer: Result<Answer, CallError>) -> Sample {
     let ttft_ms = answer.as_ref().ok().and_then(|answer| answer.ttft_ms);
     let ending = answer.map_or(Ending::Broken, |answer| ending(class, arrival, &answer));
-    Sample { ending, tier: class.tier.clone(), ttft_ms }
+    Sample { ending, prompt: prompt(class, arrival), tier: class.tier.clone(), ttft_ms }
+}
+
+fn prompt(class: &Class, arrival: &Arrival) -> Option<Prompt> {
+    (!class.plain).then(|| Prompt {
+        own_tokens: arrival.own_prompt_tokens,
+        prefix: arrival.prefix.map(|prefix| SharedPrefix {
+            customer: class.customer.clone(),
+            number: prefix,
+            service: class.service.clone(),
+            tokens: class.prefix_tokens,
+        }),
+    })
 }
 
 fn ending(class: &Class, arrival: &Arrival, answer: &Answer) -> Ending {
--- a/standins/src/load/mix.rs
+++ b/standins/src/load/mix.rs
@@ -24,6 +24,8 @@
     pub output_tokens_min: u64,
     /// Path below the service.
     pub path: String,
+    /// Whether the service is plain: it answers with one body.
+    pub plain: bool,
     /// Number of shared prefixes from which each prompt takes one; 0 for none.
     pub prefixes: u64,
     /// Length of a shared prefix in tokens.
@@ -50,6 +52,7 @@
             output_tokens_max: 200,
             output_tokens_min: 2,
             path: String::new(),
+            plain: false,
             prefixes: 4,
             prefix_tokens: 512,
             prompt_tokens_max: 3200,
--- a/standins/src/load/plan.rs
+++ b/standins/src/load/plan.rs
@@ -20,6 +20,10 @@
     pub class: usize,
     /// Exact length of the answer in tokens.
     pub output_tokens: u64,
+    /// Length of the prompt after its shared prefix in tokens.
+    pub own_prompt_tokens: u64,
+    /// Number of its shared prefix among those of its service and customer.
+    pub prefix: Option<u64>,
     /// Prompt.
     pub prompt: String,
 }
@@ -53,19 +57,33 @@
         }
         Self { arrivals, mix }
     }
+
+    /// Adds a burst of further arrivals, at `rate_per_s` requests per second from `from` on.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the rate isn't positive.
+    pub fn burst(mut self, rate_per_s: f64, from: Duration, duration: Duration, seed: u64) -> Self {
+        let burst = Self::poisson(self.mix.clone(), rate_per_s, duration, seed);
+        let later = |arrival: Arrival| Arrival { at: arrival.at + from, ..arrival };
+        self.arrivals.extend(burst.arrivals.into_iter().map(later));
+        self.arrivals.sort_by_key(|arrival| arrival.at);
+        self
+    }
 }
 
 fn draw(class: &Class, index: usize, at: Duration, rng: &mut ChaCha8Rng) -> Arrival {
     let mut prompt = String::new();
-    if class.prefixes > 0 {
-        let prefix = rng.random_range(0..class.prefixes);
+    let prefix = (class.prefixes > 0).then(|| rng.random_range(0..class.prefixes));
+    if let Some(prefix) = prefix {
         let word = format!("{}/{}/{prefix:04} ", class.service, class.customer);
         fill(&mut prompt, &word, class.prefix_tokens);
     }
     let own = format!("{:016x} ", rng.random::<u64>());
-    fill(&mut prompt, &own, log_uniform(class.prompt_tokens_min, class.prompt_tokens_max, rng));
+    let own_prompt_tokens = log_uniform(class.prompt_tokens_min, class.prompt_tokens_max, rng);
+    fill(&mut prompt, &own, own_prompt_tokens);
     let output_tokens = log_uniform(class.output_tokens_min, class.output_tokens_max, rng);
-    Arrival { at, class: index, output_tokens, prompt }
+    Arrival { at, class: index, output_tokens, own_prompt_tokens, prefix, prompt }
 }
 
 /// Appends `tokens` tokens of a repeated word.
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -31,10 +31,27 @@
     Wrong,
 }
 
+/// A prompt prefix that requests share.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct SharedPrefix {
+    pub customer: String,
+    pub number: u64,
+    pub service: String,
+    pub tokens: u64,
+}
+
+/// Prompt of a request to a model service.
+#[derive(Clone, Debug)]
+pub(super) struct Prompt {
+    pub own_tokens: u64,
+    pub prefix: Option<SharedPrefix>,
+}
+
 /// Result of one request.
 #[derive(Clone, Debug)]
 pub(super) struct Sample {
     pub ending: Ending,
+    pub prompt: Option<Prompt>,
     pub tier: String,
     pub ttft_ms: Option<u64>,
 }
@@ -69,13 +86,17 @@
 pub struct LoadReport {
     /// Results by tier, sorted by name.
     pub tiers: Vec<TierReport>,
+    /// Least prompt tokens that the answers in time needed: those after the shared prefixes, and
+    /// each shared prefix once.
+    pub useful_prompt_tokens: u64,
 }
 
 impl LoadReport {
     pub(super) fn new(mut samples: Vec<Sample>) -> Self {
+        let useful_prompt_tokens = useful_prompt_tokens(&samples);
         samples.sort_by(|a, b| a.tier.cmp(&b.tier));
         let groups = samples.chunk_by(|a, b| a.tier == b.tier);
-        Self { tiers: groups.map(tier_report).collect() }
+        Self { tiers: groups.map(tier_report).collect(), useful_prompt_tokens }
     }
 
     /// Returns the results of a tier.
@@ -128,6 +149,17 @@
     }
 }
 
+fn useful_prompt_tokens(samples: &[Sample]) -> u64 {
+    let done = samples.iter().filter(|sample| sample.ending == Ending::Done);
+    let prompts: Vec<&Prompt> = done.filter_map(|sample| sample.prompt.as_ref()).collect();
+    let mut prefixes: Vec<&SharedPrefix> =
+        prompts.iter().filter_map(|prompt| prompt.prefix.as_ref()).collect();
+    prefixes.sort();
+    prefixes.dedup();
+    let own_tokens: u64 = prompts.iter().map(|prompt| prompt.own_tokens).sum();
+    own_tokens + prefixes.iter().map(|prefix| prefix.tokens).sum::<u64>()
+}
+
 fn tier_report(samples: &[Sample]) -> TierReport {
     let count =
         |ending| samples.iter().filter(|sample: &&Sample| sample.ending == ending).count() as u64;
