--- a/standins/src/experiment/timed_faults.rs
+++ b/standins/src/experiment/timed_faults.rs
@@ -3,6 +3,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::engine::EngineStatistics;
 use crate::fleet::{Fleet, FleetError};
 
 /// What strikes.
@@ -25,22 +26,30 @@
     pub strike: Strike,
 }
 
-/// Lets each fault strike at its time.
+/// Lets each fault strike at its time; returns the counts of the engines that died until then.
 ///
 /// # Errors
 ///
 /// Returns an error if a name is unknown or an engine doesn't answer.
-pub(super) fn strike(fleet: &mut Fleet, faults: &[TimedFault]) -> Result<(), FleetError> {
+pub(super) fn strike(
+    fleet: &mut Fleet,
+    faults: &[TimedFault],
+) -> Result<EngineStatistics, FleetError> {
+    let mut lost = EngineStatistics::default();
     let start = Instant::now();
     let mut faults = faults.to_vec();
     faults.sort_by_key(|fault| fault.at);
     for fault in faults {
         thread::sleep((start + fault.at).saturating_duration_since(Instant::now()));
         match fault.strike {
-            Strike::KillBackend(name) => fleet.backend(&name)?.process.kill(),
+            Strike::KillBackend(name) => {
+                lost.merge(fleet.engine_statistics(&name)?);
+                // Dropping it kills its process.
+                fleet.backends.retain(|backend| backend.name != name);
+            }
             Strike::KillInstance(name) => fleet.instance(&name)?.process.kill(),
             Strike::Slow(name, speed) => fleet.set_engine_speed(&name, speed)?,
         }
     }
-    Ok(())
+    Ok(lost)
 }
--- a/standins/src/experiment/trial.rs
+++ b/standins/src/experiment/trial.rs
@@ -11,6 +11,7 @@
 use super::setup::{DIRECT, Setup};
 use super::steward_counts::{self, StewardCounts};
 use super::timed_faults;
+use crate::engine::EngineStatistics;
 use crate::fleet::{Fleet, FleetError, get_json, wait_until};
 use crate::load::{LoadReport, Target, drive};
 
@@ -30,9 +31,9 @@
     pub seed: u64,
     /// Results by tier.
     pub load: LoadReport,
-    /// Prompt tokens computed by the engines that answer.
+    /// Prompt tokens computed by all engines, by one that died until its death.
     pub prefilled_tokens: u64,
-    /// Prompt tokens found in the caches of these engines.
+    /// Prompt tokens found in the caches of all engines.
     pub cached_tokens: u64,
     /// Prompt tokens computed for streams that were cancelled.
     pub wasted_tokens: u64,
@@ -64,8 +65,9 @@
         let load = drive(&plan, &target);
         (load, strikes.join().expect("no fault panics"))
     });
-    struck?;
-    result(policy, seed, load, &fleet)
+    let mut totals = struck?;
+    totals.merge(fleet.engine_totals()?);
+    Ok(result(policy, seed, load, &totals, steward_counts::read(&fleet)))
 }
 
 /// Waits until each instance may grant keys, so that keyed requests run from the start.
@@ -85,10 +87,10 @@
     policy: &str,
     seed: u64,
     load: LoadReport,
-    fleet: &Fleet,
-) -> Result<TrialResult, FleetError> {
-    let totals = fleet.engine_totals()?;
-    Ok(TrialResult {
+    totals: &EngineStatistics,
+    stewards: StewardCounts,
+) -> TrialResult {
+    TrialResult {
         policy: policy.to_owned(),
         seed,
         prefilled_tokens: totals.prefilled_tokens,
@@ -96,9 +98,9 @@
         wasted_tokens: totals.wasted_tokens,
         wasted_prefill_tokens: totals.prefilled_tokens.saturating_sub(load.useful_prompt_tokens),
         load,
-        stewards: steward_counts::read(fleet),
+        stewards,
         load_average: load_average(),
-    })
+    }
 }
 
 fn load_average() -> f64 {
