--- a/src/adopt.rs
+++ b/src/adopt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::build_core::{build_key_home, build_membership};
+use crate::cell_inventory::cell_inventory;
 use crate::config_event::{ConfigDocument, ConfigEffect, ConfigEvent, ConfigSource};
 use crate::core::Core;
 use crate::effect::Effect;
@@ -19,7 +20,12 @@
 impl Core {
     /// Hands an event to the adoption of configuration and applies what follows.
     pub(crate) fn adopt(&mut self, now: Now, event: ConfigEvent) {
-        for effect in self.adoption.decide(now, event) {
+        let was_ready = self.adoption.is_ready();
+        let effects = self.adoption.decide(now, event);
+        if !was_ready && self.adoption.is_ready() {
+            self.bid_again(now);
+        }
+        for effect in effects {
             match effect {
                 ConfigEffect::Adopt { inventory } => self.put_in_force(now, inventory),
                 ConfigEffect::FetchFrom { peer } => {
@@ -50,9 +56,11 @@
     }
 
     pub(crate) fn read_instance_list(&mut self, now: Now, leaving: Vec<Name>) {
+        self.adopt(now, ConfigEvent::PlatformReachable);
         if leaving == self.leaving {
             return;
         }
+        self.log_leaving(&leaving);
         self.leaving = leaving;
         let event = self.fleet_event();
         self.schedule_all(now, &event);
@@ -73,13 +81,26 @@
         self.send(peer, PeerMessage::ConfigDocument { text, version });
     }
 
+    fn log_leaving(&mut self, leaving: &[Name]) {
+        for name in
+            leaving.iter().filter(|name| !self.is_leaving(name)).cloned().collect::<Vec<_>>()
+        {
+            self.log("platform", format!("{name} is leaving by the instance list."));
+        }
+        let returned = self.leaving.iter().filter(|name| leaving.binary_search(name).is_err());
+        for name in returned.cloned().collect::<Vec<_>>() {
+            self.log("platform", format!("{name} is no longer leaving by the instance list."));
+        }
+    }
+
     fn put_in_force(&mut self, now: Now, inventory: Arc<Inventory>) {
         self.log("config", format!("Version {} is in force.", inventory.version));
         let is_first = self.inventory.version == 0;
         self.inventory = inventory;
         self.refused_document = None;
         let own_name = self.own_name();
-        self.view = View::of(&self.inventory, own_name.clone());
+        self.view = View::of(&self.inventory, own_name);
+        self.cell_inventory = cell_inventory(&self.inventory, &self.view);
         self.link_members();
         self.effects.push(Effect::WatchAfter { version: self.inventory.version });
         let view = self.view.clone();
--- a/src/build_core.rs
+++ b/src/build_core.rs
@@ -1,5 +1,6 @@
 //! Builds the decision core from the settings.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::config_adoption::ConfigAdoption;
@@ -22,10 +23,13 @@
     let key_home = build_key_home(&settings, &inventory);
     Core {
         adoption: ConfigAdoption::new(settings.instance.name.clone()),
+        cell_inventory: inventory.clone(),
+        decided_ms: now.monotonic_ms,
         effects: Vec::new(),
         incarnation,
         inventory,
         key_home,
+        key_lookups: BTreeMap::new(),
         leaving: Vec::new(),
         linked_peers: Vec::new(),
         membership: build_membership(&settings, incarnation, now, view.clone()),
@@ -33,6 +37,7 @@
         quarantine: Quarantine::default(),
         quarantined: Vec::new(),
         refused_document: None,
+        renewed_links: Vec::new(),
         requests: Requests::default(),
         schedulers: Vec::new(),
         settings,
--- a/src/core.rs
+++ b/src/core.rs
@@ -3,6 +3,7 @@
 //! The core holds no clock, socket, thread or unseeded randomness. An adapter hands it each event
 //! with the time, and carries out the effects that it returns.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -12,6 +13,7 @@
 use crate::event::Event;
 use crate::inventory::Inventory;
 use crate::key_home::KeyHome;
+use crate::key_lookup::KeyLookup;
 use crate::membership::Membership;
 use crate::membership_event::{HeartbeatSummary, MembershipEvent};
 use crate::name::Name;
@@ -31,10 +33,13 @@
 /// The decision core of one instance.
 pub struct Core {
     pub(crate) adoption: ConfigAdoption,
+    pub(crate) cell_inventory: Arc<Inventory>,
+    pub(crate) decided_ms: u64,
     pub(crate) effects: Vec<Effect>,
     pub(crate) incarnation: u64,
     pub(crate) inventory: Arc<Inventory>,
     pub(crate) key_home: KeyHome,
+    pub(crate) key_lookups: BTreeMap<u64, KeyLookup>,
     pub(crate) leaving: Vec<Name>,
     pub(crate) linked_peers: Vec<(Name, SocketAddr)>,
     pub(crate) membership: Membership,
@@ -42,6 +47,7 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) quarantined: Vec<u64>,
     pub(crate) refused_document: Option<RefusedDocument>,
+    pub(crate) renewed_links: Vec<Name>,
     pub(crate) requests: Requests,
     pub(crate) schedulers: Vec<(Name, Box<dyn Scheduler>)>,
     pub(crate) settings: Arc<Settings>,
@@ -64,6 +70,7 @@
 impl Core {
     /// Takes in one event and returns what follows from it.
     pub fn decide(&mut self, now: Now, event: Event) -> Vec<Effect> {
+        self.observe_pause(now);
         match event {
             Event::Arrived(arrival) => self.admit(now, *arrival),
             Event::CacheEvents { backend_server, events, service } => {
@@ -71,20 +78,23 @@
                 self.schedule(now, &service, event);
             }
             Event::CallerGone { sequence } => self.cancel(now, sequence),
-            Event::CancelAsked { key } => self.cancel_key(now, &key),
+            Event::CancelAsked { holder, key, sequence } => {
+                self.cancel_key(now, sequence, key, holder.as_deref());
+            }
             Event::Dispatch { progress, sequence } => self.follow(now, sequence, progress),
             Event::DocumentRead { document, parsed, peer } => {
                 self.read_document(now, parsed, peer, document);
             }
             Event::InstanceListRead { leaving } => self.read_instance_list(now, leaving),
-            Event::JoinAsked { sequence, key, from_peer } => {
-                self.join(now, sequence, key, from_peer);
+            Event::JoinAsked { holder, key, sequence } => {
+                self.join(now, sequence, key, holder.as_deref());
             }
             Event::LoadReport { backend_server, report, service } => {
                 let event = SchedulerEvent::LoadReport { backend_server, report };
                 self.schedule(now, &service, event);
             }
             Event::PeerDown { peer } => self.lose_link(now, peer),
+            Event::PeerMessage { peer, .. } if self.is_outdated(&peer) => {}
             Event::PeerMessage { peer, message, .. } => self.route(now, peer, message),
             Event::PeerUp { peer, .. } => self.meet(now, &peer),
             Event::PlatformUnreachable => self.adopt(now, ConfigEvent::PlatformUnreachable),
@@ -96,7 +106,12 @@
 
     /// Returns whether the instance takes requests.
     pub fn is_ready(&self) -> bool {
-        self.adoption.is_ready() && self.stop.is_none()
+        self.adoption.is_ready() && self.stop.is_none() && !self.is_leaving(&self.own_name())
+    }
+
+    /// Returns whether the instance list says that an instance or a backend server is leaving.
+    pub(crate) fn is_leaving(&self, name: &Name) -> bool {
+        self.leaving.binary_search(name).is_ok()
     }
 
     pub(crate) fn log<S>(&mut self, part: &'static str, text: S)
@@ -153,6 +168,7 @@
         self.tick_schedulers(now);
         self.sweep_requests(now);
         self.key_home.expire(now);
+        self.expire_lookups(now);
         self.unlink_former_members();
         self.continue_stop(now);
     }
--- a/src/effect.rs
+++ b/src/effect.rs
@@ -23,6 +23,11 @@
         /// The request.
         sequence: u64,
     },
+    /// Tell a caller that the request of its key is being cancelled.
+    Cancelling {
+        /// Number of the asking connection.
+        sequence: u64,
+    },
     /// Add to a metric.
     Count {
         /// What is added.
@@ -36,9 +41,11 @@
     JoinPeer {
         /// Caller address of that instance.
         address: SocketAddr,
+        /// Id of the request that holds the key.
+        holder: Name,
         /// The key.
         key: Name,
-        /// The request.
+        /// The request, or number of the asking connection.
         sequence: u64,
     },
     /// Answer from the kept answer of another request of this instance.
--- a/src/route.rs
+++ b/src/route.rs
@@ -32,7 +32,7 @@
             }
             PeerMessage::KeyHandover(records) => self.key_home.accept_handover(now, records),
             PeerMessage::KeyHolder { holder, key, sequence } => {
-                self.take_holder(now, sequence, key, holder);
+                self.take_holder(sequence, &key, holder);
             }
             PeerMessage::KeyQuery { key, sequence } => {
                 let holder = self.key_home.holder(&key);
@@ -104,6 +104,7 @@
 
     /// A link came up: what was sent before it may be lost, so it is sent again.
     pub(crate) fn meet(&mut self, now: Now, peer: &Name) {
+        self.trust(peer);
         self.move_bids(now, Some(peer));
     }
 
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -130,6 +130,7 @@
         incarnation: 255,
         instance: "entry-1".into(),
         keys: KeyStatus { capacity: 100, remembered: 3 },
+        leaving: false,
         list_version: 2,
         peers: vec![peer("entry-2", DEAD, PeerState::Live)],
         peer_traffic: PeerTraffic { received_bytes: 700, sent_bytes: 800 },
@@ -156,6 +157,7 @@
             }],
             service: "plans".into(),
             waiting: vec![(0, 1), (2, 6)],
+            ..SchedulerReport::default()
         }],
         standing: Standing { lawful: true, reason: None },
         stopping: false,
