--- a/standins/src/capacity/requests_trial.rs
+++ b/standins/src/capacity/requests_trial.rs
@@ -56,9 +56,20 @@
         series.push(one("peer messages, bytes/s", |spent| spent.peer_bytes_per_s));
         series.push(one("whole process, us of processor/s", |spent| spent.total_us_per_s));
     }
+    series.push(kept(&measured, window));
     Ok(series)
 }
 
+/// Keyed requests stay at their receiver for a key lifetime, longer than the trial.
+fn kept(measured: &[(f64, [Spent; 3])], window: Duration) -> Series {
+    let mut requests = 0.0;
+    let points = measured.iter().map(|(rate_per_s, spent)| {
+        requests += rate_per_s * window.as_secs_f64();
+        Point { x: requests, y: spent[0].resident_kb }
+    });
+    Series::new("keyed requests answered", "receiver: resident memory, kB", points.collect())
+}
+
 fn start() -> Result<Fleet, FleetError> {
     let service = ServiceSpec::model(SERVICE, "m", ENGINES)
         .options(&["--max-running", "512"])
