--- a/tests/answer_support/mod.rs
+++ b/tests/answer_support/mod.rs
@@ -11,10 +11,19 @@
 use bergamotspan::parse_inventory::parse_inventory;
 use bergamotspan::view::View;
 use serde_json::Value;
-use standins::caller::{Answer, Call, CallError, join};
-use standins::fleet::{Fleet, get_json, wait_until};
+use standins::caller::{Answer, Call, CallError, Outcome, join};
+use standins::fleet::{Fleet, FleetBuilder, ServiceSpec, get_json, wait_until};
 
-use crate::support::fresh_key;
+use crate::support::{fresh_key, reason};
+
+/// Name of the only plain server.
+pub const DESK: &str = "order-desk-1";
+
+/// Time that a call of it takes, in milliseconds.
+pub const DESK_DELAY_MS: u64 = 1_500;
+
+/// Name of the only engine.
+pub const ENGINE: &str = "plan-model-1";
 
 /// Longest wait for something that a healthy fleet does at once, in milliseconds.
 pub const LIMIT_MS: u64 = 10_000;
@@ -143,3 +152,42 @@
     };
     engines.iter().find(is_busy).unwrap().to_string()
 }
+
+/// Describes a fleet with one engine, whose load reports are fresh, and one slow plain server.
+pub fn single(instances: usize) -> FleetBuilder {
+    let engine = ServiceSpec::model("plan-model", "plan-13b", 1)
+        .token_limit_tokens(32_768)
+        .prefill_tokens_per_s(20_000)
+        .options(&["--load-lag-ms", "20"]);
+    let desk = ServiceSpec::plain("order-desk", 1)
+        .idempotent(false)
+        .token_limit_tokens(32_768)
+        .prefill_tokens_per_s(20_000)
+        .options(&["--delay-ms", &DESK_DELAY_MS.to_string()]);
+    Fleet::builder()
+        .instances(instances)
+        .service(engine)
+        .service(desk)
+        .setting("peer", "heartbeat_interval_ms", 100)
+        .setting("peer", "confirmation_window_ms", 600)
+        .setting("keys", "clock_margin_ms", 50)
+}
+
+/// Describes the same fleet with an engine that runs one request at a time.
+pub fn narrow(instances: usize) -> FleetBuilder {
+    let engine = ServiceSpec::model("plan-model", "plan-13b", 1)
+        .token_limit_tokens(64)
+        .prefill_tokens_per_s(20_000);
+    Fleet::builder()
+        .instances(instances)
+        .service(engine)
+        .setting("peer", "heartbeat_interval_ms", 100)
+        .setting("peer", "confirmation_window_ms", 600)
+        .setting("keys", "clock_margin_ms", 50)
+}
+
+/// Asserts outcome and reason of an answer.
+pub fn assert_final(answer: &Answer, outcome: Outcome, expected: &str) {
+    assert_eq!(answer.outcome, Some(outcome), "{answer:?}");
+    assert_eq!(reason(answer), expected, "{answer:?}");
+}
--- a/tests/final_answers.rs
+++ b/tests/final_answers.rs
@@ -6,21 +6,16 @@
 use std::time::{Duration, Instant};
 
 use answer_support::{
-    LIMIT_MS, RunningCall, key_with_home, raw_request, running_requests, send_raw,
+    DESK, DESK_DELAY_MS, ENGINE, LIMIT_MS, RunningCall, assert_final, key_with_home,
+    running_requests, single,
 };
-use standins::caller::{Answer, Outcome, cancel, join};
-use standins::fleet::{Fleet, FleetBuilder, ServiceSpec, wait_until};
+use standins::caller::{Outcome, join};
+use standins::fleet::{Fleet, ServiceSpec, wait_until};
 use standins::proxy::FaultMode;
-use support::{CUSTOMER, booking, draft, fresh_key, quick_fleet, reason, wait_lawful};
+use support::{booking, draft, fresh_key, quick_fleet, wait_lawful};
 
 /// Longest time in which a request that is given up on gets its final answer, in milliseconds.
 const AT_ONCE_MS: u64 = 2_000;
-const DESK: &str = "order-desk-1";
-const ENGINE: &str = "plan-model-1";
-/// Time that a call of the plain server takes, in milliseconds.
-const DESK_DELAY_MS: u64 = 1_500;
-/// Longest time in which a cancelled request frees its engine, in milliseconds.
-const FREE_LIMIT_MS: u64 = 1_000;
 const LONG_PROMPT_BYTES: usize = 40_000;
 const LONG_TOKENS: u32 = 600;
 /// Answers after which a request may be refused on an estimate.
@@ -28,39 +23,6 @@
 const PROMPT: &str = "draft a fitting plan for the stairs";
 const SEEN_TOKENS: u64 = 50;
 
-/// Describes a fleet with one engine, whose load reports are fresh, and one slow plain server.
-fn single(instances: usize) -> FleetBuilder {
-    let engine = ServiceSpec::model("plan-model", "plan-13b", 1)
-        .token_limit_tokens(32_768)
-        .prefill_tokens_per_s(20_000)
-        .options(&["--load-lag-ms", "20"]);
-    let desk = ServiceSpec::plain("order-desk", 1)
-        .idempotent(false)
-        .token_limit_tokens(32_768)
-        .prefill_tokens_per_s(20_000)
-        .options(&["--delay-ms", &DESK_DELAY_MS.to_string()]);
-    Fleet::builder()
-        .instances(instances)
-        .service(engine)
-        .service(desk)
-        .setting("peer", "heartbeat_interval_ms", 100)
-        .setting("peer", "confirmation_window_ms", 600)
-        .setting("keys", "clock_margin_ms", 50)
-}
-
-/// Describes the same fleet with an engine that runs one request at a time.
-fn narrow(instances: usize) -> FleetBuilder {
-    let engine = ServiceSpec::model("plan-model", "plan-13b", 1)
-        .token_limit_tokens(64)
-        .prefill_tokens_per_s(20_000);
-    Fleet::builder()
-        .instances(instances)
-        .service(engine)
-        .setting("peer", "heartbeat_interval_ms", 100)
-        .setting("peer", "confirmation_window_ms", 600)
-        .setting("keys", "clock_margin_ms", 50)
-}
-
 fn kill(fleet: &mut Fleet, backend: &str) -> Instant {
     fleet.backend(backend).unwrap().process.kill();
     Instant::now()
@@ -82,16 +44,6 @@
     assert!(elapsed_ms < AT_ONCE_MS, "{elapsed_ms} ms");
 }
 
-fn assert_final(answer: &Answer, outcome: Outcome, expected: &str) {
-    assert_eq!(answer.outcome, Some(outcome), "{answer:?}");
-    assert_eq!(reason(answer), expected, "{answer:?}");
-}
-
-fn assert_free(fleet: &mut Fleet) {
-    let condition = "the engine is free";
-    wait_until(condition, FREE_LIMIT_MS, || running_requests(fleet, ENGINE) == 0).unwrap();
-}
-
 #[test]
 fn an_engine_that_died_before_the_grant_runs_nothing() {
     let mut fleet = single(2).start().unwrap();
@@ -281,85 +233,6 @@
     assert_eq!(fleet.engine_statistics(ENGINE).unwrap().executions.len(), before);
 }
 
-#[test]
-fn a_cancel_through_any_instance_frees_the_engine() {
-    let mut fleet = single(3).start().unwrap();
-    wait_lawful(&fleet);
-    let addresses = fleet.caller_addresses();
-    for address in addresses {
-        let key = fresh_key();
-        let call = RunningCall::begin(draft(&fleet, 0, PROMPT, 3_000).key(&key));
-        call.wait_tokens(SEEN_TOKENS);
-
-        let told = cancel(address, &key).unwrap();
-        assert_free(&mut fleet);
-        let (answer, _) = call.finish();
-        let joined = join(address, &key, 0).unwrap();
-        let again = cancel(address, &key).unwrap();
-
-        assert_eq!(told.status, 202, "{told:?}");
-        assert_final(&answer, Outcome::Failed, "cancelled");
-        assert_final(&joined, Outcome::Failed, "cancelled");
-        assert_final(&again, Outcome::Failed, "already_ended");
-    }
-}
-
-#[test]
-fn a_cancel_of_a_key_that_nobody_holds_says_so() {
-    let fleet = single(2).start().unwrap();
-    wait_lawful(&fleet);
-
-    let answer = cancel(fleet.caller_addresses()[0], &fresh_key()).unwrap();
-
-    assert_eq!(answer.status, 404);
-    assert_final(&answer, Outcome::Unknown, "no_such_key");
-}
-
-#[test]
-fn a_cancel_of_a_waiting_request_keeps_it_from_running() {
-    let mut fleet = narrow(2).start().unwrap();
-    wait_lawful(&fleet);
-    let key = fresh_key();
-    let before = RunningCall::begin(draft(&fleet, 1, "a draft before it", LONG_TOKENS));
-    before.wait_tokens(1);
-    let call = RunningCall::begin(draft(&fleet, 0, PROMPT, 20).key(&key));
-    wait_until("the request waits", LIMIT_MS, || {
-        fleet.status("entry-1").unwrap()["requests"]["waiting"] == 1
-    })
-    .unwrap();
-
-    let told = cancel(fleet.caller_addresses()[1], &key).unwrap();
-    let (answer, _) = call.finish();
-
-    assert_eq!(told.status, 202, "{told:?}");
-    assert_final(&answer, Outcome::NotRun, "cancelled");
-    assert!(before.finish().0.matches("a draft before it"));
-    let executions = fleet.engine_totals().unwrap().executions;
-    assert_eq!(executions.values().sum::<u64>(), 1, "{executions:?}");
-}
-
-#[test]
-fn a_caller_without_a_key_that_vanishes_frees_its_engine() {
-    let mut fleet = single(1).start().unwrap();
-    for tokens in [3_000, 0] {
-        let prompt = if tokens == 0 { "b".repeat(10 * LONG_PROMPT_BYTES) } else { PROMPT.into() };
-        let body = serde_json::json!({ "prompt": prompt, "output_tokens": tokens.max(1) });
-        let before = fleet.engine_statistics(ENGINE).unwrap().executions.len();
-        let bytes = raw_request("plan-model", "", &body.to_string());
-        let stream = send_raw(fleet.caller_addresses()[0], &bytes);
-        wait_until("an execution", LIMIT_MS, || {
-            fleet.engine_statistics(ENGINE).unwrap().executions.len() > before
-        })
-        .unwrap();
-
-        drop(stream);
-
-        assert_free(&mut fleet);
-    }
-    let next = draft(&fleet, 0, PROMPT, 20).customer(CUSTOMER).send().unwrap();
-    assert!(next.matches(PROMPT), "{next:?}");
-}
-
 /// Waits until the engine has run all that it got.
 fn wait_idle(fleet: &mut Fleet) {
     wait_until("the engine is idle", LIMIT_MS, || running_requests(fleet, ENGINE) == 0).unwrap();
