Weigh prefill that another server need not repeat in the choice of server

Cause: by expected completion alone a somewhat faster engine won over the one that has the prefix, so each prefix was computed again at most engines.

tests/backend_choice.rs: with the weight at 0 the first of two tests fails (e2 granted in place of e1), with 8 both pass.

--- a/src/backend_choice.rs
+++ b/src/backend_choice.rs
@@ -1,4 +1,4 @@
-//! The choice of a backend server for one request, by expected completion.
+//! The choice of a backend server for one request, by expected completion and repeated prefill.
 //!
 //! A request that has no room anywhere reserves one server, so that smaller requests behind it
 //! can't keep it waiting: backfilling after Lifka, "The ANL/IBM SP scheduling system", 1995.
@@ -6,6 +6,10 @@
 use crate::engine_state::EngineState;
 use crate::scheduling::Bid;
 
+/// Weight of prefill that another server need not repeat, against the request's own time: it
+/// delays each request that runs at the server as well.
+const REPEATED_PREFILL_WEIGHT: u64 = 8;
+
 /// What to do with one waiting request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Choice {
@@ -35,6 +39,7 @@
     reserved: &[bool],
     candidate: Candidate<'_>,
 ) -> Choice {
+    let prefix_hashes = &candidate.bid.prefix_hashes;
     let eligible = || {
         engines.iter().enumerate().filter(|(index, engine)| {
             !reserved[*index]
@@ -42,12 +47,19 @@
                 && !candidate.bid.excluded.contains(&engine.name)
         })
     };
+    let cached_tokens = |engine: &EngineState| engine.prefixes.cached_tokens(prefix_hashes);
+    let most_cached_tokens =
+        eligible().map(|(_, engine)| cached_tokens(engine)).max().unwrap_or_default();
     let best = eligible()
         .filter(|(_, engine)| engine.fits(now_ms, candidate.cost_tokens))
         .min_by_key(|(_, engine)| {
             let completion_ms =
                 engine.expected_completion_ms(now_ms, candidate.bid, candidate.output_tokens);
-            (completion_ms, engine.running_tokens)
+            let repeated_tokens = most_cached_tokens.saturating_sub(cached_tokens(engine));
+            let repeated_ms = engine.speed.prefill_ms(repeated_tokens);
+            let weighed_ms =
+                completion_ms.saturating_add(repeated_ms.saturating_mul(REPEATED_PREFILL_WEIGHT));
+            (weighed_ms, engine.running_tokens)
         });
     if let Some((index, _)) = best {
         return Choice::Take(index);
--- /dev/null
+++ b/tests/backend_choice.rs
@@ -0,0 +1,47 @@
+//! Tests of the choice of a backend server by prefix and speed.
+
+mod schedulers;
+
+use bergamotspan::scheduling::Progress;
+use bergamotspan::steward::SETTLE_MS;
+use schedulers::{BidBuilder, Harness, InventoryBuilder};
+
+const OUTPUT_TOKENS: u32 = 100;
+const PROMPT_TOKENS: u32 = 1_024;
+
+/// The prefix is cached at `e1`, which decodes more slowly than `e2`.
+fn with_a_prefix_at_the_slower(between_tokens_ms: u64) -> Harness {
+    let inventory = InventoryBuilder::new().engine("e1", 10_000).engine("e2", 10_000);
+    let mut harness = Harness::steward(inventory);
+    harness.advance(SETTLE_MS);
+    harness.bid(with_prefix(1));
+    harness.bid(BidBuilder::new(2).prompt_tokens(PROMPT_TOKENS));
+    for (sequence, between_tokens_ms) in [(1, between_tokens_ms), (2, 20)] {
+        let output_tokens = OUTPUT_TOKENS;
+        harness.progress(sequence, Progress::FirstToken { elapsed_ms: 100 });
+        harness.progress(sequence, Progress::Tokens { between_tokens_ms, output_tokens });
+        harness.progress(sequence, Progress::Finished { cached_tokens: 0, output_tokens });
+    }
+    harness
+}
+
+fn with_prefix(sequence: u64) -> BidBuilder {
+    BidBuilder::new(sequence)
+        .max_output_tokens(OUTPUT_TOKENS)
+        .prefix_hashes(vec![1, 2, 3, 4])
+        .prompt_tokens(PROMPT_TOKENS)
+}
+
+#[test]
+fn a_cached_prefix_outweighs_a_somewhat_faster_server() {
+    let mut harness = with_a_prefix_at_the_slower(23);
+
+    assert_eq!(harness.bid(with_prefix(3)).granted(), vec![(3, "e1".to_owned())]);
+}
+
+#[test]
+fn a_much_faster_server_outweighs_a_cached_prefix() {
+    let mut harness = with_a_prefix_at_the_slower(200);
+
+    assert_eq!(harness.bid(with_prefix(3)).granted(), vec![(3, "e2".to_owned())]);
+}
