--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -17,8 +17,10 @@
 use crate::control::ControlInput;
 use crate::error::Error;
 use crate::event::Event;
-use crate::final_answer::{FinalAnswer, Outcome};
-use crate::join_answer::{JOIN_HEADER, join_local, join_peer};
+use crate::final_answer::FinalAnswer;
+use crate::join_answer::{JOIN_HEADER, JoinTarget, cancel_at_peer, join_local, join_peer};
+use crate::name::Name;
+use crate::peer_links::PeerLinks;
 use crate::platform_watch::PlatformWatch;
 use crate::read_request::{header, read_request, wants_json};
 use crate::runners::RunnerCommand;
@@ -34,20 +36,40 @@
 /// Time for the control thread to answer a question, in milliseconds.
 const CONTROL_TIMEOUT_MS: u64 = 2_000;
 
+/// Time between two probes of a caller's silent connection, in seconds.
+const KEEPALIVE_INTERVAL_S: u64 = 1;
+
+/// Probes without an answer after which the connection is lost.
+const KEEPALIVE_PROBES: u32 = 3;
+
 /// Silence after which the system probes a caller's connection, in seconds.
-const KEEPALIVE_TIME_S: u64 = 5;
+const KEEPALIVE_TIME_S: u64 = 2;
 
 /// Time for the answer to a question about a key, in milliseconds.
 const JOIN_TIMEOUT_MS: u64 = 3_000;
 
+/// Time after which a connection is lost if the caller's system acknowledges nothing of what was
+/// written, in milliseconds.
+const UNACKNOWLEDGED_LIMIT_MS: u64 = 5_000;
+
 /// The interface for callers.
 pub struct CallerEdge {
     server: Arc<Server>,
     stopped: Arc<AtomicBool>,
 }
 
+/// What the status page counts beside the state of the core.
+#[derive(Clone)]
+pub struct Usage {
+    /// The links to other instances.
+    pub peer_links: Arc<PeerLinks>,
+    /// The watch of the platform.
+    pub platform_watch: Arc<PlatformWatch>,
+}
+
 /// What a caller asks for.
 enum Route {
+    BadOffset,
     Cancel(String),
     Drain,
     Explain(String),
@@ -65,7 +87,7 @@
     /// # Errors
     ///
     /// Returns an error if the address can't be listened on.
-    pub fn start(traffic: Arc<Traffic>, watch: Arc<PlatformWatch>) -> Result<Self, Error> {
+    pub fn start(traffic: Arc<Traffic>, usage: Usage) -> Result<Self, Error> {
         let listener = listen(traffic.settings.caller.listen_address)?;
         let server = Server::from_listener(listener, None).map_err(|error| {
             Error::io("Listening for callers failed", std::io::Error::other(error))
@@ -75,8 +97,8 @@
         std::thread::spawn(move || {
             while !stopped.load(Ordering::Acquire) {
                 let Ok(request) = server.recv() else { continue };
-                let (traffic, watch) = (traffic.clone(), watch.clone());
-                std::thread::spawn(move || serve(&traffic, &watch, request));
+                let (traffic, usage) = (traffic.clone(), usage.clone());
+                std::thread::spawn(move || serve(&traffic, &usage, request));
             }
         });
         Ok(edge)
@@ -133,12 +155,32 @@
     }
 }
 
+fn cancel(traffic: &Traffic, request: Request, key: String) {
+    let holder = header(&request, JOIN_HEADER).map(Name::from);
+    let sequence = traffic.next_sequence();
+    let commands = traffic.runners.add(sequence);
+    traffic.tell(Event::CancelAsked { holder, key: key.into(), sequence });
+    match commands.recv_timeout(Duration::from_millis(JOIN_TIMEOUT_MS)) {
+        Ok(RunnerCommand::Answer(answer)) => respond_final(request, &answer),
+        Ok(RunnerCommand::Cancelling) => respond(request, 202, &json!({ "cancelling": true })),
+        Ok(RunnerCommand::JoinPeer { address, holder, key }) => {
+            let target = JoinTarget { address, holder: &holder, key: &key };
+            match cancel_at_peer(&target, &traffic.settings.dispatch) {
+                Ok((status, body)) => respond(request, status, &body),
+                Err(_) => respond_final(request, &answers::holder_unreachable()),
+            }
+        }
+        _ => respond_final(request, &answers::holder_unreachable()),
+    }
+    traffic.runners.remove(sequence);
+}
+
 fn join(traffic: &Arc<Traffic>, request: Request, key: String, offset: usize) {
-    let from_peer = header(&request, JOIN_HEADER).is_some();
+    let holder = header(&request, JOIN_HEADER).map(Name::from);
     let mut writer = writer_for(request);
     let sequence = traffic.next_sequence();
     let commands = traffic.runners.add(sequence);
-    traffic.tell(Event::JoinAsked { from_peer, key: key.clone().into(), sequence });
+    traffic.tell(Event::JoinAsked { holder, key: key.into(), sequence });
     let end = match commands.recv_timeout(Duration::from_millis(JOIN_TIMEOUT_MS)) {
         Ok(RunnerCommand::JoinLocal { holder }) => match traffic.answer_logs.find(holder) {
             Some(log) => {
@@ -147,9 +189,9 @@
             }
             None => Some(answers::answer_not_kept()),
         },
-        Ok(RunnerCommand::JoinPeer { address, key }) => {
-            let settings = &traffic.settings.dispatch;
-            join_peer(address, &key, offset, settings, writer.as_mut());
+        Ok(RunnerCommand::JoinPeer { address, holder, key }) => {
+            let target = JoinTarget { address, holder: &holder, key: &key };
+            join_peer(&target, offset, &traffic.settings.dispatch, writer.as_mut());
             None
         }
         Ok(RunnerCommand::Answer(answer)) => Some(answer),
@@ -169,8 +211,10 @@
         socket.set_tcp_nodelay(true)?;
         let keepalive = TcpKeepalive::new()
             .with_time(Duration::from_secs(KEEPALIVE_TIME_S))
-            .with_interval(Duration::from_secs(1));
+            .with_interval(Duration::from_secs(KEEPALIVE_INTERVAL_S))
+            .with_retries(KEEPALIVE_PROBES);
         socket.set_tcp_keepalive(&keepalive)?;
+        socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_LIMIT_MS)))?;
         socket.set_write_timeout(Some(Duration::from_millis(CALLER_WRITE_TIMEOUT_MS)))?;
         socket.bind(&address.into())?;
         socket.listen(BACKLOG_CONNECTIONS)?;
@@ -179,6 +223,14 @@
     bind().map_err(|error| Error::io(format!("Listening for callers on {address} failed"), error))
 }
 
+/// Reads the offset of a join; without a query it is 0.
+fn read_offset(query: &str) -> Option<usize> {
+    match query {
+        "" => Some(0),
+        query => query.strip_prefix("offset=")?.parse().ok(),
+    }
+}
+
 fn respond(request: Request, status: u16, body: &Value) {
     // A caller that is gone needs no answer.
     let _ = write_body(&mut request.into_writer(), status, None, body);
@@ -197,10 +249,10 @@
         (Method::Get, ["livez"]) => Route::Live,
         (Method::Get, ["readyz"]) => Route::Ready,
         (Method::Get, ["status"]) => Route::Status,
-        (Method::Get, ["v1", "requests", key]) => {
-            let offset = query.strip_prefix("offset=").and_then(|offset| offset.parse().ok());
-            Route::Join { key: (*key).into(), offset: offset.unwrap_or_default() }
-        }
+        (Method::Get, ["v1", "requests", key]) => match read_offset(query) {
+            Some(offset) => Route::Join { key: (*key).into(), offset },
+            None => Route::BadOffset,
+        },
         (Method::Post, ["drain"]) => Route::Drain,
         (Method::Post, ["v1", "services", service, "requests", path @ ..]) => {
             Route::Request { path: path.join("/"), service: (*service).into() }
@@ -209,12 +261,10 @@
     }
 }
 
-fn serve(traffic: &Arc<Traffic>, watch: &PlatformWatch, request: Request) {
+fn serve(traffic: &Arc<Traffic>, usage: &Usage, request: Request) {
     match route(request.method(), request.url()) {
-        Route::Cancel(key) => {
-            traffic.tell(Event::CancelAsked { key: key.into() });
-            respond(request, 202, &json!({ "cancelling": true }));
-        }
+        Route::BadOffset => respond_final(request, &answers::bad_offset()),
+        Route::Cancel(key) => cancel(traffic, request, key),
         Route::Drain => {
             let report = ask(traffic, ControlInput::Drain);
             answer_json(request, report);
@@ -224,7 +274,7 @@
         Route::Live => respond(request, 200, &json!({ "live": true })),
         Route::NotFound => {
             let message = format!("There is no {} {}.", request.method(), request.url());
-            let answer = answers::answer(404, Outcome::NotRun, "no_such_path", message, None);
+            let answer = answers::bad_request(404, "no_such_path", message);
             respond_final(request, &answer);
         }
         Route::Ready => answer_ready(traffic, request),
@@ -232,7 +282,8 @@
         Route::Status => {
             let mut report = ask(traffic, ControlInput::Status);
             if let Some(report) = &mut report {
-                report.platform.reads = watch.reads();
+                report.peer_traffic = usage.peer_links.traffic();
+                report.platform.reads = usage.platform_watch.reads();
             }
             answer_json(request, report);
         }
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -18,6 +18,8 @@
 enum GrantUse {
     /// The request may be dispatched.
     Dispatch(Dispatch),
+    /// The backend server is leaving, which the steward does not know yet.
+    Leaving,
     /// The request runs already, by an earlier grant.
     RunsAlready,
     /// The request is not waiting, or the backend server is gone.
@@ -25,8 +27,15 @@
 }
 
 impl Core {
-    /// Gives a request that has no whole answer its final answer, and ends it.
+    /// Gives a request that waits its final answer, and ends it.
+    ///
+    /// A request that runs or has ended is left alone: the end of an earlier one of the same round
+    /// may have led this instance's own steward to grant or refuse it.
     pub(crate) fn end_with(&mut self, now: Now, sequence: u64, answer: FinalAnswer) {
+        let Some(request) = self.requests.get_active_mut(sequence) else { return };
+        if request.is_running() {
+            return;
+        }
         self.note(now, sequence, format!("Answered {}.", answer.reason));
         let outcome = answer.outcome;
         self.effects.push(Effect::Answer { answer, sequence });
@@ -55,6 +64,10 @@
 
     /// Takes in how a dispatched request goes.
     pub(crate) fn follow(&mut self, now: Now, sequence: u64, progress: Progress) {
+        if progress == Progress::Died {
+            // The steward has to know the suspect before it grants another send of it.
+            self.suspect(now, sequence);
+        }
         self.report_progress(now, sequence, progress.clone());
         match progress {
             Progress::Abandoned => self.abandon(now, sequence),
@@ -62,7 +75,6 @@
             Progress::ConnectFailed => self.choose_again(now, sequence),
             Progress::Died => {
                 self.note(now, sequence, "The backend server was lost.");
-                self.suspect(now, sequence);
                 self.end(sequence, now, Outcome::Unknown);
             }
             Progress::Lost => {
@@ -130,6 +142,7 @@
                     self.hop(now, sequence, Hop::Bid, bid_ms);
                 }
                 if let Some(request) = self.requests.get_active_mut(sequence) {
+                    request.granted_ms = now.monotonic_ms;
                     request.state = RequestState::Running {
                         backend_server: grant.backend_server,
                         output_tokens: 0,
@@ -138,6 +151,12 @@
                 }
                 self.effects.push(Effect::Dispatch(dispatch));
             }
+            GrantUse::Leaving => {
+                let backend_server = grant.backend_server.clone();
+                self.note(now, sequence, format!("{backend_server} is leaving."));
+                self.return_grant(now, steward, grant);
+                self.wait_again(now, sequence, Some(backend_server));
+            }
             GrantUse::RunsAlready => self.report_running(now, sequence, steward.clone()),
             GrantUse::Void => self.return_grant(now, steward, grant),
         }
@@ -250,16 +269,15 @@
         }
         match request.state {
             RequestState::Running { .. } => return GrantUse::RunsAlready,
+            RequestState::Waiting { .. } if !self.adoption.is_ready() => return GrantUse::Void,
             RequestState::Waiting { .. } => {}
             _ => return GrantUse::Void,
         }
         let Some(backend_server) = self.inventory.backend_server(&grant.backend_server) else {
             return GrantUse::Void;
         };
-        let is_leaving =
-            backend_server.leaving || self.leaving.binary_search(&backend_server.name).is_ok();
-        if is_leaving {
-            return GrantUse::Void;
+        if backend_server.leaving || self.is_leaving(&backend_server.name) {
+            return GrantUse::Leaving;
         }
         let model = self
             .inventory
--- a/src/join_answer.rs
+++ b/src/join_answer.rs
@@ -1,11 +1,12 @@
 //! Writes the answer of another request: one of this instance, or one of another instance.
 
-use std::io::BufReader;
+use std::io::{self, BufReader};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use attohttpc::Method;
+use attohttpc::{Method, RequestBuilder};
+use serde_json::Value;
 
 use crate::answer_log::{AnswerEnd, AnswerLog, AnswerRead, AnswerTotals};
 use crate::answer_writer::AnswerWriter;
@@ -16,12 +17,49 @@
 use crate::server_sent_events::{ServerSentEvent, read_event};
 use crate::settings::DispatchSettings;
 
-/// Header by which an instance asks another one for an answer that is there.
+/// Header by which an instance names the request of another one that holds a key.
 pub const JOIN_HEADER: &str = "Bergamotspan-Join";
 
 /// Time between two signs of life to the caller, in milliseconds.
 const KEEP_ALIVE_INTERVAL_MS: u64 = 1_000;
 
+/// The request of another instance that a caller takes part in.
+#[derive(Clone, Copy, Debug)]
+pub struct JoinTarget<'a> {
+    /// Caller address of that instance.
+    pub address: SocketAddr,
+    /// Id of the request.
+    pub holder: &'a str,
+    /// Its key.
+    pub key: &'a str,
+}
+
+/// Writes an answer to a caller and keeps it for others.
+pub struct KeepingWriter<'a> {
+    /// Where it is kept.
+    pub log: &'a AnswerLog,
+    /// The way to the caller.
+    pub writer: &'a mut dyn AnswerWriter,
+}
+
+impl AnswerWriter for KeepingWriter<'_> {
+    fn end(&mut self, end: &AnswerEnd) -> io::Result<()> {
+        self.log.finish_as(end.clone());
+        self.writer.end(end)
+    }
+
+    fn events(&mut self, events: &[Arc<str>]) -> io::Result<()> {
+        for event in events {
+            self.log.push(event.clone());
+        }
+        self.writer.events(events)
+    }
+
+    fn keep_alive(&mut self) -> io::Result<()> {
+        self.writer.keep_alive()
+    }
+}
+
 /// What the other instance answers.
 enum Connection {
     /// There is no answer to stream.
@@ -38,6 +76,20 @@
     Reconnect,
 }
 
+/// Cancels a request of another instance, and returns its answer with the HTTP status.
+///
+/// # Errors
+///
+/// Returns an error if the instance does not answer.
+pub fn cancel_at_peer(
+    target: &JoinTarget<'_>,
+    settings: &DispatchSettings,
+) -> attohttpc::Result<(u16, Value)> {
+    let response = request_to(target, Method::DELETE, "", settings).send()?;
+    let status = response.status().as_u16();
+    Ok((status, serde_json::from_reader(response).unwrap_or_default()))
+}
+
 /// Writes an answer of this instance from an offset, until it ends or the caller is gone.
 pub fn join_local(log: &AnswerLog, offset: usize, writer: &mut dyn AnswerWriter) {
     let mut offset = offset;
@@ -61,10 +113,9 @@
     }
 }
 
-/// Writes an answer of the instance at `address` from an offset.
+/// Writes the answer of a request of another instance from an offset.
 pub fn join_peer(
-    address: SocketAddr,
-    key: &str,
+    target: &JoinTarget<'_>,
     offset: usize,
     settings: &DispatchSettings,
     writer: &mut dyn AnswerWriter,
@@ -73,7 +124,7 @@
     let mut attempts = 0;
     while attempts < settings.resume_limit {
         attempts += 1;
-        let mut stream = match connect(address, key, offset, settings) {
+        let mut stream = match connect(target, offset, settings) {
             Ok(Connection::Answer(answer)) => {
                 // A caller that is gone needs no end.
                 let _ = writer.end(&AnswerEnd::Final(answer));
@@ -98,17 +149,12 @@
 }
 
 fn connect(
-    address: SocketAddr,
-    key: &str,
+    target: &JoinTarget<'_>,
     offset: usize,
     settings: &DispatchSettings,
 ) -> attohttpc::Result<Connection> {
-    let url = format!("http://{address}/v1/requests/{key}?offset={offset}");
-    let response = http_request(Method::GET, &url)
-        .header(JOIN_HEADER, "1")
-        .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
-        .read_timeout(Duration::from_millis(settings.idle_limit_ms))
-        .send()?;
+    let query = format!("?offset={offset}");
+    let response = request_to(target, Method::GET, &query, settings).send()?;
     let (status, _, reader) = response.split();
     if status.as_u16() == 200 {
         return Ok(Connection::Stream(Box::new(BufReader::new(reader))));
@@ -139,9 +185,22 @@
     if let Ok(answer) = serde_json::from_str::<FinalAnswer>(data) {
         return AnswerEnd::Final(answer);
     }
-    let value: serde_json::Value = serde_json::from_str(data).unwrap_or_default();
+    let value: Value = serde_json::from_str(data).unwrap_or_default();
     AnswerEnd::Done(AnswerTotals {
         digest: value["digest"].as_str().unwrap_or_default().to_string(),
         events: usize::try_from(value["events"].as_u64().unwrap_or_default()).unwrap_or_default(),
     })
 }
+
+fn request_to(
+    target: &JoinTarget<'_>,
+    method: Method,
+    query: &str,
+    settings: &DispatchSettings,
+) -> RequestBuilder {
+    let JoinTarget { address, holder, key } = target;
+    http_request(method, &format!("http://{address}/v1/requests/{key}{query}"))
+        .header(JOIN_HEADER, *holder)
+        .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
+        .read_timeout(Duration::from_millis(settings.idle_limit_ms))
+}
--- a/src/route.rs
+++ b/src/route.rs
@@ -8,6 +8,9 @@
 use crate::peer_message::{Heartbeat, KeyRecord, PeerMessage};
 use crate::scheduler::SchedulerEvent;
 
+/// Most records in one message, so that a link can carry it.
+const HANDOVER_LIMIT_RECORDS: usize = 2_000;
+
 impl Core {
     /// Takes in a message of another instance.
     pub(crate) fn route(&mut self, now: Now, peer: Name, message: PeerMessage) {
@@ -32,7 +35,7 @@
             }
             PeerMessage::KeyHandover(records) => self.key_home.accept_handover(now, records),
             PeerMessage::KeyHolder { holder, key, sequence } => {
-                self.take_holder(now, sequence, key, holder);
+                self.take_holder(sequence, &key, holder);
             }
             PeerMessage::KeyQuery { key, sequence } => {
                 let holder = self.key_home.holder(&key);
@@ -93,7 +96,9 @@
             }
         }
         for (successor, records) in handovers {
-            self.send(&successor, PeerMessage::KeyHandover(records));
+            for part in records.chunks(HANDOVER_LIMIT_RECORDS) {
+                self.send(&successor, PeerMessage::KeyHandover(part.to_vec()));
+            }
         }
     }
 
@@ -104,6 +109,7 @@
 
     /// A link came up: what was sent before it may be lost, so it is sent again.
     pub(crate) fn meet(&mut self, now: Now, peer: &Name) {
+        self.trust(peer);
         self.move_bids(now, Some(peer));
     }
 
--- a/src/status_report.rs
+++ b/src/status_report.rs
@@ -6,6 +6,7 @@
 
 use crate::finding::Finding;
 use crate::name::Name;
+use crate::peer_links::PeerTraffic;
 use crate::scheduler::SchedulerReport;
 
 /// State of one instance.
@@ -21,10 +22,16 @@
     pub instance: String,
     /// Idempotency keys of which the instance is the home.
     pub keys: KeyStatus,
+    /// Whether the instance list says that the instance is leaving.
+    #[serde(default)]
+    pub leaving: bool,
     /// Version of the instance list in force.
     pub list_version: u64,
     /// The other instances, sorted by name.
     pub peers: Vec<PeerStatus>,
+    /// Bytes of messages between instances.
+    #[serde(default)]
+    pub peer_traffic: PeerTraffic,
     /// The platform as the instance sees it.
     pub platform: PlatformStatus,
     /// Fingerprints that are quarantined, sorted, as 16 hexadecimal digits each.
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -12,7 +12,8 @@
             return;
         }
         let limit_ms = now.monotonic_ms + self.settings.shutdown.drain_limit_ms;
-        self.stop = Some(StopState { limit_ms, told: false });
+        let earliest_ms = now.monotonic_ms + self.settings.shutdown.notice_ms;
+        self.stop = Some(StopState { earliest_ms, limit_ms, told: false });
         self.log("stop", "Stopping: no new requests are taken.");
         self.hand_over_keys();
         self.move_bids(now, None);
@@ -25,9 +26,11 @@
         }
         if now.monotonic_ms >= stop.limit_ms {
             self.give_up_waiting(now);
+            self.give_up_running();
         }
         let is_empty = self.requests.active().next().is_none();
-        if !is_empty && now.monotonic_ms < stop.limit_ms {
+        let is_noticed = now.monotonic_ms >= stop.earliest_ms;
+        if !(is_empty && is_noticed) && now.monotonic_ms < stop.limit_ms {
             return;
         }
         self.stop = Some(StopState { told: true, ..stop });
@@ -35,6 +38,14 @@
         self.effects.push(Effect::Stopped);
     }
 
+    /// The run tells how it ended, so the request is not ended here.
+    fn give_up_running(&mut self) {
+        for sequence in self.requests.sequences_where(Request::is_running) {
+            let answer = answers::drain_limit_passed();
+            self.effects.push(Effect::Answer { answer, sequence });
+        }
+    }
+
     fn give_up_waiting(&mut self, now: Now) {
         let waits = |request: &Request| !request.is_running();
         for sequence in self.requests.sequences_where(waits) {
