--- a/standins/src/capacity/command.rs
+++ b/standins/src/capacity/command.rs
@@ -29,6 +29,8 @@
 
 /// Sizes and times of all trials.
 struct Plan {
+    /// Longer than an instance pauses after it read a document.
+    change_interval: Duration,
     changes: u32,
     config: &'static [usize],
     engines: &'static [usize],
@@ -42,7 +44,8 @@
 impl Plan {
     fn full() -> Self {
         Self {
-            changes: 6,
+            change_interval: Duration::from_secs(5),
+            changes: 2,
             config: &[100, 1_000, 2_000, 3_000, 4_500],
             engines: &[2, 4, 8, 16, 32],
             one_cell: &[2, 4, 6, 7, 9],
@@ -55,6 +58,7 @@
 
     fn quick() -> Self {
         Self {
+            change_interval: Duration::from_millis(100),
             changes: 1,
             config: &[10, 20, 40, 80],
             engines: &[1, 2, 3, 4],
@@ -95,7 +99,7 @@
 
 fn run_trial(name: &str, plan: &Plan, report: &mut CapacityReport) -> io::Result<()> {
     let series = match name {
-        "config" => config_trial::run(plan.config, plan.changes),
+        "config" => config_trial::run(plan.config, plan.changes, plan.change_interval),
         "engines" => engines_trial::run(plan.engines, plan.window),
         "peers" => peers_trial::run(plan.one_cell, plan.window, ONE_CELL),
         "requests" => requests_trial::run(plan.rates_per_s, plan.window),
--- a/standins/src/capacity/config_trial.rs
+++ b/standins/src/capacity/config_trial.rs
@@ -9,8 +9,6 @@
 use super::usage::Usage;
 use crate::fleet::{BackendServerRow, Fleet, FleetError, ServiceSpec, wait_until};
 
-/// Time between two changes, longer than the instance pauses after one.
-const CHANGE_INTERVAL: Duration = Duration::from_millis(500);
 const IN_FORCE_LIMIT_MS: u64 = 15_000;
 const PREFILL_TOKENS_PER_S: u32 = 50_000;
 const SERVICE: &str = "desk";
@@ -26,14 +24,18 @@
 }
 
 /// Measures one instance that adopts documents of a plain service with more and more servers.
-pub(super) fn run(counts: &[usize], changes: u32) -> Result<Vec<Series>, FleetError> {
+pub(super) fn run(
+    counts: &[usize],
+    changes: u32,
+    interval: Duration,
+) -> Result<Vec<Series>, FleetError> {
     let service = ServiceSpec::plain(SERVICE, 1)
         .prefill_tokens_per_s(PREFILL_TOKENS_PER_S)
         .token_limit_tokens(TOKEN_LIMIT_TOKENS);
     let mut fleet = Fleet::builder().instances(1).service(service).start()?;
     let mut measured = Vec::new();
     for count in counts {
-        measured.push(measure(&mut fleet, *count, changes)?);
+        measured.push(measure(&mut fleet, *count, changes, interval)?);
     }
     let series = |name: &str, value: fn(&Measured) -> f64| {
         let points = measured.iter().map(|item| Point { x: item.servers, y: value(item) });
@@ -41,13 +43,18 @@
     };
     Ok(vec![
         series("document, bytes", |item| item.document_bytes),
-        series("one change, us of processor", |item| item.change_us),
+        series("one change, us of processor of control", |item| item.change_us),
         series("one change, ms until in force", |item| item.change_ms),
         series("resident memory, kB", |item| item.resident_kb),
     ])
 }
 
-fn measure(fleet: &mut Fleet, count: usize, changes: u32) -> Result<Measured, FleetError> {
+fn measure(
+    fleet: &mut Fleet,
+    count: usize,
+    changes: u32,
+    interval: Duration,
+) -> Result<Measured, FleetError> {
     let rows = &mut fleet.inventory.backend_servers;
     for number in rows.len()..count {
         rows.push(BackendServerRow {
@@ -61,24 +68,21 @@
             fencing: false,
         });
     }
-    fleet.publish()?;
-    wait_in_force(fleet)?;
-    let process_id = fleet.instances[0].process.id();
     let started = Instant::now();
     fleet.publish()?;
     wait_in_force(fleet)?;
     let change_ms = started.elapsed().as_secs_f64() * 1_000.0;
+    let process_id = fleet.instances[0].process.id();
     let before = Usage::of(process_id);
     for _ in 0..changes {
         fleet.publish()?;
-        thread::sleep(CHANGE_INTERVAL);
+        thread::sleep(interval);
     }
     let after = Usage::of(process_id);
-    wait_in_force(fleet)?;
     let changes = f64::from(changes);
     Ok(Measured {
         change_ms,
-        change_us: (after.total_ns - before.total_ns) as f64 / 1_000.0 / changes,
+        change_us: (after.control_ns - before.control_ns) as f64 / 1_000.0 / changes,
         document_bytes: fleet.inventory.render().len() as f64,
         resident_kb: after.resident_kb as f64,
         servers: count as f64,
