Look a kept backend server up by binary search

Cause: a steward that takes in a new inventory searched its sorted engines one by one for each server, so a change cost with the square of the servers.

Ruled out: reading the document (5.9 us a server, linear).

--- a/src/steward.rs
+++ b/src/steward.rs
@@ -217,10 +217,10 @@
             if server.service != self.service {
                 continue;
             }
-            let kept = self.engines.iter().find(|engine| engine.name == server.name);
-            let mut engine = match kept {
-                Some(engine) => engine.clone(),
-                None => self.counted_engine(now_ms, EngineState::new(server)),
+            let place = self.engines.binary_search_by(|engine| engine.name.cmp(&server.name));
+            let mut engine = match place {
+                Ok(index) => self.engines[index].clone(),
+                Err(_) => self.counted_engine(now_ms, EngineState::new(server)),
             };
             engine.restart_limit(u64::from(server.token_limit_tokens));
             engine.leaving = server.leaving || leaving.binary_search(&server.name).is_ok();
