Move the models of cores and stewards to the schedules program

Cause: simulators stood in the test folders, where only tests could run them. The program now also runs whole decision cores over any number of seeds. Every check and seed of the tests stays.

--- a/schedules/src/command.rs
+++ b/schedules/src/command.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 use bergamotspan::home_rules::Rules;
 
+use crate::cores::run_cores;
 use crate::key_homes::Plan;
 use crate::run_seeds::run_seeds;
 
@@ -19,9 +20,23 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Cores(CoresCommand),
     KeyHomes(KeyHomesCommand),
 }
 
+/// Checks whole decision cores: one final answer to each send, none dispatched twice, no false
+/// `not_run`, no request that waits beyond its deadline.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "cores")]
+struct CoresCommand {
+    /// number of seeds to run; 60 if left out
+    #[argh(option, default = "60")]
+    runs: u64,
+    /// first seed; 0 if left out
+    #[argh(option, default = "0")]
+    seed: u64,
+}
+
 /// Checks that no key is granted to two requests.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "key-homes")]
@@ -41,10 +56,23 @@
 pub fn run() -> ExitCode {
     let command_line: CommandLine = argh::from_env();
     match command_line.command {
+        Command::Cores(command) => check_cores(&command),
         Command::KeyHomes(command) => check_key_homes(&command),
     }
 }
 
+fn check_cores(command: &CoresCommand) -> ExitCode {
+    let results = run_seeds(command.seed..command.seed + command.runs, run_cores);
+    let mut broken = 0;
+    for (seed, judge) in results.iter().filter(|(_, judge)| !judge.faults.is_empty()) {
+        println!("seed {seed}: {:?}", judge.faults);
+        broken += 1;
+    }
+    let done: u64 = results.iter().map(|(_, judge)| judge.done).sum();
+    println!("{broken} of {} schedules broken; {done} requests done", command.runs);
+    ExitCode::from(u8::from(broken > 0))
+}
+
 fn check_key_homes(command: &KeyHomesCommand) -> ExitCode {
     let rules = command.without.unwrap_or_default();
     let seeds = command.seed..command.seed + command.runs;
--- a/tests/cores/judge.rs
+++ b/schedules/src/cores/judge.rs
@@ -13,7 +13,7 @@
 
 /// What is known of one send at the instance that received it.
 #[derive(Clone, Debug, Default)]
-pub struct Send {
+pub(crate) struct Send {
     pub answers: u32,
     pub deadline_ms: Option<u64>,
     pub dispatched: bool,
@@ -26,20 +26,22 @@
 /// What went wrong, and how much went well.
 #[derive(Debug, Default)]
 pub struct Judge {
+    /// Requests whose answer was whole.
     pub done: u64,
+    /// What went wrong, in the order of time.
     pub faults: Vec<String>,
     runs_of_key: BTreeMap<Name, u32>,
 }
 
 impl Send {
-    pub fn request(deadline_ms: u64, key: Option<Name>) -> Self {
+    pub(crate) fn request(deadline_ms: u64, key: Option<Name>) -> Self {
         Self { deadline_ms: Some(deadline_ms), kept: true, key, ..Self::default() }
     }
 }
 
 impl Judge {
     /// Takes in a final answer, or the answer of another request if there is no outcome.
-    pub fn answered(&mut self, node: &mut Node, sequence: u64, outcome: Option<Outcome>) {
+    pub(crate) fn answered(&mut self, node: &mut Node, sequence: u64, outcome: Option<Outcome>) {
         let name = node.name.clone();
         let Some(send) = node.send_mut(sequence) else {
             return self.fault(format!("{name}: an answer to {sequence}, which was never sent"));
@@ -55,7 +57,7 @@
         }
     }
 
-    pub fn dispatched(&mut self, node: &mut Node, sequence: u64) {
+    pub(crate) fn dispatched(&mut self, node: &mut Node, sequence: u64) {
         let name = node.name.clone();
         let instance = node.id();
         let Some(send) = node.send_mut(sequence) else {
@@ -80,7 +82,7 @@
     }
 
     /// Takes in what a backend server reports, before the core does.
-    pub fn progressed(&mut self, node: &mut Node, sequence: u64, progress: &Progress) {
+    pub(crate) fn progressed(&mut self, node: &mut Node, sequence: u64, progress: &Progress) {
         let name = node.name.clone();
         let instance = node.id();
         let Some(send) = node.send_mut(sequence) else { return };
@@ -104,7 +106,7 @@
         }
     }
 
-    pub fn check_deadlines(&mut self, node: &Node, now_ms: u64) {
+    pub(crate) fn check_deadlines(&mut self, node: &Node, now_ms: u64) {
         let late = |send: &Send| {
             let limit_ms = send.deadline_ms.map(|deadline_ms| deadline_ms + DEADLINE_SLACK_MS);
             let waits = send.answers == 0 && !send.dispatched;
@@ -116,7 +118,7 @@
     }
 
     /// Checks that a core has nothing left of what ended.
-    pub fn check_quiet(&mut self, node: &Node, now_ms: u64) {
+    pub(crate) fn check_quiet(&mut self, node: &Node, now_ms: u64) {
         let open = node.open_requests(now_ms);
         if node.runs(now_ms) && open > 0 {
             self.fault(format!("{}: {open} requests never end", node.name));
--- a/tests/cores/mod.rs
+++ b/schedules/src/cores/mod.rs
@@ -1,9 +1,9 @@
 //! Several decision cores on a random network, with callers and backend servers, and no sockets.
 
-pub mod documents;
+mod documents;
 pub mod judge;
-pub mod network;
-pub mod node;
+mod network;
+mod node;
 
 use std::sync::Arc;
 
@@ -14,10 +14,10 @@
 use rand::{RngExt, SeedableRng};
 use uuid::{Builder, Uuid};
 
-use documents::{CUSTOMER, Documents, PLAIN};
-use judge::Judge;
-use network::{Network, Sent};
-use node::{Node, Outlet};
+use self::documents::{CUSTOMER, Documents, PLAIN};
+use self::judge::Judge;
+use self::network::{Network, Sent};
+use self::node::{Node, Outlet};
 
 /// Deadline of every request, in milliseconds.
 pub const DEADLINE_MS: u64 = 2_000;
@@ -34,9 +34,19 @@
 const START_WALL_CLOCK_MS: u64 = 1_700_000_000_000;
 const STEP_MS: u64 = 20;
 
+/// Instances of the schedules, by seed.
+const INSTANCE_COUNTS: [usize; 3] = [3, 5, 7];
+
+/// Runs the schedule of a seed, with three, five or seven instances.
+pub fn run_cores(seed: u64) -> Judge {
+    let count = INSTANCE_COUNTS[(seed % 3) as usize];
+    World::start(seed, count).run()
+}
+
 /// Cores, network, callers and backend servers.
 pub struct World {
     documents: Documents,
+    /// What went wrong and right so far.
     pub judge: Judge,
     keys: Vec<Name>,
     network: Network,
--- a/tests/fake_fleet/mod.rs
+++ b/schedules/src/fake_fleet.rs
@@ -20,33 +20,46 @@
 /// Speed of one fake engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Speed {
+    /// Time between two tokens of a single request, in microseconds.
     pub between_tokens_us: u64,
+    /// Speed of prefill, in tokens per second.
     pub prefill_tokens_per_s: u64,
 }
 
 /// Load of one run.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
+    /// Time in which requests arrive, in milliseconds.
     pub duration_ms: u64,
+    /// Requests per second.
     pub requests_per_s: u64,
+    /// Seed of the arrivals.
     pub seed: u64,
+    /// Engine that does nothing for a while, if one does.
     pub stall: Option<Stall>,
 }
 
 /// Time for which one engine does nothing.
 #[derive(Clone, Copy, Debug)]
 pub struct Stall {
+    /// Number of the engine.
     pub engine_index: usize,
+    /// Start, in milliseconds.
     pub from_ms: u64,
+    /// End, in milliseconds.
     pub to_ms: u64,
 }
 
 /// What came of one tier.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct TierResult {
+    /// Requests done in time.
     pub in_time: u64,
+    /// Requests done late.
     pub late: u64,
+    /// Requests refused.
     pub refused: u64,
+    /// Requests sent.
     pub sent: u64,
 }
 
@@ -83,12 +96,15 @@
     callers: BTreeMap<u64, Caller>,
     engines: Vec<Engine>,
     now_ms: u64,
+    /// Tokens prefilled for requests that were not done in time.
     pub prefilled_in_vain_tokens: u64,
+    /// Results by tier rank.
     pub results: [TierResult; 3],
     schedulers: Vec<Harness>,
 }
 
 impl FakeFleet {
+    /// Starts idle engines of the given speeds.
     pub fn new(schedulers: Vec<Harness>, speeds: &[Speed]) -> Self {
         let engine = |(index, speed): (usize, &Speed)| Engine {
             decoding: Vec::new(),
--- a/tests/schedulers/mod.rs
+++ b/schedules/src/schedulers.rs
@@ -1,7 +1,5 @@
 //! Builders and a small harness for the tests of schedulers.
 
-#![allow(dead_code)]
-
 use std::sync::Arc;
 
 use bergamotspan::inventory::{BackendServer, Customer, Inventory, Service, ServiceKind, Tier};
@@ -98,6 +96,12 @@
 /// Builds an inventory with three tiers and one model service.
 pub struct InventoryBuilder(Inventory);
 
+impl Default for InventoryBuilder {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl InventoryBuilder {
     /// Starts without engines and customers.
     pub fn new() -> Self {
--- a/tests/model/mod.rs
+++ b/schedules/src/steward.rs
@@ -22,12 +22,19 @@
 /// What makes up a random bid.
 #[derive(Clone, Debug)]
 pub struct Shape {
+    /// Number of the customer.
     pub customer: u8,
+    /// Hash of the body.
     pub fingerprint: u64,
+    /// Most tokens of the answer.
     pub max_output_tokens: u32,
+    /// Whether the other instance sends it.
     pub other_instance: bool,
+    /// Tokens of the prompt.
     pub prompt_tokens: u32,
+    /// Rank of the tier.
     pub tier_rank: u8,
+    /// Time to the deadline, in milliseconds.
     pub time_left_ms: u64,
 }
 
@@ -80,11 +87,13 @@
         model
     }
 
+    /// Lets time pass, in milliseconds.
     pub fn advance(&mut self, elapsed_ms: u64) {
         self.now_ms += elapsed_ms;
         self.deliver(SchedulerEvent::Tick);
     }
 
+    /// Places a bid.
     pub fn bid(&mut self, shape: Shape) {
         self.sequence += 1;
         let instance = if shape.other_instance { "entry-2" } else { "entry-1" };
@@ -108,11 +117,13 @@
         self.deliver(SchedulerEvent::Bid(bid));
     }
 
+    /// Reports cache events of an engine.
     pub fn cache_events(&mut self, engine: u8, events: Vec<CacheEvent>) {
         let backend_server = format!("e{engine}").into();
         self.deliver(SchedulerEvent::CacheEvents { backend_server, events });
     }
 
+    /// Fails a granted request to connect, and bids for it again.
     pub fn connect_failed_and_bid_again(&mut self, pick: usize) {
         let Some((request, server)) = self.pick_granted(pick) else { return };
         if self.was_bid_again(&request) {
@@ -132,6 +143,7 @@
         self.deliver(SchedulerEvent::Bid(bid));
     }
 
+    /// Loses an instance with its requests.
     pub fn instance_lost(&mut self, other: bool) {
         let instance: Name = if other { "entry-2" } else { "entry-1" }.into();
         for (request, entry) in &mut self.requests {
@@ -142,17 +154,20 @@
         self.deliver(SchedulerEvent::InstanceLost { instance });
     }
 
+    /// Marks the engines of a bit mask as leaving.
     pub fn leaving(&mut self, mask: u8) {
         let names = (0..4).filter(|engine| mask & (1 << engine) != 0);
         self.leaving = names.map(|engine| format!("e{engine}").into()).collect();
         self.send_fleet();
     }
 
+    /// Reports the load of an engine.
     pub fn load(&mut self, engine: u8, report: LoadReport) {
         let backend_server = format!("e{engine}").into();
         self.deliver(SchedulerEvent::LoadReport { backend_server, report });
     }
 
+    /// Reports how a granted request goes.
     pub fn progress(&mut self, pick: usize, progress: Progress) {
         let Some((request, server)) = self.pick_granted(pick) else { return };
         if progress == Progress::ConnectFailed && self.was_bid_again(&request) {
@@ -174,6 +189,7 @@
         self.deliver(SchedulerEvent::Progress { progress, request });
     }
 
+    /// Sets quarantined and suspect fingerprints.
     pub fn quarantine(&mut self, quarantined: Vec<u64>, suspects: Vec<u64>) {
         self.quarantined = quarantined.clone();
         self.suspects = suspects.clone();
@@ -220,6 +236,7 @@
         self.check_waiting();
     }
 
+    /// Takes back a waiting request.
     pub fn withdraw(&mut self, pick: usize) {
         let waiting = self.requests.iter().filter(|(_, e)| matches!(e.status, Status::Waiting));
         let waiting: Vec<RequestId> = waiting.map(|(request, _)| request.clone()).collect();
--- a/tests/backend_choice.rs
+++ b/tests/backend_choice.rs
@@ -1,10 +1,8 @@
 //! Tests of the choice of a backend server by prefix and speed.
 
-mod schedulers;
-
 use bergamotspan::scheduling::Progress;
 use bergamotspan::steward::SETTLE_MS;
-use schedulers::{BidBuilder, Harness, InventoryBuilder};
+use schedules::schedulers::{BidBuilder, Harness, InventoryBuilder};
 
 const OUTPUT_TOKENS: u32 = 100;
 const PROMPT_TOKENS: u32 = 1_024;
--- a/tests/baselines.rs
+++ b/tests/baselines.rs
@@ -1,12 +1,10 @@
 //! Tests of the two baselines.
 
-mod schedulers;
-
 use bergamotspan::least_outstanding::LeastOutstanding;
 use bergamotspan::load_report::LoadReport;
 use bergamotspan::round_robin::RoundRobin;
 use bergamotspan::scheduling::{Progress, RefusalReason};
-use schedulers::{BidBuilder, Harness, InventoryBuilder, SERVICE};
+use schedules::schedulers::{BidBuilder, Harness, InventoryBuilder, SERVICE};
 
 fn three_engines() -> InventoryBuilder {
     InventoryBuilder::new().engine("e1", 1_000).engine("e2", 1_000).engine("e3", 1_000)
--- a/tests/decision_cost.rs
+++ b/tests/decision_cost.rs
@@ -1,12 +1,10 @@
 //! Processor time of one decision, with a long queue and sixteen engines.
 
-mod schedulers;
-
 use std::time::Instant;
 
 use bergamotspan::scheduling::Progress;
 use bergamotspan::steward::SETTLE_MS;
-use schedulers::{BidBuilder, Harness, InventoryBuilder};
+use schedules::schedulers::{BidBuilder, Harness, InventoryBuilder};
 
 const ENGINES: usize = 16;
 const FAST_BETWEEN_TOKENS_MS: u64 = 20;
--- a/tests/fairness.rs
+++ b/tests/fairness.rs
@@ -1,12 +1,10 @@
 //! Shares of customers within a tier.
 
-mod schedulers;
-
 use std::collections::BTreeMap;
 
 use bergamotspan::scheduling::Progress;
 use bergamotspan::steward::SETTLE_MS;
-use schedulers::{BidBuilder, Harness, InventoryBuilder};
+use schedules::schedulers::{BidBuilder, Harness, InventoryBuilder};
 
 const SIZES_TOKENS: [u32; 5] = [10, 1_000, 100, 500, 30];
 const GRANTS: usize = 500;
--- a/tests/goodput.rs
+++ b/tests/goodput.rs
@@ -1,14 +1,11 @@
 //! Goodput by tier of the steward and the baselines, at fake engines of unlike speed.
 
-mod fake_fleet;
-mod schedulers;
-
 use bergamotspan::least_outstanding::LeastOutstanding;
 use bergamotspan::round_robin::RoundRobin;
 use bergamotspan::scheduler::Scheduler;
 use bergamotspan::steward::Steward;
-use fake_fleet::{FakeFleet, Load, Speed, Stall, TierResult};
-use schedulers::{Harness, InventoryBuilder, SERVICE};
+use schedules::fake_fleet::{FakeFleet, Load, Speed, Stall, TierResult};
+use schedules::schedulers::{Harness, InventoryBuilder, SERVICE};
 
 const INSTANCES: usize = 7;
 const SEEDS: [u64; 3] = [1, 2, 3];
--- a/tests/lost_grants.rs
+++ b/tests/lost_grants.rs
@@ -1,12 +1,10 @@
 //! Tests of grants that counted as lost and are heard of after all.
 
-mod schedulers;
-
 use bergamotspan::lost_grants::{LOST_GRANTS_LIMIT, LostGrants};
 use bergamotspan::running_requests::Running;
 use bergamotspan::scheduling::Progress;
 use bergamotspan::steward::SETTLE_MS;
-use schedulers::{BidBuilder, Harness, InventoryBuilder};
+use schedules::schedulers::{BidBuilder, Harness, InventoryBuilder};
 
 /// Time after which a grant that is not heard of counts as lost in any case, in milliseconds.
 const LOST_MS: u64 = 30_000;
--- a/tests/shedding.rs
+++ b/tests/shedding.rs
@@ -1,11 +1,9 @@
 //! Tests of what a steward refuses, and in which order.
 
-mod schedulers;
-
 use bergamotspan::scheduling::{Progress, RefusalReason};
 use bergamotspan::shedding::QUEUE_LIMIT_REQUESTS;
 use bergamotspan::steward::SETTLE_MS;
-use schedulers::{BidBuilder, Effects, Harness, InventoryBuilder};
+use schedules::schedulers::{BidBuilder, Effects, Harness, InventoryBuilder};
 
 const BETWEEN_TOKENS_MS: u64 = 20;
 const OUTPUT_TOKENS: u32 = 100;
--- a/tests/steward.rs
+++ b/tests/steward.rs
@@ -1,10 +1,8 @@
 //! Tests of the steward's decisions.
 
-mod schedulers;
-
 use bergamotspan::scheduling::{Progress, RefusalReason, RunningRequest};
 use bergamotspan::steward::SETTLE_MS;
-use schedulers::{BidBuilder, Harness, InventoryBuilder, request};
+use schedules::schedulers::{BidBuilder, Harness, InventoryBuilder, request};
 
 const LATER_MS: u64 = 60_000;
 
--- a/tests/steward_properties.rs
+++ b/tests/steward_properties.rs
@@ -1,15 +1,12 @@
 //! Properties of the steward over random schedules of events.
 
-mod model;
-mod schedulers;
-
 use bergamotspan::inventory::Inventory;
 use bergamotspan::load_report::{CacheEvent, LoadReport};
 use bergamotspan::scheduling::Progress;
-use model::{Model, Shape};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use schedulers::InventoryBuilder;
+use schedules::schedulers::InventoryBuilder;
+use schedules::steward::{Model, Shape};
 
 /// Schedules of each property, unless `PROPTEST_CASES` is set.
 const SCHEDULES: u32 = 400;
