--- a/src/platform_watch.rs
+++ b/src/platform_watch.rs
@@ -23,7 +23,7 @@
 
 const BACK_OFF_LONGEST_MS: u64 = 4_000;
 const BACK_OFF_SHORTEST_MS: u64 = 3_000;
-const LIST_INTERVAL_LONGEST_MS: u64 = 1_800;
+const LIST_INTERVAL_LONGEST_MS: u64 = 2_200;
 
 /// The watch of the platform's service.
 ///
