Split the interface for callers and the daemon, and name requests to their callers

Cause, seen in reading: caller_edge.rs held socket, routes and pages, daemon.rs held every service, route.rs was named like the routes of HTTP, both baselines were written out twice, and a caller could not tell operators which request it meant. The parts are files of their own, baselines differ only in their choice, each answer carries the id of its request, and /explain decodes ids.

--- a/src/answer_writer.rs
+++ b/src/answer_writer.rs
@@ -7,6 +7,10 @@
 
 use crate::answer_log::{AnswerEnd, AnswerTotals};
 use crate::final_answer::FinalAnswer;
+use crate::request_id::RequestId;
+
+/// Header that tells a caller the id of its request, for questions to operators.
+pub const REQUEST_HEADER: &str = "Bergamotspan-Request";
 
 /// How an answer is written.
 pub trait AnswerWriter: Send {
@@ -36,18 +40,20 @@
 pub struct JsonAnswerWriter {
     events: Vec<Arc<str>>,
     output: Box<dyn Write + Send>,
+    request: Option<RequestId>,
 }
 
 /// Writes server-sent events as they come, in HTTP chunks.
 pub struct StreamAnswerWriter {
     output: Box<dyn Write + Send>,
+    request: Option<RequestId>,
     started: bool,
 }
 
 impl JsonAnswerWriter {
-    /// Writes to a connection.
-    pub fn new(output: Box<dyn Write + Send>) -> Self {
-        Self { events: Vec::new(), output }
+    /// Writes the answer of a request, if it has an id here, to a connection.
+    pub fn new(output: Box<dyn Write + Send>, request: Option<RequestId>) -> Self {
+        Self { events: Vec::new(), output, request }
     }
 }
 
@@ -57,9 +63,12 @@
             AnswerEnd::Done(totals) => {
                 let mut body = done_body(totals);
                 body["tokens"] = self.events.iter().map(|data| token_value(data)).collect();
-                write_body(&mut self.output, 200, None, &body)
+                let headers = request_header(self.request.as_ref());
+                write_body(&mut self.output, 200, &headers, &body)
+            }
+            AnswerEnd::Final(answer) => {
+                write_final(&mut self.output, self.request.as_ref(), answer)
             }
-            AnswerEnd::Final(answer) => write_final(&mut self.output, answer),
         }
     }
 
@@ -74,18 +83,19 @@
 }
 
 impl StreamAnswerWriter {
-    /// Writes to a connection.
-    pub fn new(output: Box<dyn Write + Send>) -> Self {
-        Self { output, started: false }
+    /// Writes the answer of a request, if it has an id here, to a connection.
+    pub fn new(output: Box<dyn Write + Send>, request: Option<RequestId>) -> Self {
+        Self { output, request, started: false }
     }
 
     fn chunk(&mut self, text: &str) -> io::Result<()> {
         let mut bytes = String::new();
         if !self.started {
-            bytes.push_str(
+            bytes.push_str(&format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
-                 Cache-Control: no-store\r\nTransfer-Encoding: chunked\r\n\r\n",
-            );
+                 Cache-Control: no-store\r\nTransfer-Encoding: chunked\r\n{}\r\n",
+                request_header(self.request.as_ref())
+            ));
             self.started = true;
         }
         bytes.push_str(&format!("{:x}\r\n{text}\r\n", text.len()));
@@ -104,7 +114,7 @@
         let body = match end {
             AnswerEnd::Done(totals) => done_body(totals),
             AnswerEnd::Final(answer) if !self.started => {
-                return write_final(&mut self.output, answer);
+                return write_final(&mut self.output, self.request.as_ref(), answer);
             }
             AnswerEnd::Final(answer) => final_body(answer),
         };
@@ -129,41 +139,41 @@
     }
 }
 
-/// Writes a final answer as a whole HTTP response with a JSON body.
+/// Writes a final answer as a whole HTTP response with a JSON body, with the id of its request if
+/// it has one.
 ///
 /// # Errors
 ///
 /// Returns an error if the caller is gone.
-pub fn write_final<W>(output: &mut W, answer: &FinalAnswer) -> io::Result<()>
+pub fn write_final<W>(
+    output: &mut W,
+    request: Option<&RequestId>,
+    answer: &FinalAnswer,
+) -> io::Result<()>
 where
     W: Write + ?Sized,
 {
-    write_body(output, answer.status, answer.retry_after_ms, &final_body(answer))
+    let mut headers = request_header(request);
+    if let Some(retry_after_ms) = answer.retry_after_ms {
+        headers.push_str(&format!("Retry-After: {}\r\n", retry_after_ms.div_ceil(1_000)));
+    }
+    write_body(output, answer.status, &headers, &final_body(answer))
 }
 
-/// Writes a whole HTTP response with a JSON body.
+/// Writes a whole HTTP response with a JSON body; each further header ends with a line end.
 ///
 /// # Errors
 ///
 /// Returns an error if the caller is gone.
-pub fn write_body<W>(
-    output: &mut W,
-    status: u16,
-    retry_after_ms: Option<u64>,
-    body: &Value,
-) -> io::Result<()>
+pub fn write_body<W>(output: &mut W, status: u16, headers: &str, body: &Value) -> io::Result<()>
 where
     W: Write + ?Sized,
 {
     let body = body.to_string();
-    let retry = match retry_after_ms {
-        Some(retry_after_ms) => format!("Retry-After: {}\r\n", retry_after_ms.div_ceil(1_000)),
-        None => String::new(),
-    };
     let reason = reason_phrase(status);
     let head = format!(
         "HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n\
-         Content-Length: {}\r\n{retry}\r\n",
+         Content-Length: {}\r\n{headers}\r\n",
         body.len()
     );
     output.write_all(format!("{head}{body}").as_bytes())?;
@@ -195,6 +205,13 @@
     }
 }
 
+fn request_header(request: Option<&RequestId>) -> String {
+    match request {
+        Some(request) => format!("{REQUEST_HEADER}: {request}\r\n"),
+        None => String::new(),
+    }
+}
+
 fn token_value(data: &str) -> Value {
     serde_json::from_str(data).unwrap_or_else(|_| Value::from(data))
 }
--- /dev/null
+++ b/src/baseline_scheduler.rs
@@ -0,0 +1,57 @@
+//! What both baselines do: grant each request at once, without a queue and without tiers.
+
+use crate::baseline_fleet::BaselineFleet;
+use crate::name::Name;
+use crate::now::Now;
+use crate::scheduler::{Scheduler, SchedulerEffect, SchedulerEvent, SchedulerReport};
+use crate::scheduling::Bid;
+
+/// How a baseline chooses among the backend servers of its service.
+pub trait ServerChoice: Default + Send {
+    /// Returns the place of the chosen backend server, if one may be used.
+    fn choose(&mut self, fleet: &BaselineFleet, now_ms: u64, bid: &Bid) -> Option<usize>;
+}
+
+/// Grants each request at once to the backend server that is chosen for it.
+#[derive(Clone, Debug)]
+pub struct BaselineScheduler<C> {
+    choice: C,
+    fleet: BaselineFleet,
+}
+
+impl<C> BaselineScheduler<C>
+where
+    C: ServerChoice,
+{
+    /// Starts without backend servers.
+    pub fn new(service: Name) -> Self {
+        Self { choice: C::default(), fleet: BaselineFleet::new(service) }
+    }
+}
+
+impl<C> Scheduler for BaselineScheduler<C>
+where
+    C: ServerChoice,
+{
+    fn decide(&mut self, now: Now, event: SchedulerEvent) -> Vec<SchedulerEffect> {
+        match event {
+            SchedulerEvent::Bid(bid) if self.fleet.is_granted(&bid.request) => Vec::new(),
+            SchedulerEvent::Bid(bid) => {
+                let index = self.choice.choose(&self.fleet, now.monotonic_ms, &bid);
+                vec![self.fleet.answer(&bid, index)]
+            }
+            event => {
+                self.fleet.take_in(now.monotonic_ms, &event);
+                Vec::new()
+            }
+        }
+    }
+
+    fn lowest_waiting_rank(&self) -> Option<u8> {
+        None
+    }
+
+    fn report(&self, now: Now) -> SchedulerReport {
+        self.fleet.report(now.monotonic_ms)
+    }
+}
--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -1,19 +1,20 @@
 //! The interface for callers, the balancer and the operators' program.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use socket2::{Domain, Socket, TcpKeepalive, Type};
-use tiny_http::{Method, Request, Server};
+use tiny_http::{Request, Server};
 
 use crate::answer_log::AnswerEnd;
 use crate::answer_writer::{
     AnswerWriter, JsonAnswerWriter, StreamAnswerWriter, write_body, write_final,
 };
 use crate::answers;
+use crate::caller_listener::listen;
+use crate::caller_route::{Route, route};
 use crate::control::ControlInput;
 use crate::error::Error;
 use crate::event::Event;
@@ -23,35 +24,17 @@
 use crate::peer_links::PeerLinks;
 use crate::platform_watch::PlatformWatch;
 use crate::read_request::{header, read_request, wants_json};
+use crate::request_id::RequestId;
 use crate::runners::RunnerCommand;
 use crate::serve_request::RequestRunner;
 use crate::traffic::Traffic;
 
-/// Connections that may wait to be accepted.
-const BACKLOG_CONNECTIONS: i32 = 1_024;
-
-/// Time for a caller to take in what was written, in milliseconds.
-const CALLER_WRITE_TIMEOUT_MS: u64 = 10_000;
-
 /// Time for the control thread to answer a question, in milliseconds.
 const CONTROL_TIMEOUT_MS: u64 = 2_000;
 
-/// Time between two probes of a caller's silent connection, in seconds.
-const KEEPALIVE_INTERVAL_S: u64 = 1;
-
-/// Probes without an answer after which the connection is lost.
-const KEEPALIVE_PROBES: u32 = 3;
-
-/// Silence after which the system probes a caller's connection, in seconds.
-const KEEPALIVE_TIME_S: u64 = 2;
-
 /// Time for the answer to a question about a key, in milliseconds.
 const JOIN_TIMEOUT_MS: u64 = 3_000;
 
-/// Time after which a connection is lost if the caller's system acknowledges nothing of what was
-/// written, in milliseconds.
-const UNACKNOWLEDGED_LIMIT_MS: u64 = 5_000;
-
 /// The interface for callers.
 pub struct CallerEdge {
     server: Arc<Server>,
@@ -67,20 +50,6 @@
     pub platform_watch: Arc<PlatformWatch>,
 }
 
-/// What a caller asks for.
-enum Route {
-    BadOffset,
-    Cancel(String),
-    Drain,
-    Explain(String),
-    Join { key: String, offset: usize },
-    Live,
-    NotFound,
-    Ready,
-    Request { path: String, service: String },
-    Status,
-}
-
 impl CallerEdge {
     /// Listens, and serves each request on a thread of its own.
     ///
@@ -177,7 +146,7 @@
 
 fn join(traffic: &Arc<Traffic>, request: Request, key: String, offset: usize) {
     let holder = header(&request, JOIN_HEADER).map(Name::from);
-    let mut writer = writer_for(request);
+    let mut writer = writer_for(request, None);
     let sequence = traffic.next_sequence();
     let commands = traffic.runners.add(sequence);
     traffic.tell(Event::JoinAsked { holder, key: key.into(), sequence });
@@ -204,61 +173,13 @@
     }
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    let bind = || {
-        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
-        socket.set_reuse_address(true)?;
-        socket.set_tcp_nodelay(true)?;
-        let keepalive = TcpKeepalive::new()
-            .with_time(Duration::from_secs(KEEPALIVE_TIME_S))
-            .with_interval(Duration::from_secs(KEEPALIVE_INTERVAL_S))
-            .with_retries(KEEPALIVE_PROBES);
-        socket.set_tcp_keepalive(&keepalive)?;
-        socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_LIMIT_MS)))?;
-        socket.set_write_timeout(Some(Duration::from_millis(CALLER_WRITE_TIMEOUT_MS)))?;
-        socket.bind(&address.into())?;
-        socket.listen(BACKLOG_CONNECTIONS)?;
-        Ok(TcpListener::from(socket))
-    };
-    bind().map_err(|error| Error::io(format!("Listening for callers on {address} failed"), error))
-}
-
-/// Reads the offset of a join; without a query it is 0.
-fn read_offset(query: &str) -> Option<usize> {
-    match query {
-        "" => Some(0),
-        query => query.strip_prefix("offset=")?.parse().ok(),
-    }
-}
-
 fn respond(request: Request, status: u16, body: &Value) {
     // A caller that is gone needs no answer.
-    let _ = write_body(&mut request.into_writer(), status, None, body);
+    let _ = write_body(&mut request.into_writer(), status, "", body);
 }
 
 fn respond_final(request: Request, answer: &FinalAnswer) {
-    let _ = write_final(&mut request.into_writer(), answer);
-}
-
-fn route(method: &Method, url: &str) -> Route {
-    let (path, query) = url.split_once('?').unwrap_or((url, ""));
-    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
-    match (method, parts.as_slice()) {
-        (Method::Delete, ["v1", "requests", key]) => Route::Cancel((*key).into()),
-        (Method::Get, ["explain", id]) => Route::Explain((*id).into()),
-        (Method::Get, ["livez"]) => Route::Live,
-        (Method::Get, ["readyz"]) => Route::Ready,
-        (Method::Get, ["status"]) => Route::Status,
-        (Method::Get, ["v1", "requests", key]) => match read_offset(query) {
-            Some(offset) => Route::Join { key: (*key).into(), offset },
-            None => Route::BadOffset,
-        },
-        (Method::Post, ["drain"]) => Route::Drain,
-        (Method::Post, ["v1", "services", service, "requests", path @ ..]) => {
-            Route::Request { path: path.join("/"), service: (*service).into() }
-        }
-        _ => Route::NotFound,
-    }
+    let _ = write_final(&mut request.into_writer(), None, answer);
 }
 
 fn serve(traffic: &Arc<Traffic>, usage: &Usage, request: Request) {
@@ -295,16 +216,16 @@
     let limit_bytes = traffic.settings.caller.body_limit_bytes;
     match read_request(&mut request, service, path, sequence, limit_bytes) {
         Ok(read) => {
-            let writer = writer_for(request);
+            let writer = writer_for(request, Some(traffic.request_id(sequence)));
             RequestRunner::new(traffic.clone(), read, writer).serve();
         }
         Err(answer) => respond_final(request, &answer),
     }
 }
 
-fn writer_for(request: Request) -> Box<dyn AnswerWriter> {
+fn writer_for(request: Request, id: Option<RequestId>) -> Box<dyn AnswerWriter> {
     match wants_json(&request) {
-        true => Box::new(JsonAnswerWriter::new(request.into_writer())),
-        false => Box::new(StreamAnswerWriter::new(request.into_writer())),
+        true => Box::new(JsonAnswerWriter::new(request.into_writer(), id)),
+        false => Box::new(StreamAnswerWriter::new(request.into_writer(), id)),
     }
 }
--- /dev/null
+++ b/src/caller_listener.rs
@@ -0,0 +1,53 @@
+//! The socket on which callers are listened to.
+//!
+//! Accepted connections inherit its options, which tiny_http offers no way to set on them.
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use socket2::{Domain, Socket, TcpKeepalive, Type};
+
+use crate::error::Error;
+
+/// Connections that may wait to be accepted.
+const BACKLOG_CONNECTIONS: i32 = 1_024;
+
+/// Time for a caller to take in what was written, in milliseconds.
+const CALLER_WRITE_TIMEOUT_MS: u64 = 10_000;
+
+/// Time between two probes of a caller's silent connection, in seconds.
+const KEEPALIVE_INTERVAL_S: u64 = 1;
+
+/// Probes without an answer after which the connection is lost.
+const KEEPALIVE_PROBES: u32 = 3;
+
+/// Silence after which the system probes a caller's connection, in seconds.
+const KEEPALIVE_TIME_S: u64 = 2;
+
+/// Time after which a connection is lost if the caller's system acknowledges nothing of what was
+/// written, in milliseconds.
+const UNACKNOWLEDGED_LIMIT_MS: u64 = 5_000;
+
+/// Listens for callers.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be listened on.
+pub(crate) fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    let bind = || {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_tcp_nodelay(true)?;
+        let keepalive = TcpKeepalive::new()
+            .with_time(Duration::from_secs(KEEPALIVE_TIME_S))
+            .with_interval(Duration::from_secs(KEEPALIVE_INTERVAL_S))
+            .with_retries(KEEPALIVE_PROBES);
+        socket.set_tcp_keepalive(&keepalive)?;
+        socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_LIMIT_MS)))?;
+        socket.set_write_timeout(Some(Duration::from_millis(CALLER_WRITE_TIMEOUT_MS)))?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG_CONNECTIONS)?;
+        Ok(TcpListener::from(socket))
+    };
+    bind().map_err(|error| Error::io(format!("Listening for callers on {address} failed"), error))
+}
--- /dev/null
+++ b/src/caller_route.rs
@@ -0,0 +1,62 @@
+//! What a caller asks for, by method and path.
+
+use percent_encoding::percent_decode_str;
+use tiny_http::Method;
+
+/// What a caller asks for.
+pub(crate) enum Route {
+    /// A join from an offset that is no number.
+    BadOffset,
+    /// Cancel the request of a key.
+    Cancel(String),
+    /// Begin a planned stop.
+    Drain,
+    /// Tell what happened to the request of an id or key.
+    Explain(String),
+    /// Take part in the answer of a key.
+    Join { key: String, offset: usize },
+    /// Tell that the process lives.
+    Live,
+    /// Nothing that there is.
+    NotFound,
+    /// Tell whether requests are taken.
+    Ready,
+    /// Run a request.
+    Request { path: String, service: String },
+    /// Tell the state of the instance.
+    Status,
+}
+
+/// Reads method and path of a request.
+pub(crate) fn route(method: &Method, url: &str) -> Route {
+    let (path, query) = url.split_once('?').unwrap_or((url, ""));
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (method, parts.as_slice()) {
+        (Method::Delete, ["v1", "requests", key]) => Route::Cancel((*key).into()),
+        (Method::Get, ["explain", id]) => Route::Explain(decoded(id)),
+        (Method::Get, ["livez"]) => Route::Live,
+        (Method::Get, ["readyz"]) => Route::Ready,
+        (Method::Get, ["status"]) => Route::Status,
+        (Method::Get, ["v1", "requests", key]) => match read_offset(query) {
+            Some(offset) => Route::Join { key: (*key).into(), offset },
+            None => Route::BadOffset,
+        },
+        (Method::Post, ["drain"]) => Route::Drain,
+        (Method::Post, ["v1", "services", service, "requests", path @ ..]) => {
+            Route::Request { path: path.join("/"), service: (*service).into() }
+        }
+        _ => Route::NotFound,
+    }
+}
+
+fn decoded(part: &str) -> String {
+    percent_decode_str(part).decode_utf8_lossy().into_owned()
+}
+
+/// Reads the offset of a join; without a query it is 0.
+fn read_offset(query: &str) -> Option<usize> {
+    match query {
+        "" => Some(0),
+        query => query.strip_prefix("offset=")?.parse().ok(),
+    }
+}
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -7,6 +7,7 @@
 use crate::clock::Clock;
 use crate::control::ControlInput;
 use crate::event::Event;
+use crate::request_id::RequestId;
 use crate::runners::Runners;
 use crate::settings::Settings;
 use crate::telemetry::Telemetry;
@@ -25,6 +26,7 @@
     pub settings: Arc<Settings>,
     /// Spans and metrics.
     pub telemetry: Arc<dyn Telemetry>,
+    incarnation: u64,
     sequence: AtomicU64,
 }
 
@@ -33,6 +35,7 @@
     pub fn new(
         clock: Clock,
         control: flume::Sender<ControlInput>,
+        incarnation: u64,
         settings: Arc<Settings>,
         telemetry: Arc<dyn Telemetry>,
     ) -> Self {
@@ -43,6 +46,7 @@
             runners: Runners::default(),
             settings,
             telemetry,
+            incarnation,
             sequence: AtomicU64::new(1),
         }
     }
@@ -52,6 +56,12 @@
         self.sequence.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Returns the id of a request.
+    pub fn request_id(&self, sequence: u64) -> RequestId {
+        let instance = self.settings.instance.name.clone();
+        RequestId { instance, incarnation: self.incarnation, sequence }
+    }
+
     /// Tells the decision core.
     pub fn tell(&self, event: Event) {
         // The core only goes away when the process ends.
--- a/tests/answer_memory.rs
+++ b/tests/answer_memory.rs
@@ -42,7 +42,7 @@
 fn arrange() -> (Arc<Traffic>, flume::Receiver<ControlInput>) {
     let settings = Arc::new(parse_settings("settings", SETTINGS).unwrap());
     let (control, inputs) = flume::unbounded();
-    let traffic = Traffic::new(Clock::start(), control, settings, Arc::new(NoTelemetry));
+    let traffic = Traffic::new(Clock::start(), control, 1, settings, Arc::new(NoTelemetry));
     (Arc::new(traffic), inputs)
 }
 
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use standins::caller::Outcome;
-use standins::fleet::Fleet;
+use standins::fleet::{Fleet, get_json};
 use support::{booking, draft, fresh_key, quick_fleet, reason, wait_lawful};
 
 const PROMPT: &str = "draft a fitting plan";
@@ -51,3 +51,23 @@
     assert_eq!(answer.outcome, Some(Outcome::NotRun), "{answer:?}");
     assert_eq!(reason(&answer), "missing_key");
 }
+
+#[test]
+fn the_id_of_an_answer_finds_what_happened_to_its_request() {
+    let fleet = arrange();
+    let address = fleet.caller_addresses()[0];
+    let url = format!("http://{address}/v1/services/plan-model/requests");
+
+    let response = attohttpc::post(url)
+        .header("Bergamotspan-Customer", support::CUSTOMER)
+        .text(r#"{"prompt":"a","max_output_tokens":2}"#)
+        .send()
+        .unwrap();
+    let id = response.headers()["Bergamotspan-Request"].to_str().unwrap().to_owned();
+    assert!(response.text().unwrap().contains(r#""outcome":"done""#));
+
+    let escaped = id.replace('-', "%2d");
+    let report: serde_json::Value = get_json(address, &format!("/explain/{escaped}")).unwrap();
+    assert_eq!(report["request"], id.as_str());
+    assert_eq!(report["state"], "done");
+}
