Find an instances version that is passed over

Before: the new test of tests/check_change.rs fails, no finding. After: the finding names the version to use.

--- a/src/check_change.rs
+++ b/src/check_change.rs
@@ -37,6 +37,13 @@
             "'instances_version' rises from {before} to {after}, but the instances are the same."
         );
         findings.add(0, message);
+    } else if after > before + 1 {
+        let message = format!(
+            "'instances_version' must rise from {before} to {}, not to {after}: requests with a \
+             key wait out a version that nobody knows.",
+            before + 1
+        );
+        findings.add(0, message);
     }
 }
 
--- a/tests/check_change.rs
+++ b/tests/check_change.rs
@@ -93,6 +93,17 @@
     assert_eq!(messages(&three(1, 1), &new), expected);
 }
 
+#[test]
+fn an_instances_version_that_is_passed_over_is_found() {
+    let new = InventoryBuilder::new(2, 3).instances(&["a", "b", "c", "d"]).build();
+    let expected = [
+        "new.ini:0: 'instances_version' must rise from 1 to 2, not to 3: requests with a key wait \
+         out a version that nobody knows.",
+    ];
+
+    assert_eq!(messages(&three(1, 1), &new), expected);
+}
+
 #[test]
 fn a_needless_instances_version_is_found() {
     let expected =
