--- /dev/null
+++ b/src/gateway/admission.rs
@@ -0,0 +1,150 @@
+//! What becomes of a request when it arrives.
+
+use std::sync::Arc;
+
+use crate::gateway::request_facts::{PromptFacts, RequestFacts};
+use crate::gateway::routing_document::{Customer, Route};
+use crate::name::Name;
+
+/// A request as it arrived.
+#[derive(Clone, Debug)]
+pub struct Arrival<'a> {
+    /// When its head was read, in milliseconds of the boot clock.
+    pub arrived_ms: u64,
+    /// What its headers say.
+    pub facts: &'a RequestFacts,
+    /// Digest of path, body and key.
+    pub fingerprint: u64,
+    /// Host that it names.
+    pub host: &'a str,
+    /// Path without query.
+    pub path: &'a str,
+}
+
+/// What becomes of a request when it arrives.
+#[derive(Clone, Debug)]
+pub enum Admission {
+    /// It is to be sent.
+    Forward(Plan),
+    /// It is not sent.
+    Refuse(Refusal),
+}
+
+/// All that is known of a request that is to be sent.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// When its head was read, in milliseconds of the boot clock.
+    pub arrived_ms: u64,
+    /// Customer that sent it.
+    pub customer: Option<Arc<Customer>>,
+    /// When its time is up, in milliseconds of the boot clock.
+    pub deadline_ms: u64,
+    /// Digest of path, body and key.
+    pub fingerprint: u64,
+    /// Key that it came with, where one is needed.
+    pub key: Option<Name>,
+    /// What it asks of a model.
+    pub prompt: Option<Arc<PromptFacts>>,
+    /// Rank; 0 is the highest.
+    pub rank: u32,
+    /// Id that the caller gave it.
+    pub request_id: Name,
+    /// Route that it goes by.
+    pub route: Arc<Route>,
+    /// Service that runs it.
+    pub service: Name,
+    /// Units taken from the customer's limit.
+    pub units: u64,
+}
+
+/// Why a request is not sent, or not any more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RefusalReason {
+    /// The body is longer than permitted.
+    BodyTooLong,
+    /// It did not arrive whole in time.
+    Incomplete,
+    /// No document is known.
+    NoDocument,
+    /// No backend server can take it.
+    NoBackendServer,
+    /// The document is not known to be the newest.
+    NotFresh,
+    /// No route takes it.
+    NoRoute,
+    /// It would not be served in time.
+    NotInTime,
+    /// It crashes backend servers.
+    Quarantined,
+    /// The backend server did not run it.
+    RefusedByBackend,
+    /// The instance is about to stop.
+    Stopping,
+    /// Its time was up before it was sent.
+    TimedOut,
+    /// Its key is unknown or missing.
+    UnknownKey,
+    /// The customer's limit is used up.
+    UsageLimit,
+}
+
+/// A request that is not sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// Time after which the caller may try again, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    /// Refuses for good.
+    pub fn for_good(reason: RefusalReason) -> Self {
+        Self { reason, retry_after_ms: None }
+    }
+
+    /// Refuses for now.
+    pub fn until(reason: RefusalReason, retry_after_ms: u64) -> Self {
+        Self { reason, retry_after_ms: Some(retry_after_ms) }
+    }
+}
+
+impl RefusalReason {
+    /// Returns the HTTP status and what it is about, as a short sentence.
+    pub fn describe(self) -> (u16, &'static str) {
+        match self {
+            Self::BodyTooLong => (413, "The body is longer than permitted."),
+            Self::Incomplete => (408, "The request did not arrive whole in time."),
+            Self::NoDocument => (503, "No routes are known yet."),
+            Self::NoBackendServer => (503, "No backend server can take the request now."),
+            Self::NotFresh => (503, "The routes and keys are not known to be the newest."),
+            Self::NoRoute => (404, "No route takes this host and path."),
+            Self::NotInTime => (503, "The request would not be served in time."),
+            Self::Quarantined => (503, "This request has crashed backend servers."),
+            Self::RefusedByBackend => (503, "The backend server did not run the request."),
+            Self::Stopping => (503, "The instance is about to stop."),
+            Self::TimedOut => (503, "The time was up before the request was sent."),
+            Self::UnknownKey => (401, "The key is unknown or missing."),
+            Self::UsageLimit => (429, "The customer's limit is used up."),
+        }
+    }
+
+    /// Returns a short name for logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::BodyTooLong => "body_too_long",
+            Self::Incomplete => "incomplete",
+            Self::NoDocument => "no_document",
+            Self::NoBackendServer => "no_backend_server",
+            Self::NotFresh => "not_fresh",
+            Self::NoRoute => "no_route",
+            Self::NotInTime => "not_in_time",
+            Self::Quarantined => "quarantined",
+            Self::RefusedByBackend => "refused_by_backend",
+            Self::Stopping => "stopping",
+            Self::TimedOut => "timed_out",
+            Self::UnknownKey => "unknown_key",
+            Self::UsageLimit => "usage_limit",
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/backend.rs
@@ -0,0 +1,257 @@
+//! What an instance knows of one backend server.
+
+use crate::gateway::backend_record::BackendRecord;
+use crate::gateway::request_facts::PromptFacts;
+use crate::name::Name;
+
+/// Weight of a new sample in a moving average.
+const SAMPLE_WEIGHT: f64 = 0.15;
+/// Weight of a new outcome in the share of failures.
+const OUTCOME_WEIGHT: f64 = 0.12;
+/// Time for which a backend server that could not be reached gets nothing, in milliseconds; it
+/// doubles with each failure in a row.
+const COOLING_MS: u64 = 250;
+/// Most doublings of the time that a failing backend server gets nothing.
+const MOST_DOUBLINGS: u32 = 4;
+/// Time to read one prompt token before anything is measured, in milliseconds.
+const DEFAULT_PREFILL_MS: f64 = 0.02;
+/// Time to generate one token before anything is measured, in milliseconds.
+const DEFAULT_TOKEN_MS: f64 = 6.0;
+/// Time of a plain answer before anything is measured, in milliseconds.
+const DEFAULT_REPLY_MS: f64 = 30.0;
+/// Time to the first token that does not grow with the prompt, in milliseconds.
+const FIRST_TOKEN_BASE_MS: f64 = 12.0;
+/// Most parts of prompts that are remembered for one backend server.
+const PART_LIMIT: usize = 2_048;
+
+/// Whether a backend server may get work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BackendStatus {
+    /// Its record was removed.
+    Gone {
+        /// When this became known, in milliseconds of the boot clock.
+        since_ms: u64,
+    },
+    /// It takes no new work.
+    Leaving,
+    /// It takes work.
+    Usable,
+}
+
+/// Work of one instance at one backend server.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BackendLoad {
+    /// Requests that were sent and are not over.
+    pub running: u32,
+    /// Prompt tokens of those that have not answered yet.
+    pub unread_tokens: u64,
+}
+
+/// How a send ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SendOutcome {
+    /// It was answered whole.
+    Answered,
+    /// The caller left, or its time was up.
+    Abandoned,
+    /// It failed at the backend server or on the way.
+    Failed,
+    /// The backend server took no connection or went away.
+    Unreachable,
+    /// The backend server did not run it.
+    Refused,
+}
+
+/// One backend server.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    /// Its id.
+    pub id: Name,
+    /// The newest record of it.
+    pub record: BackendRecord,
+    /// Whether it may get work.
+    pub status: BackendStatus,
+    /// Work of this instance.
+    pub own: BackendLoad,
+    /// Work of the others, by instance.
+    pub peers: Vec<(Name, BackendLoad)>,
+    cooling_until_ms: u64,
+    failure_share: f64,
+    failures_in_a_row: u32,
+    parts: Vec<(u64, u64)>,
+    prefill_ms: Average,
+    reply_ms: Average,
+    token_ms: Average,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Average {
+    samples: u32,
+    value: f64,
+}
+
+impl Average {
+    fn add(&mut self, value: f64) {
+        let weight = SAMPLE_WEIGHT.max(1.0 / (f64::from(self.samples) + 1.0));
+        self.value += weight * (value - self.value);
+        self.samples = self.samples.saturating_add(1);
+    }
+
+    fn or(&self, default: f64) -> f64 {
+        if self.samples == 0 { default } else { self.value }
+    }
+}
+
+impl Backend {
+    /// Starts to know a backend server.
+    pub fn new(id: Name, record: BackendRecord) -> Self {
+        Self {
+            id,
+            record,
+            status: BackendStatus::Usable,
+            own: BackendLoad::default(),
+            peers: Vec::new(),
+            cooling_until_ms: 0,
+            failure_share: 0.0,
+            failures_in_a_row: 0,
+            parts: Vec::new(),
+            prefill_ms: Average::default(),
+            reply_ms: Average::default(),
+            token_ms: Average::default(),
+        }
+    }
+
+    /// Returns whether it may get a request now.
+    pub fn may_serve(&self, now_ms: u64) -> bool {
+        self.status == BackendStatus::Usable && now_ms >= self.cooling_until_ms
+    }
+
+    /// Returns the work of all instances.
+    pub fn load(&self) -> BackendLoad {
+        self.peers.iter().fold(self.own, |sum, (_, load)| BackendLoad {
+            running: sum.running + load.running,
+            unread_tokens: sum.unread_tokens + load.unread_tokens,
+        })
+    }
+
+    /// Returns the share of recent sends that failed.
+    pub fn failure_share(&self) -> f64 {
+        self.failure_share
+    }
+
+    /// Returns the expected time of a plain answer, in milliseconds.
+    pub fn expected_reply_ms(&self) -> f64 {
+        self.reply_ms.or(DEFAULT_REPLY_MS)
+    }
+
+    /// Returns the tokens of a prompt that are probably not kept.
+    pub fn unkept_tokens(&self, prompt: &PromptFacts) -> u64 {
+        let kept = prompt.parts.iter().take_while(|part| self.find_part(part.id).is_ok());
+        prompt.prompt_tokens.saturating_sub(kept.map(|part| part.tokens).sum())
+    }
+
+    /// Returns the expected time to the first event, in milliseconds.
+    pub fn expected_first_event_ms(&self, unkept_tokens: u64) -> f64 {
+        let tokens = self.load().unread_tokens + unkept_tokens;
+        FIRST_TOKEN_BASE_MS + self.prefill_ms.or(DEFAULT_PREFILL_MS) * tokens as f64
+    }
+
+    /// Returns the expected time between tokens, in milliseconds.
+    pub fn expected_token_ms(&self) -> f64 {
+        self.token_ms.or(DEFAULT_TOKEN_MS)
+    }
+
+    /// Returns whether any answer was timed yet.
+    pub fn is_measured(&self) -> bool {
+        self.token_ms.samples + self.reply_ms.samples > 0
+    }
+
+    /// Notes that a request was sent.
+    pub fn begin(&mut self, now_ms: u64, prompt: Option<&PromptFacts>, unread_tokens: u64) {
+        self.own.running += 1;
+        self.own.unread_tokens += unread_tokens;
+        for part in prompt.into_iter().flat_map(|prompt| &prompt.parts) {
+            self.remember(now_ms, part.id);
+        }
+    }
+
+    /// Notes that a stream began, `elapsed_ms` after its send, when `tokens` were to be read.
+    pub fn first_event(&mut self, unread_tokens: u64, tokens: u64, elapsed_ms: f64) {
+        self.own.unread_tokens = self.own.unread_tokens.saturating_sub(unread_tokens);
+        let reading_ms = (elapsed_ms - FIRST_TOKEN_BASE_MS).max(1.0);
+        if tokens > 0 {
+            self.prefill_ms.add(reading_ms / tokens as f64);
+        }
+    }
+
+    /// Notes the mean time between tokens of a stream, in milliseconds.
+    pub fn token_pace(&mut self, token_ms: f64) {
+        self.token_ms.add(token_ms);
+    }
+
+    /// Notes the time of a plain answer, in milliseconds.
+    pub fn reply_time(&mut self, reply_ms: f64) {
+        self.reply_ms.add(reply_ms);
+    }
+
+    /// Notes that a send is over.
+    pub fn end(&mut self, now_ms: u64, unread_tokens: u64, outcome: SendOutcome) {
+        self.own.running = self.own.running.saturating_sub(1);
+        self.own.unread_tokens = self.own.unread_tokens.saturating_sub(unread_tokens);
+        match outcome {
+            SendOutcome::Answered => self.outcome(0.0),
+            SendOutcome::Abandoned => {}
+            SendOutcome::Failed => self.outcome(1.0),
+            SendOutcome::Unreachable => {
+                self.outcome(1.0);
+                self.cool(now_ms);
+            }
+            SendOutcome::Refused => self.cool(now_ms),
+        }
+    }
+
+    /// Takes over a record of a new start: nothing of the earlier one holds.
+    pub fn restart(&mut self, record: BackendRecord) {
+        let (own, peers) = (self.own, std::mem::take(&mut self.peers));
+        *self = Self { own, peers, ..Self::new(self.id.clone(), record) };
+    }
+
+    /// Takes in the work of another instance.
+    pub fn set_peer_load(&mut self, instance: &Name, load: BackendLoad) {
+        let index = self.peers.binary_search_by(|(name, _)| name.cmp(instance));
+        match (index, load == BackendLoad::default()) {
+            (Ok(index), true) => drop(self.peers.remove(index)),
+            (Ok(index), false) => self.peers[index].1 = load,
+            (Err(_), true) => {}
+            (Err(index), false) => self.peers.insert(index, (instance.clone(), load)),
+        }
+    }
+
+    fn cool(&mut self, now_ms: u64) {
+        let doublings = self.failures_in_a_row.min(MOST_DOUBLINGS);
+        self.cooling_until_ms = now_ms + (COOLING_MS << doublings);
+        self.failures_in_a_row = self.failures_in_a_row.saturating_add(1);
+    }
+
+    fn outcome(&mut self, failure: f64) {
+        self.failure_share += OUTCOME_WEIGHT * (failure - self.failure_share);
+        if failure == 0.0 {
+            self.failures_in_a_row = 0;
+        }
+    }
+
+    fn find_part(&self, id: u64) -> Result<usize, usize> {
+        self.parts.binary_search_by_key(&id, |(part, _)| *part)
+    }
+
+    fn remember(&mut self, now_ms: u64, id: u64) {
+        match self.find_part(id) {
+            Ok(index) => self.parts[index].1 = now_ms,
+            Err(index) => self.parts.insert(index, (id, now_ms)),
+        }
+        if self.parts.len() > PART_LIMIT {
+            let middle_ms = now_ms.saturating_sub(5_000);
+            self.parts.retain(|(_, used_ms)| *used_ms > middle_ms);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/backends.rs
@@ -0,0 +1,194 @@
+//! All backend servers that an instance knows, and the choice among them.
+
+use crate::gateway::backend::{Backend, BackendLoad, BackendStatus};
+use crate::gateway::backend_record::BackendRecord;
+use crate::gateway::request_facts::PromptFacts;
+use crate::name::Name;
+
+/// Time for which a removed backend server is remembered, so that late records do not bring it
+/// back, in milliseconds.
+const GONE_MEMORY_MS: u64 = 60_000;
+/// Weight of the share of failures in the choice of a backend server.
+const FAILURE_WEIGHT: f64 = 6.0;
+
+/// All backend servers that an instance knows, sorted by id.
+#[derive(Clone, Debug, Default)]
+pub struct Backends {
+    list: Vec<Backend>,
+}
+
+/// What a record changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RecordChange {
+    /// A backend server is usable that was not.
+    Arrived,
+    /// A backend server takes no new work from now on.
+    Left,
+    /// The record is older than one seen before.
+    Outdated,
+    /// Another start of a known backend server.
+    Restarted,
+    /// Nothing that matters.
+    Unchanged,
+}
+
+/// A backend server for a request that asks a model.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EngineChoice {
+    /// All that are there have as much as they should have.
+    AllBusy,
+    /// This one.
+    Chosen(Name),
+    /// None can take a request at present.
+    NoneUsable,
+}
+
+impl Backends {
+    /// Takes in a record.
+    pub fn publish(&mut self, id: &Name, record: BackendRecord) -> RecordChange {
+        let index = match self.find(id) {
+            Err(index) => {
+                let leaving = record.leaving;
+                let mut backend = Backend::new(id.clone(), record);
+                if leaving {
+                    backend.status = BackendStatus::Leaving;
+                }
+                self.list.insert(index, backend);
+                return if leaving { RecordChange::Left } else { RecordChange::Arrived };
+            }
+            Ok(index) => index,
+        };
+        let backend = &mut self.list[index];
+        if record.is_older_than(&backend.record) {
+            return RecordChange::Outdated;
+        }
+        let was_usable = backend.status == BackendStatus::Usable;
+        let restarted = !record.is_same_run(&backend.record);
+        let status = if record.leaving { BackendStatus::Leaving } else { BackendStatus::Usable };
+        if restarted {
+            backend.restart(record);
+        } else {
+            backend.record = record;
+        }
+        backend.status = status;
+        match (was_usable, status) {
+            (true, BackendStatus::Leaving) => RecordChange::Left,
+            (false, BackendStatus::Usable) => RecordChange::Arrived,
+            _ if restarted => RecordChange::Restarted,
+            _ => RecordChange::Unchanged,
+        }
+    }
+
+    /// Takes in that a record was removed or can't be read.
+    pub fn remove(&mut self, now_ms: u64, id: &str) -> RecordChange {
+        self.list.retain(|backend| match backend.status {
+            BackendStatus::Gone { since_ms } => now_ms < since_ms + GONE_MEMORY_MS,
+            _ => true,
+        });
+        match self.get_mut(id) {
+            Some(backend) if !matches!(backend.status, BackendStatus::Gone { .. }) => {
+                backend.status = BackendStatus::Gone { since_ms: now_ms };
+                RecordChange::Left
+            }
+            _ => RecordChange::Unchanged,
+        }
+    }
+
+    /// Returns a backend server.
+    pub fn get(&self, id: &str) -> Option<&Backend> {
+        self.find(id).ok().map(|index| &self.list[index])
+    }
+
+    /// Returns a backend server to change it.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Backend> {
+        self.find(id).ok().map(|index| &mut self.list[index])
+    }
+
+    /// Returns the backend servers that may be used, sorted by id.
+    pub fn usable(&self) -> impl Iterator<Item = &Backend> {
+        self.list.iter().filter(|backend| backend.status == BackendStatus::Usable)
+    }
+
+    /// Returns the ids of all that are known and not gone.
+    pub fn present_ids(&self) -> Vec<Name> {
+        let present = self
+            .list
+            .iter()
+            .filter(|backend| !matches!(backend.status, BackendStatus::Gone { .. }));
+        present.map(|backend| backend.id.clone()).collect()
+    }
+
+    /// Returns the work of this instance, where there is any.
+    pub fn own_loads(&self) -> Vec<(Name, BackendLoad)> {
+        let busy = self.list.iter().filter(|backend| backend.own != BackendLoad::default());
+        busy.map(|backend| (backend.id.clone(), backend.own)).collect()
+    }
+
+    /// Takes in all the work of another instance.
+    pub fn set_peer_loads(&mut self, instance: &Name, loads: &[(Name, BackendLoad)]) {
+        for backend in &mut self.list {
+            let load = loads.iter().find(|(id, _)| *id == backend.id);
+            backend.set_peer_load(instance, load.map(|(_, load)| *load).unwrap_or_default());
+        }
+    }
+
+    /// Returns a backend server for a plain request.
+    pub fn choose_plain(&self, now_ms: u64, service: &str, except: &[Name]) -> Option<Name> {
+        self.candidates(now_ms, service, except)
+            .map(|backend| {
+                let waiting = f64::from(backend.load().running) + 1.0;
+                let failures = 1.0 + FAILURE_WEIGHT * backend.failure_share();
+                (waiting * backend.expected_reply_ms() * failures, backend)
+            })
+            .min_by(|(left, _), (right, _)| left.total_cmp(right))
+            .map(|(_, backend)| backend.id.clone())
+    }
+
+    /// Returns a backend server for a request that asks a model.
+    pub fn choose_engine(
+        &self,
+        now_ms: u64,
+        service: &str,
+        prompt: &PromptFacts,
+        except: &[Name],
+    ) -> EngineChoice {
+        let mut candidates = self.candidates(now_ms, service, except).peekable();
+        if candidates.peek().is_none() {
+            return EngineChoice::NoneUsable;
+        }
+        let output_tokens = prompt.expected_output_tokens() as f64;
+        let best = candidates
+            .filter(|backend| (backend.load().running as usize) < backend.record.slots)
+            .map(|backend| {
+                let unkept_tokens = backend.unkept_tokens(prompt);
+                let first_event_ms = backend.expected_first_event_ms(unkept_tokens);
+                let running = f64::from(backend.load().running);
+                let crowding = 1.0 + running / backend.record.slots as f64;
+                let rest_ms = output_tokens * backend.expected_token_ms() * crowding;
+                let failures = 1.0 + FAILURE_WEIGHT * backend.failure_share();
+                ((first_event_ms + rest_ms) * failures, backend)
+            })
+            .min_by(|(left, _), (right, _)| left.total_cmp(right));
+        match best {
+            Some((_, backend)) => EngineChoice::Chosen(backend.id.clone()),
+            None => EngineChoice::AllBusy,
+        }
+    }
+
+    fn candidates<'a>(
+        &'a self,
+        now_ms: u64,
+        service: &'a str,
+        except: &'a [Name],
+    ) -> impl Iterator<Item = &'a Backend> {
+        self.list.iter().filter(move |backend| {
+            &*backend.record.service == service
+                && backend.may_serve(now_ms)
+                && !except.contains(&backend.id)
+        })
+    }
+
+    fn find(&self, id: &str) -> Result<usize, usize> {
+        self.list.binary_search_by(|backend| (*backend.id).cmp(id))
+    }
+}
--- /dev/null
+++ b/src/gateway/caller_server.rs
@@ -0,0 +1,225 @@
+//! Takes callers' connections.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use futures_util::future::{Either, select};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use log::warn;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::gateway::boot_clock::boot_ms;
+use crate::gateway::forward::forward;
+use crate::gateway::reply::ReplyBody;
+use crate::gateway::shared::Shared;
+
+/// Smallest buffer for a head that the HTTP library takes, in bytes.
+const SMALLEST_HEAD_BYTES: usize = 8_192;
+/// Time between two looks at idle connections, in milliseconds.
+const SWEEP_MS: u64 = 500;
+/// Time beyond the callers' limit for which an idle connection is kept, in milliseconds.
+const IDLE_SLACK_MS: u64 = 1_000;
+
+/// What a connection does at the moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    Answering,
+    Head { since_ms: u64 },
+    Idle { since_ms: u64 },
+}
+
+/// A connection, as the sweep sees it.
+struct Watched {
+    close: Notify,
+    phase: Cell<Phase>,
+}
+
+/// Takes connections until the process ends.
+pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(connection(shared.clone(), stream));
+            }
+            Err(error) => {
+                warn!(target: "callers", error:%; "A connection could not be taken.");
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn connection(shared: Rc<Shared>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        warn!(target: "callers", error:%; "A connection can't send at once.");
+    }
+    let watched = Rc::new(Watched {
+        close: Notify::new(),
+        phase: Cell::new(Phase::Idle { since_ms: boot_ms() }),
+    });
+    let io = TokioIo::new(WatchedStream { stream, watched: watched.clone() });
+    let service = service_fn(|request| answer(shared.clone(), watched.clone(), request));
+    let head_bytes = shared.state.borrow().table().limits().header_bytes.max(SMALLEST_HEAD_BYTES);
+    let serving = http1::Builder::new().max_buf_size(head_bytes).serve_connection(io, service);
+    let mut serving = pin!(serving);
+    loop {
+        let sweep = pin!(sleep(Duration::from_millis(SWEEP_MS)));
+        let stop = pin!(watched.close.notified());
+        match select(serving.as_mut(), select(sweep, stop)).await {
+            // Callers may leave at any time.
+            Either::Left(_) => return,
+            Either::Right((Either::Left(_), _)) => match overdue(&shared, &watched) {
+                Overdue::No => {}
+                Overdue::Idle => serving.as_mut().graceful_shutdown(),
+                Overdue::Head => return,
+            },
+            Either::Right((Either::Right(_), _)) => serving.as_mut().graceful_shutdown(),
+        }
+    }
+}
+
+enum Overdue {
+    Head,
+    Idle,
+    No,
+}
+
+fn overdue(shared: &Shared, watched: &Watched) -> Overdue {
+    let now_ms = boot_ms();
+    let state = shared.state.borrow();
+    let limits = state.table().limits();
+    match watched.phase.get() {
+        Phase::Head { since_ms } if now_ms > since_ms + limits.header_timeout_ms => Overdue::Head,
+        Phase::Idle { since_ms } if now_ms > since_ms + limits.idle_timeout_ms + IDLE_SLACK_MS => {
+            Overdue::Idle
+        }
+        Phase::Idle { .. } if shared.closes_idle(now_ms) => Overdue::Idle,
+        _ => Overdue::No,
+    }
+}
+
+async fn answer(
+    shared: Rc<Shared>,
+    watched: Rc<Watched>,
+    request: Request<Incoming>,
+) -> Result<Response<CountedBody>, Infallible> {
+    let in_progress = InProgress::begin(shared.clone(), watched);
+    let mut response = forward(shared.clone(), request).await;
+    if shared.stop_by_ms.get().is_some() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response.map(|body| CountedBody { body, _in_progress: in_progress }))
+}
+
+/// Counts a request as in progress until its answer is written.
+struct InProgress {
+    shared: Rc<Shared>,
+    watched: Rc<Watched>,
+}
+
+impl InProgress {
+    fn begin(shared: Rc<Shared>, watched: Rc<Watched>) -> Self {
+        shared.in_progress.set(shared.in_progress.get() + 1);
+        watched.phase.set(Phase::Answering);
+        Self { shared, watched }
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.shared.in_progress.set(self.shared.in_progress.get().saturating_sub(1));
+        self.watched.phase.set(Phase::Idle { since_ms: boot_ms() });
+    }
+}
+
+struct CountedBody {
+    _in_progress: InProgress,
+    body: ReplyBody,
+}
+
+impl Body for CountedBody {
+    type Data = bytes::Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<bytes::Bytes>>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A stream that notes when the first byte of a head arrives.
+struct WatchedStream {
+    stream: TcpStream,
+    watched: Rc<Watched>,
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buffer.filled().len();
+        let poll = Pin::new(&mut this.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before && matches!(this.watched.phase.get(), Phase::Idle { .. })
+        {
+            this.watched.phase.set(Phase::Head { since_ms: boot_ms() });
+        }
+        poll
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/src/gateway/connections.rs
@@ -0,0 +1,145 @@
+//! Kept connections to backend servers.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::timeout;
+
+use crate::gateway::boot_clock::boot_ms;
+use crate::name::Name;
+
+/// Longest time to open a connection, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 500;
+/// Time after which unacknowledged bytes end a connection, in milliseconds.
+const UNACKNOWLEDGED_LIMIT_MS: u64 = 3_000;
+/// Longest time for which an idle connection is kept where the other end says nothing, in
+/// milliseconds.
+const IDLE_LIMIT_MS: u64 = 4_000;
+/// Time before the other end's limit at which an idle connection is given up, in milliseconds.
+const IDLE_MARGIN_MS: u64 = 700;
+/// Most idle connections to one backend server.
+const IDLE_COUNT_LIMIT: usize = 24;
+
+/// Kept connections, by backend server.
+#[derive(Default)]
+pub(crate) struct Connections {
+    idle: RefCell<Vec<Idle>>,
+}
+
+struct Idle {
+    connection: Connection,
+    until_ms: u64,
+}
+
+/// A connection that no request uses; dropping it closes it.
+pub(crate) struct Connection {
+    address: SocketAddr,
+    backend_server: Name,
+    pub(crate) is_new: bool,
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connections {
+    /// Returns a quiet kept connection, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Returns why none could be opened; nothing was sent then.
+    pub(crate) async fn take(
+        &self,
+        backend_server: &Name,
+        address: SocketAddr,
+    ) -> io::Result<Connection> {
+        match self.take_idle(backend_server, address) {
+            Some(connection) => Ok(connection),
+            None => open(backend_server.clone(), address).await,
+        }
+    }
+
+    /// Keeps a connection whose last answer was whole.
+    pub(crate) fn keep(&self, mut connection: Connection, idle_timeout_ms: Option<u64>) {
+        let limit_ms = idle_timeout_ms.unwrap_or(IDLE_LIMIT_MS).min(IDLE_LIMIT_MS * 4);
+        let kept_ms = limit_ms.saturating_sub(IDLE_MARGIN_MS);
+        if connection.sender.is_closed() || kept_ms == 0 {
+            return;
+        }
+        connection.is_new = false;
+        let mut idle = self.idle.borrow_mut();
+        let same = idle.iter().filter(|idle| idle.connection.address == connection.address);
+        if same.count() < IDLE_COUNT_LIMIT {
+            idle.push(Idle { connection, until_ms: boot_ms() + kept_ms });
+        }
+    }
+
+    /// Closes connections that have been idle for long.
+    pub(crate) fn sweep(&self) {
+        let now_ms = boot_ms();
+        self.idle.borrow_mut().retain(|idle| now_ms < idle.until_ms && idle.is_open());
+    }
+
+    /// Closes the idle connections to a backend server.
+    pub(crate) fn close(&self, backend_server: &str) {
+        self.idle.borrow_mut().retain(|idle| *idle.connection.backend_server != *backend_server);
+    }
+
+    fn take_idle(&self, backend_server: &Name, address: SocketAddr) -> Option<Connection> {
+        let now_ms = boot_ms();
+        let mut idle = self.idle.borrow_mut();
+        loop {
+            let index = idle.iter().rposition(|idle| {
+                idle.connection.address == address
+                    && idle.connection.backend_server == *backend_server
+            })?;
+            let taken = idle.remove(index);
+            if now_ms < taken.until_ms && taken.is_open() && taken.connection.sender.is_ready() {
+                return Some(taken.connection);
+            }
+        }
+    }
+}
+
+impl Idle {
+    fn is_open(&self) -> bool {
+        !self.connection.sender.is_closed()
+    }
+}
+
+async fn open(backend_server: Name, address: SocketAddr) -> io::Result<Connection> {
+    let stream = connect(address).await?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    // An error of the connection reaches the request that uses it.
+    let task = spawn_local(async move { drop(connection.await) }).abort_handle();
+    Ok(Connection { address, backend_server, is_new: true, sender, task })
+}
+
+/// Opens a connection that notices a peer that has gone silent.
+///
+/// # Errors
+///
+/// Returns why it could not be opened.
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
+    let stream = timeout(limit, TcpStream::connect(address)).await.map_err(|_| {
+        io::Error::new(io::ErrorKind::TimedOut, "the connection was not taken in time")
+    })??;
+    stream.set_nodelay(true)?;
+    let unacknowledged = Duration::from_millis(UNACKNOWLEDGED_LIMIT_MS);
+    SockRef::from(&stream).set_tcp_user_timeout(Some(unacknowledged))?;
+    Ok(stream)
+}
--- /dev/null
+++ b/src/gateway/counters.rs
@@ -0,0 +1,142 @@
+//! Counters and latency histograms, written as text.
+
+use std::cell::{Cell, RefCell};
+use std::fmt::Write;
+
+use hyper::StatusCode;
+
+use crate::gateway::admission::RefusalReason;
+
+/// Upper bounds of the histograms, in milliseconds.
+const BUCKETS_MS: [u64; 12] = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000, 20_000];
+
+/// A histogram of times.
+#[derive(Debug, Default)]
+pub struct Histogram {
+    counts: [u64; BUCKETS_MS.len()],
+    sum_ms: u64,
+    total: u64,
+}
+
+/// Everything that an instance counts.
+#[derive(Debug, Default)]
+pub struct Counters {
+    answers: RefCell<Vec<(u16, u64)>>,
+    first_event: RefCell<Histogram>,
+    refusals: RefCell<Vec<(&'static str, u64)>>,
+    request: RefCell<Histogram>,
+    store_calls: Cell<u64>,
+    store_failures: Cell<u64>,
+}
+
+/// What an instance holds at the moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Gauges {
+    /// Backend servers that take work.
+    pub backend_servers: usize,
+    /// Version of the document in force.
+    pub document_version: u64,
+    /// Requests that have no whole answer yet.
+    pub in_progress: usize,
+    /// Instances that are heard, this one included.
+    pub instances: usize,
+    /// Age of the proof that the document is the newest, in milliseconds.
+    pub proof_age_ms: Option<u64>,
+    /// Requests that wait for a backend server.
+    pub waiting: usize,
+}
+
+impl Histogram {
+    /// Adds a time, in milliseconds.
+    pub fn add(&mut self, time_ms: u64) {
+        let index = BUCKETS_MS.partition_point(|bound_ms| *bound_ms < time_ms);
+        if let Some(count) = self.counts.get_mut(index) {
+            *count += 1;
+        }
+        self.sum_ms += time_ms;
+        self.total += 1;
+    }
+
+    fn write(&self, name: &str, text: &mut String) {
+        let mut below = 0;
+        for (bound_ms, count) in BUCKETS_MS.iter().zip(&self.counts) {
+            below += count;
+            put(text, format_args!("{name}_bucket{{le=\"{bound_ms}\"}} {below}"));
+        }
+        put(text, format_args!("{name}_bucket{{le=\"+Inf\"}} {}", self.total));
+        put(text, format_args!("{name}_sum {}", self.sum_ms));
+        put(text, format_args!("{name}_count {}", self.total));
+    }
+}
+
+impl Counters {
+    /// Counts an answer and its time.
+    pub fn answered(&self, status: StatusCode, elapsed_ms: u64) {
+        count(&mut self.answers.borrow_mut(), status.as_u16());
+        self.request.borrow_mut().add(elapsed_ms);
+    }
+
+    /// Counts a stream that began and the time until then.
+    pub fn begun(&self, elapsed_ms: u64) {
+        self.first_event.borrow_mut().add(elapsed_ms);
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: RefusalReason) {
+        count(&mut self.refusals.borrow_mut(), reason.name());
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, failed: bool) {
+        self.store_calls.set(self.store_calls.get() + 1);
+        self.store_failures.set(self.store_failures.get() + u64::from(failed));
+    }
+
+    /// Writes everything in the text format that metrics collectors read.
+    pub fn render(&self, gauges: &Gauges) -> String {
+        let mut text = String::new();
+        for (status, number) in self.answers.borrow().iter() {
+            put(
+                &mut text,
+                format_args!("bergamotspan_answers_total{{status=\"{status}\"}} {number}"),
+            );
+        }
+        for (reason, number) in self.refusals.borrow().iter() {
+            put(
+                &mut text,
+                format_args!("bergamotspan_refusals_total{{reason=\"{reason}\"}} {number}"),
+            );
+        }
+        self.request.borrow().write("bergamotspan_request_ms", &mut text);
+        self.first_event.borrow().write("bergamotspan_first_event_ms", &mut text);
+        let proof_age_ms = gauges.proof_age_ms.map(|age_ms| age_ms as i64).unwrap_or(-1);
+        for (name, value) in [
+            ("store_calls_total", self.store_calls.get() as i64),
+            ("store_failures_total", self.store_failures.get() as i64),
+            ("backend_servers", gauges.backend_servers as i64),
+            ("document_version", gauges.document_version as i64),
+            ("requests_in_progress", gauges.in_progress as i64),
+            ("requests_waiting", gauges.waiting as i64),
+            ("instances", gauges.instances as i64),
+            ("proof_age_ms", proof_age_ms),
+        ] {
+            put(&mut text, format_args!("bergamotspan_{name} {value}"));
+        }
+        text
+    }
+}
+
+fn count<T>(counts: &mut Vec<(T, u64)>, key: T)
+where
+    T: Copy + Ord,
+{
+    match counts.binary_search_by_key(&key, |(known, _)| *known) {
+        Ok(index) => counts[index].1 += 1,
+        Err(index) => counts.insert(index, (key, 1)),
+    }
+}
+
+fn put(text: &mut String, line: std::fmt::Arguments<'_>) {
+    // Writing to a string does not fail.
+    let _ = writeln!(text, "{line}");
+}
--- /dev/null
+++ b/src/gateway/daemon.rs
@@ -0,0 +1,224 @@
+//! The process of one instance.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use std::{env, fs};
+
+use argh::FromArgs;
+use log::{info, warn};
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::runtime;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::error::Error;
+use crate::gateway::boot_clock::boot_ms;
+use crate::gateway::gateway_settings::GatewaySettings;
+use crate::gateway::shared::Shared;
+use crate::gateway::wire::Wire;
+use crate::gateway::{caller_server, peer_socket, queue_log, readiness, store_watch};
+
+/// Connections that may wait to be taken.
+const BACKLOG: i32 = 1_024;
+/// Time between two looks at waiting requests, kept connections and the settings file, in
+/// milliseconds.
+const TICK_MS: u64 = 25;
+/// Ticks between two looks at kept connections and the settings file.
+const SLOW_TICKS: u64 = 20;
+/// Time before SIGKILL at which the process ends by itself, in milliseconds.
+const LAST_MOMENT_MS: u64 = 300;
+/// Time after SIGTERM for which the balancer may still send new connections, in milliseconds.
+const BALANCER_NOTICE_MS: u64 = 4_000;
+
+/// Runs one instance that forwards requests by published routes.
+#[derive(Debug, FromArgs)]
+struct CommandLine {
+    /// settings file; by default the one that the platform names
+    #[argh(option)]
+    settings: Option<PathBuf>,
+
+    /// port at which metrics are served, on the address of the operators' port
+    #[argh(option)]
+    metrics_port: Option<u16>,
+
+    /// check the settings file, print all findings and end
+    #[argh(switch)]
+    check: bool,
+}
+
+/// Runs the process until it is told to stop.
+pub fn run(wire: Box<dyn Wire>) -> ExitCode {
+    let command_line: CommandLine = argh::from_env();
+    let path = settings_path(&*wire, &command_line);
+    let settings = match read_settings(&*wire, &path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if command_line.check {
+        println!("{}: no findings.", path.display());
+        return ExitCode::SUCCESS;
+    }
+    match start(wire, settings, path, command_line.metrics_port) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn settings_path(wire: &dyn Wire, command_line: &CommandLine) -> PathBuf {
+    let named = command_line.settings.clone();
+    named.or_else(|| env::var_os(wire.settings_variable()).map(PathBuf::from)).unwrap_or_default()
+}
+
+fn read_settings(wire: &dyn Wire, path: &Path) -> Result<GatewaySettings, Error> {
+    let text = fs::read_to_string(path).map_err(|error| {
+        Error::io(format!("read the settings file '{}'", path.display()), error)
+    })?;
+    wire.settings(&path.display().to_string(), &text)
+}
+
+fn start(
+    wire: Box<dyn Wire>,
+    settings: GatewaySettings,
+    path: PathBuf,
+    metrics_port: Option<u16>,
+) -> Result<(), Error> {
+    queue_log::start()?;
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| Error::io("start the runtime", error))?;
+    LocalSet::new().block_on(&runtime, serve(wire, settings, path, metrics_port))
+}
+
+async fn serve(
+    wire: Box<dyn Wire>,
+    settings: GatewaySettings,
+    path: PathBuf,
+    metrics_port: Option<u16>,
+) -> Result<(), Error> {
+    info!(
+        target: "daemon",
+        instance = &*settings.instance,
+        callers:% = settings.caller_address,
+        store:% = settings.store_address;
+        "The instance starts."
+    );
+    let callers = listen(settings.caller_address)?;
+    let readiness = listen(settings.readiness_address)?;
+    let operators = listen(settings.operator_address)?;
+    let metrics = metrics_port
+        .map(|port| listen(SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), port)))
+        .transpose()?;
+    let peers = UdpSocket::bind(settings.peer_address)
+        .await
+        .map_err(|error| Error::io(format!("bind {}", settings.peer_address), error))?;
+    let signals = Signals::new()?;
+    let shared = Rc::new(Shared::new(wire, settings));
+    let peers = Rc::new(peers);
+    spawn_local(store_watch::follow(shared.clone()));
+    spawn_local(peer_socket::receive(shared.clone(), peers.clone()));
+    spawn_local(peer_socket::send(shared.clone(), peers));
+    spawn_local(caller_server::serve(shared.clone(), callers));
+    spawn_local(readiness::serve(shared.clone(), readiness));
+    spawn_local(readiness::serve(shared.clone(), operators));
+    if let Some(metrics) = metrics {
+        spawn_local(readiness::serve(shared.clone(), metrics));
+    }
+    spawn_local(tick(shared.clone()));
+    follow_signals(shared, signals, &path).await;
+    Ok(())
+}
+
+struct Signals {
+    hangup: Signal,
+    interrupt: Signal,
+    terminate: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self, Error> {
+        let catch = |kind| signal(kind).map_err(|error| Error::io("catch signals", error));
+        Ok(Self {
+            hangup: catch(SignalKind::hangup())?,
+            interrupt: catch(SignalKind::interrupt())?,
+            terminate: catch(SignalKind::terminate())?,
+        })
+    }
+}
+
+async fn follow_signals(shared: Rc<Shared>, mut signals: Signals, path: &Path) {
+    loop {
+        tokio::select! {
+            _ = signals.hangup.recv() => reload(&shared, path),
+            _ = signals.interrupt.recv() => break,
+            _ = signals.terminate.recv() => break,
+        }
+    }
+    stop(&shared).await;
+}
+
+fn reload(shared: &Shared, path: &Path) {
+    match read_settings(&*shared.wire, path) {
+        Ok(settings) => {
+            shared.state.borrow_mut().reload(boot_ms(), settings);
+            info!(target: "daemon", "The settings are read again.");
+        }
+        Err(error) => {
+            warn!(target: "daemon", error:%; "The settings can't be read; the earlier ones stay.");
+        }
+    }
+}
+
+async fn stop(shared: &Rc<Shared>) {
+    let now_ms = boot_ms();
+    let grace_ms = shared.state.borrow().settings().bounds.grace_ms;
+    shared.stop_by_ms.set(Some(now_ms + grace_ms.saturating_sub(LAST_MOMENT_MS)));
+    shared.state.borrow_mut().stop();
+    shared.changed.notify_one();
+    info!(target: "daemon", in_progress = shared.in_progress.get(), grace_ms; "The instance stops.");
+    let started = Instant::now();
+    let last = started + Duration::from_millis(grace_ms.saturating_sub(LAST_MOMENT_MS));
+    sleep_until((started + Duration::from_millis(BALANCER_NOTICE_MS)).min(last)).await;
+    while shared.in_progress.get() > 0 && Instant::now() < last {
+        sleep(Duration::from_millis(TICK_MS)).await;
+    }
+    info!(target: "daemon", in_progress = shared.in_progress.get(); "The instance has stopped.");
+    sleep(Duration::from_millis(TICK_MS)).await;
+}
+
+async fn tick(shared: Rc<Shared>) {
+    let mut ticks = 0_u64;
+    let mut was_ready = false;
+    loop {
+        sleep(Duration::from_millis(TICK_MS)).await;
+        ticks += 1;
+        shared.advance();
+        if ticks.is_multiple_of(SLOW_TICKS) {
+            shared.connections.sweep();
+            was_ready = readiness::note_change(&shared, was_ready);
+        }
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    let listen = || -> std::io::Result<TcpListener> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        TcpListener::from_std(socket.into())
+    };
+    listen().map_err(|error| Error::io(format!("listen at {address}"), error))
+}
--- /dev/null
+++ b/src/gateway/event_splitter.rs
@@ -0,0 +1,78 @@
+//! Splits a stream of server-sent events at the ends of events.
+
+use bytes::{Bytes, BytesMut};
+
+/// Longest event that is kept until its end arrives, in bytes.
+const EVENT_LIMIT_BYTES: usize = 1_048_576;
+
+/// Bytes of a stream, cut at the ends of events.
+#[derive(Clone, Debug, Default)]
+pub struct EventSplitter {
+    rest: BytesMut,
+}
+
+/// Whole events that arrived together.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WholeEvents {
+    /// Their bytes.
+    pub bytes: Bytes,
+    /// Their number.
+    pub count: u32,
+    /// Id of the last of them that has one.
+    pub last_id: Option<String>,
+}
+
+impl EventSplitter {
+    /// Adds bytes and returns the events that are whole now.
+    pub fn push(&mut self, bytes: &[u8]) -> Option<WholeEvents> {
+        self.rest.extend_from_slice(bytes);
+        let end = last_event_end(&self.rest)?;
+        let whole = self.rest.split_to(end).freeze();
+        let count = count_ends(&whole);
+        let last_id = last_id(&whole);
+        Some(WholeEvents { bytes: whole, count, last_id })
+    }
+
+    /// Returns whether an event was begun and not ended.
+    pub fn is_inside_event(&self) -> bool {
+        !self.rest.is_empty()
+    }
+
+    /// Returns whether an event is longer than may be kept.
+    pub fn is_too_long(&self) -> bool {
+        self.rest.len() > EVENT_LIMIT_BYTES
+    }
+
+    /// Takes what is left after the last whole event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.rest.split().freeze()
+    }
+}
+
+fn count_ends(bytes: &[u8]) -> u32 {
+    let mut count = 0;
+    let mut line_is_empty = true;
+    for byte in bytes {
+        match byte {
+            b'\n' if line_is_empty => {
+                count += 1;
+            }
+            b'\n' => line_is_empty = true,
+            b'\r' => {}
+            _ => line_is_empty = false,
+        }
+    }
+    count
+}
+
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    let unix = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|index| index + 2);
+    let dos = bytes.windows(3).rposition(|end| end == b"\n\r\n").map(|index| index + 3);
+    unix.max(dos)
+}
+
+fn last_id(bytes: &[u8]) -> Option<String> {
+    let lines = bytes.rsplit(|byte| *byte == b'\n');
+    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    Some(String::from_utf8_lossy(id).trim().to_owned())
+}
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,137 @@
+//! One send to one backend server, up to the head of its answer.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Method, Request, Response, Uri, Version};
+use thiserror::Error;
+use tokio::time::timeout;
+
+use crate::gateway::admission::Plan;
+use crate::gateway::boot_clock::boot_ms;
+use crate::gateway::connections::Connection;
+use crate::gateway::shared::Shared;
+use crate::gateway::wire::{ReplyFacts, SendFacts};
+use crate::name::Name;
+
+/// A caller's request, kept until it is answered.
+pub(crate) struct CallerRequest {
+    pub(crate) body: Bytes,
+    pub(crate) headers: HeaderMap,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+}
+
+/// The head of an answer, and the connection that the rest comes by.
+pub(crate) struct Reply {
+    pub(crate) connection: Connection,
+    pub(crate) facts: ReplyFacts,
+    pub(crate) response: Response<Incoming>,
+}
+
+/// Why there is no answer.
+#[derive(Debug, Error)]
+pub(crate) enum SendFailure {
+    /// It was sent in part or whole, and the connection broke.
+    #[error("the connection broke: {0}")]
+    BrokenOff(String),
+    /// No byte of it was sent.
+    #[error("nothing was sent: {0}")]
+    NotSent(String),
+    /// The time was up after it was sent.
+    #[error("the time was up")]
+    TimedOut,
+    /// What came is not the answer to this request.
+    #[error("another answer came: {0}")]
+    WrongAnswer(String),
+}
+
+/// Sends a request and waits for the head of the answer.
+pub(crate) async fn exchange(
+    shared: &Rc<Shared>,
+    plan: &Plan,
+    request: &CallerRequest,
+    to: (&Name, SocketAddr),
+    resume_after: Option<&str>,
+) -> Result<Reply, SendFailure> {
+    let (backend_server, address) = to;
+    loop {
+        let mut connection = shared
+            .connections
+            .take(backend_server, address)
+            .await
+            .map_err(|error| SendFailure::NotSent(error.to_string()))?;
+        let now_ms = boot_ms();
+        let left_ms = plan.deadline_ms.saturating_sub(now_ms);
+        if left_ms == 0 || shared.state.borrow().recheck(now_ms, plan).is_err() {
+            return Err(SendFailure::NotSent("it may not be sent any more".to_owned()));
+        }
+        let message = compose(shared, plan, request, backend_server, left_ms, resume_after)?;
+        let limit = Duration::from_millis(left_ms);
+        let answer = match timeout(limit, connection.sender.try_send_request(message)).await {
+            Err(_) => return Err(SendFailure::TimedOut),
+            Ok(answer) => answer,
+        };
+        match answer {
+            Ok(response) => return check(shared, plan, connection, response),
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let is_new = connection.is_new;
+                let error = error.into_error().to_string();
+                match (unsent, is_new) {
+                    // A kept connection had ended before any byte of the request was written.
+                    (true, false) => {}
+                    (true, true) => return Err(SendFailure::NotSent(error)),
+                    (false, _) => return Err(SendFailure::BrokenOff(error)),
+                }
+            }
+        }
+    }
+}
+
+fn compose(
+    shared: &Rc<Shared>,
+    plan: &Plan,
+    request: &CallerRequest,
+    backend_server: &Name,
+    time_left_ms: u64,
+    resume_after: Option<&str>,
+) -> Result<Request<Full<Bytes>>, SendFailure> {
+    let mut message = Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = request.uri.clone();
+    *message.version_mut() = Version::HTTP_11;
+    let mut headers = request.headers.clone();
+    let customer = plan.customer.as_ref().map(|customer| customer.name.clone());
+    let send = SendFacts { backend_server: backend_server.clone(), customer, time_left_ms };
+    shared.wire.prepare_request(&mut headers, &send);
+    if let Some(last_event_id) = resume_after {
+        shared.wire.set_resume_point(&mut headers, last_event_id);
+    }
+    *message.headers_mut() = headers;
+    Ok(message)
+}
+
+fn check(
+    shared: &Rc<Shared>,
+    plan: &Plan,
+    connection: Connection,
+    response: Response<Incoming>,
+) -> Result<Reply, SendFailure> {
+    let facts = shared.wire.reply_facts(response.status(), response.headers());
+    match facts.request_id.as_deref() {
+        Some(id) if id == &*plan.request_id => {}
+        _ if plan.request_id.is_empty() => {}
+        // A refusal may come before the request was read, without its id.
+        None if facts.not_run || !response.status().is_success() => {}
+        id => {
+            let id = id.unwrap_or("none").to_owned();
+            return Err(SendFailure::WrongAnswer(format!("it answers request '{id}'")));
+        }
+    }
+    Ok(Reply { connection, facts, response })
+}
--- /dev/null
+++ b/src/gateway/forward.rs
@@ -0,0 +1,138 @@
+//! The way of one request from its arrival to its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::{Request, Response};
+use log::info;
+use rand::random;
+use tokio::time::timeout;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::gateway::admission::{Admission, Arrival, Plan, Refusal, RefusalReason};
+use crate::gateway::boot_clock::boot_ms;
+use crate::gateway::exchange::CallerRequest;
+use crate::gateway::plain_relay::relay_plain;
+use crate::gateway::reply::{ReplyBody, refuse};
+use crate::gateway::request_facts::RequestFacts;
+use crate::gateway::routing_document::RouteKind;
+use crate::gateway::shared::Shared;
+use crate::gateway::stream_relay::relay_stream;
+
+/// Longest time for a body to arrive, in milliseconds.
+const BODY_TIMEOUT_MS: u64 = 15_000;
+
+/// Answers one request.
+pub(crate) async fn forward(shared: Rc<Shared>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let arrived_ms = boot_ms();
+    let facts = shared.wire.request_facts(request.headers());
+    let request = match read(&shared, request).await {
+        Ok(request) => request,
+        Err(refusal) => return refused(&shared, &facts, &refusal, arrived_ms),
+    };
+    let host = host(&request);
+    let arrival = Arrival {
+        arrived_ms,
+        facts: &facts,
+        fingerprint: fingerprint(&request, &facts),
+        host: &host,
+        path: request.uri.path(),
+    };
+    let admission = shared.state.borrow_mut().admit(boot_ms(), &arrival, random());
+    match admission {
+        Admission::Forward(plan) if plan.route.kind == RouteKind::Stream => {
+            relay_stream(shared, plan, request).await
+        }
+        Admission::Forward(plan) => relay_plain(shared, plan, request).await,
+        Admission::Refuse(refusal) => refused(&shared, &facts, &refusal, arrived_ms),
+    }
+}
+
+/// Refuses a request that was charged and did not run.
+pub(crate) fn give_up(shared: &Shared, plan: &Plan, refusal: &Refusal) -> Response<ReplyBody> {
+    shared.state.borrow_mut().refund(plan);
+    let now_ms = boot_ms();
+    info!(
+        target: "refuse",
+        request = &*plan.request_id,
+        route = &*plan.route.name,
+        reason = refusal.reason.name(),
+        held_ms = now_ms.saturating_sub(plan.arrived_ms),
+        waiting = shared.state.borrow().waiting_count(),
+        retry_after_ms = refusal.retry_after_ms;
+        "The request is refused and has not run."
+    );
+    shared.counters.refused(refusal.reason);
+    refuse(refusal)
+}
+
+fn refused(
+    shared: &Shared,
+    facts: &RequestFacts,
+    refusal: &Refusal,
+    arrived_ms: u64,
+) -> Response<ReplyBody> {
+    let now_ms = boot_ms();
+    let state = shared.state.borrow();
+    info!(
+        target: "refuse",
+        request = facts.request_id.as_deref(),
+        reason = refusal.reason.name(),
+        version = state.table().version(),
+        proof_age_ms = state.proof_age_ms(now_ms),
+        held_ms = now_ms.saturating_sub(arrived_ms),
+        retry_after_ms = refusal.retry_after_ms;
+        "The request is refused at its arrival."
+    );
+    shared.counters.refused(refusal.reason);
+    refuse(refusal)
+}
+
+async fn read(shared: &Rc<Shared>, request: Request<Incoming>) -> Result<CallerRequest, Refusal> {
+    let limit_bytes = shared.state.borrow().table().limits().body_bytes;
+    let (head, body) = request.into_parts();
+    let announced = head.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    if announced.and_then(|text| text.parse().ok()).is_some_and(|bytes: usize| bytes > limit_bytes)
+    {
+        return Err(Refusal::for_good(RefusalReason::BodyTooLong));
+    }
+    let body = Limited::new(body, limit_bytes).collect();
+    let body = match timeout(Duration::from_millis(BODY_TIMEOUT_MS), body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return Err(Refusal::for_good(RefusalReason::BodyTooLong));
+        }
+        Ok(Err(_)) | Err(_) => return Err(Refusal::for_good(RefusalReason::Incomplete)),
+    };
+    Ok(CallerRequest {
+        body,
+        headers: head.headers,
+        method: head.method,
+        uri: origin_form(head.uri),
+    })
+}
+
+fn origin_form(uri: hyper::Uri) -> hyper::Uri {
+    let path = uri.path_and_query().map(|path| path.as_str()).unwrap_or("/");
+    path.parse().unwrap_or(uri)
+}
+
+fn host(request: &CallerRequest) -> String {
+    let named = request.headers.get(HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let name = match named.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => named,
+    };
+    name.to_ascii_lowercase()
+}
+
+fn fingerprint(request: &CallerRequest, facts: &RequestFacts) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(request.uri.path().as_bytes());
+    hash.update(facts.key.as_deref().unwrap_or_default().as_bytes());
+    hash.update(&request.body);
+    hash.digest()
+}
--- /dev/null
+++ b/src/gateway/freshness.rs
@@ -0,0 +1,45 @@
+//! Until when the document in force is known to be the newest.
+
+/// Time kept free between the last moment at which a proof counts and the bound, in milliseconds;
+/// it covers the way of a request to a backend server.
+const MARGIN_MS: u64 = 400;
+
+/// When the document in force was last proved to be the newest.
+///
+/// A proof counts from the moment at which the question was sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Freshness {
+    proved_ms: Option<u64>,
+}
+
+impl Freshness {
+    /// Takes in that the document was the newest at `proved_ms` of the boot clock.
+    pub fn prove(&mut self, proved_ms: u64) {
+        self.proved_ms = self.proved_ms.max(Some(proved_ms));
+    }
+
+    /// Takes in that a newer document is known to exist.
+    pub fn forget(&mut self) {
+        self.proved_ms = None;
+    }
+
+    /// Returns the age of the proof, in milliseconds, if there is one.
+    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.proved_ms.map(|proved_ms| now_ms.saturating_sub(proved_ms))
+    }
+
+    /// Returns whether a key may still be honoured if it has to lapse `revocation_ms` after it is
+    /// taken away.
+    pub fn honours_keys(&self, now_ms: u64, revocation_ms: Option<u64>) -> bool {
+        match (revocation_ms, self.age_ms(now_ms)) {
+            (None, _) => true,
+            (Some(bound_ms), Some(age_ms)) => age_ms < bound_ms.saturating_sub(MARGIN_MS),
+            (Some(_), None) => false,
+        }
+    }
+
+    /// Returns whether the proof is at most `limit_ms` old.
+    pub fn is_within(&self, now_ms: u64, limit_ms: u64) -> bool {
+        self.age_ms(now_ms).is_some_and(|age_ms| age_ms <= limit_ms)
+    }
+}
--- /dev/null
+++ b/src/gateway/gateway_settings.rs
@@ -0,0 +1,62 @@
+//! Settings of one instance that forwards requests by published routes.
+
+use std::net::SocketAddr;
+
+use crate::name::Name;
+
+/// Settings of the process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Time bounds and budgets that the operators promise to callers.
+    pub bounds: Bounds,
+    /// Address that takes requests.
+    pub caller_address: SocketAddr,
+    /// Data centre that the instance stands in.
+    pub data_centre: Name,
+    /// Most file descriptors of the process.
+    pub descriptor_limit: usize,
+    /// Name of the instance.
+    pub instance: Name,
+    /// Most memory of the process, in mebibytes.
+    pub memory_limit_mib: u64,
+    /// Address that operators' commands are answered at.
+    pub operator_address: SocketAddr,
+    /// Address that datagrams from other instances arrive at.
+    pub peer_address: SocketAddr,
+    /// Address that tells the balancer whether the instance takes requests.
+    pub readiness_address: SocketAddr,
+    /// Peer addresses of some other instances, which may be stale.
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the store that the operators write.
+    pub store_address: SocketAddr,
+}
+
+/// Time bounds and budgets that hold for all instances together.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// Time from SIGTERM to SIGKILL, in milliseconds.
+    pub grace_ms: u64,
+    /// Time after a document's publication at which it is in force, in milliseconds.
+    pub publish_ms: u64,
+    /// Extra sends of a service in one window that do not count, over all instances.
+    pub resend_allowance: u32,
+    /// Extra sends of a service in one window, as a share of its requests.
+    pub resend_ratio: f64,
+    /// Length of a window of extra sends, in milliseconds.
+    pub resend_window_ms: u64,
+    /// Time after which a key that was taken away lets nothing run, in milliseconds.
+    pub revocation_ms: Option<u64>,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            grace_ms: 8_000,
+            publish_ms: 2_000,
+            resend_allowance: 50,
+            resend_ratio: 0.2,
+            resend_window_ms: 10_000,
+            revocation_ms: Some(5_000),
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/peer_socket.rs
@@ -0,0 +1,90 @@
+//! Datagrams between instances.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::net::UdpSocket;
+use tokio::time::{sleep, timeout};
+
+use crate::error::Error;
+use crate::gateway::boot_clock::boot_ms;
+use crate::gateway::peer_digest::{decode_datagram, encode_datagram, encode_digest};
+use crate::gateway::peer_table::HEARTBEAT_MS;
+use crate::gateway::shared::Shared;
+
+/// Longest datagram, in bytes.
+const DATAGRAM_LIMIT_BYTES: usize = 60_000;
+/// Time for which changes are gathered before they are told, in milliseconds.
+const GATHER_MS: u64 = 4;
+/// Datagrams between two that name the other instances.
+const NAMING_INTERVAL: u64 = 4;
+
+/// Hears other instances until the process ends.
+pub(crate) async fn receive(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_LIMIT_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => hear(&shared, from, &buffer[..length]),
+            Err(error) => {
+                warn!(target: "peers", error:%; "A datagram could not be read.");
+                sleep(Duration::from_millis(HEARTBEAT_MS)).await;
+            }
+        }
+    }
+}
+
+fn hear(shared: &Rc<Shared>, from: std::net::SocketAddr, bytes: &[u8]) {
+    let (envelope, digest) = match decode_datagram(bytes, from) {
+        Ok(decoded) => decoded,
+        Err(error) => {
+            warn!(target: "peers", from:%, error:%; "A datagram is left out.");
+            return;
+        }
+    };
+    let news = shared.state.borrow_mut().hear(boot_ms(), from, &envelope, &digest);
+    if news.is_new {
+        info!(
+            target: "peers",
+            instance = &*digest.instance,
+            incarnation = digest.incarnation,
+            version = digest.document_version;
+            "An instance is heard."
+        );
+        shared.changed.notify_one();
+    }
+    shared.advance();
+}
+
+/// Tells the other instances what changes, until the process ends.
+pub(crate) async fn send(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
+    let mut rounds = 0_u64;
+    loop {
+        let limit = Duration::from_millis(HEARTBEAT_MS);
+        let changed = timeout(limit, shared.changed.notified()).await.is_ok();
+        if changed {
+            sleep(Duration::from_millis(GATHER_MS)).await;
+        }
+        rounds += 1;
+        shared.state.borrow_mut().tick(boot_ms());
+        if let Err(error) = tell(&shared, &socket, rounds.is_multiple_of(NAMING_INTERVAL)) {
+            warn!(target: "peers", error:%; "The other instances could not be told.");
+        }
+    }
+}
+
+fn tell(shared: &Rc<Shared>, socket: &UdpSocket, names_others: bool) -> Result<(), Error> {
+    let (digest, targets) = shared.state.borrow_mut().tell(boot_ms(), names_others);
+    let digest = encode_digest(&digest)?;
+    for (address, envelope) in targets {
+        let datagram = encode_datagram(&envelope, &digest)?;
+        match socket.try_send_to(&datagram, address) {
+            Ok(_) => {}
+            // A lost datagram is made up for by the next one.
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Err(Error::io(format!("send to {address}"), error)),
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/gateway/queue_log.rs
@@ -0,0 +1,95 @@
+//! The log on standard output, written by a thread of its own so that traffic never waits for it.
+
+use std::io::{Write, stdout};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use flume::{Receiver, Sender, bounded};
+use logforth::append::Append;
+use logforth::layout::JsonLayout;
+use logforth::record::{Level, LevelFilter, Record};
+use logforth::{Diagnostic, Layout, starter_log};
+
+use crate::error::Error;
+
+/// Lines that may wait to be written; later ones are counted and left out.
+const QUEUE_LINES: usize = 8_192;
+/// Time between two writes, in milliseconds.
+const WRITE_INTERVAL_MS: u64 = 250;
+/// Most lines that are written in one second.
+const LINES_PER_S: usize = 2_000;
+
+/// Hands lines to the thread that writes them.
+#[derive(Debug)]
+struct QueueAppend {
+    layout: JsonLayout,
+    left_out: Arc<AtomicU64>,
+    lines: Sender<Vec<u8>>,
+}
+
+impl Append for QueueAppend {
+    fn append(
+        &self,
+        record: &Record,
+        diagnostics: &[Box<dyn Diagnostic>],
+    ) -> Result<(), logforth::Error> {
+        let mut line = self.layout.format(record, diagnostics)?;
+        line.push(b'\n');
+        if self.lines.try_send(line).is_err() {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), logforth::Error> {
+        Ok(())
+    }
+}
+
+/// Starts the log of the process.
+///
+/// # Errors
+///
+/// Returns [`Error::Io`] if the process has a log already or no thread can be started.
+pub(crate) fn start() -> Result<(), Error> {
+    let (sender, receiver) = bounded(QUEUE_LINES);
+    let left_out = Arc::new(AtomicU64::new(0));
+    let append = QueueAppend {
+        layout: JsonLayout::default().timezone(jiff::tz::TimeZone::UTC),
+        left_out: left_out.clone(),
+        lines: sender,
+    };
+    starter_log::builder()
+        .dispatch(|dispatch| {
+            dispatch.filter(LevelFilter::MoreSevereEqual(Level::Info)).append(append)
+        })
+        .try_apply()
+        .map_err(|error| Error::io("start the log", std::io::Error::other(error.to_string())))?;
+    log::set_max_level(log::LevelFilter::Info);
+    thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_lines(&receiver, &left_out))
+        .map_err(|error| Error::io("start the thread of the log", error))?;
+    Ok(())
+}
+
+fn write_lines(lines: &Receiver<Vec<u8>>, left_out: &AtomicU64) {
+    let most = LINES_PER_S * WRITE_INTERVAL_MS as usize / 1_000;
+    let mut batch = Vec::new();
+    while let Ok(first) = lines.recv() {
+        batch.extend(first);
+        for line in lines.try_iter().take(most) {
+            batch.extend(line);
+        }
+        let missed = left_out.swap(0, Ordering::Relaxed);
+        if missed > 0 {
+            batch.extend(format!("{{\"level\":\"WARN\",\"target\":\"log\",\"message\":\"Lines were left out since the output did not take them.\",\"kvs\":{{\"lines\":{missed}}}}}\n").bytes());
+        }
+        // There is nowhere else to report that the output is gone.
+        let _ = stdout().write_all(&batch);
+        batch.clear();
+        thread::sleep(Duration::from_millis(WRITE_INTERVAL_MS));
+    }
+}
--- /dev/null
+++ b/src/gateway/readiness.rs
@@ -0,0 +1,97 @@
+//! Tells the balancer whether the instance takes requests, and operators how it is.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use log::{info, warn};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use crate::gateway::boot_clock::boot_ms;
+use crate::gateway::counters::Gauges;
+use crate::gateway::shared::Shared;
+
+/// Path at which metrics are served.
+const METRICS_PATH: &str = "/metrics";
+/// Path at which operators' commands find the state of the instance.
+const STATUS_PATH: &str = "/status";
+
+/// Answers questions about the instance until the process ends.
+pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(target: "readiness", error:%; "A connection could not be taken.");
+                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        let shared = shared.clone();
+        spawn_local(async move {
+            let service = service_fn(|request| {
+                let response = answer(&shared, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // The one who asks may leave at any time.
+            drop(connection.await);
+        });
+    }
+}
+
+/// Logs changes of readiness.
+pub(crate) fn note_change(shared: &Shared, was_ready: bool) -> bool {
+    let now_ms = boot_ms();
+    let state = shared.state.borrow();
+    let is_ready = state.is_ready(now_ms);
+    if is_ready != was_ready {
+        info!(
+            target: "readiness",
+            ready = is_ready,
+            version = state.table().version(),
+            proof_age_ms = state.proof_age_ms(now_ms),
+            backend_servers = state.backends().usable().count();
+            "The readiness of the instance changed."
+        );
+    }
+    is_ready
+}
+
+fn answer(shared: &Shared, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        path if path == shared.wire.readiness_path() => {
+            let ready = shared.state.borrow().is_ready(boot_ms());
+            let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            text(status, String::new())
+        }
+        METRICS_PATH | STATUS_PATH => text(StatusCode::OK, shared.counters.render(&gauges(shared))),
+        _ => text(StatusCode::NOT_FOUND, "There is no such page.\n".to_owned()),
+    }
+}
+
+fn gauges(shared: &Shared) -> Gauges {
+    let now_ms = boot_ms();
+    let state = shared.state.borrow();
+    Gauges {
+        backend_servers: state.backends().usable().count(),
+        document_version: state.table().version(),
+        in_progress: shared.in_progress.get(),
+        instances: state.peers().heard_count(now_ms),
+        proof_age_ms: state.proof_age_ms(now_ms),
+        waiting: state.waiting_count(),
+    }
+}
+
+fn text(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/gateway/reply.rs
@@ -0,0 +1,103 @@
+//! Answers to callers.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use futures_util::Stream;
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+
+use crate::gateway::admission::{Refusal, RefusalReason};
+
+type Pieces = Pin<Box<dyn Stream<Item = io::Result<Bytes>>>>;
+
+/// The body of an answer.
+pub(crate) enum ReplyBody {
+    /// It comes in pieces; an error breaks it off.
+    Pieces(Pieces),
+    /// It is there.
+    Whole(Option<Bytes>),
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        match self.get_mut() {
+            Self::Pieces(pieces) => pieces
+                .as_mut()
+                .poll_next(context)
+                .map(|piece| piece.map(|bytes| bytes.map(Frame::data))),
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Pieces(_) => SizeHint::default(),
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map(|bytes| bytes.len() as u64).unwrap_or(0))
+            }
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Problem {
+    error: &'static str,
+    message: &'static str,
+}
+
+/// Answers with a whole body.
+pub(crate) fn whole(bytes: Bytes) -> ReplyBody {
+    ReplyBody::Whole((!bytes.is_empty()).then_some(bytes))
+}
+
+/// Tells a caller that the request was not sent.
+pub(crate) fn refuse(refusal: &Refusal) -> Response<ReplyBody> {
+    let (status, message) = refusal.reason.describe();
+    let mut response = problem(status, refusal.reason.name(), message);
+    if let Some(wait_ms) = refusal.retry_after_ms {
+        let seconds = format!("{:.3}", wait_ms as f64 / 1_000.0);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    if matches!(refusal.reason, RefusalReason::BodyTooLong | RefusalReason::Incomplete) {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Tells a caller that the request was sent and has no whole answer.
+pub(crate) fn broken(timed_out: bool) -> Response<ReplyBody> {
+    if timed_out {
+        problem(
+            504,
+            "timed_out",
+            "The time was up before the answer came; the request may have run.",
+        )
+    } else {
+        problem(502, "broken_off", "The backend server broke off; the request may have run.")
+    }
+}
+
+fn problem(status: u16, error: &'static str, message: &'static str) -> Response<ReplyBody> {
+    let body = serde_json::to_vec(&Problem { error, message }).unwrap_or_default();
+    let mut response = Response::new(whole(body.into()));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
--- /dev/null
+++ b/src/gateway/resend_budget.rs
@@ -0,0 +1,49 @@
+//! Bounds how often requests are sent to a second backend server.
+//!
+//! Each instance keeps to its own requests and a fixed share of the common allowance, so that the
+//! sum over all instances holds whichever of them can reach each other.
+
+use std::collections::VecDeque;
+
+use crate::gateway::gateway_settings::Bounds;
+
+/// Share of the permitted ratio that is used; the rest covers windows that overlap.
+const RATIO_SHARE: f64 = 0.7;
+/// Share of the common allowance that all instances together use.
+const ALLOWANCE_SHARE: f64 = 0.6;
+
+/// Requests and extra sends of one service in the last window.
+#[derive(Clone, Debug, Default)]
+pub struct ResendBudget {
+    extra_ms: VecDeque<u64>,
+    request_ms: VecDeque<u64>,
+}
+
+impl ResendBudget {
+    /// Notes a request of a caller.
+    pub fn request(&mut self, now_ms: u64, bounds: &Bounds) {
+        self.expire(now_ms, bounds);
+        self.request_ms.push_back(now_ms);
+    }
+
+    /// Takes one extra send, if there is one among `instances` instances.
+    pub fn take(&mut self, now_ms: u64, bounds: &Bounds, instances: usize) -> bool {
+        self.expire(now_ms, bounds);
+        let earned = bounds.resend_ratio * RATIO_SHARE * self.request_ms.len() as f64;
+        let share = ALLOWANCE_SHARE * f64::from(bounds.resend_allowance) / instances.max(1) as f64;
+        let allowed = (self.extra_ms.len() as f64) + 1.0 <= earned + share;
+        if allowed {
+            self.extra_ms.push_back(now_ms);
+        }
+        allowed
+    }
+
+    fn expire(&mut self, now_ms: u64, bounds: &Bounds) {
+        let since_ms = now_ms.saturating_sub(bounds.resend_window_ms);
+        for times in [&mut self.extra_ms, &mut self.request_ms] {
+            while times.front().is_some_and(|time_ms| *time_ms < since_ms) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/routing_table.rs
@@ -0,0 +1,103 @@
+//! A routing document, ordered for look-ups.
+
+use std::sync::Arc;
+
+use crate::gateway::routing_document::{
+    CallerLimits, Customer, Route, RoutingDocument, ServiceSpec, WeightedService,
+};
+use crate::name::Name;
+
+/// A routing document, ordered for look-ups.
+#[derive(Clone, Debug, Default)]
+pub struct RoutingTable {
+    customers: Vec<Arc<Customer>>,
+    keys: Vec<(Name, usize)>,
+    limits: CallerLimits,
+    routes: Vec<Arc<Route>>,
+    services: Vec<ServiceSpec>,
+    version: u64,
+}
+
+impl RoutingTable {
+    /// Orders a document.
+    pub fn new(document: RoutingDocument) -> Self {
+        let mut routes: Vec<_> = document.routes.into_iter().map(Arc::new).collect();
+        routes.sort_by(|left, right| {
+            (&left.host, &left.prefix, &left.name).cmp(&(&right.host, &right.prefix, &right.name))
+        });
+        let mut services = document.services;
+        services.sort_by(|left, right| left.name.cmp(&right.name));
+        let mut customers: Vec<_> = document.customers.into_iter().map(Arc::new).collect();
+        customers.sort_by(|left, right| left.name.cmp(&right.name));
+        let mut keys: Vec<_> = customers
+            .iter()
+            .enumerate()
+            .flat_map(|(index, customer)| customer.keys.iter().map(move |key| (key.clone(), index)))
+            .collect();
+        keys.sort();
+        let (limits, version) = (document.limits, document.version);
+        Self { customers, keys, limits, routes, services, version }
+    }
+
+    /// Returns the customer that holds a key.
+    pub fn customer(&self, key: &str) -> Option<&Arc<Customer>> {
+        let index = self.keys.binary_search_by(|(known, _)| (**known).cmp(key)).ok()?;
+        self.customers.get(self.keys[index].1)
+    }
+
+    /// Returns all customers, sorted by name.
+    pub fn customers(&self) -> &[Arc<Customer>] {
+        &self.customers
+    }
+
+    /// Returns what callers may send.
+    pub fn limits(&self) -> &CallerLimits {
+        &self.limits
+    }
+
+    /// Returns whether requests need a key.
+    pub fn needs_keys(&self) -> bool {
+        !self.customers.is_empty()
+    }
+
+    /// Returns the route with the longest prefix that begins `path`.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let start = self.routes.partition_point(|route| &*route.host < host);
+        let end = start + self.routes[start..].partition_point(|route| &*route.host == host);
+        let of_host = &self.routes[start..end];
+        let mut candidate = path;
+        while let Some(slash) = candidate.rfind('/') {
+            let prefix = &candidate[..=slash];
+            if let Ok(index) = of_host.binary_search_by(|route| (*route.prefix).cmp(prefix)) {
+                return of_host.get(index);
+            }
+            candidate = &candidate[..slash];
+        }
+        None
+    }
+
+    /// Returns a service.
+    pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
+        let index = self.services.binary_search_by(|service| (*service.name).cmp(name)).ok()?;
+        self.services.get(index)
+    }
+
+    /// Returns the version of the document.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+}
+
+/// Returns the service that takes a request, by weight; `draw` picks one evenly.
+pub fn weighted_service(services: &[WeightedService], draw: u64) -> Option<&Name> {
+    let total: u64 = services.iter().map(|service| u64::from(service.weight)).sum();
+    let mut left = draw.checked_rem(total)?;
+    for service in services {
+        let weight = u64::from(service.weight);
+        if left < weight {
+            return Some(&service.service);
+        }
+        left -= weight;
+    }
+    None
+}
--- /dev/null
+++ b/src/gateway/store_watch.rs
@@ -0,0 +1,210 @@
+//! Reads and watches the store that the operators write.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use log::{info, warn};
+use rand::random_range;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+use crate::gateway::backends::RecordChange;
+use crate::gateway::boot_clock::boot_ms;
+use crate::gateway::connections::connect;
+use crate::gateway::shared::Shared;
+use crate::gateway::state::Belief;
+use crate::gateway::store_fact::StorePage;
+
+/// Time that a watch waits for a change, in milliseconds.
+const WATCH_WAIT_MS: u64 = 900;
+/// Time beyond the wait after which a watch counts as lost, in milliseconds.
+const WATCH_SLACK_MS: u64 = 700;
+/// Longest time for a page of a listing, in milliseconds.
+const LIST_TIMEOUT_MS: u64 = 2_000;
+/// Shortest time between the starts of two calls, in milliseconds.
+const CALL_INTERVAL_MS: u64 = 400;
+/// Shortest time before a call after one that failed, in milliseconds.
+const RETRY_MS: u64 = 100;
+/// Longest time before a call after some that failed, in milliseconds.
+const RETRY_LIMIT_MS: u64 = 600;
+
+/// Why a call has no usable answer.
+#[derive(Debug, thiserror::Error)]
+enum CallError {
+    /// The history after the revision is no longer there.
+    #[error("the history is gone")]
+    HistoryGone,
+    /// The call failed.
+    #[error("{0}")]
+    Failed(String),
+}
+
+struct StoreConnection {
+    address: SocketAddr,
+    sender: SendRequest<Empty<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for StoreConnection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Follows the store until the process ends.
+pub(crate) async fn follow(shared: Rc<Shared>) {
+    let mut watch = StoreWatch { connection: None, failures: 0, revision: None, shared };
+    loop {
+        let started_ms = boot_ms();
+        let result = match watch.revision {
+            Some(revision) => watch.changes(revision).await,
+            None => watch.list().await,
+        };
+        match result {
+            Ok(()) => watch.succeeded(),
+            Err(error) => watch.failed(&error).await,
+        }
+        let elapsed_ms = boot_ms().saturating_sub(started_ms);
+        sleep(Duration::from_millis(CALL_INTERVAL_MS.saturating_sub(elapsed_ms))).await;
+    }
+}
+
+struct StoreWatch {
+    connection: Option<StoreConnection>,
+    failures: u32,
+    revision: Option<u64>,
+    shared: Rc<Shared>,
+}
+
+impl StoreWatch {
+    async fn list(&mut self) -> Result<(), CallError> {
+        let asked_ms = boot_ms();
+        let mut facts = Vec::new();
+        let mut first_revision = None;
+        let mut after: Option<String> = None;
+        loop {
+            let path = self.shared.wire.list_path(after.as_deref());
+            let body = self.call(&path, LIST_TIMEOUT_MS).await?;
+            let page: StorePage = self.shared.wire.store_page(&body).map_err(CallError::Failed)?;
+            facts.extend(page.facts);
+            // Pages are not a snapshot: what changed since the first is watched.
+            first_revision = first_revision.or(Some(page.revision));
+            match page.next_after {
+                Some(key) => after = Some(key),
+                None => break,
+            }
+        }
+        self.revision = first_revision;
+        let beliefs = self.shared.state.borrow_mut().learn_all(boot_ms(), asked_ms, facts);
+        self.believe(beliefs);
+        Ok(())
+    }
+
+    async fn changes(&mut self, revision: u64) -> Result<(), CallError> {
+        let asked_ms = boot_ms();
+        let path = self.shared.wire.watch_path(revision, WATCH_WAIT_MS);
+        let body = self.call(&path, WATCH_WAIT_MS + WATCH_SLACK_MS).await?;
+        let changes = self.shared.wire.store_changes(&body).map_err(CallError::Failed)?;
+        self.revision = Some(changes.revision.max(revision));
+        let beliefs = self.shared.state.borrow_mut().learn(boot_ms(), asked_ms, changes.facts);
+        self.believe(beliefs);
+        Ok(())
+    }
+
+    fn believe(&self, beliefs: Vec<Belief>) {
+        for belief in beliefs {
+            note(&self.shared, &belief);
+        }
+        self.shared.changed.notify_one();
+        self.shared.advance();
+    }
+
+    fn succeeded(&mut self) {
+        if self.failures > 0 {
+            info!(target: "store", failures = self.failures; "The store answers again.");
+        }
+        self.failures = 0;
+    }
+
+    async fn failed(&mut self, error: &CallError) {
+        self.connection = None;
+        if matches!(error, CallError::HistoryGone) {
+            info!(target: "store", revision = self.revision; "The history is gone: the store is listed.");
+            self.revision = None;
+            return;
+        }
+        self.failures += 1;
+        if self.failures == 1 {
+            warn!(target: "store", error:%; "The store does not answer.");
+        }
+        let limit_ms = (RETRY_MS << self.failures.min(4)).min(RETRY_LIMIT_MS);
+        sleep(Duration::from_millis(random_range(RETRY_MS..=limit_ms))).await;
+    }
+
+    async fn call(&mut self, path: &str, limit_ms: u64) -> Result<Bytes, CallError> {
+        let address = self.shared.state.borrow().settings().store_address;
+        let limit = Duration::from_millis(limit_ms);
+        let result = match timeout(limit, self.exchange(address, path)).await {
+            Ok(result) => result,
+            Err(_) => Err(CallError::Failed("it did not answer in time".to_owned())),
+        };
+        self.shared.counters.store_call(result.is_err());
+        result
+    }
+
+    async fn exchange(&mut self, address: SocketAddr, path: &str) -> Result<Bytes, CallError> {
+        let failed = |error: hyper::Error| CallError::Failed(error.to_string());
+        let mut connection = match self.connection.take() {
+            Some(kept) if kept.address == address && !kept.sender.is_closed() => kept,
+            _ => open(address).await?,
+        };
+        let request = Request::get(path)
+            .header(HOST, address.to_string())
+            .body(Empty::new())
+            .map_err(|error| CallError::Failed(error.to_string()))?;
+        let response = connection.sender.send_request(request).await.map_err(failed)?;
+        let status = response.status();
+        let body = response.into_body().collect().await.map_err(failed)?.to_bytes();
+        match status {
+            StatusCode::OK => {
+                self.connection = Some(connection);
+                Ok(body)
+            }
+            StatusCode::GONE => Err(CallError::HistoryGone),
+            _ => Err(CallError::Failed(format!("it answers with status {status}"))),
+        }
+    }
+}
+
+async fn open(address: SocketAddr) -> Result<StoreConnection, CallError> {
+    let stream = connect(address).await.map_err(|error| CallError::Failed(error.to_string()))?;
+    let handshake = handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|error| CallError::Failed(error.to_string()))?;
+    // An error of the connection reaches the call that uses it.
+    let task = spawn_local(async move { drop(connection.await) }).abort_handle();
+    Ok(StoreConnection { address, sender, task })
+}
+
+fn note(shared: &Shared, belief: &Belief) {
+    match belief {
+        Belief::Backend { id, change } => {
+            info!(target: "beliefs", backend_server = &**id, change:?; "A backend server changed.");
+            if matches!(change, RecordChange::Left | RecordChange::Restarted) {
+                shared.connections.close(id);
+            }
+        }
+        Belief::Document { version, before } => {
+            info!(target: "beliefs", version, before; "A document is in force.");
+        }
+        Belief::Unreadable { item, detail } => {
+            warn!(target: "beliefs", item = &**item, detail = detail.as_str(); "An item of the store can't be read.");
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/usage_limits.rs
@@ -0,0 +1,173 @@
+//! Limits of customers over all instances.
+//!
+//! Every instance keeps a bucket for each customer, takes from it what it and the others spend, and
+//! fills it at the customer's rate, less the part of instances that it can't hear.
+
+use std::sync::Arc;
+
+use crate::gateway::routing_document::Customer;
+use crate::name::Name;
+
+/// What an instance has spent for a customer, and what it believes is left.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UsageReport {
+    /// Name of the customer.
+    pub customer: Name,
+    /// Units that the reporting instance believes are left.
+    pub left_units: i64,
+    /// Units spent since the reporting instance started.
+    pub spent_units: u64,
+}
+
+/// What became of a request for units.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Charge {
+    /// The units are taken.
+    Taken,
+    /// There are not enough units until then.
+    TryAgainIn {
+        /// Time until there should be enough, in milliseconds.
+        wait_ms: u64,
+    },
+}
+
+/// The buckets of all customers.
+#[derive(Clone, Debug, Default)]
+pub struct UsageLimits {
+    buckets: Vec<Bucket>,
+    /// Part of all instances that this one hears, itself included.
+    heard_share: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Bucket {
+    burst_units: f64,
+    customer: Name,
+    heard: Vec<(Name, u64)>,
+    left_units: f64,
+    spent_units: u64,
+    units_per_ms: f64,
+    updated_ms: u64,
+}
+
+impl UsageLimits {
+    /// Takes over the limits of a document; customers that stay keep what they have left.
+    pub fn set_customers(&mut self, now_ms: u64, customers: &[Arc<Customer>]) {
+        let limited = customers.iter().filter(|customer| customer.units_per_s > 0);
+        self.buckets = limited
+            .map(|customer| {
+                let known = self.buckets.iter().find(|bucket| bucket.customer == customer.name);
+                Bucket::new(now_ms, customer, known, self.heard_share)
+            })
+            .collect();
+    }
+
+    /// Takes in which part of all instances is heard, and so may be spent for.
+    pub fn set_heard_share(&mut self, now_ms: u64, share: f64) {
+        for bucket in &mut self.buckets {
+            bucket.fill(now_ms, self.heard_share);
+        }
+        self.heard_share = share.clamp(0.0, 1.0);
+    }
+
+    /// Takes units for a request of a customer.
+    pub fn charge(&mut self, now_ms: u64, customer: &str, units: u64) -> Charge {
+        let heard_share = self.heard_share;
+        let Some(bucket) = self.bucket(customer) else { return Charge::Taken };
+        bucket.fill(now_ms, heard_share);
+        if bucket.left_units >= units as f64 {
+            bucket.left_units -= units as f64;
+            bucket.spent_units += units;
+            return Charge::Taken;
+        }
+        let missing = units as f64 - bucket.left_units;
+        let per_ms = (bucket.units_per_ms * heard_share).max(f64::MIN_POSITIVE);
+        Charge::TryAgainIn { wait_ms: (missing / per_ms).min(60_000.0) as u64 }
+    }
+
+    /// Gives units back for a request that did not run.
+    pub fn refund(&mut self, customer: &str, units: u64) {
+        if let Some(bucket) = self.bucket(customer) {
+            bucket.left_units = (bucket.left_units + units as f64).min(bucket.burst_units);
+            bucket.spent_units = bucket.spent_units.saturating_sub(units);
+        }
+    }
+
+    /// Takes in what another instance has spent; `joins` says whether this one has just started.
+    pub fn merge(&mut self, now_ms: u64, from: &Name, reports: &[UsageReport], joins: bool) {
+        let heard_share = self.heard_share;
+        for report in reports {
+            if let Some(bucket) = self.bucket(&report.customer) {
+                bucket.fill(now_ms, heard_share);
+                bucket.merge(from, report, joins);
+            }
+        }
+    }
+
+    /// Forgets what an instance had spent, since it started anew.
+    pub fn forget(&mut self, from: &Name) {
+        for bucket in &mut self.buckets {
+            bucket.heard.retain(|(name, _)| name != from);
+        }
+    }
+
+    /// Returns what this instance has spent and what it believes is left.
+    pub fn reports(&self) -> Vec<UsageReport> {
+        let report = |bucket: &Bucket| UsageReport {
+            customer: bucket.customer.clone(),
+            left_units: bucket.left_units as i64,
+            spent_units: bucket.spent_units,
+        };
+        self.buckets.iter().map(report).collect()
+    }
+
+    fn bucket(&mut self, customer: &str) -> Option<&mut Bucket> {
+        let find = |bucket: &Bucket| (*bucket.customer).cmp(customer);
+        let index = self.buckets.binary_search_by(find).ok()?;
+        self.buckets.get_mut(index)
+    }
+}
+
+impl Bucket {
+    fn new(now_ms: u64, customer: &Customer, known: Option<&Bucket>, heard_share: f64) -> Self {
+        let burst_units = customer.burst_units as f64;
+        let fresh = Bucket {
+            burst_units,
+            customer: customer.name.clone(),
+            heard: Vec::new(),
+            left_units: burst_units * heard_share,
+            spent_units: 0,
+            units_per_ms: customer.units_per_s as f64 / 1_000.0,
+            updated_ms: now_ms,
+        };
+        let Some(known) = known else { return fresh };
+        let mut known = known.clone();
+        known.fill(now_ms, heard_share);
+        let left_units = known.left_units.min(burst_units);
+        let (heard, spent_units) = (known.heard, known.spent_units);
+        Bucket { heard, left_units, spent_units, ..fresh }
+    }
+
+    fn fill(&mut self, now_ms: u64, heard_share: f64) {
+        let elapsed_ms = now_ms.saturating_sub(self.updated_ms);
+        let gained = elapsed_ms as f64 * self.units_per_ms * heard_share;
+        self.left_units = (self.left_units + gained).min(self.burst_units);
+        self.updated_ms = self.updated_ms.max(now_ms);
+    }
+
+    fn merge(&mut self, from: &Name, report: &UsageReport, joins: bool) {
+        match self.heard.iter_mut().find(|(name, _)| name == from) {
+            Some((_, heard)) => {
+                self.left_units += *heard as f64 - report.spent_units as f64;
+                *heard = report.spent_units;
+            }
+            None => {
+                self.heard.push((from.clone(), report.spent_units));
+                if joins {
+                    self.left_units = self.left_units.min(report.left_units as f64);
+                }
+            }
+        }
+        self.left_units = self.left_units.min(self.burst_units);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod finding_list;
 pub mod fleet_report;
 pub mod follow;
+pub mod gateway;
 pub mod granting;
 pub mod home_rules;
 pub mod home_standing;
