--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -4,6 +4,7 @@
 
 use crate::gateway::request_facts::{PromptFacts, RequestFacts};
 use crate::gateway::routing_document::{Customer, Route};
+use crate::gateway::usage_limits::UsageShortage;
 use crate::name::Name;
 
 /// A request as it arrived.
@@ -95,17 +96,19 @@
     pub reason: RefusalReason,
     /// Time after which the caller may try again, in milliseconds.
     pub retry_after_ms: Option<u64>,
+    /// What was short, if a limit was the reason.
+    pub shortage: Option<UsageShortage>,
 }
 
 impl Refusal {
     /// Refuses for good.
     pub fn for_good(reason: RefusalReason) -> Self {
-        Self { reason, retry_after_ms: None }
+        Self { reason, retry_after_ms: None, shortage: None }
     }
 
     /// Refuses for now.
     pub fn until(reason: RefusalReason, retry_after_ms: u64) -> Self {
-        Self { reason, retry_after_ms: Some(retry_after_ms) }
+        Self { reason, retry_after_ms: Some(retry_after_ms), shortage: None }
     }
 }
 
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -175,6 +175,21 @@
         }
     }
 
+    /// Returns how long a stream takes at a typical backend server of a service, in milliseconds.
+    pub fn typical_stream_ms(&self, service: &str, prompt: &PromptFacts) -> f64 {
+        let mut paces: Vec<f64> = self
+            .usable()
+            .filter(|backend| &*backend.record.service == service)
+            .map(|backend| {
+                let output_tokens = prompt.expected_output_tokens() as f64;
+                let first_event_ms = backend.expected_first_event_ms(prompt.prompt_tokens);
+                first_event_ms + output_tokens * backend.expected_token_ms()
+            })
+            .collect();
+        paces.sort_by(f64::total_cmp);
+        paces.get(paces.len() / 2).copied().unwrap_or_default()
+    }
+
     fn candidates<'a>(
         &'a self,
         now_ms: u64,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -183,8 +183,9 @@
 async fn stop(shared: &Rc<Shared>) {
     let now_ms = boot_ms();
     let grace_ms = shared.state.borrow().settings().bounds.grace_ms;
-    shared.stop_by_ms.set(Some(now_ms + grace_ms.saturating_sub(LAST_MOMENT_MS)));
-    shared.state.borrow_mut().stop();
+    let ends_ms = now_ms + grace_ms.saturating_sub(LAST_MOMENT_MS);
+    shared.stop_by_ms.set(Some(ends_ms));
+    shared.state.borrow_mut().stop(now_ms, ends_ms);
     shared.changed.notify_one();
     info!(target: "daemon", in_progress = shared.in_progress.get(), grace_ms; "The instance stops.");
     let started = Instant::now();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -84,6 +84,9 @@
         version = state.table().version(),
         proof_age_ms = state.proof_age_ms(now_ms),
         held_ms = now_ms.saturating_sub(arrived_ms),
+        left_units = refusal.shortage.map(|shortage| shortage.left_units),
+        needed_units = refusal.shortage.map(|shortage| shortage.needed_units),
+        units_per_s = refusal.shortage.map(|shortage| shortage.units_per_s),
         retry_after_ms = refusal.retry_after_ms;
         "The request is refused at its arrival."
     );
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -33,6 +33,12 @@
 /// Time after which a request gives up waiting, as a share of its goal.
 const PATIENCE_SHARE: f64 = 0.8;
 
+/// Time after which a stopping instance takes no new request, in milliseconds; the balancer has
+/// noticed by then.
+const STOP_ADMISSION_MS: u64 = 3_000;
+/// How much longer than typical an answer may take in the plans of a stopping instance.
+const STOP_CAUTION: f64 = 2.0;
+
 /// Everything that an instance believes.
 #[derive(Debug)]
 pub struct State {
@@ -47,10 +53,19 @@
     quarantine: Quarantine,
     settings: GatewaySettings,
     started_ms: u64,
-    stopping: bool,
+    stop: Option<Stop>,
     table: RoutingTable,
 }
 
+/// A stop that is under way.
+#[derive(Clone, Copy, Debug)]
+struct Stop {
+    /// When the process ends, in milliseconds of the boot clock.
+    ends_ms: u64,
+    /// When it was told to stop, in milliseconds of the boot clock.
+    told_ms: u64,
+}
+
 /// A change of belief that is worth a line in the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Belief {
@@ -133,7 +148,7 @@
             quarantine: Quarantine::default(),
             settings,
             started_ms: now_ms,
-            stopping: false,
+            stop: None,
             table: RoutingTable::default(),
         }
     }
@@ -177,7 +192,7 @@
     pub fn is_ready(&self, now_ms: u64) -> bool {
         let bound_ms = self.settings.bounds.revocation_ms;
         self.table.version() > 0
-            && !self.stopping
+            && self.stop.is_none()
             && self.backends.usable().next().is_some()
             && self.freshness.honours_keys(now_ms, bound_ms)
     }
@@ -190,9 +205,9 @@
         self.settings.store_address = settings.store_address;
     }
 
-    /// Takes in that the instance is about to stop.
-    pub fn stop(&mut self) {
-        self.stopping = true;
+    /// Takes in that the process is told to stop and ends at `ends_ms`.
+    pub fn stop(&mut self, now_ms: u64, ends_ms: u64) {
+        self.stop = Some(Stop { ends_ms, told_ms: now_ms });
     }
 
     /// Takes in facts of the store, which were asked for at `asked_ms`.
@@ -274,6 +289,9 @@
         let Some(service) = weighted_service(&route.services, draw).cloned() else {
             return Err(Refusal::until(RefusalReason::NoBackendServer, RETRY_SOON_MS));
         };
+        if self.ends_before(now_ms, &service, arrival.facts.prompt.as_ref()) {
+            return Err(Refusal::until(RefusalReason::Stopping, RETRY_ELSEWHERE_MS));
+        }
         let time_left_ms = arrival.facts.time_left_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
         let prompt = arrival.facts.prompt.clone().map(Arc::new);
         let units = customer.as_ref().map(|customer| units(customer, prompt.as_deref()));
@@ -293,6 +311,14 @@
         })
     }
 
+    /// Returns whether the process will probably end before a request that arrives now.
+    fn ends_before(&self, now_ms: u64, service: &str, prompt: Option<&PromptFacts>) -> bool {
+        let Some(stop) = self.stop else { return false };
+        let answer_ms = prompt.map(|prompt| self.backends.typical_stream_ms(service, prompt));
+        let answer_ms = answer_ms.unwrap_or_default() * STOP_CAUTION;
+        now_ms >= stop.told_ms + STOP_ADMISSION_MS || now_ms + answer_ms as u64 >= stop.ends_ms
+    }
+
     fn identify(
         &self,
         now_ms: u64,
@@ -325,9 +351,10 @@
                 self.budget(&plan.service.clone()).request(now_ms, &bounds);
                 Admission::Forward(plan)
             }
-            Charge::TryAgainIn { wait_ms } => {
-                let wait_ms = wait_ms.max(RETRY_SOON_MS);
-                Admission::Refuse(Refusal::until(RefusalReason::UsageLimit, wait_ms))
+            Charge::Short(shortage) => {
+                let wait_ms = shortage.wait_ms.max(RETRY_SOON_MS);
+                let refusal = Refusal::until(RefusalReason::UsageLimit, wait_ms);
+                Admission::Refuse(Refusal { shortage: Some(shortage), ..refusal })
             }
         }
     }
@@ -536,7 +563,7 @@
             instance: self.settings.instance.clone(),
             incarnation: self.incarnation,
             sent_ms: now_ms,
-            stopping: self.stopping,
+            stopping: self.stop.is_some(),
             document_version: self.table.version(),
             proof_age_ms: self.freshness.age_ms(now_ms),
             others,
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -55,6 +55,9 @@
         tried: Vec::new(),
         unreached: 0,
         events: 0,
+        first_event_ms: None,
+        last_event_ms: 0,
+        longest_gap_ms: 0,
     };
     loop {
         match relay.open().await {
@@ -93,6 +96,11 @@
 
 struct StreamRelay {
     events: u32,
+    last_event_ms: u64,
+    /// Longest time between two arrivals of events, in milliseconds.
+    longest_gap_ms: u64,
+    /// Time from the arrival to the first event, in milliseconds.
+    first_event_ms: Option<u64>,
     plan: Plan,
     /// Whether a send may have run.
     ran: bool,
@@ -328,6 +336,11 @@
                 run.first_ms = now_ms;
                 run.lease.first_event(now_ms);
             }
+            if self.last_event_ms > 0 {
+                let gap_ms = now_ms.saturating_sub(self.last_event_ms);
+                self.longest_gap_ms = self.longest_gap_ms.max(gap_ms);
+            }
+            self.last_event_ms = now_ms;
             run.events += events.count;
             self.events += events.count;
             if events.last_id.is_some() {
@@ -349,11 +362,12 @@
     }
 
     /// Starts to answer the caller.
-    fn start(self, mut head: http::response::Parts, first: Bytes, run: Run) -> Response<ReplyBody> {
+    fn start(mut self, mut head: http::response::Parts, first: Bytes, run: Run) -> Response<ReplyBody> {
         self.shared.wire.prepare_reply(&mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
         let begun_ms = boot_ms().saturating_sub(self.plan.arrived_ms);
         self.shared.counters.begun(begun_ms);
+        self.first_event_ms = Some(begun_ms);
         let flow = Flow { first: Some(first), relay: self, run: Some(run) };
         let pieces = unfold(flow, |mut flow| async move {
             let piece = flow.next().await?;
@@ -390,6 +404,8 @@
             status,
             sends = self.sends,
             events = self.events,
+            first_event_ms = self.first_event_ms,
+            longest_gap_ms = self.longest_gap_ms,
             elapsed_ms;
             "The request has its answer."
         );
--- a/src/gateway/usage_limits.rs
+++ b/src/gateway/usage_limits.rs
@@ -24,11 +24,21 @@
 pub enum Charge {
     /// The units are taken.
     Taken,
-    /// There are not enough units until then.
-    TryAgainIn {
-        /// Time until there should be enough, in milliseconds.
-        wait_ms: u64,
-    },
+    /// There are not enough units.
+    Short(UsageShortage),
+}
+
+/// What a request needed and what there was.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UsageShortage {
+    /// Units that are left.
+    pub left_units: i64,
+    /// Units that the request needs.
+    pub needed_units: u64,
+    /// Units that come back in a second.
+    pub units_per_s: u64,
+    /// Time until there should be enough, in milliseconds.
+    pub wait_ms: u64,
 }
 
 /// The buckets of all customers.
@@ -82,7 +92,12 @@
         }
         let missing = units as f64 - bucket.left_units;
         let per_ms = (bucket.units_per_ms * heard_share).max(f64::MIN_POSITIVE);
-        Charge::TryAgainIn { wait_ms: (missing / per_ms).min(60_000.0) as u64 }
+        Charge::Short(UsageShortage {
+            left_units: bucket.left_units as i64,
+            needed_units: units,
+            units_per_s: (bucket.units_per_ms * heard_share * 1_000.0) as u64,
+            wait_ms: (missing / per_ms).min(60_000.0) as u64,
+        })
     }
 
     /// Gives units back for a request that did not run.
--- /dev/null
+++ b/tests/gateway_stop.rs
@@ -0,0 +1,33 @@
+//! What a stopping instance still takes.
+
+mod gateway_support;
+
+use bergamotspan::gateway::admission::RefusalReason;
+
+use crate::gateway_support::{START_MS, admitted, draft, facts, learn, refused, state};
+
+#[test]
+fn a_request_that_ends_in_time_is_taken_after_the_stop_was_told() {
+    let mut state = state();
+    state.stop(START_MS, START_MS + 7_700);
+    admitted(&mut state, START_MS + 100, "/booking/a", &facts("r-1"));
+    admitted(&mut state, START_MS + 100, "/draft/a", &draft("r-2", 1_000, 50));
+}
+
+#[test]
+fn a_request_on_a_kept_connection_is_refused_once_the_balancer_knows() {
+    let mut state = state();
+    state.stop(START_MS, START_MS + 7_700);
+    learn(&mut state, START_MS + 7_000, Vec::new());
+    let refusal = refused(&mut state, START_MS + 7_170, "/draft/a", &draft("r-1", 1_000, 50));
+    assert_eq!(refusal.reason, RefusalReason::Stopping);
+    assert!(refusal.retry_after_ms.is_some_and(|wait_ms| wait_ms < 100));
+}
+
+#[test]
+fn a_stream_that_would_outlast_the_process_is_refused_at_once() {
+    let mut state = state();
+    state.stop(START_MS, START_MS + 7_700);
+    let refusal = refused(&mut state, START_MS + 100, "/draft/a", &draft("r-1", 1_000, 2_000));
+    assert_eq!(refusal.reason, RefusalReason::Stopping);
+}
--- /dev/null
+++ b/tests/gateway_support/mod.rs
@@ -0,0 +1,175 @@
+//! A small deployment for tests of the gateway's decisions: one model service, one plain service.
+
+#![allow(dead_code, reason = "each test takes what it needs")]
+
+use std::net::SocketAddr;
+
+use bergamotspan::gateway::admission::{Admission, Arrival, Plan, Refusal};
+use bergamotspan::gateway::backend_record::BackendRecord;
+use bergamotspan::gateway::gateway_settings::{Bounds, GatewaySettings};
+use bergamotspan::gateway::request_facts::{PromptFacts, PromptPart, RequestFacts};
+use bergamotspan::gateway::routing_document::{
+    CallerLimits, Customer, EngineSpec, Route, RouteKind, RoutingDocument, ServiceSpec,
+    WeightedService,
+};
+use bergamotspan::gateway::state::{Belief, State};
+use bergamotspan::gateway::store_fact::StoreFact;
+use bergamotspan::name::Name;
+
+/// When the tests start, in milliseconds of the boot clock.
+pub const START_MS: u64 = 1_000_000;
+/// Host of all routes.
+pub const HOST: &str = "desk.example";
+/// Key of the one customer.
+pub const KEY: &str = "key-1";
+
+pub fn address(text: &str) -> SocketAddr {
+    text.parse().expect("an address of a test is well formed")
+}
+
+pub fn settings() -> GatewaySettings {
+    GatewaySettings {
+        bounds: Bounds::default(),
+        caller_address: address("127.0.0.1:8221"),
+        data_centre: "umea-a".into(),
+        descriptor_limit: 1_024,
+        instance: "front-1".into(),
+        memory_limit_mib: 110,
+        operator_address: address("127.0.0.1:8229"),
+        peer_address: address("127.0.0.1:7600"),
+        readiness_address: address("127.0.0.1:8224"),
+        seeds: Vec::new(),
+        store_address: address("127.0.0.1:8225"),
+    }
+}
+
+pub fn route(name: &str, kind: RouteKind, service: &str) -> Route {
+    Route {
+        anonymous: false,
+        attempts: 1,
+        event_gap_goal_ms: 300,
+        goal_ms: 400,
+        host: HOST.into(),
+        kind,
+        name: name.into(),
+        prefix: format!("/{name}/").into(),
+        priority: 1,
+        resumable: false,
+        services: vec![WeightedService { service: service.into(), weight: 1 }],
+        timeout_ms: 15_000,
+    }
+}
+
+pub fn document(version: u64) -> RoutingDocument {
+    let engine = EngineSpec {
+        backups: true,
+        copy_lifetime_ms: 5_000,
+        memory_tokens: 500_000,
+        slots: 2,
+        tokens_per_event: 5,
+    };
+    RoutingDocument {
+        customers: vec![customer(0)],
+        limits: CallerLimits::default(),
+        routes: vec![
+            route("draft", RouteKind::Stream, "model"),
+            route("booking", RouteKind::Unsafe, "desk"),
+            route("status", RouteKind::Idempotent, "desk"),
+        ],
+        services: vec![
+            ServiceSpec { connection_limit: 100, engine: Some(engine), name: "model".into() },
+            ServiceSpec { connection_limit: 100, engine: None, name: "desk".into() },
+        ],
+        version,
+    }
+}
+
+pub fn customer(units_per_s: u64) -> Customer {
+    Customer {
+        burst_units: units_per_s,
+        keys: vec![KEY.into()],
+        name: "clinic".into(),
+        plain_units: 200,
+        priority: None,
+        units_are_tokens: true,
+        units_per_s,
+    }
+}
+
+pub fn record(service: &str, port: u16) -> BackendRecord {
+    BackendRecord {
+        address: SocketAddr::from(([10, 0, 0, 9], port)),
+        born_ms: Some(5_000),
+        data_centre: "umea-a".into(),
+        leaving: false,
+        sequence: 1,
+        service: service.into(),
+        slots: 2,
+    }
+}
+
+pub fn backend(id: &str, record: BackendRecord) -> StoreFact {
+    StoreFact::Backend { id: id.into(), record: Ok(record) }
+}
+
+/// A state with the document and two backend servers of each service.
+pub fn state() -> State {
+    let mut state = State::new(settings(), START_MS, 1);
+    learn(&mut state, START_MS, vec![
+        StoreFact::Document(Ok(Box::new(document(1)))),
+        backend("m-1", record("model", 1)),
+        backend("m-2", record("model", 2)),
+        backend("d-1", record("desk", 3)),
+        backend("d-2", record("desk", 4)),
+    ]);
+    state
+}
+
+pub fn learn(state: &mut State, now_ms: u64, facts: Vec<StoreFact>) -> Vec<Belief> {
+    state.learn(now_ms, now_ms, facts)
+}
+
+pub fn facts(id: &str) -> RequestFacts {
+    RequestFacts {
+        key: Some(KEY.into()),
+        request_id: Some(id.into()),
+        time_left_ms: Some(15_000),
+        ..RequestFacts::default()
+    }
+}
+
+pub fn prompt(prompt_tokens: u64, output_tokens: u64) -> PromptFacts {
+    PromptFacts {
+        likely_output_tokens: Some(output_tokens),
+        most_output_tokens: output_tokens,
+        parts: vec![PromptPart { id: prompt_tokens, tokens: prompt_tokens }],
+        prompt_tokens,
+    }
+}
+
+pub fn draft(id: &str, prompt_tokens: u64, output_tokens: u64) -> RequestFacts {
+    RequestFacts { prompt: Some(prompt(prompt_tokens, output_tokens)), ..facts(id) }
+}
+
+pub fn admit(state: &mut State, now_ms: u64, path: &str, facts: &RequestFacts) -> Admission {
+    let arrival = Arrival { arrived_ms: now_ms, facts, fingerprint: 7, host: HOST, path };
+    state.admit(now_ms, &arrival, 0)
+}
+
+pub fn admitted(state: &mut State, now_ms: u64, path: &str, facts: &RequestFacts) -> Plan {
+    match admit(state, now_ms, path, facts) {
+        Admission::Forward(plan) => plan,
+        Admission::Refuse(refusal) => panic!("refused: {refusal:?}"),
+    }
+}
+
+pub fn refused(state: &mut State, now_ms: u64, path: &str, facts: &RequestFacts) -> Refusal {
+    match admit(state, now_ms, path, facts) {
+        Admission::Forward(_) => panic!("admitted"),
+        Admission::Refuse(refusal) => refusal,
+    }
+}
+
+pub fn name(text: &str) -> Name {
+    text.into()
+}
