Order waiting requests by customer, then by route

Cause: all customers of both sites have the same rank, and a customer's rank replaced the route's, so that drafts waited behind sorting. Ruled out: the engines' own order, which gets at most as many requests as it has places.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
+
 use crate::gateway::request_facts::{PromptFacts, RequestFacts};
 use crate::gateway::routing_document::{Customer, Route};
 use crate::gateway::usage_limits::UsageShortage;
@@ -46,8 +48,8 @@
     pub key: Option<Name>,
     /// What it asks of a model.
     pub prompt: Option<Arc<PromptFacts>>,
-    /// Rank; 0 is the highest.
-    pub rank: u32,
+    /// Rank: the customer's, then the route's; lower goes first.
+    pub rank: Rank,
     /// Id that the caller gave it.
     pub request_id: Name,
     /// Route that it goes by.
@@ -58,6 +60,18 @@
     pub units: u64,
 }
 
+/// Rank of a request: first the customer's, where customers have one, then the route's; the lowest
+/// goes first.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize_tuple, Eq, Ord, PartialEq, PartialOrd, Serialize_tuple,
+)]
+pub struct Rank {
+    /// Rank of the customer.
+    pub customer: u32,
+    /// Rank of the route.
+    pub route: u32,
+}
+
 /// Why a request is not sent, or not any more.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RefusalReason {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::gateway::admission::{Admission, Arrival, Plan, Refusal, RefusalReason};
+use crate::gateway::admission::{Admission, Arrival, Plan, Rank, Refusal, RefusalReason};
 use crate::gateway::backend::{BackendLoad, SendOutcome};
 use crate::gateway::backends::{Backends, EngineChoice, RecordChange};
 use crate::gateway::freshness::Freshness;
@@ -302,7 +302,7 @@
             fingerprint: arrival.fingerprint,
             key: arrival.facts.key.clone().filter(|_| customer.is_some()),
             prompt: prompt.filter(|_| route.kind == RouteKind::Stream),
-            rank: rank.unwrap_or(route.priority),
+            rank: Rank { customer: rank.unwrap_or_default(), route: route.priority },
             request_id: arrival.facts.request_id.clone().unwrap_or_else(|| "".into()),
             route,
             service,
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -163,7 +163,7 @@
             target: "send",
             request = &*self.plan.request_id,
             route = &*self.plan.route.name,
-            rank = self.plan.rank,
+            rank:? = (self.plan.rank.customer, self.plan.rank.route),
             backend_server = &*sending.backend_server,
             running = sending.running,
             tokens_ahead = sending.tokens_ahead,
@@ -362,7 +362,12 @@
     }
 
     /// Starts to answer the caller.
-    fn start(mut self, mut head: http::response::Parts, first: Bytes, run: Run) -> Response<ReplyBody> {
+    fn start(
+        mut self,
+        mut head: http::response::Parts,
+        first: Bytes,
+        run: Run,
+    ) -> Response<ReplyBody> {
         self.shared.wire.prepare_reply(&mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
         let begun_ms = boot_ms().saturating_sub(self.plan.arrived_ms);
--- a/src/gateway/waiting_line.rs
+++ b/src/gateway/waiting_line.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::gateway::admission::Rank;
 use crate::gateway::backends::{Backends, EngineChoice};
 use crate::gateway::request_facts::PromptFacts;
 use crate::name::Name;
@@ -17,8 +18,8 @@
     pub number: u64,
     /// What it asks of a model.
     pub prompt: Arc<PromptFacts>,
-    /// Rank; 0 is the highest.
-    pub rank: u32,
+    /// Rank; the lowest goes first.
+    pub rank: Rank,
     /// Backend servers that it was sent to before.
     pub tried: Vec<Name>,
 }
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -115,13 +115,17 @@
 /// A state with the document and two backend servers of each service.
 pub fn state() -> State {
     let mut state = State::new(settings(), START_MS, 1);
-    learn(&mut state, START_MS, vec![
-        StoreFact::Document(Ok(Box::new(document(1)))),
-        backend("m-1", record("model", 1)),
-        backend("m-2", record("model", 2)),
-        backend("d-1", record("desk", 3)),
-        backend("d-2", record("desk", 4)),
-    ]);
+    learn(
+        &mut state,
+        START_MS,
+        vec![
+            StoreFact::Document(Ok(Box::new(document(1)))),
+            backend("m-1", record("model", 1)),
+            backend("m-2", record("model", 2)),
+            backend("d-1", record("desk", 3)),
+            backend("d-2", record("desk", 4)),
+        ],
+    );
     state
 }
 
