Choose engines by what is lost, order waiting requests over all instances, refuse at arrival

Cause: under load, freed places went to whoever saw them first, large prompts went to engines that read them too slowly for their goal and stopped the streams there for longer than the permitted pause, and what could not be in time waited before it was told so. Ruled out: the pace of full engines, which is the same at 1 and at 13 requests.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -6,6 +6,8 @@
 
 /// Weight of a new sample in a moving average.
 const SAMPLE_WEIGHT: f64 = 0.15;
+/// Weight of a new sample that is probably too high in a moving average.
+const HIGH_SAMPLE_WEIGHT: f64 = 0.03;
 /// Weight of a new outcome in the share of failures.
 const OUTCOME_WEIGHT: f64 = 0.12;
 /// Time for which a backend server that could not be reached gets nothing, in milliseconds; it
@@ -97,6 +99,15 @@
         self.samples = self.samples.saturating_add(1);
     }
 
+    /// Adds a sample that is often too high, never too low.
+    fn add_low(&mut self, value: f64) {
+        if self.samples == 0 || value < self.value {
+            self.add(value);
+        } else {
+            self.value += HIGH_SAMPLE_WEIGHT * (value - self.value);
+        }
+    }
+
     fn or(&self, default: f64) -> f64 {
         if self.samples == 0 { default } else { self.value }
     }
@@ -134,6 +145,11 @@
         })
     }
 
+    /// Returns the places that no request has.
+    pub fn free_slots(&self) -> usize {
+        self.record.slots.saturating_sub(self.load().running as usize)
+    }
+
     /// Returns the share of recent sends that failed.
     pub fn failure_share(&self) -> f64 {
         self.failure_share
@@ -161,6 +177,11 @@
         self.token_ms.or(DEFAULT_TOKEN_MS)
     }
 
+    /// Returns the expected time to read one prompt token, in milliseconds.
+    pub fn expected_prefill_ms(&self) -> f64 {
+        self.prefill_ms.or(DEFAULT_PREFILL_MS)
+    }
+
     /// Returns whether any answer was timed yet.
     pub fn is_measured(&self) -> bool {
         self.token_ms.samples + self.reply_ms.samples > 0
@@ -180,7 +201,7 @@
         self.own.unread_tokens = self.own.unread_tokens.saturating_sub(unread_tokens);
         let reading_ms = (elapsed_ms - FIRST_TOKEN_BASE_MS).max(1.0);
         if tokens > 0 {
-            self.prefill_ms.add(reading_ms / tokens as f64);
+            self.prefill_ms.add_low(reading_ms / tokens as f64);
         }
     }
 
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::backend::{Backend, BackendLoad, BackendStatus};
 use crate::gateway::backend_record::BackendRecord;
+use crate::gateway::engine_ask::{EngineAsk, expected_loss};
 use crate::gateway::request_facts::PromptFacts;
 use crate::name::Name;
 
@@ -145,29 +146,14 @@
     }
 
     /// Returns a backend server for a request that asks a model.
-    pub fn choose_engine(
-        &self,
-        now_ms: u64,
-        service: &str,
-        prompt: &PromptFacts,
-        except: &[Name],
-    ) -> EngineChoice {
-        let mut candidates = self.candidates(now_ms, service, except).peekable();
+    pub fn choose_engine(&self, now_ms: u64, service: &str, ask: &EngineAsk) -> EngineChoice {
+        let mut candidates = self.candidates(now_ms, service, &ask.tried).peekable();
         if candidates.peek().is_none() {
             return EngineChoice::NoneUsable;
         }
-        let output_tokens = prompt.expected_output_tokens() as f64;
         let best = candidates
-            .filter(|backend| (backend.load().running as usize) < backend.record.slots)
-            .map(|backend| {
-                let unkept_tokens = backend.unkept_tokens(prompt);
-                let first_event_ms = backend.expected_first_event_ms(unkept_tokens);
-                let running = f64::from(backend.load().running);
-                let crowding = 1.0 + running / backend.record.slots as f64;
-                let rest_ms = output_tokens * backend.expected_token_ms() * crowding;
-                let failures = 1.0 + FAILURE_WEIGHT * backend.failure_share();
-                ((first_event_ms + rest_ms) * failures, backend)
-            })
+            .filter(|backend| backend.free_slots() > 0)
+            .map(|backend| (expected_loss(now_ms, backend, ask), backend))
             .min_by(|(left, _), (right, _)| left.total_cmp(right));
         match best {
             Some((_, backend)) => EngineChoice::Chosen(backend.id.clone()),
@@ -175,6 +161,13 @@
         }
     }
 
+    /// Returns the places of a service's backend servers: all, and those that are free.
+    pub fn slots(&self, now_ms: u64, service: &str) -> (usize, usize) {
+        self.candidates(now_ms, service, &[]).fold((0, 0), |(all, free), backend| {
+            (all + backend.record.slots, free + backend.free_slots())
+        })
+    }
+
     /// Returns how long a stream takes at a typical backend server of a service, in milliseconds.
     pub fn typical_stream_ms(&self, service: &str, prompt: &PromptFacts) -> f64 {
         let mut paces: Vec<f64> = self
--- /dev/null
+++ b/src/gateway/engine_ask.rs
@@ -0,0 +1,87 @@
+//! What a request asks of an engine, and what is lost by giving it to one.
+
+use std::sync::Arc;
+
+use crate::gateway::backend::Backend;
+use crate::gateway::request_facts::PromptFacts;
+use crate::name::Name;
+
+/// Part of an answer's worth that is lost if it begins late or has a long pause.
+const LATE_LOSS: f64 = 0.7;
+/// Share of the time that is left to the goal from which on an answer counts as likely to be late.
+const SAFE_SHARE: f64 = 0.5;
+/// Spread of the lengths of answers around their estimates, as an exponent; a higher one means
+/// less spread.
+const LENGTH_EXPONENT: f64 = 2.4;
+/// Prompt tokens that an engine reads between two steps of its running requests.
+const CHUNK_TOKENS: f64 = 2_048.0;
+/// Tokens that are generated in a pause that is measured.
+const PAUSE_TOKENS: f64 = 5.0;
+/// Loss of a failed request, against its worth.
+const FAILURE_LOSS: f64 = 1.5;
+/// Loss for each second that a place is taken.
+const LOSS_PER_S: f64 = 0.01;
+/// Loss for a full engine, against an empty one.
+const CROWDING_LOSS: f64 = 0.02;
+
+/// What a request asks of an engine.
+#[derive(Clone, Debug, Default)]
+pub struct EngineAsk {
+    /// When its time is up, in milliseconds of the boot clock.
+    pub deadline_ms: u64,
+    /// When its answer has to begin to be timely, in milliseconds of the boot clock.
+    pub due_ms: u64,
+    /// Longest pause between events of a timely answer, in milliseconds.
+    pub event_gap_goal_ms: u64,
+    /// Its prompt and the length of its answer.
+    pub prompt: Arc<PromptFacts>,
+    /// Backend servers that it was sent to before.
+    pub tried: Vec<Name>,
+}
+
+/// Returns what is probably lost if a request goes to this engine, against its worth.
+pub fn expected_loss(now_ms: u64, backend: &Backend, ask: &EngineAsk) -> f64 {
+    let unkept_tokens = backend.unkept_tokens(&ask.prompt);
+    let first_event_ms = backend.expected_first_event_ms(unkept_tokens);
+    let output_tokens = ask.prompt.expected_output_tokens() as f64;
+    let token_ms = backend.expected_token_ms();
+    let running = f64::from(backend.load().running);
+    let crowding = running / backend.record.slots.max(1) as f64;
+    let place_s = (first_event_ms + output_tokens * token_ms) / 1_000.0;
+    let late = lateness(first_event_ms, ask.due_ms.saturating_sub(now_ms) as f64);
+    let left_ms = ask.deadline_ms.saturating_sub(now_ms) as f64 - first_event_ms;
+    let cut = shortfall(left_ms / token_ms, output_tokens);
+    let pauses = pause_share(backend, unkept_tokens, ask) * running;
+    LATE_LOSS * (late + pauses)
+        + cut
+        + FAILURE_LOSS * backend.failure_share()
+        + LOSS_PER_S * place_s
+        + CROWDING_LOSS * crowding
+}
+
+/// Returns how likely an answer begins late.
+fn lateness(first_event_ms: f64, left_ms: f64) -> f64 {
+    if left_ms <= 0.0 {
+        return 1.0;
+    }
+    ((first_event_ms / left_ms - SAFE_SHARE) / SAFE_SHARE).clamp(0.0, 1.0)
+}
+
+/// Returns how likely an answer is longer than there is time for.
+fn shortfall(tokens_in_time: f64, output_tokens: f64) -> f64 {
+    if tokens_in_time <= 0.0 {
+        return 1.0;
+    }
+    1.0 / (1.0 + (tokens_in_time / output_tokens.max(1.0)).powf(LENGTH_EXPONENT))
+}
+
+/// Returns how likely reading this prompt stops the engine's running streams for too long.
+fn pause_share(backend: &Backend, unkept_tokens: u64, ask: &EngineAsk) -> f64 {
+    if ask.event_gap_goal_ms == 0 {
+        return 0.0;
+    }
+    let unread = (backend.load().unread_tokens + unkept_tokens) as f64;
+    let reading_ms = unread.min(PAUSE_TOKENS * CHUNK_TOKENS) * backend.expected_prefill_ms();
+    let pause_ms = reading_ms + PAUSE_TOKENS * backend.expected_token_ms();
+    ((pause_ms / ask.event_gap_goal_ms as f64 - 0.8) / 0.4).clamp(0.0, 1.0)
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod connections;
 pub mod counters;
 pub mod daemon;
+pub mod engine_ask;
 pub mod event_splitter;
 mod exchange;
 mod forward;
--- a/src/gateway/peer_digest.rs
+++ b/src/gateway/peer_digest.rs
@@ -6,6 +6,7 @@
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 use crate::error::Error;
+use crate::gateway::waiting_line::LineEntry;
 use crate::name::Name;
 use crate::peer_message::Suspect;
 
@@ -44,6 +45,8 @@
     pub loads: Vec<LoadEntry>,
     /// What was spent for customers.
     pub spent: Vec<SpentEntry>,
+    /// Requests that wait, by service and rank.
+    pub lines: Vec<LineEntry>,
     /// Requests that were running at backend servers that died.
     pub suspects: Vec<Suspect>,
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,6 +5,7 @@
 use crate::gateway::admission::{Admission, Arrival, Plan, Rank, Refusal, RefusalReason};
 use crate::gateway::backend::{BackendLoad, SendOutcome};
 use crate::gateway::backends::{Backends, EngineChoice, RecordChange};
+use crate::gateway::engine_ask::EngineAsk;
 use crate::gateway::freshness::Freshness;
 use crate::gateway::gateway_settings::GatewaySettings;
 use crate::gateway::peer_digest::{Digest, Envelope, LoadEntry, SpentEntry};
@@ -15,7 +16,7 @@
 use crate::gateway::routing_table::{RoutingTable, weighted_service};
 use crate::gateway::store_fact::StoreFact;
 use crate::gateway::usage_limits::{Charge, UsageLimits, UsageReport};
-use crate::gateway::waiting_line::{LineDecision, Waiting, WaitingLine};
+use crate::gateway::waiting_line::{LineDecision, LineEntry, Waiting, WaitingLine};
 use crate::name::Name;
 use crate::now::Now;
 use crate::quarantine::Quarantine;
@@ -32,6 +33,10 @@
 const JOINING_MS: u64 = 4_000;
 /// Time after which a request gives up waiting, as a share of its goal.
 const PATIENCE_SHARE: f64 = 0.8;
+/// Time that a request of a model has a place before anything is measured, in milliseconds.
+const DEFAULT_PLACE_MS: f64 = 1_000.0;
+/// Weight of a new sample in the mean time that a request has a place.
+const PLACE_SAMPLE_WEIGHT: f64 = 0.05;
 
 /// Time after which a stopping instance takes no new request, in milliseconds; the balancer has
 /// noticed by then.
@@ -49,6 +54,9 @@
     limits: UsageLimits,
     lines: Vec<(Name, WaitingLine)>,
     next_number: u64,
+    peer_lines: Vec<(Name, Vec<LineEntry>)>,
+    /// Mean time that a request of a model has a place, in milliseconds.
+    place_ms: f64,
     peers: PeerTable,
     quarantine: Quarantine,
     settings: GatewaySettings,
@@ -97,6 +105,8 @@
 pub enum Dispatch {
     /// It goes to this backend server at once.
     Send(Sending),
+    /// It would not be served in time.
+    GiveUp,
     /// It waits under this number.
     Wait(u64),
 }
@@ -144,6 +154,8 @@
             limits,
             lines: Vec::new(),
             next_number: 0,
+            peer_lines: Vec::new(),
+            place_ms: DEFAULT_PLACE_MS,
             peers: PeerTable::new(settings.peer_address, now_ms, &settings.seeds),
             quarantine: Quarantine::default(),
             settings,
@@ -416,29 +428,39 @@
 
     /// Sends a request that asks a model, or has it wait.
     pub fn dispatch(&mut self, now_ms: u64, plan: &Plan, tried: &[Name]) -> Dispatch {
-        let prompt = plan.prompt.clone().unwrap_or_default();
-        let line_is_empty = self.line(&plan.service).is_empty();
-        if line_is_empty
+        let ask = EngineAsk {
+            deadline_ms: plan.deadline_ms,
+            due_ms: plan.arrived_ms + plan.route.goal_ms,
+            event_gap_goal_ms: plan.route.event_gap_goal_ms,
+            prompt: plan.prompt.clone().unwrap_or_default(),
+            tried: tried.to_vec(),
+        };
+        let ahead = self.line(&plan.service).ahead_of(plan.rank)
+            + self.ahead_elsewhere(&plan.service, plan.rank);
+        let (slots, free) = self.backends.slots(now_ms, &plan.service);
+        if free > ahead
             && let EngineChoice::Chosen(backend_server) =
-                self.backends.choose_engine(now_ms, &plan.service, &prompt, tried)
+                self.backends.choose_engine(now_ms, &plan.service, &ask)
         {
-            return Dispatch::Send(self.begin(now_ms, &backend_server, Some(&prompt)));
+            return Dispatch::Send(self.begin(now_ms, &backend_server, Some(&ask.prompt)));
+        }
+        let patience_ms = plan.route.goal_ms as f64 * PATIENCE_SHARE;
+        let wait_ms = (ahead + 1) as f64 * self.place_ms / slots.max(1) as f64;
+        if wait_ms > patience_ms {
+            return Dispatch::GiveUp;
         }
         self.next_number += 1;
         let number = self.next_number;
-        let goal_ms = plan.route.goal_ms as f64;
-        let waiting = Waiting {
-            due_ms: plan.arrived_ms + plan.route.goal_ms,
-            give_up_ms: plan.deadline_ms.min(now_ms + (goal_ms * PATIENCE_SHARE) as u64),
-            number,
-            prompt,
-            rank: plan.rank,
-            tried: tried.to_vec(),
-        };
-        self.line(&plan.service).join(waiting);
+        let give_up_ms = plan.deadline_ms.min(plan.arrived_ms + patience_ms as u64);
+        self.line(&plan.service).join(Waiting { ask, give_up_ms, number, rank: plan.rank });
         Dispatch::Wait(number)
     }
 
+    /// Returns the requests of other instances that go before one of this rank.
+    fn ahead_elsewhere(&self, service: &str, rank: Rank) -> usize {
+        ahead_of(&self.peer_lines, service, rank)
+    }
+
     /// Removes a request that waits.
     pub fn leave(&mut self, service: &Name, number: u64) {
         self.line(service).leave(number);
@@ -449,7 +471,11 @@
         let mut verdicts = Vec::new();
         let mut lines = std::mem::take(&mut self.lines);
         for (service, line) in &mut lines {
-            while let Some(decision) = line.next(now_ms, service, &self.backends) {
+            loop {
+                let ahead = |rank| ahead_of(&self.peer_lines, service, rank);
+                let Some(decision) = line.next(now_ms, service, &self.backends, ahead) else {
+                    break;
+                };
                 verdicts.push(self.verdict(now_ms, decision));
             }
         }
@@ -481,6 +507,11 @@
         }
     }
 
+    /// Notes how long a request of a model had a place, in milliseconds.
+    pub fn place_time(&mut self, place_ms: f64) {
+        self.place_ms += PLACE_SAMPLE_WEIGHT * (place_ms - self.place_ms);
+    }
+
     /// Notes the time of a plain answer, in milliseconds.
     pub fn reply_time(&mut self, backend: &str, reply_ms: f64) {
         if let Some(backend) = self.backends.get_mut(backend) {
@@ -524,6 +555,10 @@
         }
         let loads: Vec<_> = digest.loads.iter().map(load).collect();
         self.backends.set_peer_loads(name, &loads);
+        self.peer_lines.retain(|(known, _)| known != name);
+        if !digest.lines.is_empty() {
+            self.peer_lines.push((name.clone(), digest.lines.clone()));
+        }
         let reports: Vec<_> = digest.spent.iter().map(report).collect();
         let joins = now_ms < self.started_ms + JOINING_MS;
         self.limits.merge(now_ms, name, &reports, joins);
@@ -545,6 +580,7 @@
     pub fn tick(&mut self, now_ms: u64) {
         for name in self.peers.silent(now_ms) {
             self.backends.set_peer_loads(&name, &[]);
+            self.peer_lines.retain(|(known, _)| *known != name);
         }
         let heard = self.peers.heard_count(now_ms);
         let share = heard as f64 / self.peers.known_count().max(heard) as f64;
@@ -568,6 +604,7 @@
             proof_age_ms: self.freshness.age_ms(now_ms),
             others,
             loads,
+            lines: self.lines.iter().flat_map(|(name, line)| line.entries(name)).collect(),
             spent: self.limits.reports().into_iter().map(spent_entry).collect(),
             suspects: self.quarantine.suspects(),
         };
@@ -605,6 +642,13 @@
     &mut list[index].1
 }
 
+/// Returns the requests that wait at other instances and go before one of this rank.
+fn ahead_of(peer_lines: &[(Name, Vec<LineEntry>)], service: &str, rank: Rank) -> usize {
+    let entries = peer_lines.iter().flat_map(|(_, entries)| entries);
+    let before = entries.filter(|entry| &*entry.service == service && entry.rank < rank);
+    before.map(|entry| entry.waiting as usize).sum()
+}
+
 fn at(now_ms: u64) -> Now {
     Now { monotonic_ms: now_ms, wall_clock_ms: 0 }
 }
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -146,12 +146,14 @@
         let dispatch = self.shared.state.borrow_mut().dispatch(boot_ms(), &self.plan, &self.tried);
         let number = match dispatch {
             Dispatch::Send(sending) => return Ok(sending),
+            Dispatch::GiveUp => return Err(not_in_time()),
             Dispatch::Wait(number) => number,
         };
+        self.shared.changed.notify_one();
         let decision = self.shared.wait_for(number);
         let _place = Place { number, relay: self };
         let sending = decision.await.ok().flatten();
-        sending.ok_or(Refusal::until(RefusalReason::NotInTime, RETRY_FULL_MS))
+        sending.ok_or(not_in_time())
     }
 
     async fn send(&mut self, lease: Lease) -> Opened {
@@ -385,6 +387,8 @@
     fn close(&self, run: Run) {
         let Run { connection, events, first_ms, idle_timeout_ms, lease, .. } = run;
         self.pace(&lease, events, first_ms);
+        let place_ms = boot_ms().saturating_sub(lease.sent_ms()) as f64;
+        self.shared.state.borrow_mut().place_time(place_ms);
         self.shared.connections.keep(connection, idle_timeout_ms);
         lease.end(SendOutcome::Answered);
         self.shared.state.borrow_mut().answered(self.plan.fingerprint);
@@ -419,6 +423,10 @@
     }
 }
 
+fn not_in_time() -> Refusal {
+    Refusal::until(RefusalReason::NotInTime, RETRY_FULL_MS)
+}
+
 /// A stream on its way to the caller.
 struct Flow {
     first: Option<Bytes>,
--- a/src/gateway/waiting_line.rs
+++ b/src/gateway/waiting_line.rs
@@ -2,26 +2,42 @@
 
 use std::sync::Arc;
 
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
+
 use crate::gateway::admission::Rank;
 use crate::gateway::backends::{Backends, EngineChoice};
+use crate::gateway::engine_ask::EngineAsk;
 use crate::gateway::request_facts::PromptFacts;
 use crate::name::Name;
 
 /// A request that waits.
 #[derive(Clone, Debug)]
 pub struct Waiting {
+    /// What it asks of an engine.
+    pub ask: EngineAsk,
     /// When it is given up, in milliseconds of the boot clock.
     pub give_up_ms: u64,
-    /// When its answer has to begin to be timely, in milliseconds of the boot clock.
-    pub due_ms: u64,
     /// Number of the request at this instance.
     pub number: u64,
-    /// What it asks of a model.
-    pub prompt: Arc<PromptFacts>,
     /// Rank; the lowest goes first.
     pub rank: Rank,
-    /// Backend servers that it was sent to before.
-    pub tried: Vec<Name>,
+}
+
+impl Waiting {
+    fn place(&self) -> (Rank, u64, u64) {
+        (self.rank, self.ask.due_ms, self.number)
+    }
+}
+
+/// Requests of one rank that wait at another instance.
+#[derive(Clone, Debug, Deserialize_tuple, PartialEq, Serialize_tuple)]
+pub struct LineEntry {
+    /// Name of the service.
+    pub service: Name,
+    /// Rank of the requests.
+    pub rank: Rank,
+    /// Their number.
+    pub waiting: u32,
 }
 
 /// What becomes of a waiting request.
@@ -52,8 +68,7 @@
 impl WaitingLine {
     /// Adds a request.
     pub fn join(&mut self, waiting: Waiting) {
-        let place = |other: &Waiting| (other.rank, other.due_ms, other.number);
-        let index = self.waiting.partition_point(|other| place(other) < place(&waiting));
+        let index = self.waiting.partition_point(|other| other.place() < waiting.place());
         self.waiting.insert(index, waiting);
     }
 
@@ -72,21 +87,47 @@
         self.waiting.is_empty()
     }
 
-    /// Decides on the next request, if there is one on which to decide now.
-    pub fn next(
+    /// Returns the number of requests that go before one of this rank.
+    pub fn ahead_of(&self, rank: Rank) -> usize {
+        self.waiting.partition_point(|waiting| waiting.rank <= rank)
+    }
+
+    /// Returns what other instances should know.
+    pub fn entries(&self, service: &Name) -> Vec<LineEntry> {
+        let ranks = self.waiting.chunk_by(|left, right| left.rank == right.rank);
+        ranks
+            .map(|same| LineEntry {
+                service: service.clone(),
+                rank: same[0].rank,
+                waiting: u32::try_from(same.len()).unwrap_or(u32::MAX),
+            })
+            .collect()
+    }
+
+    /// Decides on the next request, if there is one on which to decide now; `ahead` tells how many
+    /// requests of other instances go before one of a rank.
+    pub fn next<F>(
         &mut self,
         now_ms: u64,
         service: &str,
         backends: &Backends,
-    ) -> Option<LineDecision> {
+        ahead: F,
+    ) -> Option<LineDecision>
+    where
+        F: Fn(Rank) -> usize,
+    {
         if let Some(index) = self.waiting.iter().position(|waiting| waiting.give_up_ms <= now_ms) {
             return Some(LineDecision::GiveUp { number: self.waiting.remove(index).number });
         }
         let first = self.waiting.first()?;
-        match backends.choose_engine(now_ms, service, &first.prompt, &first.tried) {
+        let (_, free) = backends.slots(now_ms, service);
+        if free <= ahead(first.rank) {
+            return None;
+        }
+        match backends.choose_engine(now_ms, service, &first.ask) {
             EngineChoice::Chosen(backend_server) => {
-                let Waiting { number, prompt, .. } = self.waiting.remove(0);
-                Some(LineDecision::Send { number, backend_server, prompt })
+                let Waiting { number, ask, .. } = self.waiting.remove(0);
+                Some(LineDecision::Send { number, backend_server, prompt: ask.prompt })
             }
             EngineChoice::AllBusy | EngineChoice::NoneUsable => None,
         }
