Deal instances and engines of large fleets to cells, and name the others to a newcomer at once

Instances of a cell of at most eight tell each other every change and share the engines dealt to the cell; other cells hear a summary at a rate that does not grow with the fleet.

--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -1,20 +1,28 @@
 //! All backend servers that an instance knows, and the choice among them.
 
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
 use crate::gateway::backend::{Backend, BackendLoad, BackendStatus};
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::engine_ask::{EngineAsk, expected_loss};
+use crate::gateway::peer_table::Cell;
 use crate::gateway::request_facts::PromptFacts;
 use crate::name::Name;
 
 /// Time for which a removed backend server is remembered, so that late records do not bring it
 /// back, in milliseconds.
 const GONE_MEMORY_MS: u64 = 60_000;
+/// Fewest backend servers of a service for each cell at which they are dealt to the cells.
+const CELL_BACKENDS: usize = 3;
 /// Weight of the share of failures in the choice of a backend server.
 const FAILURE_WEIGHT: f64 = 6.0;
 
 /// All backend servers that an instance knows, sorted by id.
 #[derive(Clone, Debug, Default)]
 pub struct Backends {
+    cell: Cell,
+    /// Ids of the engines that instances of other cells use, sorted.
+    foreign: Vec<Name>,
     list: Vec<Backend>,
 }
 
@@ -47,6 +55,14 @@
 impl Backends {
     /// Takes in a record.
     pub fn publish(&mut self, id: &Name, record: BackendRecord) -> RecordChange {
+        let change = self.take_record(id, record);
+        if change != RecordChange::Unchanged {
+            self.deal();
+        }
+        change
+    }
+
+    fn take_record(&mut self, id: &Name, record: BackendRecord) -> RecordChange {
         let index = match self.find(id) {
             Err(index) => {
                 let leaving = record.leaving;
@@ -89,6 +105,7 @@
         match self.get_mut(id) {
             Some(backend) if !matches!(backend.status, BackendStatus::Gone { .. }) => {
                 backend.status = BackendStatus::Gone { since_ms: now_ms };
+                self.deal();
                 RecordChange::Left
             }
             _ => RecordChange::Unchanged,
@@ -145,9 +162,50 @@
             .map(|(_, backend)| backend.id.clone())
     }
 
+    /// Takes in which cell this instance belongs to.
+    pub fn set_cell(&mut self, cell: Cell) {
+        if self.cell != cell {
+            self.cell = cell;
+            self.deal();
+        }
+    }
+
+    /// Deals the backend servers of large services to the cells.
+    ///
+    /// Each goes to the cell that ranks highest for it, as long as that has room.
+    fn deal(&mut self) {
+        self.foreign.clear();
+        let Cell { cells, index } = self.cell;
+        if cells <= 1 {
+            return;
+        }
+        let mut services: Vec<_> =
+            self.usable().map(|backend| backend.record.service.clone()).collect();
+        services.sort();
+        services.dedup();
+        for service in services {
+            let of_service = self.usable().filter(|backend| backend.record.service == service);
+            let mut ids: Vec<_> = of_service.map(|backend| backend.id.clone()).collect();
+            if ids.len() < cells * CELL_BACKENDS {
+                continue;
+            }
+            ids.sort_by_key(|id| xxh3_64(id.as_bytes()));
+            let room = ids.len().div_ceil(cells);
+            let mut dealt = vec![0; cells];
+            for id in ids {
+                let cell = preferred_cell(&id, &dealt, room);
+                dealt[cell] += 1;
+                if cell != index {
+                    self.foreign.push(id);
+                }
+            }
+        }
+        self.foreign.sort();
+    }
+
     /// Returns a backend server for a request that asks a model.
     pub fn choose_engine(&self, now_ms: u64, service: &str, ask: &EngineAsk) -> EngineChoice {
-        let mut candidates = self.candidates(now_ms, service, &ask.tried).peekable();
+        let mut candidates = self.own_candidates(now_ms, service, &ask.tried).peekable();
         if candidates.peek().is_none() {
             return EngineChoice::NoneUsable;
         }
@@ -163,7 +221,7 @@
 
     /// Returns the places of a service's backend servers: all, and those that are free.
     pub fn slots(&self, now_ms: u64, service: &str) -> (usize, usize) {
-        self.candidates(now_ms, service, &[]).fold((0, 0), |(all, free), backend| {
+        self.own_candidates(now_ms, service, &[]).fold((0, 0), |(all, free), backend| {
             (all + backend.record.slots, free + backend.free_slots())
         })
     }
@@ -196,7 +254,24 @@
         })
     }
 
+    fn own_candidates<'a>(
+        &'a self,
+        now_ms: u64,
+        service: &'a str,
+        except: &'a [Name],
+    ) -> impl Iterator<Item = &'a Backend> {
+        let candidates = self.candidates(now_ms, service, except);
+        candidates.filter(|backend| self.foreign.binary_search(&backend.id).is_err())
+    }
+
     fn find(&self, id: &str) -> Result<usize, usize> {
         self.list.binary_search_by(|backend| (*backend.id).cmp(id))
     }
 }
+
+/// Returns the cell with room that ranks highest for a backend server.
+fn preferred_cell(id: &str, dealt: &[usize], room: usize) -> usize {
+    let with_room = (0..dealt.len()).filter(|cell| dealt[*cell] < room);
+    let rank = |cell: &usize| xxh3_64_with_seed(id.as_bytes(), *cell as u64);
+    with_room.max_by_key(rank).unwrap_or_default()
+}
--- a/src/gateway/peer_socket.rs
+++ b/src/gateway/peer_socket.rs
@@ -18,8 +18,6 @@
 const DATAGRAM_LIMIT_BYTES: usize = 60_000;
 /// Time for which changes are gathered before they are told, in milliseconds.
 const GATHER_MS: u64 = 4;
-/// Datagrams between two that name the other instances.
-const NAMING_INTERVAL: u64 = 4;
 
 /// Hears other instances until the process ends.
 pub(crate) async fn receive(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
@@ -59,23 +57,21 @@
 
 /// Tells the other instances what changes, until the process ends.
 pub(crate) async fn send(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
-    let mut rounds = 0_u64;
     loop {
         let limit = Duration::from_millis(HEARTBEAT_MS);
         let changed = timeout(limit, shared.changed.notified()).await.is_ok();
         if changed {
             sleep(Duration::from_millis(GATHER_MS)).await;
         }
-        rounds += 1;
         shared.state.borrow_mut().tick(boot_ms());
-        if let Err(error) = tell(&shared, &socket, rounds.is_multiple_of(NAMING_INTERVAL)) {
+        if let Err(error) = tell(&shared, &socket) {
             warn!(target: "peers", error:%; "The other instances could not be told.");
         }
     }
 }
 
-fn tell(shared: &Rc<Shared>, socket: &UdpSocket, names_others: bool) -> Result<(), Error> {
-    let (digest, targets) = shared.state.borrow_mut().tell(boot_ms(), names_others);
+fn tell(shared: &Rc<Shared>, socket: &UdpSocket) -> Result<(), Error> {
+    let (digest, targets) = shared.state.borrow_mut().tell(boot_ms());
     let digest = encode_digest(&digest)?;
     for (address, envelope) in targets {
         let datagram = encode_datagram(&envelope, &digest)?;
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -7,8 +7,19 @@
 
 /// Time between two datagrams to an instance if nothing changed, in milliseconds.
 pub const HEARTBEAT_MS: u64 = 400;
-/// Silence after which an instance's work and share no longer count as known, in milliseconds.
-const SILENCE_MS: u64 = 3 * HEARTBEAT_MS + 100;
+/// Heartbeats after whose absence an instance's work and share no longer count as known.
+const SILENT_HEARTBEATS: u64 = 3;
+/// Time added to the silence that is borne, in milliseconds.
+const SILENCE_SLACK_MS: u64 = 100;
+/// Most instances that tell each other every change at once.
+const CELL_INSTANCES: usize = 8;
+/// Shortest time between two datagrams to an instance of another cell, in milliseconds.
+const FAR_HEARTBEAT_MS: u64 = 1_000;
+/// Time by which each instance lengthens the pause between datagrams to other cells, so that their
+/// rate does not grow with the number of instances, in milliseconds.
+const FAR_SPACING_MS: u64 = 25;
+/// Time between two datagrams that name the other instances, in milliseconds.
+const NAMING_MS: u64 = 1_500;
 /// Silence after which an instance counts as gone for good, in milliseconds.
 const FORGET_MS: u64 = 60_000;
 /// Time between two datagrams to an address that has not answered, in milliseconds.
@@ -27,11 +38,23 @@
     pub usable: bool,
 }
 
+/// A cell: instances that share the same engines and tell each other every change.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Cell {
+    /// Number of cells.
+    pub cells: usize,
+    /// Number of this one, from 0.
+    pub index: usize,
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     address: SocketAddr,
     greeted_ms: u64,
+    /// Longest silence after which it still counts as heard, in milliseconds.
+    heard_limit_ms: u64,
     heard_ms: u64,
+    near: bool,
     incarnation: u64,
     name: Name,
     sent_ms: u64,
@@ -50,6 +73,7 @@
 #[derive(Clone, Debug)]
 pub struct PeerTable {
     greetings: Vec<Greeting>,
+    named_ms: u64,
     own_address: SocketAddr,
     peers: Vec<Peer>,
 }
@@ -57,7 +81,7 @@
 impl PeerTable {
     /// Starts with the addresses of some instances.
     pub fn new(own_address: SocketAddr, now_ms: u64, seeds: &[SocketAddr]) -> Self {
-        let mut table = Self { greetings: Vec::new(), own_address, peers: Vec::new() };
+        let mut table = Self { greetings: Vec::new(), named_ms: 0, own_address, peers: Vec::new() };
         table.set_seeds(now_ms, seeds);
         table
     }
@@ -83,8 +107,10 @@
         }
         let peer = Peer {
             address: from,
-            greeted_ms: now_ms,
+            greeted_ms: 0,
+            heard_limit_ms: silence_ms(HEARTBEAT_MS),
             heard_ms: now_ms,
+            near: true,
             incarnation: digest.incarnation,
             name: digest.instance.clone(),
             sent_ms: digest.sent_ms,
@@ -97,7 +123,9 @@
                 if same && peer.sent_ms < known.sent_ms {
                     return PeerNews::default();
                 }
-                *known = peer;
+                let (greeted_ms, near) = (known.greeted_ms, known.near);
+                let heard_limit_ms = known.heard_limit_ms;
+                *known = Peer { greeted_ms, heard_limit_ms, near, ..peer };
                 !same
             }
             Err(index) => {
@@ -105,6 +133,10 @@
                 true
             }
         };
+        if is_new {
+            // A newcomer learns of the others at once.
+            self.named_ms = 0;
+        }
         let sent_ms = envelope.echoed_sent_ms.map(|sent_ms| sent_ms + envelope.held_ms);
         let proved_ms = sent_ms
             .zip(digest.proof_age_ms)
@@ -113,11 +145,18 @@
     }
 
     /// Returns the addresses that a datagram goes to now, with what only they are told.
-    pub fn targets(&mut self, now_ms: u64) -> Vec<(SocketAddr, Envelope)> {
+    pub fn targets(&mut self, now_ms: u64, own_name: &str) -> Vec<(SocketAddr, Envelope)> {
         self.peers.retain(|peer| now_ms < peer.heard_ms + FORGET_MS);
+        self.arrange(own_name);
+        let far_ms = self.far_heartbeat_ms();
         let mut targets = Vec::new();
         for peer in &mut self.peers {
-            if peer.is_heard(now_ms) || now_ms >= peer.greeted_ms + GREETING_MS {
+            let pause_ms = match (peer.near, peer.is_heard(now_ms)) {
+                (true, true) => 0,
+                (false, true) => far_ms,
+                (_, false) => GREETING_MS,
+            };
+            if now_ms >= peer.greeted_ms + pause_ms {
                 peer.greeted_ms = now_ms;
                 targets.push((peer.address, peer.envelope(now_ms)));
             }
@@ -126,6 +165,46 @@
         targets
     }
 
+    /// Returns the cell of an instance.
+    ///
+    /// Instances are dealt to cells in the order of their names.
+    pub fn cell(&self, name: &str) -> Cell {
+        let cells = self.known_count().div_ceil(CELL_INSTANCES);
+        let before = self.peers.iter().filter(|peer| !peer.stopping && &*peer.name < name);
+        Cell { cells, index: before.count() % cells }
+    }
+
+    /// Returns whether an instance is in the cell of this one.
+    pub fn is_near(&self, name: &Name) -> bool {
+        let index = self.peers.binary_search_by(|known| known.name.cmp(name));
+        index.is_ok_and(|index| self.peers[index].near)
+    }
+
+    fn arrange(&mut self, own_name: &str) {
+        let own = self.cell(own_name);
+        let far_ms = self.far_heartbeat_ms();
+        let mut position = 0;
+        for peer in &mut self.peers {
+            let place = position + usize::from(own_name < &*peer.name);
+            peer.near = own.cells <= 1 || place % own.cells == own.index;
+            peer.heard_limit_ms = silence_ms(if peer.near { HEARTBEAT_MS } else { far_ms });
+            position += usize::from(!peer.stopping);
+        }
+    }
+
+    fn far_heartbeat_ms(&self) -> u64 {
+        FAR_HEARTBEAT_MS.max(self.peers.len() as u64 * FAR_SPACING_MS)
+    }
+
+    /// Returns the addresses of the instances that are heard, if it is time to name them.
+    pub fn addresses_to_name(&mut self, now_ms: u64) -> Vec<SocketAddr> {
+        if now_ms < self.named_ms + NAMING_MS {
+            return Vec::new();
+        }
+        self.named_ms = now_ms;
+        self.addresses(now_ms)
+    }
+
     /// Returns the addresses of the instances that are heard.
     pub fn addresses(&self, now_ms: u64) -> Vec<SocketAddr> {
         let heard = self.peers.iter().filter(|peer| peer.is_heard(now_ms));
@@ -188,10 +267,14 @@
     }
 
     fn is_heard(&self, now_ms: u64) -> bool {
-        now_ms < self.heard_ms + SILENCE_MS
+        now_ms < self.heard_ms + self.heard_limit_ms
     }
 }
 
+fn silence_ms(heartbeat_ms: u64) -> u64 {
+    SILENT_HEARTBEATS * heartbeat_ms + SILENCE_SLACK_MS
+}
+
 impl Default for Envelope {
     fn default() -> Self {
         Self { version: DIGEST_VERSION, echoed_sent_ms: None, held_ms: 0 }
--- a/src/gateway/plain_relay.rs
+++ b/src/gateway/plain_relay.rs
@@ -33,7 +33,7 @@
     /// The backend server did not run it.
     NotRun,
     /// It was not sent.
-    NotSent,
+    Unreached,
 }
 
 /// What comes after a send.
@@ -83,7 +83,7 @@
             Sent::Answer(response) => Next::Answer(self.pass(response)),
             Sent::Failed { timed_out } => self.after_failure(timed_out),
             Sent::NotRun => self.after_refusal(),
-            Sent::NotSent => self.after_unreached(),
+            Sent::Unreached => self.after_unreached(),
         }
     }
 
@@ -97,7 +97,7 @@
 
     async fn send(&mut self, lease: Lease) -> Sent {
         let sending = lease.sending().clone();
-        let Some(address) = sending.address else { return Sent::NotSent };
+        let Some(address) = sending.address else { return Sent::Unreached };
         let now_ms = boot_ms();
         info!(
             target: "send",
@@ -158,7 +158,7 @@
             SendFailure::NotSent(_) => {
                 lease.end(SendOutcome::Unreachable);
                 self.shared.connections.close(&sending.backend_server);
-                Sent::NotSent
+                Sent::Unreached
             }
             SendFailure::TimedOut => {
                 lease.end(SendOutcome::Failed);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -145,7 +145,7 @@
     /// Starts with nothing known but the settings.
     pub fn new(settings: GatewaySettings, now_ms: u64, incarnation: u64) -> Self {
         let mut limits = UsageLimits::default();
-        limits.set_heard_share(now_ms, 1.0);
+        limits.set_instances(now_ms, 1, 1);
         Self {
             backends: Backends::default(),
             budgets: Vec::new(),
@@ -553,11 +553,13 @@
         if news.is_new {
             self.limits.forget(name);
         }
-        let loads: Vec<_> = digest.loads.iter().map(load).collect();
-        self.backends.set_peer_loads(name, &loads);
         self.peer_lines.retain(|(known, _)| known != name);
-        if !digest.lines.is_empty() {
-            self.peer_lines.push((name.clone(), digest.lines.clone()));
+        if self.peers.is_near(name) {
+            let loads: Vec<_> = digest.loads.iter().map(load).collect();
+            self.backends.set_peer_loads(name, &loads);
+            if !digest.lines.is_empty() {
+                self.peer_lines.push((name.clone(), digest.lines.clone()));
+            }
         }
         let reports: Vec<_> = digest.spent.iter().map(report).collect();
         let joins = now_ms < self.started_ms + JOINING_MS;
@@ -583,17 +585,14 @@
             self.peer_lines.retain(|(known, _)| *known != name);
         }
         let heard = self.peers.heard_count(now_ms);
-        let share = heard as f64 / self.peers.known_count().max(heard) as f64;
-        self.limits.set_heard_share(now_ms, share);
+        self.limits.set_instances(now_ms, heard, self.peers.known_count());
+        let cell = self.peers.cell(&self.settings.instance);
+        self.backends.set_cell(cell);
     }
 
     /// Returns what to tell the others, and whom.
-    pub fn tell(
-        &mut self,
-        now_ms: u64,
-        names_others: bool,
-    ) -> (Digest, Vec<(std::net::SocketAddr, Envelope)>) {
-        let others = if names_others { self.peers.addresses(now_ms) } else { Vec::new() };
+    pub fn tell(&mut self, now_ms: u64) -> (Digest, Vec<(std::net::SocketAddr, Envelope)>) {
+        let others = self.peers.addresses_to_name(now_ms);
         let loads = self.backends.own_loads().into_iter().map(load_entry).collect();
         let digest = Digest {
             instance: self.settings.instance.clone(),
@@ -608,7 +607,7 @@
             spent: self.limits.reports().into_iter().map(spent_entry).collect(),
             suspects: self.quarantine.suspects(),
         };
-        (digest, self.peers.targets(now_ms))
+        (digest, self.peers.targets(now_ms, &self.settings.instance))
     }
 
     fn unless_stale(&self, now_ms: u64, reason: RefusalReason) -> Refusal {
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -62,7 +62,7 @@
     loop {
         match relay.open().await {
             Opened::Answer(response) => return response,
-            Opened::Stream(head, first, run) => return relay.start(head, first, run),
+            Opened::Stream(begun) => return relay.start(*begun),
             Opened::TryAnother => {}
         }
     }
@@ -71,10 +71,17 @@
 /// What opening a stream came to.
 enum Opened {
     Answer(Response<ReplyBody>),
-    Stream(http::response::Parts, Bytes, Run),
+    Stream(Box<Begun>),
     TryAnother,
 }
 
+/// A stream that has begun.
+struct Begun {
+    first: Bytes,
+    head: http::response::Parts,
+    run: Run,
+}
+
 /// A stream that one backend server sends.
 struct Run {
     body: Incoming,
@@ -204,7 +211,7 @@
         loop {
             match self.next_piece(&mut run).await {
                 Piece::Bytes(bytes) => match self.take(&mut run, &bytes) {
-                    Some(first) => return Opened::Stream(head, first, run),
+                    Some(first) => return Opened::Stream(Box::new(Begun { first, head, run })),
                     None => continue,
                 },
                 Piece::End => {
@@ -364,12 +371,8 @@
     }
 
     /// Starts to answer the caller.
-    fn start(
-        mut self,
-        mut head: http::response::Parts,
-        first: Bytes,
-        run: Run,
-    ) -> Response<ReplyBody> {
+    fn start(mut self, begun: Begun) -> Response<ReplyBody> {
+        let Begun { first, mut head, run } = begun;
         self.shared.wire.prepare_reply(&mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
         let begun_ms = boot_ms().saturating_sub(self.plan.arrived_ms);
@@ -485,9 +488,9 @@
         let resumable = relay.plan.route.resumable && relay.resume_after.is_some();
         while resumable && relay.may_send_again() {
             match relay.open().await {
-                Opened::Stream(_, first, run) => {
-                    self.first = Some(first);
-                    self.run = Some(run);
+                Opened::Stream(begun) => {
+                    self.first = Some(begun.first);
+                    self.run = Some(begun.run);
                     return Some(());
                 }
                 Opened::Answer(_) => return Some(()),
