--- a/src/gateway/usage_limits.rs
+++ b/src/gateway/usage_limits.rs
@@ -47,8 +47,6 @@
     buckets: Vec<Bucket>,
     /// Part of all instances that this one hears, itself included.
     heard_share: f64,
-    /// Instances that this one hears, itself included.
-    instances: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -57,8 +55,6 @@
     customer: Name,
     heard: Vec<(Name, u64)>,
     left_units: f64,
-    /// Units of refused requests that were told to come back, and are not due yet.
-    promised_units: f64,
     spent_units: u64,
     units_per_ms: f64,
     updated_ms: u64,
@@ -82,24 +78,19 @@
             bucket.fill(now_ms, self.heard_share);
         }
         self.heard_share = heard as f64 / known.max(heard).max(1) as f64;
-        self.instances = heard;
     }
 
     /// Takes units for a request of a customer.
     pub fn charge(&mut self, now_ms: u64, customer: &str, units: u64) -> Charge {
-        let (heard_share, instances) = (self.heard_share, self.instances.max(1));
+        let heard_share = self.heard_share;
         let Some(bucket) = self.bucket(customer) else { return Charge::Taken };
         bucket.fill(now_ms, heard_share);
         if bucket.left_units >= units as f64 {
             bucket.left_units -= units as f64;
             bucket.spent_units += units;
-            bucket.promised_units = (bucket.promised_units - units as f64).max(0.0);
             return Charge::Taken;
         }
-        // Each instance refuses its part of the requests: what it promised stands for all.
-        let promised = bucket.promised_units * instances as f64;
-        let missing = units as f64 + promised - bucket.left_units;
-        bucket.promised_units += units as f64;
+        let missing = units as f64 - bucket.left_units;
         let per_ms = (bucket.units_per_ms * heard_share).max(f64::MIN_POSITIVE);
         Charge::Short(UsageShortage {
             left_units: bucket.left_units as i64,
@@ -160,7 +151,6 @@
             customer: customer.name.clone(),
             heard: Vec::new(),
             left_units: burst_units * heard_share,
-            promised_units: 0.0,
             spent_units: 0,
             units_per_ms: customer.units_per_s as f64 / 1_000.0,
             updated_ms: now_ms,
