--- a/src/gateway/plain_relay.rs
+++ b/src/gateway/plain_relay.rs
@@ -28,6 +28,8 @@
 enum Sent {
     /// An answer that is passed on.
     Answer(Response<Bytes>),
+    /// An answer of the backend server that tells of its failure.
+    Error(Response<Bytes>),
     /// The backend server failed; the request may have run.
     Failed { timed_out: bool },
     /// The backend server did not run it.
@@ -81,6 +83,7 @@
         self.tried.push(lease.sending().backend_server.clone());
         match self.send(lease).await {
             Sent::Answer(response) => Next::Answer(self.pass(response)),
+            Sent::Error(response) => self.after_error(response),
             Sent::Failed { timed_out } => self.after_failure(timed_out),
             Sent::NotRun => self.after_refusal(),
             Sent::Unreached => self.after_unreached(),
@@ -140,8 +143,13 @@
         self.shared.wire.prepare_reply(&mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
         let failed = head.status.is_server_error();
-        lease.end(if failed { SendOutcome::Failed } else { SendOutcome::Answered });
-        Sent::Answer(Response::from_parts(head, body))
+        let response = Response::from_parts(head, body);
+        if failed {
+            lease.end(SendOutcome::Failed);
+            return Sent::Error(response);
+        }
+        lease.end(SendOutcome::Answered);
+        Sent::Answer(response)
     }
 
     fn failed(&mut self, lease: Lease, failure: SendFailure) -> Sent {
@@ -173,6 +181,14 @@
         }
     }
 
+    fn after_error(&mut self, response: Response<Bytes>) -> Next {
+        self.ran = true;
+        if self.plan.route.is_repeatable() && self.may_send_again() {
+            return Next::TryAnother;
+        }
+        Next::Answer(self.pass(response))
+    }
+
     fn after_failure(&mut self, timed_out: bool) -> Next {
         self.ran = true;
         if !timed_out && self.plan.route.is_repeatable() && self.may_send_again() {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -33,6 +33,13 @@
 const JOINING_MS: u64 = 4_000;
 /// Time after which a request gives up waiting, as a share of its goal.
 const PATIENCE_SHARE: f64 = 0.8;
+/// Time after which a request gives up waiting where all of its rank do, as a share of its goal.
+const LEAST_PATIENCE_SHARE: f64 = 0.12;
+/// Time after which a request that was given up comes back at the latest, as a share of the time
+/// that it has left.
+const COME_BACK_SHARE: f64 = 0.33;
+/// Time after which a request that was given up comes back at the soonest, in milliseconds.
+const RETRY_FULL_MS: u64 = 1_000;
 /// Time that a request of a model has a place before anything is measured, in milliseconds.
 const DEFAULT_PLACE_MS: f64 = 1_000.0;
 /// Weight of a new sample in the mean time that a request has a place.
@@ -105,8 +112,8 @@
 pub enum Dispatch {
     /// It goes to this backend server at once.
     Send(Sending),
-    /// It would not be served in time.
-    GiveUp,
+    /// It would not be served in time, and may come back after this time, in milliseconds.
+    GiveUp(u64),
     /// It waits under this number.
     Wait(u64),
 }
@@ -444,10 +451,12 @@
         {
             return Dispatch::Send(self.begin(now_ms, &backend_server, Some(&ask.prompt)));
         }
-        let patience_ms = plan.route.goal_ms as f64 * PATIENCE_SHARE;
+        let given_up = self.line(&plan.service).given_up_share(plan.rank);
+        let patience = PATIENCE_SHARE - (PATIENCE_SHARE - LEAST_PATIENCE_SHARE) * given_up;
+        let patience_ms = plan.route.goal_ms as f64 * patience;
         let wait_ms = (ahead + 1) as f64 * self.place_ms / slots.max(1) as f64;
         if wait_ms > patience_ms {
-            return Dispatch::GiveUp;
+            return Dispatch::GiveUp(self.come_back(now_ms, plan));
         }
         self.next_number += 1;
         let number = self.next_number;
@@ -456,6 +465,15 @@
         Dispatch::Wait(number)
     }
 
+    /// Returns after which time a request that was given up may come back, in milliseconds: the
+    /// more are given up, the later.
+    pub fn come_back(&mut self, now_ms: u64, plan: &Plan) -> u64 {
+        let given_up = self.line(&plan.service).given_up_share(plan.rank);
+        let left_ms = plan.deadline_ms.saturating_sub(now_ms) as f64;
+        let longest_ms = left_ms * COME_BACK_SHARE;
+        (longest_ms * given_up).max(longest_ms.min(RETRY_FULL_MS as f64)) as u64
+    }
+
     /// Returns the requests of other instances that go before one of this rank.
     fn ahead_elsewhere(&self, service: &str, rank: Rank) -> usize {
         ahead_of(&self.peer_lines, service, rank)
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -33,8 +33,6 @@
 const SILENCE_GAPS: u64 = 4;
 /// Shortest silence after which a stream goes on at another backend server, in milliseconds.
 const SHORTEST_SILENCE_MS: u64 = 1_000;
-/// Time after which a caller that was refused for lack of room may try again, in milliseconds.
-const RETRY_FULL_MS: u64 = 1_000;
 
 /// Sends a request and passes its events on.
 pub(crate) async fn relay_stream(
@@ -153,14 +151,15 @@
         let dispatch = self.shared.state.borrow_mut().dispatch(boot_ms(), &self.plan, &self.tried);
         let number = match dispatch {
             Dispatch::Send(sending) => return Ok(sending),
-            Dispatch::GiveUp => return Err(not_in_time()),
+            Dispatch::GiveUp(wait_ms) => return Err(not_in_time(wait_ms)),
             Dispatch::Wait(number) => number,
         };
         self.shared.changed.notify_one();
         let decision = self.shared.wait_for(number);
         let _place = Place { number, relay: self };
         let sending = decision.await.ok().flatten();
-        sending.ok_or(not_in_time())
+        let wait_ms = || self.shared.state.borrow_mut().come_back(boot_ms(), &self.plan);
+        sending.ok_or_else(|| not_in_time(wait_ms()))
     }
 
     async fn send(&mut self, lease: Lease) -> Opened {
@@ -426,8 +425,8 @@
     }
 }
 
-fn not_in_time() -> Refusal {
-    Refusal::until(RefusalReason::NotInTime, RETRY_FULL_MS)
+fn not_in_time(wait_ms: u64) -> Refusal {
+    Refusal::until(RefusalReason::NotInTime, wait_ms)
 }
 
 /// A stream on its way to the caller.
--- a/src/gateway/waiting_line.rs
+++ b/src/gateway/waiting_line.rs
@@ -10,6 +10,9 @@
 use crate::gateway::request_facts::PromptFacts;
 use crate::name::Name;
 
+/// Weight of a new outcome in the share of requests that were given up.
+const OUTCOME_WEIGHT: f64 = 0.05;
+
 /// A request that waits.
 #[derive(Clone, Debug)]
 pub struct Waiting {
@@ -62,6 +65,8 @@
 /// Requests of one service that wait, highest rank first, then the one that is due first.
 #[derive(Clone, Debug, Default)]
 pub struct WaitingLine {
+    /// Share of those that waited and were given up, by rank.
+    given_up: Vec<(Rank, f64)>,
     waiting: Vec<Waiting>,
 }
 
@@ -87,6 +92,24 @@
         self.waiting.is_empty()
     }
 
+    /// Returns which share of the requests of a rank that waited of late were given up.
+    pub fn given_up_share(&self, rank: Rank) -> f64 {
+        let index = self.given_up.binary_search_by_key(&rank, |(known, _)| *known);
+        index.map(|index| self.given_up[index].1).unwrap_or_default()
+    }
+
+    fn note(&mut self, rank: Rank, given_up: f64) {
+        let index = match self.given_up.binary_search_by_key(&rank, |(known, _)| *known) {
+            Ok(index) => index,
+            Err(index) => {
+                self.given_up.insert(index, (rank, 0.0));
+                index
+            }
+        };
+        let share = &mut self.given_up[index].1;
+        *share += OUTCOME_WEIGHT * (given_up - *share);
+    }
+
     /// Returns the number of requests that go before one of this rank.
     pub fn ahead_of(&self, rank: Rank) -> usize {
         self.waiting.partition_point(|waiting| waiting.rank <= rank)
@@ -117,7 +140,9 @@
         F: Fn(Rank) -> usize,
     {
         if let Some(index) = self.waiting.iter().position(|waiting| waiting.give_up_ms <= now_ms) {
-            return Some(LineDecision::GiveUp { number: self.waiting.remove(index).number });
+            let Waiting { number, rank, .. } = self.waiting.remove(index);
+            self.note(rank, 1.0);
+            return Some(LineDecision::GiveUp { number });
         }
         let first = self.waiting.first()?;
         let (_, free) = backends.slots(now_ms, service);
@@ -126,7 +151,8 @@
         }
         match backends.choose_engine(now_ms, service, &first.ask) {
             EngineChoice::Chosen(backend_server) => {
-                let Waiting { number, ask, .. } = self.waiting.remove(0);
+                let Waiting { number, ask, rank, .. } = self.waiting.remove(0);
+                self.note(rank, 0.0);
                 Some(LineDecision::Send { number, backend_server, prompt: ask.prompt })
             }
             EngineChoice::AllBusy | EngineChoice::NoneUsable => None,
