--- a/src/gateway/gateway_settings.rs
+++ b/src/gateway/gateway_settings.rs
@@ -34,6 +34,8 @@
 /// Time bounds and budgets that hold for all instances together.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
+    /// Time after a backend server's notice at which it gets nothing more, in milliseconds.
+    pub drain_ms: u64,
     /// Time from SIGTERM to SIGKILL, in milliseconds.
     pub grace_ms: u64,
     /// Time after a document's publication at which it is in force, in milliseconds.
@@ -51,6 +53,7 @@
 impl Default for Bounds {
     fn default() -> Self {
         Self {
+            drain_ms: 2_000,
             grace_ms: 8_000,
             publish_ms: 2_000,
             resend_allowance: 50,
@@ -60,3 +63,14 @@
         }
     }
 }
+
+/// Share of the shortest bound on news that passes between two reads of the store.
+const READ_SHARE: f64 = 0.4;
+
+impl Bounds {
+    /// Returns the time between two reads of the store that keeps news within their bounds, in
+    /// milliseconds.
+    pub fn read_interval_ms(&self) -> u64 {
+        (self.drain_ms.min(self.publish_ms) as f64 * READ_SHARE) as u64
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -38,7 +38,7 @@
 /// Time after which a request that was given up comes back at the latest, as a share of the time
 /// that it has left.
 const COME_BACK_SHARE: f64 = 0.33;
-/// Time after which a request that was given up comes back at the soonest, in milliseconds.
+/// Time after which a request that was given up comes back, in milliseconds.
 const RETRY_FULL_MS: u64 = 1_000;
 /// Time that a request of a model has a place before anything is measured, in milliseconds.
 const DEFAULT_PLACE_MS: f64 = 1_000.0;
@@ -465,13 +465,10 @@
         Dispatch::Wait(number)
     }
 
-    /// Returns after which time a request that was given up may come back, in milliseconds: the
-    /// more are given up, the later.
-    pub fn come_back(&mut self, now_ms: u64, plan: &Plan) -> u64 {
-        let given_up = self.line(&plan.service).given_up_share(plan.rank);
+    /// Returns after which time a request that was given up may come back, in milliseconds.
+    pub fn come_back(&self, now_ms: u64, plan: &Plan) -> u64 {
         let left_ms = plan.deadline_ms.saturating_sub(now_ms) as f64;
-        let longest_ms = left_ms * COME_BACK_SHARE;
-        (longest_ms * given_up).max(longest_ms.min(RETRY_FULL_MS as f64)) as u64
+        (left_ms * COME_BACK_SHARE).min(RETRY_FULL_MS as f64) as u64
     }
 
     /// Returns the requests of other instances that go before one of this rank.
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -28,8 +28,6 @@
 const WATCH_SLACK_MS: u64 = 700;
 /// Longest time for a page of a listing, in milliseconds.
 const LIST_TIMEOUT_MS: u64 = 2_000;
-/// Shortest time between the starts of two calls, in milliseconds.
-const CALL_INTERVAL_MS: u64 = 400;
 /// Shortest time before a call after one that failed, in milliseconds.
 const RETRY_MS: u64 = 100;
 /// Longest time before a call after some that failed, in milliseconds.
@@ -72,7 +70,8 @@
             Err(error) => watch.failed(&error).await,
         }
         let elapsed_ms = boot_ms().saturating_sub(started_ms);
-        sleep(Duration::from_millis(CALL_INTERVAL_MS.saturating_sub(elapsed_ms))).await;
+        let interval_ms = watch.shared.state.borrow().settings().bounds.read_interval_ms();
+        sleep(Duration::from_millis(interval_ms.saturating_sub(elapsed_ms))).await;
     }
 }
 
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -158,7 +158,7 @@
         let decision = self.shared.wait_for(number);
         let _place = Place { number, relay: self };
         let sending = decision.await.ok().flatten();
-        let wait_ms = || self.shared.state.borrow_mut().come_back(boot_ms(), &self.plan);
+        let wait_ms = || self.shared.state.borrow().come_back(boot_ms(), &self.plan);
         sending.ok_or_else(|| not_in_time(wait_ms()))
     }
 
