--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -80,6 +80,7 @@
     cooling_until_ms: u64,
     failure_share: f64,
     failures_in_a_row: u32,
+    heard_ms: u64,
     parts: Vec<(u64, u64)>,
     prefill_ms: Average,
     reply_ms: Average,
@@ -125,6 +126,7 @@
             cooling_until_ms: 0,
             failure_share: 0.0,
             failures_in_a_row: 0,
+            heard_ms: 0,
             parts: Vec::new(),
             prefill_ms: Average::default(),
             reply_ms: Average::default(),
@@ -205,6 +207,16 @@
         }
     }
 
+    /// Notes that bytes of any answer arrived.
+    pub fn hear(&mut self, now_ms: u64) {
+        self.heard_ms = self.heard_ms.max(now_ms);
+    }
+
+    /// Returns whether nothing at all arrived for this long, in milliseconds.
+    pub fn is_silent(&self, now_ms: u64, silence_ms: u64) -> bool {
+        now_ms >= self.heard_ms + silence_ms
+    }
+
     /// Notes the mean time between tokens of a stream, in milliseconds.
     pub fn token_pace(&mut self, token_ms: f64) {
         self.token_ms.add(token_ms);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::gateway::admission::{Admission, Arrival, Plan, Rank, Refusal, RefusalReason};
-use crate::gateway::backend::{BackendLoad, SendOutcome};
+use crate::gateway::backend::{Backend, BackendLoad, SendOutcome};
 use crate::gateway::backends::{Backends, EngineChoice, RecordChange};
 use crate::gateway::engine_ask::EngineAsk;
 use crate::gateway::freshness::Freshness;
@@ -508,6 +508,23 @@
         }
     }
 
+    /// Notes that bytes of an answer of a backend server arrived.
+    pub fn heard(&mut self, now_ms: u64, backend: &str) {
+        if let Some(backend) = self.backends.get_mut(backend) {
+            backend.hear(now_ms);
+        }
+    }
+
+    /// Returns whether a stream that paused for `silence_ms` may leave its backend server: nothing
+    /// else arrives from there either, and another one has room.
+    pub fn may_leave(&self, now_ms: u64, plan: &Plan, backend: &str, silence_ms: u64) -> bool {
+        let silent =
+            self.backends.get(backend).is_none_or(|known| known.is_silent(now_ms, silence_ms));
+        let elsewhere = self.backends.slots(now_ms, &plan.service).1;
+        let here = self.backends.get(backend).map(Backend::free_slots).unwrap_or_default();
+        silent && elsewhere > here
+    }
+
     /// Takes an extra send of a service, if the budget has one.
     pub fn take_resend(&mut self, now_ms: u64, service: &Name) -> bool {
         let bounds = self.settings.bounds.clone();
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -316,11 +316,14 @@
             && self.shared.state.borrow_mut().take_resend(boot_ms(), &self.plan.service)
     }
 
+    fn silence_ms(&self) -> u64 {
+        (self.plan.route.event_gap_goal_ms * SILENCE_GAPS).max(SHORTEST_SILENCE_MS)
+    }
+
     /// Waits for the next bytes of a stream.
     async fn next_piece(&self, run: &mut Run) -> Piece {
         let left_ms = self.plan.deadline_ms.saturating_sub(boot_ms());
-        let silence_ms =
-            (self.plan.route.event_gap_goal_ms * SILENCE_GAPS).max(SHORTEST_SILENCE_MS);
+        let silence_ms = self.silence_ms();
         let resumable = self.plan.route.resumable && self.sends < self.plan.route.attempts;
         let limit_ms = if resumable && run.events > 0 { left_ms.min(silence_ms) } else { left_ms };
         match timeout(Duration::from_millis(limit_ms), run.body.frame()).await {
@@ -337,6 +340,8 @@
 
     /// Takes bytes in and returns those that can be passed on.
     fn take(&mut self, run: &mut Run, bytes: &[u8]) -> Option<Bytes> {
+        let backend_server = &run.lease.sending().backend_server;
+        self.shared.state.borrow_mut().heard(boot_ms(), backend_server);
         let whole: Option<WholeEvents> = self.splitter.push(bytes);
         if let Some(events) = &whole {
             let now_ms = boot_ms();
@@ -455,7 +460,8 @@
                     return None;
                 }
                 Piece::Broken(error) => self.resume(&error).await?,
-                Piece::Silent => self.resume("it is silent").await?,
+                Piece::Silent if self.may_leave() => self.resume("it is silent").await?,
+                Piece::Silent => {}
                 Piece::TimeUp => return self.break_off("the time is up"),
             }
             if self.run.is_none() {
@@ -464,6 +470,15 @@
         }
     }
 
+    /// Returns whether a silent stream may leave its backend server.
+    fn may_leave(&self) -> bool {
+        let Some(run) = &self.run else { return false };
+        let relay = &self.relay;
+        let state = relay.shared.state.borrow();
+        let backend_server = &run.lease.sending().backend_server;
+        state.may_leave(boot_ms(), &relay.plan, backend_server, relay.silence_ms())
+    }
+
     /// Goes on at another backend server; without one, no run is left.
     async fn resume(&mut self, cause: &str) -> Option<()> {
         let run = self.run.take()?;
