Admit a request that is larger than half a customer's burst, on credit

Cause: a bucket of one second's burst never holds enough for the largest prompts, so that they were refused for good.

--- a/src/gateway/usage_limits.rs
+++ b/src/gateway/usage_limits.rs
@@ -8,6 +8,9 @@
 use crate::gateway::routing_document::Customer;
 use crate::name::Name;
 
+/// Part of the burst that has to be there for a request; a larger request goes into debt.
+const DEBT_FREE_SHARE: f64 = 0.5;
+
 /// What an instance has spent for a customer, and what it believes is left.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UsageReport {
@@ -85,12 +88,14 @@
         let heard_share = self.heard_share;
         let Some(bucket) = self.bucket(customer) else { return Charge::Taken };
         bucket.fill(now_ms, heard_share);
-        if bucket.left_units >= units as f64 {
+        // A request that is larger than the burst would else never be admitted.
+        let needed_units = (units as f64).min(bucket.burst_units * DEBT_FREE_SHARE);
+        if bucket.left_units >= needed_units {
             bucket.left_units -= units as f64;
             bucket.spent_units += units;
             return Charge::Taken;
         }
-        let missing = units as f64 - bucket.left_units;
+        let missing = needed_units - bucket.left_units;
         let per_ms = (bucket.units_per_ms * heard_share).max(f64::MIN_POSITIVE);
         Charge::Short(UsageShortage {
             left_units: bucket.left_units as i64,
--- /dev/null
+++ b/tests/gateway_usage_limits.rs
@@ -0,0 +1,78 @@
+//! Limits of customers over all instances.
+
+mod gateway_support;
+
+use std::sync::Arc;
+
+use bergamotspan::gateway::usage_limits::{Charge, UsageLimits, UsageReport};
+use proptest::prelude::*;
+
+use crate::gateway_support::{START_MS, customer, name};
+
+const RATE: u64 = 10_000;
+
+fn limits(heard: usize, known: usize) -> UsageLimits {
+    let mut limits = UsageLimits::default();
+    limits.set_instances(START_MS, heard, known);
+    limits.set_customers(START_MS, &[Arc::new(customer(RATE))]);
+    limits
+}
+
+#[test]
+fn units_come_back_at_the_rate_of_the_customer() {
+    let mut limits = limits(1, 1);
+    assert_eq!(limits.charge(START_MS, "clinic", RATE), Charge::Taken);
+    let Charge::Short(shortage) = limits.charge(START_MS, "clinic", 1_000) else {
+        panic!("more was given than the burst");
+    };
+    assert_eq!((shortage.left_units, shortage.needed_units, shortage.wait_ms), (0, 1_000, 100));
+    assert_eq!(limits.charge(START_MS + 100, "clinic", 1_000), Charge::Taken);
+}
+
+#[test]
+fn a_request_that_is_larger_than_the_burst_is_taken_and_paid_off() {
+    let mut limits = limits(1, 1);
+    assert_eq!(limits.charge(START_MS, "clinic", 3 * RATE), Charge::Taken);
+    assert!(matches!(limits.charge(START_MS + 1_900, "clinic", 100), Charge::Short(_)));
+    assert_eq!(limits.charge(START_MS + 2_100, "clinic", 100), Charge::Taken);
+}
+
+#[test]
+fn what_another_instance_spends_is_taken_from_the_same_bucket() {
+    let mut limits = limits(2, 2);
+    let report =
+        |spent_units| vec![UsageReport { customer: name("clinic"), left_units: 0, spent_units }];
+    limits.merge(START_MS, &name("front-2"), &report(500), false);
+    limits.merge(START_MS, &name("front-2"), &report(500 + RATE), false);
+    assert!(matches!(limits.charge(START_MS, "clinic", 1_000), Charge::Short(_)));
+}
+
+#[test]
+fn a_request_that_did_not_run_gives_its_units_back() {
+    let mut limits = limits(1, 1);
+    assert_eq!(limits.charge(START_MS, "clinic", RATE), Charge::Taken);
+    limits.refund("clinic", RATE);
+    assert_eq!(limits.charge(START_MS, "clinic", RATE), Charge::Taken);
+}
+
+proptest! {
+    /// However a fleet is split, its parts together spend at most what all may, with the burst.
+    #[test]
+    fn parts_of_a_split_fleet_keep_the_limit_together(
+        sizes in prop::collection::vec(1_usize..5, 1..5),
+        asks in prop::collection::vec((0_usize..5, 1_u64..500, 0_u64..40), 1..400),
+    ) {
+        let known = sizes.iter().sum();
+        let mut parts: Vec<_> = sizes.iter().map(|heard| limits(*heard, known)).collect();
+        let (mut now_ms, mut spent) = (START_MS, 0);
+        for (part, units, pause_ms) in asks {
+            now_ms += pause_ms;
+            let part = part % parts.len();
+            if parts[part].charge(now_ms, "clinic", units) == Charge::Taken {
+                spent += units;
+            }
+        }
+        let elapsed_ms = now_ms - START_MS;
+        prop_assert!(spent <= RATE + RATE * elapsed_ms / 1_000 + parts.len() as u64);
+    }
+}
