--- /dev/null
+++ b/tests/gateway_admission.rs
@@ -0,0 +1,143 @@
+//! What becomes of a request when it arrives.
+
+mod gateway_support;
+
+use bergamotspan::gateway::admission::{Rank, RefusalReason};
+use bergamotspan::gateway::request_facts::RequestFacts;
+use bergamotspan::gateway::routing_document::WeightedService;
+use bergamotspan::gateway::routing_table::{RoutingTable, weighted_service};
+use bergamotspan::gateway::state::{Belief, State};
+use bergamotspan::gateway::store_fact::StoreFact;
+
+use crate::gateway_support::{
+    START_MS, admitted, customer, document, draft, facts, learn, refused, route, settings, state,
+};
+use bergamotspan::gateway::routing_document::{RouteKind, RoutingDocument};
+
+fn publish(state: &mut State, now_ms: u64, document: RoutingDocument) -> Vec<Belief> {
+    learn(state, now_ms, vec![StoreFact::Document(Ok(Box::new(document)))])
+}
+
+#[test]
+fn before_any_document_a_request_is_told_to_come_back() {
+    let mut state = State::new(settings(), START_MS, 1);
+    let refusal = refused(&mut state, START_MS, "/booking/a", &facts("r-1"));
+    assert_eq!(refusal.reason, RefusalReason::NoDocument);
+    assert_eq!(refusal.reason.describe().0, 503);
+    assert!(refusal.retry_after_ms.is_some());
+    assert!(!state.is_ready(START_MS));
+}
+
+#[test]
+fn the_route_with_the_longest_prefix_takes_a_request() {
+    let mut document = document(2);
+    let mut inner = route("inner", RouteKind::Unsafe, "desk");
+    inner.prefix = "/draft/inner/".into();
+    document.routes.push(inner);
+    let table = RoutingTable::new(document);
+    let name = |path| table.route("desk.example", path).map(|route| route.name.to_string());
+    assert_eq!(name("/draft/inner/x").as_deref(), Some("inner"));
+    assert_eq!(name("/draft/inner").as_deref(), Some("draft"));
+    assert_eq!(name("/drafts/x"), None);
+    assert!(table.route("other.example", "/draft/x").is_none());
+}
+
+#[test]
+fn a_missing_route_is_told_only_while_the_document_is_known_to_be_new() {
+    let mut state = state();
+    let early = refused(&mut state, START_MS + 100, "/none/a", &facts("r-1"));
+    assert_eq!(early.reason, RefusalReason::NoRoute);
+    let late = refused(&mut state, START_MS + 3_000, "/none/a", &facts("r-2"));
+    assert_eq!(late.reason, RefusalReason::NotFresh);
+}
+
+#[test]
+fn an_unknown_key_is_refused_for_good_and_an_old_document_honours_none() {
+    let mut state = state();
+    let unknown = RequestFacts { key: Some("other".into()), ..facts("r-1") };
+    let refusal = refused(&mut state, START_MS, "/booking/a", &unknown);
+    assert_eq!((refusal.reason, refusal.retry_after_ms), (RefusalReason::UnknownKey, None));
+    let refusal = refused(&mut state, START_MS + 4_600, "/booking/a", &facts("r-2"));
+    assert_eq!(refusal.reason, RefusalReason::NotFresh);
+}
+
+#[test]
+fn a_request_that_waited_is_not_sent_once_its_key_may_be_gone() {
+    let mut state = state();
+    let plan = admitted(&mut state, START_MS, "/booking/a", &facts("r-1"));
+    assert_eq!(state.recheck(START_MS + 4_599, &plan), Ok(()));
+    let refusal = state.recheck(START_MS + 4_600, &plan).expect_err("too old");
+    assert_eq!(refusal.reason, RefusalReason::NotFresh);
+}
+
+#[test]
+fn a_request_that_waited_is_not_sent_once_its_key_is_gone() {
+    let mut state = state();
+    let plan = admitted(&mut state, START_MS, "/booking/a", &facts("r-1"));
+    let mut next = document(2);
+    next.customers[0].keys.clear();
+    publish(&mut state, START_MS + 100, next);
+    let refusal = state.recheck(START_MS + 100, &plan).expect_err("revoked");
+    assert_eq!(refusal.reason, RefusalReason::UnknownKey);
+}
+
+#[test]
+fn an_older_document_never_replaces_a_newer_one() {
+    let mut state = state();
+    publish(&mut state, START_MS, document(9));
+    assert!(publish(&mut state, START_MS, document(8)).is_empty());
+    assert_eq!(state.table().version(), 9);
+}
+
+#[test]
+fn a_document_that_cannot_be_read_keeps_the_one_before() {
+    let mut state = state();
+    let beliefs = learn(&mut state, START_MS, vec![StoreFact::Document(Err("torn".to_owned()))]);
+    assert!(matches!(&beliefs[..], [Belief::Unreadable { .. }]));
+    admitted(&mut state, START_MS, "/booking/a", &facts("r-1"));
+}
+
+#[test]
+fn a_customers_rank_goes_before_the_routes_and_does_not_replace_it() {
+    let mut document = document(2);
+    document.customers[0].priority = Some(3);
+    let mut state = state();
+    publish(&mut state, START_MS, document);
+    let plan = admitted(&mut state, START_MS, "/draft/a", &draft("r-1", 100, 10));
+    assert_eq!(plan.rank, Rank { customer: 3, route: 1 });
+    assert!(Rank { customer: 1, route: 2 } > Rank { customer: 1, route: 1 });
+    assert!(Rank { customer: 2, route: 0 } > Rank { customer: 1, route: 9 });
+}
+
+#[test]
+fn a_limit_says_what_was_short() {
+    let mut document = document(2);
+    document.customers = vec![customer(1_000)];
+    let mut state = state();
+    publish(&mut state, START_MS, document);
+    admitted(&mut state, START_MS, "/draft/a", &draft("r-1", 900, 100));
+    let refusal = refused(&mut state, START_MS, "/draft/a", &draft("r-2", 300, 100));
+    assert_eq!(refusal.reason.describe().0, 429);
+    assert_eq!(refusal.shortage.map(|shortage| shortage.needed_units), Some(400));
+    assert!(refusal.retry_after_ms.is_some_and(|wait_ms| wait_ms >= 300));
+}
+
+#[test]
+fn a_split_route_follows_its_weights() {
+    let weight = |service: &str, weight| WeightedService { service: service.into(), weight };
+    let services = [weight("a", 90), weight("b", 10)];
+    let picked = |draw| weighted_service(&services, draw).map(|name| name.to_string());
+    let to_b = (0..100).filter(|draw| picked(*draw).as_deref() == Some("b")).count();
+    assert_eq!(to_b, 10);
+    assert_eq!(weighted_service(&[], 3), None);
+}
+
+#[test]
+fn a_request_that_crashed_two_backend_servers_is_refused() {
+    let mut state = state();
+    state.died(START_MS, &"m-1".into(), 7, START_MS - 10);
+    admitted(&mut state, START_MS, "/draft/a", &draft("r-1", 100, 10));
+    state.died(START_MS + 900, &"m-2".into(), 7, START_MS + 800);
+    let refusal = refused(&mut state, START_MS + 1_000, "/draft/a", &draft("r-2", 100, 10));
+    assert_eq!(refusal.reason, RefusalReason::Quarantined);
+}
