--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -150,16 +150,11 @@
         }
     }
 
-    /// Returns a backend server for a plain request.
+    /// Returns a backend server for a plain request; one that failed just now only if there is no
+    /// other.
     pub fn choose_plain(&self, now_ms: u64, service: &str, except: &[Name]) -> Option<Name> {
-        self.candidates(now_ms, service, except)
-            .map(|backend| {
-                let waiting = f64::from(backend.load().running) + 1.0;
-                let failures = 1.0 + FAILURE_WEIGHT * backend.failure_share();
-                (waiting * backend.expected_reply_ms() * failures, backend)
-            })
-            .min_by(|(left, _), (right, _)| left.total_cmp(right))
-            .map(|(_, backend)| backend.id.clone())
+        let at_rest = || self.of_service(service, except);
+        least_wait(self.candidates(now_ms, service, except)).or_else(|| least_wait(at_rest()))
     }
 
     /// Takes in which cell this instance belongs to.
@@ -247,11 +242,16 @@
         service: &'a str,
         except: &'a [Name],
     ) -> impl Iterator<Item = &'a Backend> {
-        self.list.iter().filter(move |backend| {
-            &*backend.record.service == service
-                && backend.may_serve(now_ms)
-                && !except.contains(&backend.id)
-        })
+        self.of_service(service, except).filter(move |backend| backend.may_serve(now_ms))
+    }
+
+    fn of_service<'a>(
+        &'a self,
+        service: &'a str,
+        except: &'a [Name],
+    ) -> impl Iterator<Item = &'a Backend> {
+        let of_service = self.usable().filter(move |known| &*known.record.service == service);
+        of_service.filter(move |backend| !except.contains(&backend.id))
     }
 
     fn own_candidates<'a>(
@@ -275,3 +275,18 @@
     let rank = |cell: &usize| xxh3_64_with_seed(id.as_bytes(), *cell as u64);
     with_room.max_by_key(rank).unwrap_or_default()
 }
+
+/// Returns the backend server with the least expected wait, failures weighed in.
+fn least_wait<'a, I>(backends: I) -> Option<Name>
+where
+    I: Iterator<Item = &'a Backend>,
+{
+    backends
+        .map(|backend| {
+            let waiting = f64::from(backend.load().running) + 1.0;
+            let failures = 1.0 + FAILURE_WEIGHT * backend.failure_share();
+            (waiting * backend.expected_reply_ms() * failures, backend)
+        })
+        .min_by(|(left, _), (right, _)| left.total_cmp(right))
+        .map(|(_, backend)| backend.id.clone())
+}
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -25,11 +25,12 @@
 
 /// Connections that may wait to be taken.
 const BACKLOG: i32 = 1_024;
-/// Time between two looks at waiting requests, kept connections and the settings file, in
-/// milliseconds.
+/// Time between two looks at waiting requests, in milliseconds.
 const TICK_MS: u64 = 25;
-/// Ticks between two looks at kept connections and the settings file.
+/// Ticks between two looks at kept connections.
 const SLOW_TICKS: u64 = 20;
+/// Time between two looks at the time of the settings file, in milliseconds.
+const FILE_CHECK_MS: u64 = 1_000;
 /// Time before SIGKILL at which the process ends by itself, in milliseconds.
 const LAST_MOMENT_MS: u64 = 300;
 /// Time after SIGTERM for which the balancer may still send new connections, in milliseconds.
@@ -107,13 +108,6 @@
     path: PathBuf,
     metrics_port: Option<u16>,
 ) -> Result<(), Error> {
-    info!(
-        target: "daemon",
-        instance = &*settings.instance,
-        callers:% = settings.caller_address,
-        store:% = settings.store_address;
-        "The instance starts."
-    );
     let callers = listen(settings.caller_address)?;
     let readiness = listen(settings.readiness_address)?;
     let operators = listen(settings.operator_address)?;
@@ -124,6 +118,15 @@
         .await
         .map_err(|error| Error::io(format!("bind {}", settings.peer_address), error))?;
     let signals = Signals::new()?;
+    info!(
+        target: "daemon",
+        instance = &*settings.instance,
+        callers:% = local_address(&callers)?,
+        readiness:% = local_address(&readiness)?,
+        operators:% = local_address(&operators)?,
+        store:% = settings.store_address;
+        "The instance starts."
+    );
     let shared = Rc::new(Shared::new(wire, settings));
     let peers = Rc::new(peers);
     spawn_local(store_watch::follow(shared.clone()));
@@ -136,6 +139,7 @@
         spawn_local(readiness::serve(shared.clone(), metrics));
     }
     spawn_local(tick(shared.clone()));
+    spawn_local(follow_file(shared.clone(), path.clone()));
     follow_signals(shared, signals, &path).await;
     Ok(())
 }
@@ -168,6 +172,20 @@
     stop(&shared).await;
 }
 
+/// Reads the settings again when the file changes without a signal.
+async fn follow_file(shared: Rc<Shared>, path: PathBuf) {
+    let changed = |path: &Path| fs::metadata(path).and_then(|data| data.modified()).ok();
+    let mut known = changed(&path);
+    loop {
+        sleep(Duration::from_millis(FILE_CHECK_MS)).await;
+        let now = changed(&path);
+        if now.is_some() && now != known {
+            known = now;
+            reload(&shared, &path);
+        }
+    }
+}
+
 fn reload(shared: &Shared, path: &Path) {
     match read_settings(&*shared.wire, path) {
         Ok(settings) => {
@@ -212,6 +230,10 @@
     }
 }
 
+fn local_address(listener: &TcpListener) -> Result<SocketAddr, Error> {
+    listener.local_addr().map_err(|error| Error::io("read an own address", error))
+}
+
 fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     let listen = || -> std::io::Result<TcpListener> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
--- a/tests/gateway_backends.rs
+++ b/tests/gateway_backends.rs
@@ -120,7 +120,7 @@
 #[test]
 fn engines_of_a_large_service_are_dealt_to_cells_evenly_and_completely() {
     let cells = 4;
-    let mut seen = vec![0; 40];
+    let mut seen = [0; 40];
     for index in 0..cells {
         let mut backends = Backends::default();
         for number in 0..40_u16 {
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -67,8 +67,12 @@
 #[test]
 fn a_proof_is_as_old_as_the_question_that_it_answers() {
     let mut table = PeerTable::new(address("10.0.0.1:7600"), START_MS, &[]);
-    let news =
-        table.receive(START_MS, peer(2), &envelope(Some(START_MS - 900), 50), &digest("front-2", 5));
+    let news = table.receive(
+        START_MS,
+        peer(2),
+        &envelope(Some(START_MS - 900), 50),
+        &digest("front-2", 5),
+    );
     // Sent 850 ms ago at the latest, when the proof was 100 ms old.
     assert_eq!(news.proved_ms, Some(START_MS - 950));
     let unasked = table.receive(START_MS, peer(3), &envelope(None, 0), &digest("front-3", 5));
@@ -158,13 +162,16 @@
             let now_ms = START_MS + step * 10;
             for number in 1..instances {
                 let instance = format!("front-{number:03}");
-                table.receive(now_ms, peer(number), &envelope(None, 0), &digest(&instance, 6 + step));
+                table.receive(
+                    now_ms,
+                    peer(number),
+                    &envelope(None, 0),
+                    &digest(&instance, 6 + step),
+                );
             }
             let far = |target: &(SocketAddr, Envelope)| {
-                (1..instances).any(|number| {
-                    peer(number) == target.0
-                        && !table_is_near(&table, number)
-                })
+                (1..instances)
+                    .any(|number| peer(number) == target.0 && !table_is_near(&table, number))
             };
             let targets = table.clone().targets(now_ms, "front-000");
             sent += targets.iter().filter(|target| far(target)).count();
