Keep known keys in force while a newer document is on its way, and fetch it from a peer if the store is silent

Ruled out: the store, which answered; the bound on keys, which counts from the proof and holds without that.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -19,6 +19,7 @@
 use crate::error::Error;
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::gateway_settings::GatewaySettings;
+use crate::gateway::readiness::Audience;
 use crate::gateway::shared::Shared;
 use crate::gateway::wire::Wire;
 use crate::gateway::{caller_server, peer_socket, queue_log, readiness, store_watch};
@@ -133,10 +134,10 @@
     spawn_local(peer_socket::receive(shared.clone(), peers.clone()));
     spawn_local(peer_socket::send(shared.clone(), peers));
     spawn_local(caller_server::serve(shared.clone(), callers));
-    spawn_local(readiness::serve(shared.clone(), readiness));
-    spawn_local(readiness::serve(shared.clone(), operators));
+    spawn_local(readiness::serve(shared.clone(), readiness, Audience::Anyone));
+    spawn_local(readiness::serve(shared.clone(), operators, Audience::Fleet));
     if let Some(metrics) = metrics {
-        spawn_local(readiness::serve(shared.clone(), metrics));
+        spawn_local(readiness::serve(shared.clone(), metrics, Audience::Anyone));
     }
     spawn_local(tick(shared.clone()));
     spawn_local(follow_file(shared.clone(), path.clone()));
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -18,11 +18,6 @@
         self.proved_ms = self.proved_ms.max(Some(proved_ms));
     }
 
-    /// Takes in that a newer document is known to exist.
-    pub fn forget(&mut self) {
-        self.proved_ms = None;
-    }
-
     /// Returns the age of the proof, in milliseconds, if there is one.
     pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
         self.proved_ms.map(|proved_ms| now_ms.saturating_sub(proved_ms))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod gateway_settings;
 mod lease;
 pub mod peer_digest;
+mod peer_document;
 pub mod peer_socket;
 pub mod peer_table;
 mod plain_relay;
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -16,6 +16,7 @@
 
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::counters::Gauges;
+use crate::gateway::peer_document::{self, DOCUMENT_PATH};
 use crate::gateway::shared::Shared;
 
 /// Path at which metrics are served.
@@ -23,8 +24,17 @@
 /// Path at which operators' commands find the state of the instance.
 const STATUS_PATH: &str = "/status";
 
+/// Who may ask at an address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Audience {
+    /// Anyone who reaches it.
+    Anyone,
+    /// Other instances and operators; the document with its keys is theirs only.
+    Fleet,
+}
+
 /// Answers questions about the instance until the process ends.
-pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener, audience: Audience) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -37,7 +47,7 @@
         let shared = shared.clone();
         spawn_local(async move {
             let service = service_fn(|request| {
-                let response = answer(&shared, &request);
+                let response = answer(&shared, &request, audience);
                 async move { Ok::<_, Infallible>(response) }
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -65,7 +75,11 @@
     is_ready
 }
 
-fn answer(shared: &Shared, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+fn answer(
+    shared: &Shared,
+    request: &Request<Incoming>,
+    audience: Audience,
+) -> Response<Full<Bytes>> {
     match request.uri().path() {
         path if path == shared.wire.readiness_path() => {
             let ready = shared.state.borrow().is_ready(boot_ms());
@@ -73,10 +87,21 @@
             text(status, String::new())
         }
         METRICS_PATH | STATUS_PATH => text(StatusCode::OK, shared.counters.render(&gauges(shared))),
+        DOCUMENT_PATH if audience == Audience::Fleet => document(shared),
         _ => text(StatusCode::NOT_FOUND, "There is no such page.\n".to_owned()),
     }
 }
 
+fn document(shared: &Shared) -> Response<Full<Bytes>> {
+    match peer_document::encode(&shared.state.borrow()) {
+        Ok(bytes) => Response::new(Full::new(bytes.into())),
+        Err(error) => {
+            warn!(target: "peers", error:%; "The document could not be given to another instance.");
+            text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string())
+        }
+    }
+}
+
 fn gauges(shared: &Shared) -> Gauges {
     let now_ms = boot_ms();
     let state = shared.state.borrow();
--- a/src/gateway/routing_document.rs
+++ b/src/gateway/routing_document.rs
@@ -1,9 +1,11 @@
 //! The published routes, services, customers and limits, as one typed document.
 
+use serde::{Deserialize, Serialize};
+
 use crate::name::Name;
 
 /// One version of everything that the operators publish.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct RoutingDocument {
     /// Customers with their keys and limits; empty if callers need no key.
     pub customers: Vec<Customer>,
@@ -18,7 +20,7 @@
 }
 
 /// What may be repeated, and how an answer comes.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RouteKind {
     /// May run more than once.
     Idempotent,
@@ -29,7 +31,7 @@
 }
 
 /// Where requests for one host and path prefix go.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Route {
     /// Whether requests need no key.
     pub anonymous: bool,
@@ -65,7 +67,7 @@
 }
 
 /// One of the services that share a route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct WeightedService {
     /// Name of the service.
     pub service: Name,
@@ -74,7 +76,7 @@
 }
 
 /// A group of interchangeable backend servers.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ServiceSpec {
     /// Most connections that one backend server takes from all instances.
     pub connection_limit: usize,
@@ -85,7 +87,7 @@
 }
 
 /// What the engines of a service have in common.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EngineSpec {
     /// Whether a run's memory can be kept at a second engine.
     pub backups: bool,
@@ -100,7 +102,7 @@
 }
 
 /// Bounds on what a caller sends.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct CallerLimits {
     /// Longest body, in bytes.
     pub body_bytes: usize,
@@ -124,7 +126,7 @@
 }
 
 /// Who sends requests, by key.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Customer {
     /// Most that may be saved up, in units.
     pub burst_units: u64,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -56,10 +56,13 @@
 pub struct State {
     backends: Backends,
     budgets: Vec<(Name, ResendBudget)>,
+    document: Arc<RoutingDocument>,
     freshness: Freshness,
     incarnation: u64,
     limits: UsageLimits,
     lines: Vec<(Name, WaitingLine)>,
+    /// Highest version that another instance has told of.
+    known_version: u64,
     next_number: u64,
     peer_lines: Vec<(Name, Vec<LineEntry>)>,
     /// Mean time that a request of a model has a place, in milliseconds.
@@ -156,10 +159,12 @@
         Self {
             backends: Backends::default(),
             budgets: Vec::new(),
+            document: Arc::default(),
             freshness: Freshness::default(),
             incarnation,
             limits,
             lines: Vec::new(),
+            known_version: 0,
             next_number: 0,
             peer_lines: Vec::new(),
             place_ms: DEFAULT_PLACE_MS,
@@ -197,6 +202,16 @@
         &self.table
     }
 
+    /// Returns the document in force.
+    pub fn document(&self) -> &Arc<RoutingDocument> {
+        &self.document
+    }
+
+    /// Returns whether no other instance has told of a newer document.
+    pub fn is_up_to_date(&self) -> bool {
+        self.known_version <= self.table.version()
+    }
+
     /// Returns the age of the proof that the routes are the newest, in milliseconds.
     pub fn proof_age_ms(&self, now_ms: u64) -> Option<u64> {
         self.freshness.age_ms(now_ms)
@@ -275,12 +290,14 @@
         }
     }
 
-    fn adopt(&mut self, now_ms: u64, document: RoutingDocument) -> Option<Belief> {
+    /// Takes in a document; an older one than that in force is left out.
+    pub fn adopt(&mut self, now_ms: u64, document: RoutingDocument) -> Option<Belief> {
         let before = self.table.version();
         if document.version <= before {
             return None;
         }
-        self.table = RoutingTable::new(document);
+        self.table = RoutingTable::new(document.clone());
+        self.document = Arc::new(document);
         self.limits.set_customers(now_ms, self.table.customers());
         Some(Belief::Document { version: self.table.version(), before })
     }
@@ -604,9 +621,7 @@
         {
             self.freshness.prove(proved_ms);
         }
-        if digest.document_version > self.table.version() {
-            self.freshness.forget();
-        }
+        self.known_version = self.known_version.max(digest.document_version);
         news
     }
 
@@ -643,7 +658,7 @@
     }
 
     fn unless_stale(&self, now_ms: u64, reason: RefusalReason) -> Refusal {
-        if self.freshness.is_within(now_ms, CERTAIN_MS) {
+        if self.is_up_to_date() && self.freshness.is_within(now_ms, CERTAIN_MS) {
             Refusal::for_good(reason)
         } else {
             Refusal::until(RefusalReason::NotFresh, RETRY_ELSEWHERE_MS)
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -71,7 +71,9 @@
         }
         let elapsed_ms = boot_ms().saturating_sub(started_ms);
         let interval_ms = watch.shared.state.borrow().settings().bounds.read_interval_ms();
-        sleep(Duration::from_millis(interval_ms.saturating_sub(elapsed_ms))).await;
+        let pause = Duration::from_millis(interval_ms.saturating_sub(elapsed_ms));
+        // Either it is time, or another instance has told of a newer document.
+        drop(timeout(pause, watch.shared.read_now.notified()).await);
     }
 }
 
@@ -130,6 +132,7 @@
             info!(target: "store", failures = self.failures; "The store answers again.");
         }
         self.failures = 0;
+        self.shared.store_answers.set(true);
     }
 
     async fn failed(&mut self, error: &CallError) {
@@ -140,6 +143,7 @@
             return;
         }
         self.failures += 1;
+        self.shared.store_answers.set(false);
         if self.failures == 1 {
             warn!(target: "store", error:%; "The store does not answer.");
         }
@@ -191,7 +195,8 @@
     Ok(StoreConnection { address, sender, task })
 }
 
-fn note(shared: &Shared, belief: &Belief) {
+/// Writes a change of belief to the log.
+pub(crate) fn note(shared: &Shared, belief: &Belief) {
     match belief {
         Belief::Backend { id, change } => {
             info!(target: "beliefs", backend_server = &**id, change:?; "A backend server changed.");
