Open HTTP connections in one place

The pool of connections, the watch of the store and the fetch of a peer's document each connected, shook hands and started the task by themselves; all call open_http now. A failed handshake with a peer counts as unreachable, as a failed connect does.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -1,12 +1,14 @@
 //! Kept connections to backend servers.
 
 use std::cell::RefCell;
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -121,11 +123,24 @@
 }
 
 async fn open(backend_server: Name, address: SocketAddr) -> io::Result<Connection> {
+    let (sender, task) = open_http(address).await?;
+    Ok(Connection { address, backend_server, is_new: true, sender, task })
+}
+
+/// Opens a connection for HTTP requests; it ends when its task is aborted.
+///
+/// # Errors
+///
+/// Returns why it could not be opened.
+pub(crate) async fn open_http<B>(address: SocketAddr) -> io::Result<(SendRequest<B>, AbortHandle)>
+where
+    B: Body<Data = Bytes, Error = Infallible> + Unpin + 'static,
+{
     let stream = connect(address).await?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
     // An error of the connection reaches the request that uses it.
     let task = spawn_local(async move { drop(connection.await) }).abort_handle();
-    Ok(Connection { address, backend_server, is_new: true, sender, task })
+    Ok((sender, task))
 }
 
 /// Opens a connection that notices a peer that has gone silent.
@@ -133,7 +148,7 @@
 /// # Errors
 ///
 /// Returns why it could not be opened.
-pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
     let stream = timeout(limit, TcpStream::connect(address)).await.map_err(|_| {
         io::Error::new(io::ErrorKind::TimedOut, "the connection was not taken in time")
--- a/src/gateway/peer_document.rs
+++ b/src/gateway/peer_document.rs
@@ -7,16 +7,14 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::Request;
-use hyper::client::conn::http1::handshake;
 use hyper::header::HOST;
-use hyper_util::rt::TokioIo;
 use log::{info, warn};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use crate::error::Error;
 use crate::gateway::boot_clock::boot_ms;
-use crate::gateway::connections::connect;
+use crate::gateway::connections::open_http;
 use crate::gateway::routing_document::RoutingDocument;
 use crate::gateway::shared::Shared;
 use crate::gateway::state::State;
@@ -76,13 +74,9 @@
 
 async fn fetch(address: SocketAddr) -> Result<RoutingDocument, Error> {
     let unreadable = |detail: String| Error::AnswerUnreadable { address, detail };
-    let stream = connect(address)
+    let (mut sender, task) = open_http(address)
         .await
         .map_err(|error| Error::Unreachable { address, detail: error.to_string() })?;
-    let (mut sender, connection) =
-        handshake(TokioIo::new(stream)).await.map_err(|error| unreadable(error.to_string()))?;
-    // An error of the connection reaches the request that uses it.
-    let task = spawn_local(async move { drop(connection.await) });
     let request = Request::get(DOCUMENT_PATH)
         .header(HOST, address.to_string())
         .body(Empty::<Bytes>::new())
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -6,18 +6,17 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::SendRequest;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
 use log::{info, warn};
 use rand::random_range;
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
 use crate::gateway::backends::RecordChange;
 use crate::gateway::boot_clock::boot_ms;
-use crate::gateway::connections::connect;
+use crate::gateway::connections::open_http;
 use crate::gateway::shared::Shared;
 use crate::gateway::state::Belief;
 use crate::gateway::store_fact::StorePage;
@@ -187,11 +186,8 @@
 }
 
 async fn open(address: SocketAddr) -> Result<StoreConnection, CallError> {
-    let stream = connect(address).await.map_err(|error| CallError::Failed(error.to_string()))?;
-    let handshake = handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(|error| CallError::Failed(error.to_string()))?;
-    // An error of the connection reaches the call that uses it.
-    let task = spawn_local(async move { drop(connection.await) }).abort_handle();
+    let opened = open_http(address).await;
+    let (sender, task) = opened.map_err(|error| CallError::Failed(error.to_string()))?;
     Ok(StoreConnection { address, sender, task })
 }
 
