Leave a short usage limit to requests of a higher rank

Ruled out: the buckets themselves; the units admitted in 4 s match rate and burst. Each rank now leaves a fifth of the burst to those before it; requests under a hundredth of the burst pass.

--- a/src/gateway/routing_table.rs
+++ b/src/gateway/routing_table.rs
@@ -13,6 +13,8 @@
     customers: Vec<Arc<Customer>>,
     keys: Vec<(Name, usize)>,
     limits: CallerLimits,
+    /// Ranks of all routes, sorted, each once.
+    ranks: Vec<u32>,
     routes: Vec<Arc<Route>>,
     services: Vec<ServiceSpec>,
     version: u64,
@@ -35,8 +37,11 @@
             .flat_map(|(index, customer)| customer.keys.iter().map(move |key| (key.clone(), index)))
             .collect();
         keys.sort();
+        let mut ranks: Vec<_> = routes.iter().map(|route| route.priority).collect();
+        ranks.sort_unstable();
+        ranks.dedup();
         let (limits, version) = (document.limits, document.version);
-        Self { customers, keys, limits, routes, services, version }
+        Self { customers, keys, limits, ranks, routes, services, version }
     }
 
     /// Returns the customer that holds a key.
@@ -60,6 +65,11 @@
         !self.customers.is_empty()
     }
 
+    /// Returns how many ranks of routes go before a rank.
+    pub fn ranks_before(&self, rank: u32) -> usize {
+        self.ranks.partition_point(|known| *known < rank)
+    }
+
     /// Returns the route with the longest prefix that begins `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let start = self.routes.partition_point(|route| &*route.host < host);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,7 +14,7 @@
 use crate::gateway::routing_document::{Customer, RouteKind, RoutingDocument};
 use crate::gateway::routing_table::{RoutingTable, weighted_service};
 use crate::gateway::store_fact::StoreFact;
-use crate::gateway::usage_limits::{Charge, UsageLimits};
+use crate::gateway::usage_limits::{Charge, Usage, UsageLimits};
 use crate::gateway::waiting_line::{LineEntry, WaitingLine};
 use crate::name::Name;
 use crate::now::Now;
@@ -327,7 +327,11 @@
     fn charge(&mut self, now_ms: u64, plan: Plan) -> Admission {
         let name = plan.customer.as_ref().map(|customer| customer.name.clone());
         let charge = match name {
-            Some(name) => self.limits.charge(now_ms, &name, plan.units),
+            Some(name) => {
+                let ranks_before = self.table.ranks_before(plan.route.priority);
+                let usage = Usage { ranks_before, units: plan.units };
+                self.limits.charge(now_ms, &name, usage)
+            }
             None => Charge::Taken,
         };
         match charge {
--- a/src/gateway/usage_limits.rs
+++ b/src/gateway/usage_limits.rs
@@ -10,6 +10,21 @@
 
 /// Part of the burst that has to be there for a request; a larger request goes into debt.
 const DEBT_FREE_SHARE: f64 = 0.5;
+/// Part of the burst that each rank leaves to the ranks before it.
+const KEPT_SHARE_PER_RANK: f64 = 0.2;
+/// Largest part of the burst that a rank leaves to those before it.
+const MOST_KEPT_SHARE: f64 = 0.5;
+/// Largest request, as a part of the burst, that leaves nothing to other ranks: it costs them little.
+const SMALL_SHARE: f64 = 0.01;
+
+/// What a request takes from a customer's limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Usage {
+    /// How many ranks of requests go before its own.
+    pub ranks_before: usize,
+    /// Units that it counts as.
+    pub units: u64,
+}
 
 /// What an instance has spent for a customer, and what it believes is left.
 #[derive(Clone, Debug, PartialEq)]
@@ -84,12 +99,14 @@
     }
 
     /// Takes units for a request of a customer.
-    pub fn charge(&mut self, now_ms: u64, customer: &str, units: u64) -> Charge {
+    ///
+    /// Where the limit is short, requests of a higher rank get what is left.
+    pub fn charge(&mut self, now_ms: u64, customer: &str, usage: Usage) -> Charge {
         let heard_share = self.heard_share;
+        let units = usage.units;
         let Some(bucket) = self.bucket(customer) else { return Charge::Taken };
         bucket.fill(now_ms, heard_share);
-        // A request that is larger than the burst would else never be admitted.
-        let needed_units = (units as f64).min(bucket.burst_units * DEBT_FREE_SHARE);
+        let needed_units = bucket.needed_units(usage);
         if bucket.left_units >= needed_units {
             bucket.left_units -= units as f64;
             bucket.spent_units += units;
@@ -168,6 +185,18 @@
         Bucket { heard, left_units, spent_units, ..fresh }
     }
 
+    /// Returns the units that have to be left for a request to be taken.
+    fn needed_units(&self, usage: Usage) -> f64 {
+        let units = usage.units as f64;
+        // A request that is larger than the burst would else never be admitted.
+        let own_units = units.min(self.burst_units * DEBT_FREE_SHARE);
+        if units <= self.burst_units * SMALL_SHARE {
+            return own_units;
+        }
+        let kept_share = (usage.ranks_before as f64 * KEPT_SHARE_PER_RANK).min(MOST_KEPT_SHARE);
+        own_units + self.burst_units * kept_share
+    }
+
     fn fill(&mut self, now_ms: u64, heard_share: f64) {
         let elapsed_ms = now_ms.saturating_sub(self.updated_ms);
         let gained = elapsed_ms as f64 * self.units_per_ms * heard_share;
--- a/tests/gateway_usage_limits.rs
+++ b/tests/gateway_usage_limits.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use bergamotspan::gateway::usage_limits::{Charge, UsageLimits, UsageReport};
+use bergamotspan::gateway::usage_limits::{Charge, Usage, UsageLimits, UsageReport};
 use proptest::prelude::*;
 
 use crate::gateway_support::{START_MS, customer, name};
@@ -18,23 +18,38 @@
     limits
 }
 
+fn charge(limits: &mut UsageLimits, now_ms: u64, units: u64) -> Charge {
+    limits.charge(now_ms, "clinic", Usage { ranks_before: 0, units })
+}
+
+#[test]
+fn a_short_limit_is_left_to_the_requests_of_a_higher_rank() {
+    let mut limits = limits(1, 1);
+    let low = |units| Usage { ranks_before: 2, units };
+    assert_eq!(limits.charge(START_MS, "clinic", low(2_000)), Charge::Taken);
+    assert_eq!(charge(&mut limits, START_MS, 3_000), Charge::Taken);
+    assert!(matches!(limits.charge(START_MS, "clinic", low(2_000)), Charge::Short(_)));
+    assert_eq!(limits.charge(START_MS, "clinic", low(RATE / 100)), Charge::Taken);
+    assert_eq!(charge(&mut limits, START_MS, 4_000), Charge::Taken);
+}
+
 #[test]
 fn units_come_back_at_the_rate_of_the_customer() {
     let mut limits = limits(1, 1);
-    assert_eq!(limits.charge(START_MS, "clinic", RATE), Charge::Taken);
-    let Charge::Short(shortage) = limits.charge(START_MS, "clinic", 1_000) else {
+    assert_eq!(charge(&mut limits, START_MS, RATE), Charge::Taken);
+    let Charge::Short(shortage) = charge(&mut limits, START_MS, 1_000) else {
         panic!("more was given than the burst");
     };
     assert_eq!((shortage.left_units, shortage.needed_units, shortage.wait_ms), (0, 1_000, 100));
-    assert_eq!(limits.charge(START_MS + 100, "clinic", 1_000), Charge::Taken);
+    assert_eq!(charge(&mut limits, START_MS + 100, 1_000), Charge::Taken);
 }
 
 #[test]
 fn a_request_that_is_larger_than_the_burst_is_taken_and_paid_off() {
     let mut limits = limits(1, 1);
-    assert_eq!(limits.charge(START_MS, "clinic", 3 * RATE), Charge::Taken);
-    assert!(matches!(limits.charge(START_MS + 1_900, "clinic", 100), Charge::Short(_)));
-    assert_eq!(limits.charge(START_MS + 2_100, "clinic", 100), Charge::Taken);
+    assert_eq!(charge(&mut limits, START_MS, 3 * RATE), Charge::Taken);
+    assert!(matches!(charge(&mut limits, START_MS + 1_900, 100), Charge::Short(_)));
+    assert_eq!(charge(&mut limits, START_MS + 2_100, 100), Charge::Taken);
 }
 
 #[test]
@@ -44,15 +59,15 @@
         |spent_units| vec![UsageReport { customer: name("clinic"), left_units: 0, spent_units }];
     limits.merge(START_MS, &name("front-2"), &report(500), false);
     limits.merge(START_MS, &name("front-2"), &report(500 + RATE), false);
-    assert!(matches!(limits.charge(START_MS, "clinic", 1_000), Charge::Short(_)));
+    assert!(matches!(charge(&mut limits, START_MS, 1_000), Charge::Short(_)));
 }
 
 #[test]
 fn a_request_that_did_not_run_gives_its_units_back() {
     let mut limits = limits(1, 1);
-    assert_eq!(limits.charge(START_MS, "clinic", RATE), Charge::Taken);
+    assert_eq!(charge(&mut limits, START_MS, RATE), Charge::Taken);
     limits.refund("clinic", RATE);
-    assert_eq!(limits.charge(START_MS, "clinic", RATE), Charge::Taken);
+    assert_eq!(charge(&mut limits, START_MS, RATE), Charge::Taken);
 }
 
 proptest! {
@@ -68,7 +83,7 @@
         for (part, units, pause_ms) in asks {
             now_ms += pause_ms;
             let part = part % parts.len();
-            if parts[part].charge(now_ms, "clinic", units) == Charge::Taken {
+            if charge(&mut parts[part], now_ms, units) == Charge::Taken {
                 spent += units;
             }
         }
