Let one instance of a cell watch the store, and tell the others what they lack

Now the first instance of a cell whose calls are answered watches; the others take its proofs, fetch what they lack, and read the store themselves once their proof is old or they stay behind. An empty watch proves up to the end of its wait. Ruled out: the bound on keys, which held.

--- a/src/gateway/backend_record.rs
+++ b/src/gateway/backend_record.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::name::Name;
 
 /// One published record of a backend server.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct BackendRecord {
     /// Address that takes requests.
     pub address: SocketAddr,
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -7,6 +7,7 @@
 use crate::gateway::engine_ask::{EngineAsk, expected_loss};
 use crate::gateway::peer_table::Cell;
 use crate::gateway::request_facts::PromptFacts;
+use crate::gateway::store_fact::StoreFact;
 use crate::name::Name;
 
 /// Time for which a removed backend server is remembered, so that late records do not bring it
@@ -136,6 +137,20 @@
         present.map(|backend| backend.id.clone()).collect()
     }
 
+    /// Returns the records of all that are known and not gone.
+    pub fn facts(&self) -> Vec<StoreFact> {
+        let present = self
+            .list
+            .iter()
+            .filter(|backend| !matches!(backend.status, BackendStatus::Gone { .. }));
+        present
+            .map(|backend| StoreFact::Backend {
+                id: backend.id.clone(),
+                record: Ok(backend.record.clone()),
+            })
+            .collect()
+    }
+
     /// Returns the work of this instance, where there is any.
     pub fn own_loads(&self) -> Vec<(Name, BackendLoad)> {
         let busy = self.list.iter().filter(|backend| backend.own != BackendLoad::default());
--- a/src/gateway/gateway_settings.rs
+++ b/src/gateway/gateway_settings.rs
@@ -60,13 +60,10 @@
     }
 }
 
-/// Share of the shortest bound on news that passes between two reads of the store.
-const READ_SHARE: f64 = 0.4;
-
 impl Bounds {
-    /// Returns the time between two reads of the store that keeps news within their bounds, in
+    /// Returns the shortest time within which news of the store have to be in force, in
     /// milliseconds.
-    pub fn read_interval_ms(&self) -> u64 {
-        (self.drain_ms.min(self.publish_ms) as f64 * READ_SHARE) as u64
+    pub fn news_ms(&self) -> u64 {
+        self.drain_ms.min(self.publish_ms)
     }
 }
--- a/src/gateway/peer_digest.rs
+++ b/src/gateway/peer_digest.rs
@@ -11,7 +11,7 @@
 use crate::peer_message::Suspect;
 
 /// Version of the datagrams; others are not read.
-pub const DIGEST_VERSION: u8 = 1;
+pub const DIGEST_VERSION: u8 = 2;
 
 /// What goes to one instance only: which of its datagrams arrived last.
 #[derive(Clone, Copy, Debug, Deserialize_tuple, PartialEq, Serialize_tuple)]
@@ -39,6 +39,10 @@
     pub document_version: u64,
     /// Age of the proof that it is the newest, in milliseconds.
     pub proof_age_ms: Option<u64>,
+    /// Revision up to which the sender knows the store; 0 if it does not.
+    pub store_revision: u64,
+    /// Whether the store answered the sender's last call.
+    pub store_answers: bool,
     /// Addresses of other instances, if this datagram names them.
     pub others: Vec<SocketAddr>,
     /// Work at backend servers.
--- /dev/null
+++ b/src/gateway/peer_news.rs
@@ -0,0 +1,115 @@
+//! What this instance lacks, fetched from another one that knows more.
+
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::Request;
+use hyper::header::HOST;
+use log::{info, warn};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::error::Error;
+use crate::gateway::boot_clock::boot_ms;
+use crate::gateway::connections::open_http;
+use crate::gateway::shared::Shared;
+use crate::gateway::state::State;
+use crate::gateway::store_log::StoreNews;
+use crate::gateway::store_watch::note;
+
+/// Path at which an instance tells the others what they lack.
+pub(crate) const NEWS_PATH: &str = "/news";
+/// Longest time to fetch news, in milliseconds.
+const FETCH_TIMEOUT_MS: u64 = 400;
+/// Longest news, in bytes.
+const NEWS_LIMIT_BYTES: usize = 8_388_608;
+
+/// Writes what an instance lacks that asks with this query; `None` if nothing is known here.
+///
+/// # Errors
+///
+/// Returns [`Error::Io`] if it can't be encoded.
+pub(crate) fn encode(state: &State, query: &str) -> Result<Option<Vec<u8>>, Error> {
+    let number = |name: &str| {
+        let mut fields = query.split('&').filter_map(|field| field.split_once('='));
+        fields.find(|(known, _)| *known == name).and_then(|(_, value)| value.parse().ok())
+    };
+    let Some(news) = state.news_after(number("after"), number("version").unwrap_or_default())
+    else {
+        return Ok(None);
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&news, &mut bytes)
+        .map_err(|error| Error::io("encode news", std::io::Error::other(error.to_string())))?;
+    Ok(Some(bytes))
+}
+
+/// Starts to fetch news from another instance, unless some are being fetched.
+pub(crate) fn fetch_soon(shared: &Rc<Shared>, from: IpAddr) {
+    if shared.fetching.replace(true) {
+        return;
+    }
+    let shared = shared.clone();
+    spawn_local(async move {
+        let port = shared.state.borrow().settings().operator_address.port();
+        let address = SocketAddr::new(from, port);
+        let path = path(&shared.state.borrow());
+        let limit = Duration::from_millis(FETCH_TIMEOUT_MS);
+        match timeout(limit, fetch(address, &path)).await {
+            Ok(Ok(news)) => take(&shared, address, news),
+            Ok(Err(error)) => {
+                warn!(target: "peers", instance:% = address, error:%; "News could not be fetched.");
+            }
+            Err(_) => {
+                warn!(target: "peers", instance:% = address; "News did not arrive in time.");
+            }
+        }
+        shared.fetching.set(false);
+    });
+}
+
+fn path(state: &State) -> String {
+    let version = state.table().version();
+    match state.store_revision() {
+        Some(after) => format!("{NEWS_PATH}?version={version}&after={after}"),
+        None => format!("{NEWS_PATH}?version={version}"),
+    }
+}
+
+fn take(shared: &Shared, address: SocketAddr, news: StoreNews) {
+    let (revision, whole) = (news.revision, news.whole);
+    let beliefs = shared.state.borrow_mut().learn_news(boot_ms(), news);
+    info!(
+        target: "peers",
+        instance:% = address,
+        revision,
+        whole,
+        changes = beliefs.len();
+        "News came from another instance."
+    );
+    for belief in &beliefs {
+        note(shared, belief);
+    }
+    shared.changed.notify_one();
+    shared.advance();
+}
+
+async fn fetch(address: SocketAddr, path: &str) -> Result<StoreNews, Error> {
+    let unreadable = |detail: String| Error::AnswerUnreadable { address, detail };
+    let (mut sender, task) = open_http(address)
+        .await
+        .map_err(|error| Error::Unreachable { address, detail: error.to_string() })?;
+    let request = Request::get(path)
+        .header(HOST, address.to_string())
+        .body(Empty::<Bytes>::new())
+        .map_err(|error| unreadable(error.to_string()))?;
+    let response =
+        sender.send_request(request).await.map_err(|error| unreadable(error.to_string()))?;
+    let body = Limited::new(response.into_body(), NEWS_LIMIT_BYTES);
+    let body = body.collect().await.map_err(|error| unreadable(error.to_string()))?.to_bytes();
+    task.abort();
+    ciborium::from_reader(&body[..]).map_err(|error| unreadable(error.to_string()))
+}
--- a/src/gateway/peer_socket.rs
+++ b/src/gateway/peer_socket.rs
@@ -11,7 +11,7 @@
 use crate::error::Error;
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::peer_digest::{decode_datagram, encode_datagram, encode_digest};
-use crate::gateway::peer_document;
+use crate::gateway::peer_news;
 use crate::gateway::peer_table::HEARTBEAT_MS;
 use crate::gateway::shared::Shared;
 
@@ -53,11 +53,9 @@
         );
         shared.changed.notify_one();
     }
-    if !shared.state.borrow().is_up_to_date() {
+    if shared.state.borrow().lacks(&digest) {
         shared.read_now.notify_one();
-        if !shared.store_answers.get() {
-            peer_document::fetch_soon(shared, from.ip());
-        }
+        peer_news::fetch_soon(shared, from.ip());
     }
     shared.advance();
 }
--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -59,6 +59,7 @@
     name: Name,
     sent_ms: u64,
     stopping: bool,
+    store_answers: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -115,6 +116,7 @@
             name: digest.instance.clone(),
             sent_ms: digest.sent_ms,
             stopping: digest.stopping,
+            store_answers: digest.store_answers,
         };
         let is_new = match self.peers.binary_search_by(|known| known.name.cmp(&peer.name)) {
             Ok(index) => {
@@ -217,6 +219,16 @@
         silent.map(|peer| peer.name.clone()).collect()
     }
 
+    /// Returns the instances of this one's cell that read the store before it: those before it by
+    /// name that are heard and that the store answers.
+    pub fn readers_before(&self, now_ms: u64, own_name: &str) -> usize {
+        let before = self.peers.iter().take_while(|peer| &*peer.name < own_name);
+        let reads = |peer: &&Peer| {
+            peer.near && peer.store_answers && !peer.stopping && peer.is_heard(now_ms)
+        };
+        before.filter(reads).count()
+    }
+
     /// Returns the number of instances that are heard, this one included.
     pub fn heard_count(&self, now_ms: u64) -> usize {
         self.peers.iter().filter(|peer| peer.is_heard(now_ms) && !peer.stopping).count() + 1
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -16,7 +16,7 @@
 
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::counters::Gauges;
-use crate::gateway::peer_document::{self, DOCUMENT_PATH};
+use crate::gateway::peer_news::{self, NEWS_PATH};
 use crate::gateway::shared::Shared;
 
 /// Path at which metrics are served.
@@ -87,16 +87,17 @@
             text(status, String::new())
         }
         METRICS_PATH | STATUS_PATH => text(StatusCode::OK, shared.counters.render(&gauges(shared))),
-        DOCUMENT_PATH if audience == Audience::Fleet => document(shared),
+        NEWS_PATH if audience == Audience::Fleet => news(shared, request.uri().query()),
         _ => text(StatusCode::NOT_FOUND, "There is no such page.\n".to_owned()),
     }
 }
 
-fn document(shared: &Shared) -> Response<Full<Bytes>> {
-    match peer_document::encode(&shared.state.borrow()) {
-        Ok(bytes) => Response::new(Full::new(bytes.into())),
+fn news(shared: &Shared, query: Option<&str>) -> Response<Full<Bytes>> {
+    match peer_news::encode(&shared.state.borrow(), query.unwrap_or_default()) {
+        Ok(Some(bytes)) => Response::new(Full::new(bytes.into())),
+        Ok(None) => text(StatusCode::SERVICE_UNAVAILABLE, "Nothing is known yet.\n".to_owned()),
         Err(error) => {
-            warn!(target: "peers", error:%; "The document could not be given to another instance.");
+            warn!(target: "peers", error:%; "News could not be given to another instance.");
             text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string())
         }
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -23,7 +23,7 @@
     pub(crate) changed: Notify,
     pub(crate) connections: Connections,
     pub(crate) counters: Counters,
-    /// Whether a document is being fetched from another instance.
+    /// Whether news are being fetched from another instance.
     pub(crate) fetching: Cell<bool>,
     pub(crate) in_progress: Cell<usize>,
     /// Told when the store should be read at once.
@@ -31,8 +31,6 @@
     pub(crate) state: RefCell<State>,
     /// When the process has to have ended, in milliseconds of the boot clock, once it is told to.
     pub(crate) stop_by_ms: Cell<Option<u64>>,
-    /// Whether the last call to the store was answered.
-    pub(crate) store_answers: Cell<bool>,
     pub(crate) wire: Box<dyn Wire>,
     waiters: RefCell<Vec<(u64, oneshot::Sender<Option<Sending>>)>>,
 }
@@ -48,7 +46,6 @@
             in_progress: Cell::new(0),
             read_now: Notify::new(),
             state: RefCell::new(state),
-            store_answers: Cell::new(true),
             stop_by_ms: Cell::new(None),
             wire,
             waiters: RefCell::new(Vec::new()),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -4,7 +4,7 @@
 
 use crate::gateway::admission::{Admission, Arrival, Plan, Rank, Refusal, RefusalReason};
 use crate::gateway::backend::{Backend, SendOutcome};
-use crate::gateway::backends::{Backends, RecordChange};
+use crate::gateway::backends::Backends;
 use crate::gateway::dispatching::Sending;
 use crate::gateway::freshness::Freshness;
 use crate::gateway::gateway_settings::GatewaySettings;
@@ -13,7 +13,7 @@
 use crate::gateway::resend_budget::ResendBudget;
 use crate::gateway::routing_document::{Customer, RouteKind, RoutingDocument};
 use crate::gateway::routing_table::{RoutingTable, weighted_service};
-use crate::gateway::store_fact::StoreFact;
+use crate::gateway::store_log::StoreLog;
 use crate::gateway::usage_limits::{Charge, Usage, UsageLimits};
 use crate::gateway::waiting_line::{LineEntry, WaitingLine};
 use crate::name::Name;
@@ -45,12 +45,18 @@
 #[derive(Debug)]
 pub struct State {
     pub(crate) backends: Backends,
+    /// Since when another instance is known to know more, in milliseconds of the boot clock.
+    pub(crate) behind_since_ms: Option<u64>,
     pub(crate) budgets: Vec<(Name, ResendBudget)>,
     pub(crate) document: Arc<RoutingDocument>,
     pub(crate) freshness: Freshness,
+    /// Revision after which the store no longer tells of changes.
+    pub(crate) history_lost: Option<u64>,
     pub(crate) incarnation: u64,
     pub(crate) limits: UsageLimits,
     pub(crate) lines: Vec<(Name, WaitingLine)>,
+    /// Highest revision of the store that another instance of the cell has told of.
+    pub(crate) known_revision: u64,
     /// Highest version that another instance has told of.
     pub(crate) known_version: u64,
     pub(crate) next_number: u64,
@@ -62,6 +68,11 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) started_ms: u64,
     pub(crate) stop: Option<Stop>,
+    /// Whether the last call to the store was answered.
+    pub(crate) store_answers: bool,
+    pub(crate) store_log: StoreLog,
+    /// Revision up to which the store is known.
+    pub(crate) store_revision: Option<u64>,
     pub(crate) table: RoutingTable,
 }
 
@@ -74,32 +85,6 @@
     told_ms: u64,
 }
 
-/// A change of belief that is worth a line in the log.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Belief {
-    /// A record of a backend server changed what is known of it.
-    Backend {
-        /// Id of the backend server.
-        id: Name,
-        /// What changed.
-        change: RecordChange,
-    },
-    /// A document is in force.
-    Document {
-        /// Its version.
-        version: u64,
-        /// The version before.
-        before: u64,
-    },
-    /// Something of the store can't be read.
-    Unreadable {
-        /// What it is.
-        item: Name,
-        /// What is wrong with it.
-        detail: String,
-    },
-}
-
 impl State {
     /// Starts with nothing known but the settings.
     pub fn new(settings: GatewaySettings, now_ms: u64, incarnation: u64) -> Self {
@@ -107,12 +92,15 @@
         limits.set_instances(now_ms, 1, 1);
         Self {
             backends: Backends::default(),
+            behind_since_ms: None,
             budgets: Vec::new(),
             document: Arc::default(),
             freshness: Freshness::default(),
+            history_lost: None,
             incarnation,
             limits,
             lines: Vec::new(),
+            known_revision: 0,
             known_version: 0,
             next_number: 0,
             peer_lines: Vec::new(),
@@ -122,6 +110,9 @@
             settings,
             started_ms: now_ms,
             stop: None,
+            store_answers: true,
+            store_log: StoreLog::default(),
+            store_revision: None,
             table: RoutingTable::default(),
         }
     }
@@ -193,64 +184,6 @@
         self.stop = Some(Stop { ends_ms, told_ms: now_ms });
     }
 
-    /// Takes in facts of the store, which were asked for at `asked_ms`.
-    pub fn learn(&mut self, now_ms: u64, asked_ms: u64, facts: Vec<StoreFact>) -> Vec<Belief> {
-        let beliefs = facts.into_iter().filter_map(|fact| self.learn_one(now_ms, fact)).collect();
-        if self.table.version() > 0 {
-            self.freshness.prove(asked_ms);
-        }
-        beliefs
-    }
-
-    /// Takes in a whole listing: backend servers that it does not name are gone.
-    pub fn learn_all(&mut self, now_ms: u64, asked_ms: u64, facts: Vec<StoreFact>) -> Vec<Belief> {
-        let named = |id: &Name| {
-            facts
-                .iter()
-                .any(|fact| matches!(fact, StoreFact::Backend { id: named, .. } if named == id))
-        };
-        let missing: Vec<_> =
-            self.backends.present_ids().into_iter().filter(|id| !named(id)).collect();
-        let gone = missing.into_iter().map(|id| StoreFact::BackendGone { id }).collect();
-        let mut beliefs = self.learn(now_ms, asked_ms, facts);
-        beliefs.extend(self.learn(now_ms, asked_ms, gone));
-        beliefs
-    }
-
-    fn learn_one(&mut self, now_ms: u64, fact: StoreFact) -> Option<Belief> {
-        match fact {
-            StoreFact::Backend { id, record: Ok(record) } => {
-                let change = self.backends.publish(&id, record);
-                (change != RecordChange::Unchanged).then_some(Belief::Backend { id, change })
-            }
-            StoreFact::Backend { id, record: Err(detail) } => {
-                self.backends.remove(now_ms, &id);
-                Some(Belief::Unreadable { item: id, detail })
-            }
-            StoreFact::BackendGone { id } => {
-                let change = self.backends.remove(now_ms, &id);
-                (change != RecordChange::Unchanged).then_some(Belief::Backend { id, change })
-            }
-            StoreFact::Document(Ok(document)) => self.adopt(now_ms, *document),
-            StoreFact::Document(Err(detail)) => {
-                Some(Belief::Unreadable { item: "document".into(), detail })
-            }
-            StoreFact::Unrelated => None,
-        }
-    }
-
-    /// Takes in a document; an older one than that in force is left out.
-    pub fn adopt(&mut self, now_ms: u64, document: RoutingDocument) -> Option<Belief> {
-        let before = self.table.version();
-        if document.version <= before {
-            return None;
-        }
-        self.table = RoutingTable::new(document.clone());
-        self.document = Arc::new(document);
-        self.limits.set_customers(now_ms, self.table.customers());
-        Some(Belief::Document { version: self.table.version(), before })
-    }
-
     /// Decides what becomes of a request that arrived.
     pub fn admit(&mut self, now_ms: u64, arrival: &Arrival<'_>, draw: u64) -> Admission {
         match self.plan(now_ms, arrival, draw) {
--- a/src/gateway/store_fact.rs
+++ b/src/gateway/store_fact.rs
@@ -1,11 +1,13 @@
 //! What the store tells: typed facts in place of keys and bytes.
 
+use serde::{Deserialize, Serialize};
+
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::routing_document::RoutingDocument;
 use crate::name::Name;
 
 /// One item of the store, or its removal.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum StoreFact {
     /// A record of a backend server; an error tells why it can't be read.
     Backend {
@@ -36,10 +38,10 @@
     pub revision: u64,
 }
 
-/// What changed after a revision.
+/// What changed after a revision, or all that there is.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StoreChanges {
-    /// Changes in order.
+    /// Items in order.
     pub facts: Vec<StoreFact>,
     /// Revision to continue from.
     pub revision: u64,
--- /dev/null
+++ b/src/gateway/store_log.rs
@@ -0,0 +1,73 @@
+//! What the store told of late, kept for instances that have not heard it.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::routing_document::RoutingDocument;
+use crate::gateway::store_fact::StoreFact;
+
+/// Most changes that are kept; an instance that lacks more reads the store itself.
+const CHANGE_LIMIT: usize = 256;
+
+/// Changes of one answer of the store; they end at a revision.
+#[derive(Clone, Debug)]
+struct Change {
+    facts: Vec<StoreFact>,
+    revision: u64,
+}
+
+/// What the store told of late, in the order of its revisions.
+#[derive(Clone, Debug, Default)]
+pub struct StoreLog {
+    changes: VecDeque<Change>,
+    /// Revision after which nothing is missing.
+    since: u64,
+}
+
+/// What another instance lacks.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct StoreNews {
+    /// The document in force, if the other instance has an older one.
+    pub document: Option<RoutingDocument>,
+    /// What changed of backend servers, in order.
+    pub facts: Vec<StoreFact>,
+    /// Revision of the store up to which this tells all.
+    pub revision: u64,
+    /// Whether these are all backend servers rather than changes.
+    pub whole: bool,
+}
+
+impl StoreLog {
+    /// Begins anew after a whole listing.
+    pub fn restart(&mut self, revision: u64) {
+        self.changes.clear();
+        self.since = revision;
+    }
+
+    /// Adds what the store told up to a revision; documents are kept elsewhere.
+    pub fn push(&mut self, revision: u64, facts: &[StoreFact]) {
+        let is_kept = |fact: &&StoreFact| {
+            matches!(fact, StoreFact::Backend { .. } | StoreFact::BackendGone { .. })
+        };
+        let facts: Vec<_> = facts.iter().filter(is_kept).cloned().collect();
+        if facts.is_empty() {
+            return;
+        }
+        self.changes.push_back(Change { facts, revision });
+        if self.changes.len() > CHANGE_LIMIT
+            && let Some(oldest) = self.changes.pop_front()
+        {
+            self.since = oldest.revision;
+        }
+    }
+
+    /// Returns what changed after a revision, unless that is no longer known.
+    pub fn after(&self, revision: u64) -> Option<Vec<StoreFact>> {
+        if revision < self.since {
+            return None;
+        }
+        let missing = self.changes.iter().filter(|change| change.revision > revision);
+        Some(missing.flat_map(|change| change.facts.iter().cloned()).collect())
+    }
+}
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -15,16 +15,17 @@
 use tokio::time::{sleep, timeout};
 
 use crate::gateway::backends::RecordChange;
+use crate::gateway::beliefs::Belief;
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::connections::open_http;
+use crate::gateway::reading::Reading;
 use crate::gateway::shared::Shared;
-use crate::gateway::state::Belief;
-use crate::gateway::store_fact::StorePage;
+use crate::gateway::store_fact::{StoreChanges, StorePage};
 
-/// Time that a watch waits for a change, in milliseconds.
-const WATCH_WAIT_MS: u64 = 900;
 /// Time beyond the wait after which a watch counts as lost, in milliseconds.
-const WATCH_SLACK_MS: u64 = 700;
+const WATCH_SLACK_MS: u64 = 500;
+/// Shortest time between two calls that were answered, in milliseconds.
+const PAUSE_MS: u64 = 250;
 /// Longest time for a page of a listing, in milliseconds.
 const LIST_TIMEOUT_MS: u64 = 2_000;
 /// Shortest time before a call after one that failed, in milliseconds.
@@ -57,33 +58,40 @@
 
 /// Follows the store until the process ends.
 pub(crate) async fn follow(shared: Rc<Shared>) {
-    let mut watch = StoreWatch { connection: None, failures: 0, revision: None, shared };
+    let mut watch = StoreWatch { connection: None, failures: 0, shared };
     loop {
         let started_ms = boot_ms();
-        let result = match watch.revision {
-            Some(revision) => watch.changes(revision).await,
-            None => watch.list().await,
+        let reading = watch.shared.state.borrow().reading(started_ms);
+        let result = match reading {
+            Reading::Changes { after, wait_ms } => watch.changes(after, wait_ms).await,
+            Reading::List => watch.list().await,
+            Reading::Nothing(rest_ms) => {
+                watch.rest(rest_ms).await;
+                continue;
+            }
         };
         match result {
             Ok(()) => watch.succeeded(),
             Err(error) => watch.failed(&error).await,
         }
         let elapsed_ms = boot_ms().saturating_sub(started_ms);
-        let interval_ms = watch.shared.state.borrow().settings().bounds.read_interval_ms();
-        let pause = Duration::from_millis(interval_ms.saturating_sub(elapsed_ms));
-        // Either it is time, or another instance has told of a newer document.
-        drop(timeout(pause, watch.shared.read_now.notified()).await);
+        sleep(Duration::from_millis(PAUSE_MS.saturating_sub(elapsed_ms))).await;
     }
 }
 
 struct StoreWatch {
     connection: Option<StoreConnection>,
     failures: u32,
-    revision: Option<u64>,
     shared: Rc<Shared>,
 }
 
 impl StoreWatch {
+    /// Waits, unless another instance tells of something new.
+    async fn rest(&self, rest_ms: u64) {
+        let rest = Duration::from_millis(rest_ms);
+        drop(timeout(rest, self.shared.read_now.notified()).await);
+    }
+
     async fn list(&mut self) -> Result<(), CallError> {
         let asked_ms = boot_ms();
         let mut facts = Vec::new();
@@ -101,19 +109,22 @@
                 None => break,
             }
         }
-        self.revision = first_revision;
-        let beliefs = self.shared.state.borrow_mut().learn_all(boot_ms(), asked_ms, facts);
+        let listing = StoreChanges { facts, revision: first_revision.unwrap_or_default() };
+        let beliefs = self.shared.state.borrow_mut().learn_all(boot_ms(), asked_ms, listing);
         self.believe(beliefs);
         Ok(())
     }
 
-    async fn changes(&mut self, revision: u64) -> Result<(), CallError> {
+    async fn changes(&mut self, after: u64, wait_ms: u64) -> Result<(), CallError> {
         let asked_ms = boot_ms();
-        let path = self.shared.wire.watch_path(revision, WATCH_WAIT_MS);
-        let body = self.call(&path, WATCH_WAIT_MS + WATCH_SLACK_MS).await?;
+        let path = self.shared.wire.watch_path(after, wait_ms);
+        let body = self.call(&path, wait_ms + WATCH_SLACK_MS).await?;
         let changes = self.shared.wire.store_changes(&body).map_err(CallError::Failed)?;
-        self.revision = Some(changes.revision.max(revision));
-        let beliefs = self.shared.state.borrow_mut().learn(boot_ms(), asked_ms, changes.facts);
+        let now_ms = boot_ms();
+        // The store tells of no change only after the whole wait.
+        let waited = changes.facts.is_empty() && now_ms >= asked_ms + wait_ms;
+        let proved_ms = if waited { asked_ms + wait_ms } else { asked_ms };
+        let beliefs = self.shared.state.borrow_mut().learn(now_ms, proved_ms, changes);
         self.believe(beliefs);
         Ok(())
     }
@@ -131,18 +142,20 @@
             info!(target: "store", failures = self.failures; "The store answers again.");
         }
         self.failures = 0;
-        self.shared.store_answers.set(true);
+        self.shared.state.borrow_mut().set_store_answers(true);
+        self.shared.state.borrow_mut().note_asked(boot_ms());
     }
 
     async fn failed(&mut self, error: &CallError) {
         self.connection = None;
         if matches!(error, CallError::HistoryGone) {
-            info!(target: "store", revision = self.revision; "The history is gone: the store is listed.");
-            self.revision = None;
+            let mut state = self.shared.state.borrow_mut();
+            info!(target: "store", revision = state.store_revision(); "The history is gone: the store is listed.");
+            state.lose_history();
             return;
         }
         self.failures += 1;
-        self.shared.store_answers.set(false);
+        self.shared.state.borrow_mut().set_store_answers(false);
         if self.failures == 1 {
             warn!(target: "store", error:%; "The store does not answer.");
         }
--- a/src/gateway/telling.rs
+++ b/src/gateway/telling.rs
@@ -40,12 +40,15 @@
         if !digest.suspects.is_empty() {
             self.quarantine.merge(at(now_ms), name, &digest.suspects);
         }
+        let near_revision = if self.peers.is_near(name) { digest.store_revision } else { 0 };
+        self.note_ahead(now_ms, near_revision, digest.document_version);
+        // The proof holds for all that the sender knows.
         if digest.document_version == self.table.version()
+            && digest.store_revision <= self.store_revision.unwrap_or_default()
             && let Some(proved_ms) = news.proved_ms
         {
             self.freshness.prove(proved_ms);
         }
-        self.known_version = self.known_version.max(digest.document_version);
         news
     }
 
@@ -72,6 +75,8 @@
             stopping: self.stop.is_some(),
             document_version: self.table.version(),
             proof_age_ms: self.freshness.age_ms(now_ms),
+            store_revision: self.store_revision.unwrap_or_default(),
+            store_answers: self.store_answers,
             others,
             loads,
             lines: self.lines.iter().flat_map(|(name, line)| line.entries(name)).collect(),
--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -3,10 +3,11 @@
 mod gateway_support;
 
 use bergamotspan::gateway::admission::{Rank, RefusalReason};
+use bergamotspan::gateway::beliefs::Belief;
 use bergamotspan::gateway::request_facts::RequestFacts;
 use bergamotspan::gateway::routing_document::WeightedService;
 use bergamotspan::gateway::routing_table::{RoutingTable, weighted_service};
-use bergamotspan::gateway::state::{Belief, State};
+use bergamotspan::gateway::state::State;
 use bergamotspan::gateway::store_fact::StoreFact;
 
 use crate::gateway_support::{
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -23,6 +23,8 @@
         sent_ms,
         stopping: false,
         document_version: 1,
+        store_revision: 1,
+        store_answers: true,
         proof_age_ms: Some(100),
         others: Vec::new(),
         loads: Vec::new(),
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -6,14 +6,15 @@
 
 use bergamotspan::gateway::admission::{Admission, Arrival, Plan, Refusal};
 use bergamotspan::gateway::backend_record::BackendRecord;
+use bergamotspan::gateway::beliefs::Belief;
 use bergamotspan::gateway::gateway_settings::{Bounds, GatewaySettings};
 use bergamotspan::gateway::request_facts::{PromptFacts, PromptPart, RequestFacts};
 use bergamotspan::gateway::routing_document::{
     CallerLimits, Customer, EngineSpec, Route, RouteKind, RoutingDocument, ServiceSpec,
     WeightedService,
 };
-use bergamotspan::gateway::state::{Belief, State};
-use bergamotspan::gateway::store_fact::StoreFact;
+use bergamotspan::gateway::state::State;
+use bergamotspan::gateway::store_fact::{StoreChanges, StoreFact};
 use bergamotspan::name::Name;
 
 /// When the tests start, in milliseconds of the boot clock.
@@ -122,7 +123,10 @@
 }
 
 pub fn learn(state: &mut State, now_ms: u64, facts: Vec<StoreFact>) -> Vec<Belief> {
-    state.learn(now_ms, now_ms, facts)
+    match state.store_revision() {
+        Some(known) => state.learn(now_ms, now_ms, StoreChanges { facts, revision: known + 1 }),
+        None => state.learn_all(now_ms, now_ms, StoreChanges { facts, revision: 1 }),
+    }
 }
 
 pub fn facts(id: &str) -> RequestFacts {
