--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -223,10 +223,12 @@
     /// name that are heard and that the store answers.
     pub fn readers_before(&self, now_ms: u64, own_name: &str) -> usize {
         let before = self.peers.iter().take_while(|peer| &*peer.name < own_name);
-        let reads = |peer: &&Peer| {
-            peer.near && peer.store_answers && !peer.stopping && peer.is_heard(now_ms)
-        };
-        before.filter(reads).count()
+        before.filter(|peer| peer.may_read(now_ms)).count()
+    }
+
+    /// Returns whether any other instance of this one's cell is heard that the store answers.
+    pub fn has_reader(&self, now_ms: u64) -> bool {
+        self.peers.iter().any(|peer| peer.may_read(now_ms))
     }
 
     /// Returns the number of instances that are heard, this one included.
@@ -278,6 +280,10 @@
         }
     }
 
+    fn may_read(&self, now_ms: u64) -> bool {
+        self.near && self.store_answers && !self.stopping && self.is_heard(now_ms)
+    }
+
     fn is_heard(&self, now_ms: u64) -> bool {
         now_ms < self.heard_ms + self.heard_limit_ms
     }
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -43,7 +43,8 @@
         }
         let bound_ms = self.settings.bounds.news_ms() as f64;
         let before = self.peers.readers_before(now_ms, &self.settings.instance);
-        if before == 0 {
+        let reads_elsewhere = before > 0 || self.peers.has_reader(now_ms);
+        if before == 0 && (self.store_answers || !reads_elsewhere) {
             return Reading::Changes { after, wait_ms: (bound_ms * WATCH_SHARE) as u64 };
         }
         let read_ms = (bound_ms * READ_SHARE) as u64 + before as u64 * STAGGER_MS;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -66,6 +66,8 @@
     pub(crate) peers: PeerTable,
     pub(crate) quarantine: Quarantine,
     pub(crate) settings: GatewaySettings,
+    /// When what was spent was told last, in milliseconds of the boot clock.
+    pub(crate) spent_told_ms: u64,
     pub(crate) started_ms: u64,
     pub(crate) stop: Option<Stop>,
     /// Whether the last call to the store was answered.
@@ -108,6 +110,7 @@
             peers: PeerTable::new(settings.peer_address, now_ms, &settings.seeds),
             quarantine: Quarantine::default(),
             settings,
+            spent_told_ms: 0,
             started_ms: now_ms,
             stop: None,
             store_answers: true,
--- a/src/gateway/telling.rs
+++ b/src/gateway/telling.rs
@@ -9,6 +9,10 @@
 use crate::gateway::usage_limits::UsageReport;
 use crate::name::Name;
 
+/// Shortest time between two datagrams that tell what was spent, in milliseconds; a limit counts
+/// seconds, so that this is soon enough.
+const SPENT_MS: u64 = 100;
+
 impl State {
     /// Takes in a datagram of another instance.
     pub fn hear(
@@ -80,11 +84,19 @@
             others,
             loads,
             lines: self.lines.iter().flat_map(|(name, line)| line.entries(name)).collect(),
-            spent: self.limits.reports().into_iter().map(spent_entry).collect(),
+            spent: self.spent_to_tell(now_ms),
             suspects: self.quarantine.suspects(),
         };
         (digest, self.peers.targets(now_ms, &self.settings.instance))
     }
+
+    fn spent_to_tell(&mut self, now_ms: u64) -> Vec<SpentEntry> {
+        if now_ms < self.spent_told_ms + SPENT_MS {
+            return Vec::new();
+        }
+        self.spent_told_ms = now_ms;
+        self.limits.reports().into_iter().map(spent_entry).collect()
+    }
 }
 
 fn load(entry: &LoadEntry) -> (Name, BackendLoad) {
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -9,11 +9,12 @@
     DIGEST_VERSION, Digest, Envelope, LoadEntry, decode_datagram, encode_datagram, encode_digest,
 };
 use bergamotspan::gateway::peer_table::PeerTable;
+use bergamotspan::gateway::store_fact::StoreFact;
 use bergamotspan::name::Name;
 use bergamotspan::peer_message::Suspect;
 
 use crate::gateway_support::{
-    START_MS, address, admitted, document, draft, facts, learn, name, refused, state,
+    START_MS, address, admitted, customer, document, draft, facts, learn, name, refused, state,
 };
 
 fn digest(instance: &str, sent_ms: u64) -> Digest {
@@ -138,6 +139,16 @@
     assert_eq!(running(&state), Some(0));
 }
 
+#[test]
+fn what_was_spent_is_told_at_most_each_tenth_of_a_second() {
+    let mut state = state();
+    let mut limited = document(2);
+    limited.customers = vec![customer(1_000)];
+    learn(&mut state, START_MS, vec![StoreFact::Document(Ok(Box::new(limited)))]);
+    let told = (0..100).filter(|step| !state.tell(START_MS + step * 10).0.spent.is_empty());
+    assert_eq!(told.count(), 10);
+}
+
 #[test]
 fn an_older_datagram_of_the_same_start_changes_nothing() {
     let mut table = PeerTable::new(address("10.0.0.1:7600"), START_MS, &[]);
--- a/tests/gateway_reading.rs
+++ b/tests/gateway_reading.rs
@@ -98,6 +98,18 @@
     assert!(matches!(state.reading(START_MS), Reading::Changes { wait_ms: 2.., .. }));
 }
 
+#[test]
+fn an_instance_that_the_store_refuses_rests_while_another_proves_what_it_knows() {
+    let mut state = state();
+    let told = digest("front-2", &state);
+    hear(&mut state, START_MS, 1, told.clone());
+    state.set_store_answers(false);
+    assert!(matches!(state.reading(START_MS), Reading::Nothing(_)));
+    let refused_too = Digest { store_answers: false, ..told };
+    hear(&mut state, START_MS + 100, 2, refused_too);
+    assert!(matches!(state.reading(START_MS + 100), Reading::Changes { .. }));
+}
+
 #[test]
 fn an_instance_that_stays_behind_reads_the_store_itself() {
     let mut state = state();
