--- a/src/gateway/dispatching.rs
+++ b/src/gateway/dispatching.rs
@@ -10,14 +10,14 @@
 use crate::name::Name;
 
 /// Time after which a request gives up waiting, as a share of its goal.
-const PATIENCE_SHARE: f64 = 0.8;
+const PATIENCE_SHARE: f64 = 0.4;
 /// Time after which a request gives up waiting where all of its rank do, as a share of its goal.
 const LEAST_PATIENCE_SHARE: f64 = 0.12;
 /// Time after which a request that was given up comes back at the latest, as a share of the time
 /// that it has left.
 const COME_BACK_SHARE: f64 = 0.33;
 /// Time after which a request that was given up comes back, in milliseconds.
-const RETRY_FULL_MS: u64 = 1_000;
+const RETRY_FULL_MS: u64 = 4_000;
 
 /// How a request that asks a model goes on.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- /dev/null
+++ b/tests/gateway_waiting.rs
@@ -0,0 +1,52 @@
+//! How long requests wait for an engine, and when they may come back.
+
+mod gateway_support;
+
+use bergamotspan::gateway::admission::Plan;
+use bergamotspan::gateway::dispatching::Dispatch;
+use bergamotspan::gateway::state::State;
+
+use crate::gateway_support::{START_MS, admitted, draft, facts, state};
+
+/// Goal of the route in these tests, in milliseconds.
+const GOAL_MS: u64 = 400;
+/// Places of the engines in these tests.
+const PLACES: usize = 4;
+
+fn arrive(state: &mut State, number: usize) -> (Plan, Dispatch) {
+    let plan = admitted(state, START_MS, "/draft/a", &draft(&format!("r-{number}"), 100, 10));
+    let dispatch = state.dispatch(START_MS, &plan, &[]);
+    (plan, dispatch)
+}
+
+fn full() -> State {
+    let mut state = state();
+    // Each place is free again after 10 ms.
+    (0..400).for_each(|_| state.place_time(10.0));
+    for number in 0..PLACES {
+        assert!(matches!(arrive(&mut state, number).1, Dispatch::Send(_)));
+    }
+    state
+}
+
+#[test]
+fn a_request_gives_up_while_an_engine_could_still_answer_in_time() {
+    let mut state = full();
+    assert!(matches!(arrive(&mut state, 9).1, Dispatch::Wait(_)));
+    assert!(state.advance(START_MS + 1).is_empty());
+    let verdicts = state.advance(START_MS + GOAL_MS / 2);
+    assert_eq!(verdicts.len(), 1);
+    assert_eq!(verdicts[0].sending, None);
+}
+
+#[test]
+fn a_request_that_is_given_up_comes_back_after_a_burst_and_within_what_its_caller_bears() {
+    let mut state = full();
+    let (plan, _) = arrive(&mut state, 9);
+    let wait_ms = state.come_back(START_MS, &plan);
+    assert!((3_000..=5_000).contains(&wait_ms), "{wait_ms}");
+    let mut short = facts("r-10");
+    short.time_left_ms = Some(600);
+    let plan = admitted(&mut state, START_MS, "/booking/a", &short);
+    assert!(state.come_back(START_MS, &plan) <= 200);
+}
