Add a soak: random faults against a fleet of real instances, judged from outside

Signals, a store that is silent, slow, one-way, reset or forgets, engines that crash or leave and are replaced at their address, and silenced connections, drawn from a seed; the judge compares what callers were told with what backend servers ran. Two seeds of 6 s run with the tests and count only what holds however slow the machine is.

--- /dev/null
+++ b/soak/src/command.rs
@@ -0,0 +1,73 @@
+//! The command line of the soak.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use crate::trial::{self, Setup};
+
+/// Plays seeds of faults against a fleet of instances on loopback and prints what broke a rule.
+#[derive(Debug, FromArgs)]
+struct CommandLine {
+    /// first seed
+    #[argh(option, default = "1")]
+    seed: u64,
+
+    /// number of seeds, one after the other
+    #[argh(option, default = "1")]
+    runs: u64,
+
+    /// seconds of faults in each run
+    #[argh(option, default = "20")]
+    seconds: u64,
+
+    /// instances
+    #[argh(option, default = "5")]
+    instances: usize,
+
+    /// backend servers
+    #[argh(option, default = "4")]
+    backend_servers: usize,
+
+    /// callers
+    #[argh(option, default = "24")]
+    callers: usize,
+
+    /// program of an instance
+    #[argh(option, default = "PathBuf::from(\"target/debug/bergamotspan-gateway\")")]
+    program: PathBuf,
+
+    /// directory that keeps the logs of runs that broke a rule
+    #[argh(option)]
+    keep: Option<PathBuf>,
+}
+
+/// Plays the seeds and prints what was found.
+pub fn run() -> ExitCode {
+    let line: CommandLine = argh::from_env();
+    let mut broken = 0;
+    for seed in line.seed..line.seed + line.runs {
+        let setup = Setup {
+            callers: line.callers,
+            engines: line.backend_servers,
+            instances: line.instances,
+            keep: line.keep.clone(),
+            length_ms: line.seconds * 1_000,
+            program: line.program.clone(),
+            seed,
+        };
+        match trial::play(&setup) {
+            Ok(outcome) => {
+                println!("seed {seed}: {outcome}");
+                broken += u64::from(outcome.is_broken());
+            }
+            Err(error) => {
+                eprintln!("seed {seed} could not be played: {error}");
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    println!("{} seeds, {broken} with a rule broken", line.runs);
+    if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/soak/src/engine.rs
@@ -0,0 +1,164 @@
+//! Stand-in for a backend server that notes each run.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Channel, Full};
+use hyper::body::{Frame, Incoming};
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{Instant, sleep};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::judge::{Judge, Ran};
+
+/// Time of a plain run, in milliseconds.
+const PLAIN_MS: u64 = 12;
+/// Time between two events, in milliseconds.
+const EVENT_MS: u64 = 12;
+/// Events of a stream.
+pub const EVENTS: u64 = 12;
+
+/// A backend server; it can crash, which ends all its connections.
+#[derive(Clone)]
+pub struct EngineServer {
+    /// Address that it listens at.
+    pub address: SocketAddr,
+    id: Rc<RefCell<String>>,
+    is_down: Rc<Cell<bool>>,
+    judge: Rc<RefCell<Judge>>,
+    started: Instant,
+    tasks: Rc<RefCell<Vec<AbortHandle>>>,
+}
+
+/// Returns the digest of a request's answer.
+pub fn seal(request: &str) -> String {
+    format!("{:x}", xxh3_64(request.as_bytes()))
+}
+
+/// Returns one event of a stream.
+pub fn event(request: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {request} {number}\n\n")
+}
+
+impl EngineServer {
+    /// Starts to listen.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no port could be had.
+    pub async fn start(id: &str, judge: Rc<RefCell<Judge>>, started: Instant) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let server = Self {
+            address: listener.local_addr()?,
+            id: Rc::new(RefCell::new(id.to_owned())),
+            is_down: Rc::default(),
+            judge,
+            started,
+            tasks: Rc::default(),
+        };
+        spawn_local(server.clone().accept(listener));
+        Ok(server)
+    }
+
+    /// Ends all connections and takes none.
+    pub fn crash(&self) {
+        self.is_down.set(true);
+        self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
+    }
+
+    /// Comes back under another id.
+    pub fn restart(&self, id: &str) {
+        *self.id.borrow_mut() = id.to_owned();
+        self.is_down.set(false);
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            if self.is_down.get() {
+                continue;
+            }
+            drop(stream.set_nodelay(true));
+            let server = self.clone();
+            let task = spawn_local(async move {
+                let service = service_fn(|request| server.clone().answer(request));
+                let connection =
+                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                // A connection that breaks is what is tested.
+                drop(connection.await);
+            });
+            let mut tasks = self.tasks.borrow_mut();
+            tasks.retain(|task| !task.is_finished());
+            tasks.push(task.abort_handle());
+        }
+    }
+
+    async fn answer(
+        self,
+        request: Request<Incoming>,
+    ) -> Result<Response<BoxBody<Bytes, Infallible>>, Infallible> {
+        let (head, body) = request.into_parts();
+        let id = text(&head.headers, "x-request-id");
+        if text(&head.headers, "x-expect-instance") != *self.id.borrow() {
+            let mut refused = Response::new(Full::default().boxed());
+            *refused.status_mut() = StatusCode::MISDIRECTED_REQUEST;
+            return Ok(refused);
+        }
+        if body.collect().await.is_err() {
+            // Never read whole, so it does not run and nobody hears of it.
+            return Ok(Response::new(Full::default().boxed()));
+        }
+        self.note(&id, text(&head.headers, "x-tenant"));
+        let body = if head.uri.path().starts_with("/draft") {
+            let after = text(&head.headers, "last-event-id").parse().unwrap_or(0);
+            events(id.clone(), after)
+        } else {
+            sleep(Duration::from_millis(PLAIN_MS)).await;
+            Full::new(Bytes::from(format!("done {id}"))).boxed()
+        };
+        let mut response = Response::new(body);
+        set(&mut response, "x-response-seal", &seal(&id));
+        set(&mut response, "x-request-id", &id);
+        Ok(response)
+    }
+
+    fn note(&self, id: &str, customer: String) {
+        let at_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let mut judge = self.judge.borrow_mut();
+        judge.ran.entry(id.to_owned()).or_default().push(Ran { at_ms, customer });
+    }
+}
+
+fn events(id: String, after: u64) -> BoxBody<Bytes, Infallible> {
+    let (mut sender, body) = Channel::<Bytes, Infallible>::new(1);
+    spawn_local(async move {
+        for number in after + 1..=EVENTS {
+            sleep(Duration::from_millis(EVENT_MS)).await;
+            let piece = Bytes::from(event(&id, number));
+            if sender.send(Frame::data(piece)).await.is_err() {
+                return;
+            }
+        }
+    });
+    body.boxed()
+}
+
+fn set(response: &mut Response<BoxBody<Bytes, Infallible>>, name: &'static str, value: &str) {
+    let value = HeaderValue::from_str(value).expect("ids and digests are plain text");
+    response.headers_mut().insert(name, value);
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,7 @@
+//! Runs seeds of faults against a fleet of instances.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    soak::command::run()
+}
--- /dev/null
+++ b/soak/src/trial.rs
@@ -0,0 +1,442 @@
+//! One seed: a fleet, its callers, the faults, and the verdict.
+
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::io;
+use std::path::{Path as FilePath, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use tokio::runtime;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::caller::{self, Callers, HOST, Ready, elapsed_ms};
+use crate::engine::EngineServer;
+use crate::instance::{Instance, Ports};
+use crate::judge::{Judge, Limit, Trouble};
+use crate::proxy::Proxy;
+use crate::schedule::{Fault, Path, Timed, draw};
+use crate::store::Store;
+
+/// Longest time until all instances are ready, in milliseconds.
+const READY_LIMIT_MS: u64 = 20_000;
+/// Time between two looks at something that is waited for, in milliseconds.
+const LOOK_MS: u64 = 50;
+/// Time between two questions of the balancer, in milliseconds.
+const BALANCER_MS: u64 = 200;
+/// Longest time of a stop before the process is killed, in milliseconds.
+const GRACE_MS: u64 = 8_000;
+/// Time of calm at the end, in milliseconds; everything is in force well before.
+const CALM_MS: u64 = 4_000;
+/// Time at the start of the calm that is left for news to arrive, in milliseconds.
+const SETTLE_MS: u64 = 2_500;
+/// Share of requests that are served once all is well.
+const SERVED_SHARE: f64 = 0.9;
+/// Time for which an engine that leaves still serves, in milliseconds.
+const DRAIN_MS: u64 = 2_500;
+/// Key that is never taken away and has no limit.
+const FREE_KEY: &str = "free-key";
+/// Keys of a customer with a limit; they are taken away and given back.
+const LIMITED_KEYS: [&str; 2] = ["limited-key-0", "limited-key-1"];
+/// Limit of that customer, in requests.
+const LIMIT: Limit = Limit { burst: 40.0, per_s: 30.0 };
+
+/// What one trial is made of.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Callers.
+    pub callers: usize,
+    /// Backend servers; half of them answer with streams.
+    pub engines: usize,
+    /// Instances.
+    pub instances: usize,
+    /// Directory that keeps the logs if a rule broke.
+    pub keep: Option<PathBuf>,
+    /// Time of faults, in milliseconds.
+    pub length_ms: u64,
+    /// Program of an instance.
+    pub program: PathBuf,
+    /// Seed of the faults.
+    pub seed: u64,
+}
+
+/// What a trial came to.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// What broke a rule that holds however slow the machine is.
+    pub findings: Vec<String>,
+    /// What was not there in time once all was well.
+    pub late: Vec<String>,
+    /// Requests that were sent.
+    pub sent: usize,
+    /// Share that was served, refusals of limits and keys included.
+    pub served_share: f64,
+    /// Faults that were played.
+    pub faults: usize,
+}
+
+impl Outcome {
+    /// Returns whether anything was found.
+    pub fn is_broken(&self) -> bool {
+        !self.findings.is_empty() || !self.late.is_empty()
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { findings, late, sent, served_share, faults } = self;
+        write!(formatter, "{faults} faults, {sent} requests, {served_share:.3} served")?;
+        findings.iter().chain(late).try_for_each(|finding| write!(formatter, "\n  {finding}"))
+    }
+}
+
+/// One backend server and the way to it.
+struct Backend {
+    id: RefCell<String>,
+    proxy: Proxy,
+    server: EngineServer,
+    service: &'static str,
+    starts: Cell<u64>,
+}
+
+struct Fleet {
+    backends: Vec<Backend>,
+    instances: Vec<RefCell<Instance>>,
+    judge: Rc<RefCell<Judge>>,
+    ready: Ready,
+    started: Instant,
+    store: Store,
+    store_paths: Vec<Proxy>,
+    taken: RefCell<Vec<&'static str>>,
+    version: Cell<u64>,
+}
+
+/// Plays one seed.
+///
+/// # Errors
+///
+/// Returns why the fleet could not be started.
+pub fn play(setup: &Setup) -> io::Result<Outcome> {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+    let directory = tempfile::tempdir()?;
+    let outcome = LocalSet::new().block_on(&runtime, play_in(setup, directory.path()))?;
+    if let (true, Some(keep)) = (outcome.is_broken(), &setup.keep) {
+        keep_logs(directory.path(), &keep.join(format!("seed-{}", setup.seed)))?;
+    }
+    Ok(outcome)
+}
+
+fn keep_logs(from: &FilePath, to: &FilePath) -> io::Result<()> {
+    std::fs::create_dir_all(to)?;
+    for entry in std::fs::read_dir(from)? {
+        let entry = entry?;
+        std::fs::copy(entry.path(), to.join(entry.file_name()))?;
+    }
+    Ok(())
+}
+
+async fn play_in(setup: &Setup, directory: &FilePath) -> io::Result<Outcome> {
+    let fleet = Rc::new(Fleet::start(setup, directory).await?);
+    spawn_local(balance(fleet.clone()));
+    let all_ready = fleet.wait_until_ready().await;
+    let ended = Rc::new(Cell::new(false));
+    let keys = [FREE_KEY].into_iter().chain(LIMITED_KEYS).map(str::to_owned).collect();
+    let callers = Callers {
+        ended: ended.clone(),
+        judge: fleet.judge.clone(),
+        keys: Rc::new(keys),
+        ready: fleet.ready.clone(),
+        started: fleet.started,
+    };
+    let running: Vec<_> = (0..setup.callers)
+        .map(|number| spawn_local(caller::run(callers.clone(), setup.seed, number)))
+        .collect();
+    let faults = draw(setup.seed, setup.instances, setup.engines, setup.length_ms);
+    let first_ms = elapsed_ms(fleet.started);
+    let playing: Vec<_> =
+        faults.iter().map(|timed| spawn_local(fault(fleet.clone(), first_ms, *timed))).collect();
+    for played in playing {
+        played.await.map_err(io::Error::other)?;
+    }
+    let healed = fleet.wait_until_ready().await;
+    let calm_ms = elapsed_ms(fleet.started) + SETTLE_MS;
+    sleep(Duration::from_millis(CALM_MS)).await;
+    ended.set(true);
+    for caller in running {
+        caller.await.map_err(io::Error::other)?;
+    }
+    let findings = fleet.judge.borrow().findings();
+    let mut late = Vec::new();
+    if !all_ready || !healed {
+        late.push("not all instances are ready though all is well".to_owned());
+    }
+    let share = fleet.judge.borrow().served_share(FREE_KEY, calm_ms);
+    if share < SERVED_SHARE {
+        late.push(format!("{share:.3} of the requests are served though all is well"));
+    }
+    late.extend(fleet.outdated().await);
+    let judge = fleet.judge.borrow();
+    Ok(Outcome {
+        findings,
+        late,
+        sent: judge.sent.len(),
+        served_share: judge.served_share(FREE_KEY, 0),
+        faults: faults.len(),
+    })
+}
+
+impl Fleet {
+    async fn start(setup: &Setup, directory: &FilePath) -> io::Result<Self> {
+        let started = Instant::now();
+        let judge = Rc::new(RefCell::new(Judge::default()));
+        judge.borrow_mut().limits.insert("limited".to_owned(), LIMIT);
+        let store = Store::default();
+        let store_address = store.serve().await?;
+        let mut backends = Vec::new();
+        for number in 0..setup.engines {
+            let id = format!("e-{number}-0");
+            let server = EngineServer::start(&id, judge.clone(), started).await?;
+            let proxy = Proxy::start(server.address).await?;
+            let service = if number % 2 == 0 { "model" } else { "desk" };
+            let id = RefCell::new(id);
+            backends.push(Backend { id, proxy, server, service, starts: Cell::new(0) });
+        }
+        let ports = Ports::find()?;
+        let (mut instances, mut store_paths) = (Vec::new(), Vec::new());
+        for number in 0..setup.instances {
+            let path = Proxy::start(store_address).await?;
+            let address = path.address;
+            let instance = Instance::new(number, ports, address, &setup.program, directory)?;
+            instances.push(RefCell::new(instance));
+            store_paths.push(path);
+        }
+        let fleet = Self {
+            backends,
+            instances,
+            judge,
+            ready: Ready::default(),
+            started,
+            store,
+            store_paths,
+            taken: RefCell::default(),
+            version: Cell::new(1),
+        };
+        fleet.backends.iter().for_each(|backend| fleet.publish(backend, "ready"));
+        fleet.write_document();
+        fleet.instances.iter().try_for_each(|instance| instance.borrow_mut().begin())?;
+        Ok(fleet)
+    }
+
+    /// Waits until all instances are ready; returns whether they are.
+    async fn wait_until_ready(&self) -> bool {
+        let until = Instant::now() + Duration::from_millis(READY_LIMIT_MS);
+        while self.ready.borrow().len() < self.instances.len() {
+            if Instant::now() >= until {
+                return false;
+            }
+            sleep(Duration::from_millis(LOOK_MS)).await;
+        }
+        true
+    }
+
+    fn publish(&self, backend: &Backend, state: &str) {
+        let starts = backend.starts.get();
+        let record = json!({"service": backend.service, "address": backend.proxy.address.to_string(),
+            "zone": "zone-0", "version": "v1", "slots": 32, "state": state, "cold-left-ms": 0,
+            "seq": if state == "ready" { 1 } else { 2 }, "born": 1_000 + starts});
+        self.store.write(&format!("servers/{}", backend.id.borrow()), Some(&record));
+    }
+
+    /// Writes the next document: a route of its own, and the keys that are not taken away.
+    fn write_document(&self) {
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        let route = |name: &str, kind: &str, service: &str| {
+            json!({"name": name, "host": HOST, "prefix": format!("/{name}/"), "kind": kind,
+                "timeout-ms": 3_000, "goal-ms": 500, "priority": 1, "service": service,
+                "attempts": 2, "gap-target-ms": 300, "stream-resume": kind == "stream"})
+        };
+        let taken = self.taken.borrow();
+        let keys: Vec<_> = LIMITED_KEYS.iter().filter(|key| !taken.contains(key)).collect();
+        let config: Value = json!({"version": version,
+            "routes": [route("draft", "stream", "model"), route("booking", "unsafe", "desk"),
+                route("status", "safe", "desk"), route(&version_route(version), "safe", "desk")],
+            "services": [{"name": "model", "engine": {"slots": 32, "stride": 1}}, {"name": "desk"}],
+            "limits": {"max-header-bytes": 16_384, "max-body-bytes": 10_000,
+                "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000},
+            "tenants": [{"name": "free", "api-keys": [FREE_KEY]},
+                {"name": "limited", "api-keys": keys, "rate-per-s": LIMIT.per_s,
+                    "burst": LIMIT.burst}]});
+        self.store.write("op/config", Some(&config));
+    }
+
+    fn trouble(&self, from_ms: u64, stop_of: Option<(usize, u64)>) {
+        let until_ms = elapsed_ms(self.started);
+        self.judge.borrow_mut().troubles.push(Trouble { from_ms, until_ms, stop_of });
+    }
+
+    /// Returns which instances do not have the newest document in force.
+    async fn outdated(&self) -> Vec<String> {
+        let version = self.version.get();
+        let mut findings = Vec::new();
+        for instance in &self.instances {
+            let address = instance.borrow().callers();
+            for (route, expected) in [
+                (version_route(version), StatusCode::OK),
+                (version_route(version.saturating_sub(1)), StatusCode::NOT_FOUND),
+            ] {
+                let status = caller::probe(self.judge.clone(), address, &route, FREE_KEY).await;
+                if status != Some(expected) {
+                    findings
+                        .push(format!("{address} answers {status:?} on {route}, not {expected}"));
+                }
+            }
+        }
+        findings
+    }
+}
+
+fn version_route(version: u64) -> String {
+    format!("version-{version}")
+}
+
+/// Asks each instance whether it is ready; two misses take it out.
+async fn balance(fleet: Rc<Fleet>) {
+    let mut misses = vec![2_u32; fleet.instances.len()];
+    loop {
+        for (number, instance) in fleet.instances.iter().enumerate() {
+            let address = instance.borrow().readiness();
+            let ready = caller::is_ready(address).await;
+            misses[number] = if ready { 0 } else { misses[number].saturating_add(1) };
+        }
+        let ready = fleet.instances.iter().enumerate().filter(|(number, _)| misses[*number] < 2);
+        let ready = ready.map(|(number, instance)| {
+            let instance = instance.borrow();
+            (instance.callers(), number, instance.start)
+        });
+        *fleet.ready.borrow_mut() = ready.collect();
+        sleep(Duration::from_millis(BALANCER_MS)).await;
+    }
+}
+
+async fn fault(fleet: Rc<Fleet>, first_ms: u64, timed: Timed) {
+    let Timed { at_ms, fault, for_ms } = timed;
+    sleep_until(fleet.started + Duration::from_millis(first_ms + at_ms)).await;
+    let from_ms = elapsed_ms(fleet.started);
+    let lasts = Duration::from_millis(for_ms);
+    let mut stop_of = None;
+    match fault {
+        Fault::Compact => {
+            fleet.write_document();
+            fleet.store.compact();
+            fleet.write_document();
+        }
+        Fault::Document => take_a_key(&fleet, lasts).await,
+        Fault::Drain(number) => drain(&fleet, &fleet.backends[number]).await,
+        Fault::EngineCrash(number) => {
+            fleet.backends[number].server.crash();
+            sleep(lasts).await;
+            replace(&fleet, &fleet.backends[number]);
+        }
+        Fault::EnginePath(number, path) => {
+            misbehave(&fleet.backends[number].proxy, path, lasts).await
+        }
+        Fault::StorePath(number, path) => misbehave(&fleet.store_paths[number], path, lasts).await,
+        Fault::Store(path) => {
+            fleet.store_paths.iter().for_each(|proxy| proxy.set(Some(path)));
+            sleep(lasts).await;
+            fleet.store_paths.iter().for_each(|proxy| proxy.set(None));
+        }
+        Fault::Pause(number) => {
+            fleet.instances[number].borrow().signal(Signal::STOP);
+            sleep(lasts).await;
+            fleet.instances[number].borrow().signal(Signal::CONT);
+        }
+        Fault::Reload(number) => fleet.instances[number].borrow().signal(Signal::HUP),
+        Fault::Kill(number) => {
+            fleet.instances[number].borrow_mut().kill();
+            sleep(lasts).await;
+            begin(&fleet.instances[number]);
+        }
+        Fault::Stop(number) => {
+            stop_of = Some((number, fleet.instances[number].borrow().start));
+            stop(&fleet.instances[number]).await;
+        }
+    }
+    fleet.trouble(from_ms, stop_of);
+}
+
+async fn misbehave(proxy: &Proxy, path: Path, lasts: Duration) {
+    proxy.set(Some(path));
+    sleep(lasts).await;
+    proxy.set(None);
+    if path == Path::Silent || path == Path::OneWay {
+        // What was silenced stays silent for good; new connections work.
+        proxy.cut();
+    }
+}
+
+async fn take_a_key(fleet: &Fleet, lasts: Duration) {
+    let taken = fleet.taken.borrow().clone();
+    let Some(key) = LIMITED_KEYS.into_iter().find(|key| !taken.contains(key)) else {
+        fleet.write_document();
+        return;
+    };
+    fleet.taken.borrow_mut().push(key);
+    fleet.write_document();
+    let at_ms = elapsed_ms(fleet.started);
+    fleet.judge.borrow_mut().revoked.entry(key.to_owned()).or_default().push((at_ms, None));
+    sleep(lasts * 3).await;
+    let at_ms = elapsed_ms(fleet.started);
+    let mut judge = fleet.judge.borrow_mut();
+    if let Some(span) = judge.revoked.entry(key.to_owned()).or_default().last_mut() {
+        span.1 = Some(at_ms);
+    }
+    drop(judge);
+    fleet.taken.borrow_mut().retain(|taken| *taken != key);
+    fleet.write_document();
+}
+
+async fn drain(fleet: &Fleet, backend: &Backend) {
+    fleet.publish(backend, "draining");
+    sleep(Duration::from_millis(DRAIN_MS)).await;
+    backend.server.crash();
+    replace(fleet, backend);
+}
+
+/// Another backend server takes the address of one that is gone.
+fn replace(fleet: &Fleet, backend: &Backend) {
+    fleet.store.write(&format!("servers/{}", backend.id.borrow()), None);
+    backend.starts.set(backend.starts.get() + 1);
+    let kind = backend.id.borrow().split('-').take(2).collect::<Vec<_>>().join("-");
+    *backend.id.borrow_mut() = format!("{kind}-{}", backend.starts.get());
+    backend.server.restart(&backend.id.borrow());
+    fleet.publish(backend, "ready");
+}
+
+async fn stop(instance: &RefCell<Instance>) {
+    let start = instance.borrow().start;
+    instance.borrow().signal(Signal::TERM);
+    let until = Instant::now() + Duration::from_millis(GRACE_MS);
+    while !instance.borrow_mut().has_ended() && Instant::now() < until {
+        sleep(Duration::from_millis(LOOK_MS)).await;
+    }
+    if instance.borrow().start == start {
+        instance.borrow_mut().kill();
+        begin(instance);
+    }
+}
+
+fn begin(instance: &RefCell<Instance>) {
+    let mut instance = instance.borrow_mut();
+    if !instance.has_ended() {
+        return;
+    }
+    if let Err(error) = instance.begin() {
+        eprintln!("an instance could not be started: {error}");
+    }
+}
--- /dev/null
+++ b/soak/tests/fleet.rs
@@ -0,0 +1,35 @@
+//! Seeds of faults against a small fleet of real instances.
+//!
+//! Only what holds however slow the machine is counts here; the program judges the rest, too.
+
+use std::path::PathBuf;
+
+use soak::trial::{Setup, play};
+
+/// Time of faults in each run, in milliseconds.
+const LENGTH_MS: u64 = 6_000;
+
+/// Returns the program of an instance, which the workspace is built with.
+fn program() -> PathBuf {
+    let test = std::env::current_exe().expect("a test knows where it is");
+    let directory = test.parent().and_then(|deps| deps.parent()).expect("a target directory");
+    directory.join("bergamotspan-gateway")
+}
+
+#[test]
+fn no_seed_breaks_a_rule() {
+    for seed in [1, 2] {
+        let setup = Setup {
+            callers: 8,
+            engines: 4,
+            instances: 3,
+            keep: None,
+            length_ms: LENGTH_MS,
+            program: program(),
+            seed,
+        };
+        let outcome = play(&setup).expect("the fleet starts");
+        assert!(outcome.findings.is_empty(), "seed {seed}: {outcome}");
+        assert!(outcome.sent > 0 && outcome.faults > 0);
+    }
+}
