Count sends where they are made, and a death only where a backend server is found dead

Resuming took an extra send from the budget twice when the first engine it turned to failed. And each reset counted as a death towards quarantine though the engine lived, while plain requests that crash their backend servers were never counted: a break is now a suspicion, a death once the backend server takes no connection or its record goes, and nothing once it answers. Both kinds of requests share one type for sends, refusals and ends (src/gateway/relay.rs).

--- a/src/gateway/beliefs.rs
+++ b/src/gateway/beliefs.rs
@@ -139,6 +139,9 @@
         match fact {
             StoreFact::Backend { id, record: Ok(record) } => {
                 let change = self.backends.publish(&id, record);
+                if change == RecordChange::Restarted {
+                    self.found_dead(now_ms, &id);
+                }
                 (change != RecordChange::Unchanged).then_some(Belief::Backend { id, change })
             }
             StoreFact::Backend { id, record: Err(detail) } => {
@@ -146,6 +149,7 @@
                 Some(Belief::Unreadable { item: id, detail })
             }
             StoreFact::BackendGone { id } => {
+                self.found_dead(now_ms, &id);
                 let change = self.backends.remove(now_ms, &id);
                 (change != RecordChange::Unchanged).then_some(Belief::Backend { id, change })
             }
--- /dev/null
+++ b/src/gateway/deaths.rs
@@ -0,0 +1,52 @@
+//! Whether a backend server died with a request, or only its answer was lost.
+//!
+//! A connection that breaks says little: answers get lost and connections are reset while the backend
+//! server lives. It counts as dead once it takes no connection or its record goes, and as alive once
+//! it answers anything whole.
+
+use crate::name::Name;
+
+/// Time after a connection broke within which the backend server has to be found dead, in
+/// milliseconds; its record is gone after three intervals of its reports.
+const CONFIRM_MS: u64 = 6_000;
+
+/// A request whose backend server may have died with it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Suspicion {
+    /// Id of the backend server.
+    pub backend_server: Name,
+    /// When the connection broke, in milliseconds of the boot clock.
+    pub broken_ms: u64,
+    /// Digest of the request.
+    pub fingerprint: u64,
+    /// When the request was sent, in milliseconds of the boot clock.
+    pub sent_ms: u64,
+}
+
+/// Requests whose backend servers may have died with them.
+#[derive(Clone, Debug, Default)]
+pub struct Deaths {
+    suspicions: Vec<Suspicion>,
+}
+
+impl Deaths {
+    /// Notes that a connection broke under a request.
+    pub fn suspect(&mut self, suspicion: Suspicion) {
+        let since_ms = suspicion.broken_ms.saturating_sub(CONFIRM_MS);
+        self.suspicions.retain(|known| known.broken_ms >= since_ms);
+        self.suspicions.push(suspicion);
+    }
+
+    /// Takes in that a backend server answered: it lives.
+    pub fn alive(&mut self, backend_server: &str) {
+        self.suspicions.retain(|known| &*known.backend_server != backend_server);
+    }
+
+    /// Takes in that a backend server is dead, and returns the requests that it may have died of.
+    pub fn dead(&mut self, now_ms: u64, backend_server: &str) -> Vec<Suspicion> {
+        let since_ms = now_ms.saturating_sub(CONFIRM_MS);
+        let of_this = |known: &mut Suspicion| &*known.backend_server == backend_server;
+        let found: Vec<_> = self.suspicions.extract_if(.., of_this).collect();
+        found.into_iter().filter(|known| known.broken_ms >= since_ms).collect()
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,168 @@
+//! What requests with one answer and with a stream share: their sends, and how they end without one.
+
+use std::rc::Rc;
+
+use hyper::{Response, StatusCode};
+use log::info;
+
+use crate::gateway::admission::{Plan, Refusal, RefusalReason};
+use crate::gateway::backend::SendOutcome;
+use crate::gateway::boot_clock::boot_ms;
+use crate::gateway::exchange::{CallerRequest, Reply, SendFailure};
+use crate::gateway::forward::give_up;
+use crate::gateway::lease::Lease;
+use crate::gateway::reply::{ReplyBody, broken};
+use crate::gateway::shared::Shared;
+use crate::gateway::state::RETRY_SOON_MS;
+use crate::name::Name;
+
+/// Most backend servers that could not be reached at all before a request is refused.
+const UNREACHED_LIMIT: usize = 3;
+/// Time after which a caller may try again what a backend server refused, in milliseconds.
+const RETRY_REFUSED_MS: u64 = 50;
+
+/// What comes after a send without a usable answer.
+pub(crate) enum Next {
+    /// The caller gets this.
+    Answer(Response<ReplyBody>),
+    /// Another backend server is tried.
+    TryAnother,
+}
+
+/// What a request saw of its answer, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StreamSummary {
+    pub(crate) events: u32,
+    /// Time from the arrival to the first event, in milliseconds.
+    pub(crate) first_event_ms: Option<u64>,
+    /// Longest time between two arrivals of events, in milliseconds.
+    pub(crate) longest_gap_ms: u64,
+}
+
+/// One request on its way, with the sends that it has had.
+pub(crate) struct Relay {
+    pub(crate) plan: Plan,
+    pub(crate) request: CallerRequest,
+    pub(crate) sends: u32,
+    pub(crate) shared: Rc<Shared>,
+    /// Backend servers that it was sent to, or that could not be reached.
+    pub(crate) tried: Vec<Name>,
+    /// Whether a send may have run.
+    pub(crate) ran: bool,
+    unreached: usize,
+}
+
+impl Relay {
+    pub(crate) fn new(shared: Rc<Shared>, plan: Plan, request: CallerRequest) -> Self {
+        Self { plan, request, sends: 0, shared, tried: Vec::new(), ran: false, unreached: 0 }
+    }
+
+    /// Checks once more whether the request may be sent.
+    pub(crate) fn recheck(&self) -> Result<(), Refusal> {
+        self.shared.state.borrow().recheck(boot_ms(), &self.plan)
+    }
+
+    /// Counts a send whose bytes may have reached a backend server.
+    pub(crate) fn count(&mut self, result: &Result<Reply, SendFailure>) {
+        if !matches!(result, Err(SendFailure::NotSent(_))) {
+            self.sends += 1;
+        }
+    }
+
+    /// Takes an extra send, if the route and the budget have one.
+    pub(crate) fn may_send_again(&mut self) -> bool {
+        self.sends < self.plan.route.attempts
+            && self.shared.state.borrow_mut().take_resend(boot_ms(), &self.plan.service)
+    }
+
+    /// Returns what comes after a backend server said that it did not run the request.
+    pub(crate) fn after_refusal(&mut self) -> Next {
+        if self.may_send_again() {
+            return Next::TryAnother;
+        }
+        self.refuse(Refusal::until(RefusalReason::RefusedByBackend, RETRY_REFUSED_MS))
+    }
+
+    /// Returns what comes after a backend server could not be reached.
+    pub(crate) fn after_unreached(&mut self) -> Next {
+        self.unreached += 1;
+        if self.unreached < UNREACHED_LIMIT {
+            return Next::TryAnother;
+        }
+        self.refuse(Refusal::until(RefusalReason::NoBackendServer, RETRY_SOON_MS))
+    }
+
+    /// Ends a send that failed and returns what comes next.
+    pub(crate) fn after_failure(
+        &mut self,
+        lease: Lease,
+        failure: &SendFailure,
+        summary: StreamSummary,
+    ) -> Next {
+        let backend_server = lease.sending().backend_server.clone();
+        info!(
+            target: "send",
+            request = &*self.plan.request_id,
+            backend_server = &*backend_server,
+            failure:%,
+            after_ms = boot_ms().saturating_sub(lease.sent_ms()),
+            events = summary.events;
+            "The send failed."
+        );
+        if matches!(failure, SendFailure::NotSent(_)) {
+            lease.end(SendOutcome::Unreachable);
+            self.shared.connections.close(&backend_server);
+            return self.after_unreached();
+        }
+        if matches!(failure, SendFailure::BrokenOff(_)) {
+            self.suspect_death(&lease);
+        }
+        lease.end(SendOutcome::Failed);
+        self.ran = true;
+        let timed_out = matches!(failure, SendFailure::TimedOut);
+        if !timed_out && self.plan.route.is_repeatable() && self.may_send_again() {
+            return Next::TryAnother;
+        }
+        Next::Answer(self.broken(timed_out, summary))
+    }
+
+    /// Notes that the backend server of a send may have died of it.
+    pub(crate) fn suspect_death(&self, lease: &Lease) {
+        let backend_server = &lease.sending().backend_server;
+        let mut state = self.shared.state.borrow_mut();
+        state.broke_off(boot_ms(), backend_server, self.plan.fingerprint, lease.sent_ms());
+    }
+
+    /// Refuses the request, or says that it may have run.
+    pub(crate) fn refuse(&self, refusal: Refusal) -> Next {
+        if self.ran {
+            let timed_out = refusal.reason == RefusalReason::TimedOut;
+            return Next::Answer(self.broken(timed_out, StreamSummary::default()));
+        }
+        Next::Answer(give_up(&self.shared, &self.plan, &refusal))
+    }
+
+    fn broken(&self, timed_out: bool, summary: StreamSummary) -> Response<ReplyBody> {
+        let status = if timed_out { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+        self.ended(status, summary);
+        broken(timed_out)
+    }
+
+    /// Notes the end of the request.
+    pub(crate) fn ended(&self, status: StatusCode, summary: StreamSummary) {
+        let elapsed_ms = boot_ms().saturating_sub(self.plan.arrived_ms);
+        info!(
+            target: "end",
+            request = &*self.plan.request_id,
+            route = &*self.plan.route.name,
+            status = status.as_u16(),
+            sends = self.sends,
+            events = summary.events,
+            first_event_ms = summary.first_event_ms,
+            longest_gap_ms = summary.longest_gap_ms,
+            elapsed_ms;
+            "The request has its answer."
+        );
+        self.shared.counters.answered(status, elapsed_ms);
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,6 +5,7 @@
 use crate::gateway::admission::{Admission, Arrival, Plan, Rank, Refusal, RefusalReason};
 use crate::gateway::backend::{Backend, SendOutcome};
 use crate::gateway::backends::Backends;
+use crate::gateway::deaths::{Deaths, Suspicion};
 use crate::gateway::dispatching::Sending;
 use crate::gateway::freshness::Freshness;
 use crate::gateway::gateway_settings::GatewaySettings;
@@ -48,6 +49,7 @@
     /// Since when another instance is known to know more, in milliseconds of the boot clock.
     pub(crate) behind_since_ms: Option<u64>,
     pub(crate) budgets: Vec<(Name, ResendBudget)>,
+    pub(crate) deaths: Deaths,
     pub(crate) document: Arc<RoutingDocument>,
     pub(crate) freshness: Freshness,
     /// Revision after which the store no longer tells of changes.
@@ -96,6 +98,7 @@
             backends: Backends::default(),
             behind_since_ms: None,
             budgets: Vec::new(),
+            deaths: Deaths::default(),
             document: Arc::default(),
             freshness: Freshness::default(),
             history_lost: None,
@@ -203,8 +206,7 @@
             return Err(self.unless_stale(now_ms, RefusalReason::NoRoute));
         };
         let customer = self.identify(now_ms, &route, arrival)?;
-        let quarantined = self.quarantine.quarantined(at(now_ms));
-        if quarantined.binary_search(&arrival.fingerprint).is_ok() {
+        if self.quarantine.is_quarantined(at(now_ms), arrival.fingerprint) {
             return Err(Refusal::until(RefusalReason::Quarantined, RETRY_QUARANTINED_MS));
         }
         let Some(service) = weighted_service(&route.services, draw).cloned() else {
@@ -272,8 +274,8 @@
         };
         match charge {
             Charge::Taken => {
-                let bounds = self.settings.bounds.clone();
-                self.budget(&plan.service.clone()).request(now_ms, &bounds);
+                let budget = entry(&mut self.budgets, &plan.service);
+                budget.request(now_ms, &self.settings.bounds);
                 Admission::Forward(plan)
             }
             Charge::Short(shortage) => {
@@ -358,9 +360,8 @@
 
     /// Takes an extra send of a service, if the budget has one.
     pub fn take_resend(&mut self, now_ms: u64, service: &Name) -> bool {
-        let bounds = self.settings.bounds.clone();
         let instances = self.peers.known_count();
-        self.budget(service).take(now_ms, &bounds, instances)
+        entry(&mut self.budgets, service).take(now_ms, &self.settings.bounds, instances)
     }
 
     /// Notes that a send is over.
@@ -368,6 +369,9 @@
         if let Some(backend) = self.backends.get_mut(backend) {
             backend.end(now_ms, unread_tokens, outcome);
         }
+        if outcome == SendOutcome::Unreachable {
+            self.found_dead(now_ms, backend);
+        }
     }
 
     /// Notes how long a request of a model had a place, in milliseconds.
@@ -390,13 +394,25 @@
         backend.token_pace(event_ms / f64::from(tokens));
     }
 
-    /// Notes that a backend server died while it ran a request that was sent at `sent_ms`.
-    pub fn died(&mut self, now_ms: u64, backend: &Name, fingerprint: u64, sent_ms: u64) {
-        self.quarantine.death_of(at(now_ms), backend, fingerprint, sent_ms);
+    /// Notes that a connection broke under a request that was sent at `sent_ms`; its backend server
+    /// may have died of it.
+    pub fn broke_off(&mut self, now_ms: u64, backend: &Name, fingerprint: u64, sent_ms: u64) {
+        let backend_server = backend.clone();
+        let suspicion = Suspicion { backend_server, broken_ms: now_ms, fingerprint, sent_ms };
+        self.deaths.suspect(suspicion);
+    }
+
+    /// Notes that a backend server is found dead.
+    pub(crate) fn found_dead(&mut self, now_ms: u64, backend: &str) {
+        for suspicion in self.deaths.dead(now_ms, backend) {
+            let Suspicion { backend_server, fingerprint, sent_ms, .. } = suspicion;
+            self.quarantine.death_of(at(now_ms), &backend_server, fingerprint, sent_ms);
+        }
     }
 
-    /// Notes that a request was answered whole.
-    pub fn answered(&mut self, fingerprint: u64) {
+    /// Notes that a backend server answered a request whole.
+    pub fn answered(&mut self, backend: &str, fingerprint: u64) {
+        self.deaths.alive(backend);
         self.quarantine.finished(fingerprint);
     }
 
@@ -407,10 +423,6 @@
             Refusal::until(RefusalReason::NotFresh, RETRY_ELSEWHERE_MS)
         }
     }
-
-    fn budget(&mut self, service: &Name) -> &mut ResendBudget {
-        entry(&mut self.budgets, service)
-    }
 }
 
 pub(crate) fn entry<'a, T>(list: &'a mut Vec<(Name, T)>, name: &Name) -> &'a mut T
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -71,6 +71,12 @@
         }
     }
 
+    /// Returns whether a fingerprint is quarantined.
+    pub fn is_quarantined(&mut self, now: Now, fingerprint: u64) -> bool {
+        self.expire(now);
+        self.find(fingerprint).is_ok_and(|index| self.records[index].is_quarantined())
+    }
+
     /// Returns the fingerprints that are quarantined, sorted.
     pub fn quarantined(&mut self, now: Now) -> Vec<u64> {
         self.expire(now);
