Start with an empty usage limit, and keep no more of the burst than the heard part

The property that a split fleet keeps the limit failed first once its parts had time to fill; an instance that starts takes what an older one says is left.

--- a/src/gateway/usage_limits.rs
+++ b/src/gateway/usage_limits.rs
@@ -63,6 +63,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct UsageLimits {
     buckets: Vec<Bucket>,
+    /// Whether customers were taken over before: those of the first document may have spent all
+    /// that they have before this instance started.
+    has_customers: bool,
     /// Part of all instances that this one hears, itself included.
     heard_share: f64,
 }
@@ -81,11 +84,13 @@
 impl UsageLimits {
     /// Takes over the limits of a document; customers that stay keep what they have left.
     pub fn set_customers(&mut self, now_ms: u64, customers: &[Arc<Customer>]) {
+        let begins = !std::mem::replace(&mut self.has_customers, true);
+        let new_share = if begins { 0.0 } else { self.heard_share };
         let limited = customers.iter().filter(|customer| customer.units_per_s > 0);
         self.buckets = limited
             .map(|customer| {
                 let known = self.buckets.iter().find(|bucket| bucket.customer == customer.name);
-                Bucket::new(now_ms, customer, known, self.heard_share)
+                Bucket::new(now_ms, customer, known, new_share, self.heard_share)
             })
             .collect();
     }
@@ -106,7 +111,7 @@
         let units = usage.units;
         let Some(bucket) = self.bucket(customer) else { return Charge::Taken };
         bucket.fill(now_ms, heard_share);
-        let needed_units = bucket.needed_units(usage);
+        let needed_units = bucket.needed_units(usage, heard_share);
         if bucket.left_units >= needed_units {
             bucket.left_units -= units as f64;
             bucket.spent_units += units;
@@ -166,13 +171,20 @@
 }
 
 impl Bucket {
-    fn new(now_ms: u64, customer: &Customer, known: Option<&Bucket>, heard_share: f64) -> Self {
+    /// Starts a bucket with `new_share` of the burst, or goes on with a known one.
+    fn new(
+        now_ms: u64,
+        customer: &Customer,
+        known: Option<&Bucket>,
+        new_share: f64,
+        heard_share: f64,
+    ) -> Self {
         let burst_units = customer.burst_units as f64;
         let fresh = Bucket {
             burst_units,
             customer: customer.name.clone(),
             heard: Vec::new(),
-            left_units: burst_units * heard_share,
+            left_units: burst_units * new_share,
             spent_units: 0,
             units_per_ms: customer.units_per_s as f64 / 1_000.0,
             updated_ms: now_ms,
@@ -186,21 +198,23 @@
     }
 
     /// Returns the units that have to be left for a request to be taken.
-    fn needed_units(&self, usage: Usage) -> f64 {
+    fn needed_units(&self, usage: Usage, heard_share: f64) -> f64 {
         let units = usage.units as f64;
+        let full_units = self.burst_units * heard_share;
         // A request that is larger than the burst would else never be admitted.
-        let own_units = units.min(self.burst_units * DEBT_FREE_SHARE);
-        if units <= self.burst_units * SMALL_SHARE {
+        let own_units = units.min(full_units * DEBT_FREE_SHARE);
+        if units <= full_units * SMALL_SHARE {
             return own_units;
         }
         let kept_share = (usage.ranks_before as f64 * KEPT_SHARE_PER_RANK).min(MOST_KEPT_SHARE);
-        own_units + self.burst_units * kept_share
+        own_units + full_units * kept_share
     }
 
     fn fill(&mut self, now_ms: u64, heard_share: f64) {
         let elapsed_ms = now_ms.saturating_sub(self.updated_ms);
         let gained = elapsed_ms as f64 * self.units_per_ms * heard_share;
-        self.left_units = (self.left_units + gained).min(self.burst_units);
+        // Instances that are not heard have the rest of the burst.
+        self.left_units = (self.left_units + gained).min(self.burst_units * heard_share);
         self.updated_ms = self.updated_ms.max(now_ms);
     }
 
@@ -211,10 +225,13 @@
                 *heard = report.spent_units;
             }
             None => {
-                self.heard.push((from.clone(), report.spent_units));
-                if joins {
-                    self.left_units = self.left_units.min(report.left_units as f64);
+                let left_units = report.left_units as f64;
+                if joins && self.heard.is_empty() {
+                    self.left_units = self.left_units.max(left_units);
+                } else if joins {
+                    self.left_units = self.left_units.min(left_units);
                 }
+                self.heard.push((from.clone(), report.spent_units));
             }
         }
         self.left_units = self.left_units.min(self.burst_units);
--- a/tests/gateway_usage_limits.rs
+++ b/tests/gateway_usage_limits.rs
@@ -14,10 +14,25 @@
 fn limits(heard: usize, known: usize) -> UsageLimits {
     let mut limits = UsageLimits::default();
     limits.set_instances(START_MS, heard, known);
-    limits.set_customers(START_MS, &[Arc::new(customer(RATE))]);
+    // By the start of the tests the limit is full.
+    limits.set_customers(START_MS - 10_000, &[Arc::new(customer(RATE))]);
     limits
 }
 
+#[test]
+fn an_instance_that_starts_spends_nothing_that_was_spent_before() {
+    let mut started = UsageLimits::default();
+    started.set_instances(START_MS, 1, 1);
+    started.set_customers(START_MS, &[Arc::new(customer(RATE))]);
+    assert!(matches!(charge(&mut started, START_MS, 1_000), Charge::Short(_)));
+    assert_eq!(charge(&mut started, START_MS + 100, 1_000), Charge::Taken);
+    // An instance that has run for long knows what is left.
+    let told = [UsageReport { customer: name("clinic"), left_units: 6_000, spent_units: 90 }];
+    started.merge(START_MS + 100, &name("front-2"), &told, true);
+    assert_eq!(charge(&mut started, START_MS + 100, 5_000), Charge::Taken);
+    assert!(matches!(charge(&mut started, START_MS + 100, 2_000), Charge::Short(_)));
+}
+
 fn charge(limits: &mut UsageLimits, now_ms: u64, units: u64) -> Charge {
     limits.charge(now_ms, "clinic", Usage { ranks_before: 0, units })
 }
