--- a/src/gateway/peer_table.rs
+++ b/src/gateway/peer_table.rs
@@ -147,7 +147,14 @@
     }
 
     /// Returns the addresses that a datagram goes to now, with what only they are told.
-    pub fn targets(&mut self, now_ms: u64, own_name: &str) -> Vec<(SocketAddr, Envelope)> {
+    ///
+    /// Other cells hear little, so that they get whole datagrams only.
+    pub fn targets(
+        &mut self,
+        now_ms: u64,
+        own_name: &str,
+        is_whole: bool,
+    ) -> Vec<(SocketAddr, Envelope)> {
         self.peers.retain(|peer| now_ms < peer.heard_ms + FORGET_MS);
         self.arrange(own_name);
         let far_ms = self.far_heartbeat_ms();
@@ -158,7 +165,7 @@
                 (false, true) => far_ms,
                 (_, false) => GREETING_MS,
             };
-            if now_ms >= peer.greeted_ms + pause_ms {
+            if now_ms >= peer.greeted_ms + pause_ms && (peer.near || is_whole) {
                 peer.greeted_ms = now_ms;
                 targets.push((peer.address, peer.envelope(now_ms)));
             }
--- a/src/gateway/telling.rs
+++ b/src/gateway/telling.rs
@@ -70,6 +70,10 @@
 
     /// Returns what to tell the others, and whom.
     pub fn tell(&mut self, now_ms: u64) -> (Digest, Vec<(SocketAddr, Envelope)>) {
+        let is_whole = now_ms >= self.spent_told_ms + SPENT_MS;
+        if is_whole {
+            self.spent_told_ms = now_ms;
+        }
         let others = self.peers.addresses_to_name(now_ms);
         let loads = self.backends.own_loads().into_iter().map(load_entry).collect();
         let digest = Digest {
@@ -84,17 +88,13 @@
             others,
             loads,
             lines: self.lines.iter().flat_map(|(name, line)| line.entries(name)).collect(),
-            spent: self.spent_to_tell(now_ms),
+            spent: if is_whole { self.spent() } else { Vec::new() },
             suspects: self.quarantine.suspects(),
         };
-        (digest, self.peers.targets(now_ms, &self.settings.instance))
+        (digest, self.peers.targets(now_ms, &self.settings.instance, is_whole))
     }
 
-    fn spent_to_tell(&mut self, now_ms: u64) -> Vec<SpentEntry> {
-        if now_ms < self.spent_told_ms + SPENT_MS {
-            return Vec::new();
-        }
-        self.spent_told_ms = now_ms;
+    fn spent(&self) -> Vec<SpentEntry> {
         self.limits.reports().into_iter().map(spent_entry).collect()
     }
 }
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -149,6 +149,34 @@
     assert_eq!(told.count(), 10);
 }
 
+#[test]
+fn other_cells_are_told_what_was_spent_each_time_that_they_are_told_anything() {
+    let mut state = state();
+    let mut limited = document(2);
+    limited.customers = vec![customer(1_000)];
+    learn(&mut state, START_MS, vec![StoreFact::Document(Ok(Box::new(limited)))]);
+    let (mut near, mut far) = (0, 0);
+    for step in 0..500 {
+        let now_ms = START_MS + step * 10;
+        for number in 2..20 {
+            let instance = format!("front-{number:02}");
+            let heard = digest(&instance, 5 + step);
+            state.hear(now_ms, peer(number), &envelope(None, 0), &heard);
+        }
+        let (told, targets) = state.tell(now_ms);
+        for (address, _) in targets {
+            let named = (2..20).find(|number| peer(*number) == address).expect("a peer");
+            if table_is_near(state.peers(), named) {
+                near += 1;
+            } else {
+                far += 1;
+                assert!(!told.spent.is_empty(), "{address} at {now_ms}");
+            }
+        }
+    }
+    assert!(near > far && far > 0, "{near} and {far}");
+}
+
 #[test]
 fn an_older_datagram_of_the_same_start_changes_nothing() {
     let mut table = PeerTable::new(address("10.0.0.1:7600"), START_MS, &[]);
@@ -161,10 +189,10 @@
 fn seeds_are_greeted_until_they_answer_and_a_newcomer_is_told_of_the_others_at_once() {
     let own = address("10.0.0.1:7600");
     let mut table = PeerTable::new(own, START_MS, &[own, peer(2)]);
-    let greeted = table.targets(START_MS, "front-1");
+    let greeted = table.targets(START_MS, "front-1", true);
     assert_eq!(greeted, [(peer(2), Envelope::default())]);
-    assert!(table.targets(START_MS + 100, "front-1").is_empty());
-    assert_eq!(table.targets(START_MS + 500, "front-1").len(), 1);
+    assert!(table.targets(START_MS + 100, "front-1", true).is_empty());
+    assert_eq!(table.targets(START_MS + 500, "front-1", true).len(), 1);
     table.receive(START_MS + 600, peer(2), &envelope(None, 0), &digest("front-2", 5));
     assert_eq!(table.addresses_to_name(START_MS + 600), [peer(2)]);
     assert!(table.addresses_to_name(START_MS + 700).is_empty());
@@ -197,9 +225,9 @@
                 (1..instances)
                     .any(|number| peer(number) == target.0 && !table_is_near(&table, number))
             };
-            let targets = table.clone().targets(now_ms, "front-000");
+            let targets = table.clone().targets(now_ms, "front-000", true);
             sent += targets.iter().filter(|target| far(target)).count();
-            table.targets(now_ms, "front-000");
+            table.targets(now_ms, "front-000", true);
         }
         sent
     };
@@ -207,8 +235,9 @@
 }
 
 fn table_is_near(table: &PeerTable, number: u8) -> bool {
-    let instance: Name = name(&format!("front-{number:03}"));
-    table.is_near(&instance)
+    let named = |width| name(&format!("front-{number:0width$}"));
+    let (short, long): (Name, Name) = (named(2), named(3));
+    table.is_near(&short) || table.is_near(&long)
 }
 
 #[test]
