Use no place at a server that this instance knows to leave

Cause: a coordinator may learn later than a member that a server drains, and the member sent there all the same; a stream whose server was unknown asked for it again. Change: the own record decides, and the server counts as tried. Test first: gateway_peers. Read from the code, not seen on a run.

--- a/src/gateway/fleet/placing.rs
+++ b/src/gateway/fleet/placing.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use crate::gateway::admission::{PlanCharge, Refusal, RequestPlan};
-use crate::gateway::backend::SendOutcome;
+use crate::gateway::backend::{BackendStatus, SendOutcome};
 use crate::gateway::dispatching::{DispatchDecision, PlaceQuery, SendEnd, StartedSend};
 use crate::gateway::engine_query::EngineQuery;
 use crate::gateway::fleet::coordinators::Decider;
@@ -106,8 +106,11 @@
             number: ask.ask.number,
             unread_tokens,
         });
+        // The coordinator may not know yet that this one leaves.
+        let known = self.backends.get(&backend_server);
+        let usable = known.filter(|known| known.status == BackendStatus::Usable);
         StartedSend {
-            address: self.backends.get(&backend_server).map(|known| known.record.address),
+            address: usable.map(|known| known.record.address),
             backend_server,
             is_model: ask.ask.prompt.is_some(),
             place: ask.ask.number,
@@ -119,13 +122,8 @@
 
     /// Gives back a place that was asked for and is not used.
     pub fn abandon_place(&mut self, to: SocketAddr, number: u64) {
-        let end = EndedPlace {
-            outcome: SendOutcome::Abandoned,
-            slot_ms: None,
-            token_ms: None,
-            pause_ms: None,
-        };
-        let progress = PlaceProgress { number, step: PlaceStep::Ended(end) };
+        let step = PlaceStep::Ended(SendEnd::unused().place);
+        let progress = PlaceProgress { number, step };
         self.fleet.send(to, Body::Progress(vec![progress]));
     }
 
--- a/src/gateway/fleet/receiving.rs
+++ b/src/gateway/fleet/receiving.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::gateway::fleet::coordinators::Decider;
 use crate::gateway::fleet::counter_feed::SourceId;
 use crate::gateway::fleet::membership::{Fleet, OtherCoordinator, SeenCoordinator};
 use crate::gateway::fleet::message::{
@@ -187,7 +188,7 @@
         });
         let is_followed =
             self.fleet.followed(now_ms).is_some_and(|seen| seen.name == sender.instance);
-        if !is_followed || self.fleet.decides_alone_or_first(now_ms) {
+        if !is_followed || self.fleet.decider(now_ms) == Decider::Own {
             return;
         }
         self.fleet.leaders =
@@ -259,11 +260,6 @@
 }
 
 impl Fleet {
-    /// Returns whether this instance follows no other coordinator.
-    fn decides_alone_or_first(&self, now_ms: u64) -> bool {
-        self.decider(now_ms) == crate::gateway::fleet::coordinators::Decider::Own
-    }
-
     fn see_coordinator(&mut self, seen: SeenCoordinator) {
         self.seen.retain(|known| known.name != seen.name);
         self.suspected.retain(|(name, _)| *name != seen.name || !seen.is_ready);
--- a/src/gateway/fleet/reporting.rs
+++ b/src/gateway/fleet/reporting.rs
@@ -3,8 +3,11 @@
 
 use std::net::SocketAddr;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::gateway::fleet::cells::cell_of;
 use crate::gateway::fleet::counter_feed::Counters;
+use crate::gateway::fleet::leases::Lease;
 use crate::gateway::fleet::membership::{Fleet, Outgoing, SentUsage};
 use crate::gateway::fleet::message::{
     Body, CellLeader, CellReport, CellSummary, FreePlaces, MemberReport, ROSTER_CHUNK,
@@ -105,9 +108,8 @@
 
     fn drop_silent(&mut self, now_ms: u64) {
         let roster = &self.fleet.roster;
-        let is_live = |lease: &crate::gateway::fleet::leases::Lease| {
-            roster.get(&lease.holder).is_some_and(|known| known.is_live(now_ms))
-        };
+        let is_live =
+            |lease: &Lease| roster.get(&lease.holder).is_some_and(|known| known.is_live(now_ms));
         self.fleet.leases.retain_holders(is_live, &mut self.backends);
         let (kept, dropped): (Vec<_>, Vec<_>) = std::mem::take(&mut self.fleet.remote_waiting)
             .into_iter()
@@ -311,7 +313,7 @@
                     .filter(|known| !known.stopping && cell_of(&known.name, cells) == cell);
                 let mut members: Vec<_> = members.collect();
                 members.sort_by_key(|known| {
-                    (u32::MAX - known.capacity, xxhash_rust::xxh3::xxh3_64(known.name.as_bytes()))
+                    (u32::MAX - known.capacity, xxh3_64(known.name.as_bytes()))
                 });
                 targets.extend(members.iter().take(CONTACTS_PER_CELL).map(|known| known.address));
             }
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -122,10 +122,10 @@
 
     async fn send(&mut self, guard: SendGuard) -> OpenOutcome {
         let started_send = guard.started_send().clone();
+        self.relay.tried.push(started_send.backend_server.clone());
         let Some(address) = started_send.address else {
             return self.relay.after_unreachable().into();
         };
-        self.relay.tried.push(started_send.backend_server.clone());
         let Relay { plan, sends, .. } = &self.relay;
         let now_ms = boot_ms();
         info!(
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -23,8 +23,8 @@
 use proptest::prelude::*;
 
 use crate::gateway_support::{
-    START_MS, address, admitted, apply_store_changes, customer, document, draft, metadata, name,
-    position, prompt, refused, state,
+    START_MS, address, admitted, apply_store_changes, backend, customer, document, draft, metadata,
+    name, position, prompt, record, refused, state,
 };
 
 fn peer(number: u8) -> SocketAddr {
@@ -374,6 +374,26 @@
     granted(answer_to(&mut state, resumed_ms + 300, ask(2, 1)));
 }
 
+#[test]
+fn a_place_at_a_server_that_is_known_to_leave_is_not_used_though_the_coordinator_granted_it() {
+    let mut state = state();
+    let mut record = record("model", 1);
+    (record.leaving, record.sequence) = (true, 2);
+    apply_store_changes(&mut state, START_MS, vec![backend("m-1", record)]);
+    let mut plan = admitted(&mut state, START_MS, "/draft/a", &draft("r-1", 100, 10));
+    let place = |id| GrantedPlace {
+        backend_server: name(id),
+        running: 1,
+        tokens_ahead: 100,
+        unread_tokens: 100,
+    };
+    let pending = PendingAsk::at_home(ask(1, 1), peer(2));
+    let leaving = state.accept_place(START_MS, &mut plan, &pending, place("m-1"));
+    assert_eq!(leaving.address, None);
+    let usable = state.accept_place(START_MS, &mut plan, &pending, place("m-2"));
+    assert!(usable.address.is_some());
+}
+
 #[test]
 fn an_unanswered_request_for_a_place_is_repeated_once_then_another_coordinator_is_asked() {
     let mut pending = PendingAsk::at_home(ask(1, 1), peer(2));
