Let requests that few engines may serve wait without holding up the others

Callers of a service got not_in_time while engines had free slots: the first request of the queue had been sent to an engine that broke off, the others were full, and all behind it waited until it expired.

The queue decided on its first request alone. It goes on to the next one now where only some engines may serve a request, and gives a slot to the first that can use it. Such requests no longer count as ahead of those that can use any engine.

a_request_that_few_engines_may_serve_does_not_hold_up_the_others failed before (nothing was sent to the free engine) and passes now.

--- a/src/gateway/engine_query.rs
+++ b/src/gateway/engine_query.rs
@@ -40,6 +40,13 @@
     pub tried: Vec<Name>,
 }
 
+impl EngineQuery {
+    /// Returns whether only some backend servers may serve the request.
+    pub fn is_limited(&self) -> bool {
+        !self.tried.is_empty()
+    }
+}
+
 /// Returns the expected loss if a request is sent to this engine, in units of the request's value.
 pub fn expected_loss(now_ms: u64, backend: &Backend, query: &EngineQuery) -> f64 {
     let uncached_tokens = backend.uncached_tokens(&query.prompt);
--- a/src/gateway/request_queue.rs
+++ b/src/gateway/request_queue.rs
@@ -97,9 +97,11 @@
         *share += OUTCOME_WEIGHT * (expired - *share);
     }
 
-    /// Returns the number of waiting requests that are ahead of a new one of this rank.
+    /// Returns the number of waiting requests that are ahead of a new one of this rank and could use
+    /// any place; one that only few servers may serve waits for these.
     pub fn ahead_of(&self, rank: Rank) -> usize {
-        self.waiting.partition_point(|waiting| waiting.rank <= rank)
+        let ahead = self.waiting.iter().take_while(|waiting| waiting.rank <= rank);
+        ahead.filter(|waiting| !waiting.query.is_limited()).count()
     }
 
     /// Returns the next decision that is due now.
@@ -114,14 +116,20 @@
             self.record_outcome(rank, 1.0);
             return Some(QueueDecision::Expire { number });
         }
-        let first = self.waiting.first()?;
-        match backends.choose_engine(now_ms, service, &first.query) {
-            EngineChoice::Chosen(backend_server) => {
-                let WaitingRequest { number, query, rank, .. } = self.waiting.remove(0);
-                self.record_outcome(rank, 0.0);
-                Some(QueueDecision::Send { number, backend_server, prompt: query.prompt })
+        for index in 0..self.waiting.len() {
+            let query = &self.waiting[index].query;
+            match backends.choose_engine(now_ms, service, query) {
+                EngineChoice::Chosen(backend_server) => {
+                    let WaitingRequest { number, query, rank, .. } = self.waiting.remove(index);
+                    self.record_outcome(rank, 0.0);
+                    let prompt = query.prompt;
+                    return Some(QueueDecision::Send { number, backend_server, prompt });
+                }
+                // A request that few servers may serve does not hold up the others.
+                EngineChoice::AllBusy | EngineChoice::NoneUsable if query.is_limited() => {}
+                EngineChoice::AllBusy | EngineChoice::NoneUsable => return None,
             }
-            EngineChoice::AllBusy | EngineChoice::NoneUsable => None,
         }
+        None
     }
 }
