Move a broken stream only to engines of the version that began it

Where an engine broke off, the instance moved the stream to any engine of the service.

A request for a place now says which versions may serve it. After the first event it is the version of the engine that brought it: instance, queue and coordinator choose among those, and an instance whose record of the granted engine has another version does not send. A stream waits up to its goal for such an engine, counted from the break and not from its arrival, and is aborted if there is none. A silent stream moves only if an engine of its version is free. Datagrams have version 5.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -5,6 +5,7 @@
 
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
+use crate::gateway::engine_query::VersionNeed;
 use crate::gateway::fleet::part_evidence::PartRefusal;
 use crate::gateway::request_metadata::{PromptShape, RequestMetadata, Resumption};
 use crate::gateway::routing_document::{Customer, Route};
@@ -65,6 +66,10 @@
     pub service: Name,
     /// Units taken from the customer's limit.
     pub units: u64,
+    /// Software versions that may serve it.
+    pub version_need: VersionNeed,
+    /// When a place was first wanted for its present send, in milliseconds of the boot clock.
+    pub wanted_ms: u64,
 }
 
 /// Whether the units of a request have been taken from its customer's limit.
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::backend::{Backend, BackendLoad, BackendStatus};
 use crate::gateway::backend_record::BackendRecord;
-use crate::gateway::engine_query::{EngineQuery, expected_loss};
+use crate::gateway::engine_query::{EngineQuery, VersionNeed, expected_loss};
 use crate::gateway::fleet::cells::{CellLayout, cell_of};
 use crate::gateway::fleet::message::{EngineReport, LeavingServer};
 use crate::gateway::request_metadata::PromptShape;
@@ -271,11 +271,13 @@
 
     /// Returns the backend server with the least expected loss for a model request.
     pub fn choose_engine(&self, now_ms: u64, service: &str, query: &EngineQuery) -> EngineChoice {
-        let mut candidates = self.cell_candidates(now_ms, service, &query.tried).peekable();
-        if candidates.peek().is_none() {
+        let EngineQuery { tried, version_need, .. } = query;
+        let candidates = self.candidates(now_ms, service, tried, version_need);
+        if candidates.is_empty() {
             return EngineChoice::NoneUsable;
         }
         let best = candidates
+            .into_iter()
             .filter(|backend| backend.free_slots() > 0)
             .map(|backend| (expected_loss(now_ms, backend, query), backend))
             .min_by(|(left, _), (right, _)| left.total_cmp(right));
@@ -288,7 +290,18 @@
     /// Returns the slots of a service's available backend servers in this cell: all, and the free
     /// ones.
     pub fn slots(&self, now_ms: u64, service: &str) -> (usize, usize) {
-        self.cell_candidates(now_ms, service, &[]).fold((0, 0), |(all, free), backend| {
+        self.slots_for(now_ms, service, &VersionNeed::Any)
+    }
+
+    /// Returns the slots of those that may serve a request: all, and the free ones.
+    pub fn slots_for(
+        &self,
+        now_ms: u64,
+        service: &str,
+        version_need: &VersionNeed,
+    ) -> (usize, usize) {
+        let candidates = self.candidates(now_ms, service, &[], version_need).into_iter();
+        candidates.fold((0, 0), |(all, free), backend| {
             (all + backend.record.slots, free + backend.free_slots())
         })
     }
@@ -327,15 +340,33 @@
         of_service.filter(move |backend| !except.contains(&backend.id))
     }
 
-    fn cell_candidates<'a>(
+    /// Returns the backend servers of this cell that may serve a request; those of other cells if
+    /// no other one has the version that it needs.
+    fn candidates<'a>(
         &'a self,
         now_ms: u64,
         service: &str,
-        except: &'a [Name],
-    ) -> impl Iterator<Item = &'a Backend> {
-        let indices = self.pool(service).map(|pool| &pool.cell[..]).unwrap_or_default();
-        let of_cell = indices.iter().map(|index| &self.list[*index]);
-        of_cell.filter(move |backend| backend.may_serve(now_ms) && !except.contains(&backend.id))
+        except: &[Name],
+        version_need: &VersionNeed,
+    ) -> Vec<&'a Backend> {
+        let Some(pool) = self.pool(service) else { return Vec::new() };
+        let among = |indices: &[usize]| -> Vec<&'a Backend> {
+            let among = indices.iter().map(|index| &self.list[*index]);
+            let among = among.filter(|known| known.may_serve(now_ms));
+            among.filter(|known| !except.contains(&known.id)).collect()
+        };
+        let mut candidates = among(&pool.cell);
+        match version_need {
+            VersionNeed::Any => {}
+            VersionNeed::Only(version) => {
+                candidates.retain(|known| known.record.software_version == *version);
+                if candidates.is_empty() && pool.is_divided {
+                    candidates = among(&pool.all);
+                    candidates.retain(|known| known.record.software_version == *version);
+                }
+            }
+        }
+        candidates
     }
 
     fn find(&self, id: &str) -> Result<usize, usize> {
--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -98,6 +98,7 @@
             backend_server = &*backend_stream.guard.started_send().backend_server,
             cause:%,
             events = stream_relay.summary.events,
+            version_need:? = stream_relay.relay.plan.version_need,
             resume_after = stream_relay.resume_after.as_deref(),
             incomplete_event_bytes = backend_stream.splitter.rest_bytes();
             "Stream interrupted."
@@ -112,6 +113,7 @@
         if !resumable || !stream_relay.relay.may_retry() {
             return Some(());
         }
+        stream_relay.relay.plan.wanted_ms = boot_ms();
         loop {
             match stream_relay.open().await {
                 OpenOutcome::Stream(started) => {
--- a/src/gateway/dispatching.rs
+++ b/src/gateway/dispatching.rs
@@ -6,7 +6,7 @@
 use crate::gateway::admission::{Rank, RequestPlan};
 use crate::gateway::backend::SendOutcome;
 use crate::gateway::backends::EngineChoice;
-use crate::gateway::engine_query::EngineQuery;
+use crate::gateway::engine_query::{EngineQuery, VersionNeed};
 use crate::gateway::fleet::message::EndedPlace;
 use crate::gateway::fleet::part_evidence::PartRefusal;
 use crate::gateway::request_metadata::PromptShape;
@@ -19,6 +19,8 @@
 /// Longest time that a request waits where all requests of its rank expire, as a share of its
 /// goal.
 const MAX_OVERLOAD_WAIT_SHARE: f64 = 0.12;
+/// Longest time that a stream waits to go on, as a share of its goal.
+const MAX_RESUME_WAIT_SHARE: f64 = 1.0;
 /// Longest time until the retry of a rejected request, as a share of the time left to its
 /// deadline.
 const RETRY_AFTER_SHARE: f64 = 0.33;
@@ -173,7 +175,7 @@
     /// Returns the engine to which a model request can be sent at once.
     pub(crate) fn free_engine(&mut self, now_ms: u64, query: &PlaceQuery) -> Option<Name> {
         let ahead = self.queue(&query.service).ahead_of(query.rank);
-        let (_, free) = self.backends.slots(now_ms, &query.service);
+        let (_, free) = self.backends.slots_for(now_ms, &query.service, &query.engine.version_need);
         if free <= ahead {
             return None;
         }
@@ -196,13 +198,18 @@
     /// long.
     pub(crate) fn enqueue(&mut self, now_ms: u64, query: &PlaceQuery) -> Result<u64, u64> {
         let ahead = self.queue(&query.service).ahead_of(query.rank);
-        let (slots, _) = self.backends.slots(now_ms, &query.service);
+        let (slots, _) =
+            self.backends.slots_for(now_ms, &query.service, &query.engine.version_need);
         let expired_share = self.queue(&query.service).expired_share(query.rank);
         let max_wait_share =
             MAX_WAIT_SHARE - (MAX_WAIT_SHARE - MAX_OVERLOAD_WAIT_SHARE) * expired_share;
-        let max_wait_ms = query.goal_ms as f64 * max_wait_share;
         let wait_ms = (ahead + 1) as f64 * self.mean_slot_ms / slots.max(1) as f64;
-        if wait_ms > max_wait_ms {
+        // Those ahead of a stream that goes on can use other servers as well.
+        let goes_on = matches!(query.engine.version_need, VersionNeed::Only(_));
+        let max_wait_share = if goes_on { MAX_RESUME_WAIT_SHARE } else { max_wait_share };
+        let max_wait_ms = query.goal_ms as f64 * max_wait_share;
+        let is_too_long = if goes_on { slots == 0 } else { wait_ms > max_wait_ms };
+        if is_too_long {
             return Err(self.retry_after_ms(now_ms, query.engine.deadline_ms));
         }
         self.last_number += 1;
--- a/src/gateway/engine_query.rs
+++ b/src/gateway/engine_query.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::gateway::backend::Backend;
 use crate::gateway::request_metadata::PromptShape;
 use crate::name::Name;
@@ -25,6 +27,18 @@
 /// Loss at a full engine, compared with an empty one.
 const OCCUPANCY_LOSS: f64 = 0.02;
 
+/// Software versions that may serve a request.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum VersionNeed {
+    /// All of them.
+    #[default]
+    #[serde(rename = "a")]
+    Any,
+    /// This one alone, since it began the stream.
+    #[serde(rename = "o")]
+    Only(Name),
+}
+
 /// Requirements of a model request.
 #[derive(Clone, Debug, Default)]
 pub struct EngineQuery {
@@ -38,12 +52,14 @@
     pub prompt: Arc<PromptShape>,
     /// Backend servers that it was already sent to.
     pub tried: Vec<Name>,
+    /// Software versions that may serve it.
+    pub version_need: VersionNeed,
 }
 
 impl EngineQuery {
-    /// Returns whether only some backend servers may serve the request.
+    /// Returns whether another request may be served while this one waits.
     pub fn is_limited(&self) -> bool {
-        !self.tried.is_empty()
+        !self.tried.is_empty() || matches!(self.version_need, VersionNeed::Only(_))
     }
 }
 
--- a/src/gateway/fleet/message.rs
+++ b/src/gateway/fleet/message.rs
@@ -8,6 +8,7 @@
 use crate::error::Error;
 use crate::gateway::admission::Rank;
 use crate::gateway::backend::SendOutcome;
+use crate::gateway::engine_query::VersionNeed;
 use crate::gateway::fleet::part_evidence::{PartEvidence, PartRefusal};
 use crate::gateway::request_metadata::PromptShape;
 use crate::gateway::store_item::StorePosition;
@@ -16,7 +17,7 @@
 use crate::peer_message::Suspect;
 
 /// Version of the datagrams; others are rejected.
-pub const MESSAGE_VERSION: u8 = 4;
+pub const MESSAGE_VERSION: u8 = 5;
 /// Longest list of instances in one datagram; a longer one is split.
 pub const ROSTER_CHUNK: usize = 200;
 
@@ -324,6 +325,8 @@
     pub prompt: Option<PromptShape>,
     /// Backend servers that it was already sent to.
     pub tried: Vec<Name>,
+    /// Software versions that may serve it.
+    pub version_need: VersionNeed,
     /// Units to be taken from a customer's limit, if that is not done yet.
     pub usage: Option<AskedUsage>,
     /// Whether the coordinator of another cell may be named.
--- a/src/gateway/fleet/placing.rs
+++ b/src/gateway/fleet/placing.rs
@@ -13,7 +13,7 @@
 use crate::gateway::dispatching::{
     DispatchDecision, PlaceQuery, SendEnd, StartedSend, WaitDecision,
 };
-use crate::gateway::engine_query::EngineQuery;
+use crate::gateway::engine_query::{EngineQuery, VersionNeed};
 use crate::gateway::fleet::coordinators::Decider;
 use crate::gateway::fleet::leases::Lease;
 use crate::gateway::fleet::membership::{Outgoing, OwnPlace, RemoteWaiting};
@@ -112,13 +112,18 @@
         // The coordinator may not know yet that this one leaves.
         let known = self.backends.get(&backend_server);
         let usable = known.filter(|known| known.status == BackendStatus::Usable);
+        // It may know another version of it.
+        let fitting = usable.filter(|known| match &ask.ask.version_need {
+            VersionNeed::Only(version) => known.record.software_version == *version,
+            VersionNeed::Any => true,
+        });
         StartedSend {
-            address: usable.map(|known| known.record.address),
+            address: fitting.map(|known| known.record.address),
             backend_server,
             is_model: ask.ask.prompt.is_some(),
             place: ask.ask.number,
             running,
-            software_version: usable.map(|known| known.record.software_version.clone()),
+            software_version: fitting.map(|known| known.record.software_version.clone()),
             tokens_ahead,
             unread_tokens,
         }
@@ -474,7 +479,7 @@
     }
 
     fn place_ask(&mut self, now_ms: u64, plan: &RequestPlan, tried: &[Name]) -> PlaceAsk {
-        let due_ms = plan.arrived_ms + plan.route.goal_ms;
+        let due_ms = plan.wanted_ms + plan.route.goal_ms;
         PlaceAsk {
             number: self.fleet.new_place_number(),
             service: plan.service.clone(),
@@ -485,6 +490,7 @@
             event_gap_goal_ms: plan.route.event_gap_goal_ms,
             prompt: is_model(plan).then(|| plan.prompt.as_deref().cloned().unwrap_or_default()),
             tried: tried.to_vec(),
+            version_need: plan.version_need.clone(),
             usage: self.asked_usage(plan),
             may_redirect: true,
             may_wait: true,
@@ -532,13 +538,14 @@
     /// Returns the requirements of an admitted request.
     pub fn new(plan: &RequestPlan, tried: &[Name]) -> Self {
         Self {
-            arrived_ms: plan.arrived_ms,
+            arrived_ms: plan.wanted_ms,
             engine: EngineQuery {
                 deadline_ms: plan.deadline_ms,
-                due_ms: plan.arrived_ms + plan.route.goal_ms,
+                due_ms: plan.wanted_ms + plan.route.goal_ms,
                 event_gap_goal_ms: plan.route.event_gap_goal_ms,
                 prompt: plan.prompt.clone().unwrap_or_default(),
                 tried: tried.to_vec(),
+                version_need: plan.version_need.clone(),
             },
             goal_ms: plan.route.goal_ms,
             is_model: is_model(plan),
@@ -558,6 +565,7 @@
                 event_gap_goal_ms: ask.event_gap_goal_ms,
                 prompt: ask.prompt.clone().unwrap_or_default().into(),
                 tried: ask.tried.clone(),
+                version_need: ask.version_need.clone(),
             },
             goal_ms: ask.goal_ms,
             is_model: ask.prompt.is_some(),
--- a/src/gateway/place_finder.rs
+++ b/src/gateway/place_finder.rs
@@ -122,7 +122,7 @@
 
 fn send_ask(shared: &Shared, plan: &RequestPlan, ask: &mut PendingAsk) {
     let now_ms = boot_ms();
-    let due_ms = plan.arrived_ms + plan.route.goal_ms;
+    let due_ms = plan.wanted_ms + plan.route.goal_ms;
     ask.ask.due_left_ms = due_ms.saturating_sub(now_ms);
     ask.ask.deadline_left_ms = plan.deadline_ms.saturating_sub(now_ms);
     let body = Body::Ask(Box::new(ask.ask.clone()));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use crate::gateway::backends::Backends;
 use crate::gateway::broken_sends::BrokenSends;
 use crate::gateway::crash_records::CrashNotice;
+use crate::gateway::engine_query::VersionNeed;
 use crate::gateway::fleet::coordinators::Decider;
 use crate::gateway::fleet::membership::Fleet;
 use crate::gateway::fleet::message::LeavingServer;
@@ -281,6 +282,8 @@
             service,
             customer,
             units: units.unwrap_or_default(),
+            version_need: VersionNeed::Any,
+            wanted_ms: arrival.arrived_ms,
         })
     }
 
@@ -417,7 +420,7 @@
     ) -> bool {
         let silent =
             self.backends.get(backend).is_none_or(|known| known.is_silent(now_ms, silence_ms));
-        let free_slots = self.backends.slots(now_ms, &plan.service).1;
+        let free_slots = self.backends.slots_for(now_ms, &plan.service, &plan.version_need).1;
         let own_free_slots =
             self.backends.get(backend).map(Backend::free_slots).unwrap_or_default();
         silent && free_slots > own_free_slots
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -20,6 +20,7 @@
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::caller_stream::CallerStream;
 use crate::gateway::connections::Connection;
+use crate::gateway::engine_query::VersionNeed;
 use crate::gateway::event_splitter::{EVENT_LIMIT_BYTES, EventSplitter, SplitEvents};
 use crate::gateway::exchange::{CallerRequest, Reply, SendFailure, exchange, read_answer};
 use crate::gateway::place_finder::find_place;
@@ -339,6 +340,7 @@
         if backend_stream.events == 0 {
             backend_stream.first_ms = now_ms;
             backend_stream.guard.record_first_event(now_ms);
+            self.keep_version(&backend_stream.guard);
         }
         if self.last_event_ms > 0 {
             let gap_ms = now_ms.saturating_sub(self.last_event_ms);
@@ -355,6 +357,13 @@
         Received::Forward(share.attach_to(events.bytes))
     }
 
+    /// Limits the resumes of the stream to the software version that began it.
+    fn keep_version(&mut self, guard: &SendGuard) {
+        if let Some(software_version) = guard.started_send().software_version.clone() {
+            self.relay.plan.version_need = VersionNeed::Only(software_version);
+        }
+    }
+
     /// Returns whether the first event of a resumed stream is one that the caller has; ids that are
     /// not numbers tell nothing.
     fn starts_over(&self, first_id: Option<&str>) -> bool {
--- a/tests/gateway_backends.rs
+++ b/tests/gateway_backends.rs
@@ -4,7 +4,7 @@
 
 use bergamotspan::gateway::backend::SendOutcome;
 use bergamotspan::gateway::backends::{Backends, EngineChoice, RecordChange};
-use bergamotspan::gateway::engine_query::EngineQuery;
+use bergamotspan::gateway::engine_query::{EngineQuery, VersionNeed};
 use bergamotspan::gateway::fleet::cells::CellLayout;
 use bergamotspan::gateway::fleet::message::LeavingServer;
 use bergamotspan::name::Name;
@@ -18,6 +18,7 @@
         event_gap_goal_ms: 300,
         prompt: prompt(prompt_tokens, output_tokens).into(),
         tried: Vec::new(),
+        version_need: VersionNeed::Any,
     }
 }
 
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -7,6 +7,7 @@
 use bergamotspan::gateway::admission::{Rank, RefusalReason};
 use bergamotspan::gateway::backend::SendOutcome;
 use bergamotspan::gateway::dispatching::{DispatchDecision, WaitResult};
+use bergamotspan::gateway::engine_query::VersionNeed;
 use bergamotspan::gateway::fleet::counter_feed::{CounterFeed, SourceId};
 use bergamotspan::gateway::fleet::message::{
     Body, CellReport, CellSummary, EndedPlace, EngineReport, Envelope, GrantedPlace, MemberReport,
@@ -252,6 +253,7 @@
         event_gap_goal_ms: 300,
         prompt: Some(prompt(100, 10)),
         tried: Vec::new(),
+        version_need: VersionNeed::Any,
         usage: None,
         may_redirect: true,
         may_wait: true,
