Resume callers' streams only at the version that began them

No instance knew by which version a stream had been begun, least of all another one than it began at, and Resumes was not read.

The origin of a stream (service and version) is recorded at its first event and told to three homes, by a hash of its request's id over all instances. Where a caller resumes, the instance uses what it knows itself, asks the homes, or relies on the service having had one version for as long as a stream can last, if its proof of the store is recent; a version that is new takes no streams that can be resumed for its first 3 s, so that this holds everywhere. What nobody knows is refused (unknown_stream), and so is a stream whose version or service is not there any more (no_server_of_version). While there is one version nothing is told.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -114,6 +114,8 @@
     NoRoute,
     /// It would not be served in time.
     NotInTime,
+    /// It takes up a stream, and no server of the version that began it is there.
+    NoServerOfVersion,
     /// It, or requests with a part of its prompt, have crashed backend servers.
     Quarantined,
     /// The backend server did not run it.
@@ -127,6 +129,8 @@
     TimedOut,
     /// Its key is unknown or missing.
     UnknownKey,
+    /// It takes up a stream, and it is not known what began it.
+    UnknownStream,
     /// The customer's limit is used up.
     UsageLimit,
 }
@@ -182,6 +186,7 @@
             Self::NotFresh => (503, "The routes and keys are not known to be the newest."),
             Self::NoRoute => (404, "No route takes this host and path."),
             Self::NotInTime => (503, "The request would not be served in time."),
+            Self::NoServerOfVersion => (503, "No backend server can go on with the stream now."),
             Self::Quarantined => {
                 (503, "The request or a part of its prompt has crashed backend servers.")
             }
@@ -190,6 +195,7 @@
             Self::Stopping => (503, "The instance is about to stop."),
             Self::TimedOut => (503, "The time was up before the request was sent."),
             Self::UnknownKey => (401, "The key is unknown or missing."),
+            Self::UnknownStream => (503, "It is not known which version began the stream."),
             Self::UsageLimit => (429, "The customer's limit is used up."),
         }
     }
@@ -205,12 +211,14 @@
             Self::NotFresh => "not_fresh",
             Self::NoRoute => "no_route",
             Self::NotInTime => "not_in_time",
+            Self::NoServerOfVersion => "no_server_of_version",
             Self::Quarantined => "quarantined",
             Self::RefusedByBackend => "refused_by_backend",
             Self::Stopping => "stopping",
             Self::Suspected => "suspected",
             Self::TimedOut => "timed_out",
             Self::UnknownKey => "unknown_key",
+            Self::UnknownStream => "unknown_stream",
             Self::UsageLimit => "usage_limit",
         }
     }
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -87,6 +87,8 @@
     /// Whether it announced in an answer that it leaves; its record may not say so yet.
     pub announced_leaving: bool,
     backoff_until_ms: u64,
+    /// Until when it takes no streams that may be resumed, in milliseconds of the boot clock.
+    pub(crate) held_until_ms: u64,
     failure_share: f64,
     failures_in_a_row: u32,
     last_received_ms: u64,
@@ -143,6 +145,7 @@
             others_load: BackendLoad::default(),
             announced_leaving: false,
             backoff_until_ms: 0,
+            held_until_ms: 0,
             failure_share: 0.0,
             failures_in_a_row: 0,
             last_received_ms: 0,
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -6,6 +6,7 @@
 use crate::gateway::fleet::cells::{CellLayout, cell_of};
 use crate::gateway::fleet::message::{EngineReport, LeavingServer};
 use crate::gateway::request_metadata::PromptShape;
+use crate::gateway::software_versions::{PresentVersion, SoftwareVersions};
 use crate::gateway::store_item::StoreItem;
 use crate::name::Name;
 
@@ -306,6 +307,29 @@
         })
     }
 
+    /// Returns the versions of the backend servers that are not gone, sorted.
+    pub fn present_versions(&self) -> Vec<PresentVersion> {
+        let mut versions: Vec<PresentVersion> = Vec::new();
+        for Backend { record, .. } in self.present() {
+            let key = (&record.service, &record.software_version);
+            let found = versions
+                .binary_search_by(|known| (&known.service, &known.software_version).cmp(&key));
+            if let Err(index) = found {
+                let (service, software_version) =
+                    (record.service.clone(), record.software_version.clone());
+                versions.insert(index, PresentVersion { service, software_version });
+            }
+        }
+        versions
+    }
+
+    /// Sets until when backend servers take no streams that may be resumed.
+    pub fn hold_versions(&mut self, versions: &SoftwareVersions) {
+        for Backend { record, held_until_ms, .. } in &mut self.list {
+            *held_until_ms = versions.held_until_ms(&record.service, &record.software_version);
+        }
+    }
+
     /// Returns the median expected duration of a stream over the backend servers of a service, in
     /// milliseconds.
     pub fn typical_stream_ms(&self, service: &str, prompt: &PromptShape) -> f64 {
@@ -365,6 +389,12 @@
                     candidates.retain(|known| known.record.software_version == *version);
                 }
             }
+            VersionNeed::Settled => {
+                let is_settled = |known: &Backend| now_ms >= known.held_until_ms;
+                if pool.all.iter().any(|index| is_settled(&self.list[*index])) {
+                    candidates.retain(|known| is_settled(known));
+                }
+            }
         }
         candidates
     }
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -6,6 +6,7 @@
 use hyper::StatusCode;
 
 use crate::gateway::admission::RefusalReason;
+use crate::gateway::fleet::pending_origin::OriginSource;
 use crate::gateway::part_stage::PartStage;
 
 /// Upper bounds of the histograms, in milliseconds.
@@ -28,6 +29,7 @@
     peer_bytes: RefCell<Vec<(&'static str, u64)>>,
     refusals: RefCell<Vec<(&'static str, u64)>>,
     request: RefCell<Histogram>,
+    resumptions: RefCell<Vec<(&'static str, u64)>>,
     store_calls: Cell<u64>,
     store_failures: Cell<u64>,
 }
@@ -94,6 +96,12 @@
         increment(&mut self.part_changes.borrow_mut(), stage.name());
     }
 
+    /// Counts a stream that its caller takes up, by the source of its origin.
+    pub fn record_resumption(&self, source: Option<OriginSource>) {
+        let name = source.map(OriginSource::name).unwrap_or("unknown");
+        increment(&mut self.resumptions.borrow_mut(), name);
+    }
+
     /// Counts bytes sent to other instances.
     pub fn record_peer_bytes(&self, kind: &'static str, bytes: usize) {
         add(&mut self.peer_bytes.borrow_mut(), kind, bytes as u64);
@@ -133,6 +141,12 @@
                 ),
             );
         }
+        for (source, number) in self.resumptions.borrow().iter() {
+            write_line(
+                &mut text,
+                format_args!("bergamotspan_resumptions_total{{source=\"{source}\"}} {number}"),
+            );
+        }
         for (kind, number) in self.peer_bytes.borrow().iter() {
             write_line(
                 &mut text,
--- a/src/gateway/engine_query.rs
+++ b/src/gateway/engine_query.rs
@@ -37,6 +37,9 @@
     /// This one alone, since it began the stream.
     #[serde(rename = "o")]
     Only(Name),
+    /// Those that all instances know of: a stream begins that may be resumed anywhere.
+    #[serde(rename = "s")]
+    Settled,
 }
 
 /// Requirements of a model request.
--- a/src/gateway/fleet/message.rs
+++ b/src/gateway/fleet/message.rs
@@ -81,6 +81,15 @@
     /// What a member runs and has spent, to its coordinators.
     #[serde(rename = "m")]
     Member(Box<MemberReport>),
+    /// Answers a question for the origin of a stream.
+    #[serde(rename = "o")]
+    Origin(OriginAnswer),
+    /// Asks by which software version a stream was begun.
+    #[serde(rename = "f")]
+    OriginAsk(OriginAsk),
+    /// Tells by which software versions streams were begun.
+    #[serde(rename = "t")]
+    Origins(Vec<ToldOrigin>),
     /// Progress of requests that hold places.
     #[serde(rename = "p")]
     Progress(Vec<PlaceProgress>),
@@ -101,6 +110,9 @@
             Self::Cell(_) => "cell",
             Self::Hello(_) => "hello",
             Self::Member(_) => "member",
+            Self::Origin(_) => "origin",
+            Self::OriginAsk(_) => "origin_ask",
+            Self::Origins(_) => "origins",
             Self::Progress(_) => "progress",
             Self::Roster(_) => "roster",
             Self::Summary(_) => "summary",
@@ -335,6 +347,39 @@
     pub may_wait: bool,
 }
 
+/// By which software version a stream was begun.
+#[derive(Clone, Debug, Deserialize_tuple, Eq, PartialEq, Serialize_tuple)]
+pub struct ToldOrigin {
+    /// Number of the stream.
+    pub stream: u64,
+    /// Service that began it.
+    pub service: Name,
+    /// Version of the software.
+    pub software_version: Name,
+}
+
+/// Asks by which software version a stream was begun.
+#[derive(Clone, Debug, Deserialize_tuple, Eq, PartialEq, Serialize_tuple)]
+pub struct OriginAsk {
+    /// Number of the question at the asking instance.
+    pub number: u64,
+    /// Service that would go on with it.
+    pub service: Name,
+    /// Number of the stream; `None` if its caller did not name it.
+    pub stream: Option<u64>,
+}
+
+/// Answers a question for the origin of a stream.
+#[derive(Clone, Debug, Deserialize_tuple, Eq, PartialEq, Serialize_tuple)]
+pub struct OriginAnswer {
+    /// Number of the question at the asking instance.
+    pub number: u64,
+    /// The origin, if it is known.
+    pub origin: Option<ToldOrigin>,
+    /// Whether it is that of all streams of the service, and not known of this one.
+    pub is_only: bool,
+}
+
 /// Units to be taken from a customer's limit.
 #[derive(Clone, Debug, Deserialize_tuple, PartialEq, Serialize_tuple)]
 pub struct AskedUsage {
--- a/src/gateway/fleet/placing.rs
+++ b/src/gateway/fleet/placing.rs
@@ -115,7 +115,7 @@
         // It may know another version of it.
         let fitting = usable.filter(|known| match &ask.ask.version_need {
             VersionNeed::Only(version) => known.record.software_version == *version,
-            VersionNeed::Any => true,
+            VersionNeed::Any | VersionNeed::Settled => true,
         });
         StartedSend {
             address: fitting.map(|known| known.record.address),
--- a/src/gateway/fleet/receiving.rs
+++ b/src/gateway/fleet/receiving.rs
@@ -6,8 +6,8 @@
 use crate::gateway::fleet::counter_feed::SourceId;
 use crate::gateway::fleet::membership::{Fleet, OtherCoordinator, SeenCoordinator};
 use crate::gateway::fleet::message::{
-    Body, CellReport, CellSummary, Envelope, MemberReport, Message, PlaceAnswer, PlaceStep,
-    ReportedSuspects, Sender, Spent, StoreStatus,
+    Body, CellReport, CellSummary, Envelope, MemberReport, Message, OriginAnswer, PlaceAnswer,
+    PlaceStep, ReportedSuspects, Sender, Spent, StoreStatus,
 };
 use crate::gateway::fleet::roster::proved_ms;
 use crate::gateway::fleet::usage_book::UsageUpdate;
@@ -24,6 +24,8 @@
 pub struct Received {
     /// An answer to a request for a place.
     pub answer: Option<PlaceAnswer>,
+    /// An answer to a question for the origin of a stream.
+    pub origin: Option<OriginAnswer>,
     /// Whether this instance lacks something that the sender has.
     pub fetches_update: bool,
     /// Whether the sender is new or was restarted.
@@ -56,6 +58,9 @@
             Body::Answer(answer) => received.answer = Some(answer),
             Body::Ask(ask) => self.receive_ask(now_ms, from, &sender.instance, &ask),
             Body::Hello(checksum) => self.answer_hello(now_ms, from, checksum),
+            Body::Origin(answer) => received.origin = Some(answer),
+            Body::OriginAsk(ask) => self.answer_origin_ask(now_ms, from, &ask),
+            Body::Origins(told) => self.receive_origins(now_ms, told),
             Body::Progress(list) => {
                 for progress in list {
                     match progress.step {
--- a/src/gateway/peer_socket.rs
+++ b/src/gateway/peer_socket.rs
@@ -68,6 +68,9 @@
     if received.fetches_update {
         peer_update::start_fetch(shared, from.ip());
     }
+    if let Some(answer) = received.origin {
+        shared.deliver_origin(from, answer);
+    }
     if let Some(PlaceAnswer { number, verdict }) = received.answer
         && let Some(PlaceVerdict::Granted(_)) = shared.deliver_answer(number, verdict)
     {
--- a/src/gateway/routing_table.rs
+++ b/src/gateway/routing_table.rs
@@ -13,6 +13,7 @@
     customers: Vec<Arc<Customer>>,
     keys: Vec<(Name, usize)>,
     limits: CallerLimits,
+    longest_resumable_ms: u64,
     /// Ranks of all routes, sorted, each once.
     ranks: Vec<u32>,
     routes: Vec<Arc<Route>>,
@@ -40,8 +41,11 @@
         let mut ranks: Vec<_> = routes.iter().map(|route| route.priority).collect();
         ranks.sort_unstable();
         ranks.dedup();
+        let resumable = routes.iter().filter(|route| route.resumable);
+        let longest_resumable_ms =
+            resumable.map(|route| route.timeout_ms).max().unwrap_or_default();
         let (limits, version) = (document.limits, document.version);
-        Self { customers, keys, limits, ranks, routes, services, version }
+        Self { customers, keys, limits, longest_resumable_ms, ranks, routes, services, version }
     }
 
     /// Returns the customer that holds a key.
@@ -60,6 +64,21 @@
         &self.limits
     }
 
+    /// Returns the longest time for which a stream can be resumed, in milliseconds.
+    pub fn longest_resumable_ms(&self) -> u64 {
+        self.longest_resumable_ms
+    }
+
+    /// Returns whether a route has other services than in an earlier table.
+    pub fn has_moved_since(&self, before: &RoutingTable) -> bool {
+        let key =
+            |route: &Arc<Route>| (route.host.clone(), route.prefix.clone(), route.name.clone());
+        self.routes.iter().any(|route| {
+            let found = before.routes.binary_search_by_key(&key(route), key);
+            found.is_ok_and(|at| sorted_services(&before.routes[at]) != sorted_services(route))
+        })
+    }
+
     /// Returns whether requests need a key.
     pub fn needs_keys(&self) -> bool {
         !self.customers.is_empty()
@@ -98,6 +117,12 @@
     }
 }
 
+fn sorted_services(route: &Route) -> Vec<Name> {
+    let mut services: Vec<_> = route.services.iter().map(|known| known.service.clone()).collect();
+    services.sort();
+    services
+}
+
 /// Returns one of the services, chosen by weight; `random` is a uniformly distributed number.
 pub fn weighted_service(services: &[WeightedService], random: u64) -> Option<&Name> {
     let total: u64 = services.iter().map(|service| u64::from(service.weight)).sum();
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,6 +1,7 @@
 //! The state, connections and counters that the tasks of one instance share.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use log::info;
@@ -14,8 +15,10 @@
 use crate::gateway::counters::Counters;
 use crate::gateway::crash_records::CrashNotice;
 use crate::gateway::dispatching::{SendEnd, WaitOutcome, WaitResult};
-use crate::gateway::fleet::message::PlaceVerdict;
+use crate::gateway::fleet::message::{OriginAnswer, PlaceVerdict};
+use crate::gateway::fleet::pending_origin::OriginSource;
 use crate::gateway::gateway_settings::GatewaySettings;
+use crate::gateway::origin_finder::{OriginAsker, OriginReport};
 use crate::gateway::peer_socket;
 use crate::gateway::place_finder::Asker;
 use crate::gateway::state::GatewayState;
@@ -38,6 +41,7 @@
     /// Whether a store update is being fetched from another instance.
     pub(crate) fetching_update: Cell<bool>,
     pub(crate) in_progress: Cell<usize>,
+    origin_askers: RefCell<Vec<(u64, OriginAsker)>>,
     /// Notified when the store should be read at once.
     pub(crate) read_now: Notify,
     /// Notified when reports should be sent to other instances soon.
@@ -64,6 +68,7 @@
             counters: Counters::default(),
             fetching_update: Cell::new(false),
             in_progress: Cell::new(0),
+            origin_askers: RefCell::default(),
             read_now: Notify::new(),
             report_soon: Notify::new(),
             socket,
@@ -116,6 +121,27 @@
         }
     }
 
+    /// Returns the channel that receives the answers to a question for the origin of a stream.
+    pub(crate) fn add_origin_asker(&self, number: u64) -> flume::Receiver<OriginReport> {
+        let (sender, receiver) = flume::unbounded();
+        self.origin_askers.borrow_mut().push((number, sender));
+        receiver
+    }
+
+    /// Removes the channel of a question for the origin of a stream.
+    pub(crate) fn remove_origin_asker(&self, number: u64) {
+        self.origin_askers.borrow_mut().retain(|(known, _)| *known != number);
+    }
+
+    /// Delivers an answer to a question for the origin of a stream, if it is still awaited.
+    pub(crate) fn deliver_origin(&self, from: SocketAddr, answer: OriginAnswer) {
+        let OriginAnswer { number, origin, is_only } = answer;
+        let source = if is_only { OriginSource::OnlyVersion } else { OriginSource::Home };
+        let report: OriginReport = (from, origin.map(|origin| (origin.into(), source)));
+        let mut askers = self.origin_askers.borrow_mut();
+        askers.retain(|(known, asker)| *known != number || asker.send(report.clone()).is_ok());
+    }
+
     /// Sends the datagrams that the state has for other instances.
     pub(crate) fn flush(&self) {
         peer_socket::send_outbox(self, &self.socket);
--- /dev/null
+++ b/src/gateway/software_versions.rs
@@ -0,0 +1,138 @@
+//! The software versions that the backend servers of each service have had lately.
+//!
+//! A version that is new here takes no stream that may be resumed for a while. An instance whose
+//! knowledge of the store is at most [`PROOF_LIMIT_MS`] old and that knows of one version alone can
+//! therefore tell that no stream was begun at another one, without asking.
+
+use crate::name::Name;
+
+/// Time for which a new version takes no streams that may be resumed, in milliseconds; longer than
+/// [`PROOF_LIMIT_MS`].
+pub const HOLD_MS: u64 = 3_000;
+/// Oldest proof with which an instance relies on knowing all versions, in milliseconds.
+pub const PROOF_LIMIT_MS: u64 = 2_500;
+
+/// A version of present backend servers.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct PresentVersion {
+    /// Name of the service.
+    pub service: Name,
+    /// The version.
+    pub software_version: Name,
+}
+
+/// Versions that a service has, or had a while ago.
+#[derive(Clone, Debug, Default)]
+pub struct SoftwareVersions {
+    /// Sorted by service.
+    services: Vec<ServiceVersions>,
+}
+
+#[derive(Clone, Debug)]
+struct ServiceVersions {
+    /// When the service became known, in milliseconds of the boot clock.
+    known_ms: u64,
+    service: Name,
+    versions: Vec<KnownVersion>,
+}
+
+#[derive(Clone, Debug)]
+struct KnownVersion {
+    /// Until when it takes no streams that may be resumed, in milliseconds of the boot clock.
+    held_until_ms: u64,
+    is_present: bool,
+    /// When its last backend server was removed, in milliseconds of the boot clock.
+    left_ms: u64,
+    name: Name,
+}
+
+impl SoftwareVersions {
+    /// Records the versions of all backend servers that are present; returns the services that have
+    /// a version that is new.
+    pub fn record(&mut self, now_ms: u64, present: &[PresentVersion]) -> Vec<Name> {
+        for known in self.services.iter_mut().flat_map(|service| &mut service.versions) {
+            if std::mem::take(&mut known.is_present) {
+                known.left_ms = now_ms;
+            }
+        }
+        let mut changed = Vec::new();
+        for of_service in present.chunk_by(|left, right| left.service == right.service) {
+            let Some(PresentVersion { service, .. }) = of_service.first() else { continue };
+            let index = self.index_or_insert(now_ms, service);
+            if self.services[index].record(now_ms, of_service) {
+                changed.push(service.clone());
+            }
+        }
+        changed
+    }
+
+    /// Returns the version of all streams of a service that can still be resumed, if there is only
+    /// one; a stream can be resumed for `resumable_ms` after its start.
+    pub fn only(&self, now_ms: u64, service: &str, resumable_ms: u64) -> Option<&Name> {
+        let of_service = &self.services[self.find(service).ok()?];
+        let since_ms = now_ms.checked_sub(resumable_ms)?;
+        let is_recent = |known: &&KnownVersion| known.is_present || known.left_ms > since_ms;
+        let mut recent = of_service.versions.iter().filter(is_recent);
+        let only = recent.next().filter(|_| recent.next().is_none())?;
+        (of_service.known_ms <= since_ms).then_some(&only.name)
+    }
+
+    /// Returns whether a backend server has a version.
+    pub fn is_present(&self, service: &str, software_version: &str) -> bool {
+        self.known(service, software_version).is_some_and(|known| known.is_present)
+    }
+
+    /// Returns until when a version takes no streams that may be resumed, in milliseconds of the
+    /// boot clock.
+    pub fn held_until_ms(&self, service: &str, software_version: &str) -> u64 {
+        let known = self.known(service, software_version);
+        known.map(|known| known.held_until_ms).unwrap_or_default()
+    }
+
+    fn known(&self, service: &str, software_version: &str) -> Option<&KnownVersion> {
+        let of_service = &self.services[self.find(service).ok()?];
+        of_service.versions.iter().find(|known| *known.name == *software_version)
+    }
+
+    fn find(&self, service: &str) -> Result<usize, usize> {
+        self.services.binary_search_by(|known| (*known.service).cmp(service))
+    }
+
+    fn index_or_insert(&mut self, now_ms: u64, service: &Name) -> usize {
+        self.find(service).unwrap_or_else(|index| {
+            let known = ServiceVersions {
+                known_ms: now_ms,
+                service: service.clone(),
+                versions: Vec::new(),
+            };
+            self.services.insert(index, known);
+            index
+        })
+    }
+}
+
+impl ServiceVersions {
+    /// Records the present versions, and returns whether one is new.
+    fn record(&mut self, now_ms: u64, present: &[PresentVersion]) -> bool {
+        // What is there when the service becomes known is not new.
+        let held_until_ms = if now_ms > self.known_ms { now_ms + HOLD_MS } else { 0 };
+        let mut has_new = false;
+        for PresentVersion { software_version, .. } in present {
+            let is_known = |known: &KnownVersion| known.name == *software_version;
+            let known = self.versions.iter_mut().find(|known| is_known(known));
+            if let Some(known) = known.filter(|known| now_ms < known.left_ms + HOLD_MS) {
+                known.is_present = true;
+                continue;
+            }
+            self.versions.retain(|known| !is_known(known));
+            has_new = true;
+            self.versions.push(KnownVersion {
+                held_until_ms,
+                is_present: true,
+                left_ms: now_ms,
+                name: software_version.clone(),
+            });
+        }
+        has_new
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -21,8 +21,10 @@
 use crate::gateway::routing_document::{Customer, RouteKind, RoutingDocument};
 use crate::gateway::routing_table::{RoutingTable, weighted_service};
 use crate::gateway::service_retry_budget::ServiceRetryBudget;
+use crate::gateway::software_versions::SoftwareVersions;
 use crate::gateway::store_item::StorePosition;
 use crate::gateway::store_log::StoreLog;
+use crate::gateway::stream_origins::StreamOrigins;
 use crate::gateway::usage_limits::{Charge, Usage, UsageLimits};
 use crate::name::Name;
 use crate::now::Now;
@@ -65,6 +67,7 @@
     pub(crate) history_lost: Option<StorePosition>,
     pub(crate) incarnation: u64,
     pub(crate) limits: UsageLimits,
+    pub(crate) origins: StreamOrigins,
     pub(crate) parts: PartQuarantine,
     pub(crate) queues: Vec<(Name, RequestQueue)>,
     /// Highest position of the store reported by another instance of the cell.
@@ -76,6 +79,8 @@
     /// Mean time that a model request occupies a slot, in milliseconds.
     pub(crate) mean_slot_ms: f64,
     pub(crate) quarantine: Quarantine,
+    /// When a route last moved to another service, in milliseconds of the boot clock.
+    pub(crate) services_moved_ms: Option<u64>,
     pub(crate) settings: GatewaySettings,
     /// When the store is listed again after it came back from an older copy, in milliseconds of the
     /// boot clock.
@@ -88,6 +93,7 @@
     /// Position up to which changes of the store are applied.
     pub(crate) store_position: Option<StorePosition>,
     pub(crate) table: RoutingTable,
+    pub(crate) versions: SoftwareVersions,
 }
 
 /// A requested stop of the process.
@@ -116,6 +122,7 @@
             history_lost: None,
             incarnation,
             limits,
+            origins: StreamOrigins::default(),
             parts: PartQuarantine::default(),
             queues: Vec::new(),
             peer_position: StorePosition::default(),
@@ -124,6 +131,7 @@
             mean_slot_ms: DEFAULT_SLOT_MS,
             quarantine: Quarantine::default(),
             relist_at_ms: None,
+            services_moved_ms: None,
             settings,
             started_ms: now_ms,
             stop: None,
@@ -131,6 +139,7 @@
             store_log: StoreLog::default(),
             store_position: None,
             table: RoutingTable::default(),
+            versions: SoftwareVersions::default(),
         }
     }
 
@@ -268,6 +277,7 @@
         let units = customer.as_ref().map(|customer| units(customer, prompt.as_deref()));
         let rank = customer.as_ref().and_then(|customer| customer.priority);
         let resumption = arrival.metadata.resumption.clone();
+        let version_need = if route.resumable { VersionNeed::Settled } else { VersionNeed::Any };
         Ok(RequestPlan {
             arrived_ms: arrival.arrived_ms,
             charge: PlanCharge::Pending,
@@ -282,7 +292,7 @@
             service,
             customer,
             units: units.unwrap_or_default(),
-            version_need: VersionNeed::Any,
+            version_need,
             wanted_ms: arrival.arrived_ms,
         })
     }
--- a/src/gateway/store_updates.rs
+++ b/src/gateway/store_updates.rs
@@ -127,7 +127,13 @@
         if document.version <= before {
             return None;
         }
-        self.table = RoutingTable::new(document.clone());
+        let table = RoutingTable::new(document.clone());
+        if table.has_moved_since(&self.table) {
+            self.services_moved_ms = Some(now_ms);
+            self.tell_own_origins();
+        }
+        self.origins.set_resumable_ms(table.longest_resumable_ms());
+        self.table = table;
         self.document = Arc::new(document);
         self.limits.set_customers(now_ms, self.table.customers());
         Some(StateChange::Document { version: self.table.version(), before })
@@ -188,8 +194,11 @@
     }
 
     fn apply_items(&mut self, now_ms: u64, items: Vec<StoreItem>) -> Vec<StateChange> {
-        let state_changes =
+        let state_changes: Vec<_> =
             items.into_iter().filter_map(|item| self.apply_item(now_ms, item)).collect();
+        if state_changes.iter().any(|change| matches!(change, StateChange::Backend { .. })) {
+            self.record_software_versions(now_ms);
+        }
         if !self.is_behind() {
             self.behind_since_ms = None;
         }
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -23,6 +23,8 @@
 use crate::gateway::engine_query::VersionNeed;
 use crate::gateway::event_splitter::{EVENT_LIMIT_BYTES, EventSplitter, SplitEvents};
 use crate::gateway::exchange::{CallerRequest, Reply, SendFailure, exchange, read_answer};
+use crate::gateway::forward::rejection;
+use crate::gateway::origin_finder::find_origin;
 use crate::gateway::place_finder::find_place;
 use crate::gateway::relay::{Relay, RelayStep, StreamSummary};
 use crate::gateway::reply::{ReplyBody, full_body};
@@ -41,13 +43,9 @@
     plan: RequestPlan,
     request: CallerRequest,
 ) -> Response<ReplyBody> {
-    if let Some(resumption) = &plan.resumption {
-        info!(
-            target: "resume",
-            request = &*plan.request_id,
-            first_request = resumption.first_request_id.as_deref();
-            "Caller takes up a stream."
-        );
+    let mut plan = plan;
+    if let Err(refusal) = find_origin(&shared, &mut plan).await {
+        return rejection(&shared, &plan, &refusal);
     }
     let mut stream_relay = StreamRelay {
         last_event_ms: 0,
@@ -340,7 +338,7 @@
         if backend_stream.events == 0 {
             backend_stream.first_ms = now_ms;
             backend_stream.guard.record_first_event(now_ms);
-            self.keep_version(&backend_stream.guard);
+            self.record_origin(now_ms, &backend_stream.guard);
         }
         if self.last_event_ms > 0 {
             let gap_ms = now_ms.saturating_sub(self.last_event_ms);
@@ -357,10 +355,14 @@
         Received::Forward(share.attach_to(events.bytes))
     }
 
-    /// Limits the resumes of the stream to the software version that began it.
-    fn keep_version(&mut self, guard: &SendGuard) {
-        if let Some(software_version) = guard.started_send().software_version.clone() {
-            self.relay.plan.version_need = VersionNeed::Only(software_version);
+    /// Records by which software version the stream was begun, and limits its resumes to it.
+    fn record_origin(&mut self, now_ms: u64, guard: &SendGuard) {
+        let started_send = guard.started_send();
+        let Relay { plan, shared, .. } = &mut self.relay;
+        shared.state.borrow_mut().record_stream_start(now_ms, plan, started_send);
+        shared.flush();
+        if let Some(software_version) = started_send.software_version.clone() {
+            plan.version_need = VersionNeed::Only(software_version);
         }
     }
 
