--- a/tests/gateway_support/fleet.rs
+++ b/tests/gateway_support/fleet.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use bergamotspan::gateway::dispatching::WaitOutcome;
-use bergamotspan::gateway::fleet::message::{Body, Envelope, Message, PlaceAnswer};
+use bergamotspan::gateway::fleet::message::{Body, Envelope, Message, OriginAnswer, PlaceAnswer};
 use bergamotspan::gateway::gateway_settings::GatewaySettings;
 use bergamotspan::gateway::state::GatewayState;
 use bergamotspan::gateway::store_item::{StoreChanges, StoreItem};
@@ -43,6 +43,10 @@
     pub loss: f64,
     /// Answers to requests for places, with the instances that asked and that answered.
     pub answers: Vec<(usize, SocketAddr, PlaceAnswer)>,
+    /// Answers to questions for origins, with the instances that asked and that answered.
+    pub origins: Vec<(usize, SocketAddr, OriginAnswer)>,
+    /// Instances that lack something of the store, with one that has it.
+    pub fetches: Vec<(usize, usize)>,
     /// Outcomes of requests that waited, with their instances.
     pub outcomes: Vec<(usize, WaitOutcome)>,
     counts_bytes: bool,
@@ -63,6 +67,8 @@
             sides: vec![0; instances],
             loss: 0.0,
             answers: Vec::new(),
+            origins: Vec::new(),
+            fetches: Vec::new(),
             outcomes: Vec::new(),
             counts_bytes: false,
             flights: Vec::new(),
@@ -159,6 +165,10 @@
                 let received =
                     state.receive_message(now_ms, from, &flight.envelope, flight.message);
                 self.answers.extend(received.answer.map(|answer| (flight.to, from, answer)));
+                self.origins.extend(received.origin.map(|answer| (flight.to, from, answer)));
+                if received.fetches_update {
+                    self.fetches.push((flight.to, flight.from));
+                }
             }
         }
         for index in 0..self.states.len() {
