--- a/tests/gateway_support/versioned_fleet.rs
+++ b/tests/gateway_support/versioned_fleet.rs
@@ -52,6 +52,8 @@
 
 /// A stream that a caller wants, over all its tries.
 struct Stream {
+    /// How often it had events.
+    begun: u32,
     deadline_ms: u64,
     /// Id of the request that brought the first event.
     first_id: Option<Name>,
@@ -99,6 +101,8 @@
     pub is_counted: bool,
     pub is_resumption: bool,
     pub refused: Option<RefusalReason>,
+    /// The stream, and how often it had events before.
+    pub want: (u64, u32),
 }
 
 enum Timer {
@@ -118,6 +122,8 @@
     /// Traces of the streams that hold events of two versions.
     pub broken: Vec<Vec<String>>,
     pub tries: Vec<Try>,
+    /// Traces of streams that were refused as unknown by an instance in touch.
+    pub unknown: Vec<Vec<String>>,
     pub completed: usize,
     disturbed_ms: Vec<u64>,
     engines: Vec<Engine>,
@@ -141,6 +147,7 @@
             streams_per_s: 0.0,
             broken: Vec::new(),
             tries: Vec::new(),
+            unknown: Vec::new(),
             completed: 0,
             engines: Vec::new(),
             next_number: 0,
@@ -178,6 +185,7 @@
             let number = self.new_number();
             let left_ms = self.random.random_range(1_000..4_000);
             let stream = Stream {
+                begun: 0,
                 deadline_ms: now_ms + RESUMABLE_MS,
                 first_id: None,
                 left_ms,
@@ -311,6 +319,7 @@
         stream.tries += 1;
         let first_request_id = stream.first_id.clone();
         let is_resumption = first_request_id.is_some();
+        let want = (number, stream.begun);
         let (deadline_ms, version) = (stream.deadline_ms, stream.version.clone());
         let is_served = version.is_none_or(|version| self.serving(&version) >= SERVING);
         let is_counted = is_served && now_ms >= self.disturbed_ms[at] + IN_TOUCH_MS;
@@ -322,6 +331,7 @@
             is_counted,
             is_resumption,
             refused: None,
+            want,
         });
         let metadata = RequestMetadata {
             resumption: is_resumption.then_some(Resumption { first_request_id }),
--- a/tests/gateway_support/versioned_sends.rs
+++ b/tests/gateway_support/versioned_sends.rs
@@ -95,6 +95,7 @@
         stream.first_id.get_or_insert_with(|| sent.plan.request_id.clone());
         let version = self.engines[sent.engine].record.software_version.clone();
         stream.trace.push(format!("{now_ms}: events of {version} at front {at}"));
+        stream.begun += 1;
         let begun = stream.version.get_or_insert_with(|| version.clone());
         if *begun != version {
             self.broken.push(stream.trace.clone());
@@ -180,6 +181,9 @@
         known.refused = refused;
         if let Some(stream) = self.streams.get_mut(&request.stream) {
             stream.trace.push(format!("{now_ms}: ended at front {}, {refused:?}", request.at));
+            if known.is_counted && refused == Some(RefusalReason::UnknownStream) {
+                self.unknown.push(stream.trace.clone());
+            }
         }
         self.try_later(request.stream);
     }
--- a/tests/stream_versions_fleet.rs
+++ b/tests/stream_versions_fleet.rs
@@ -33,6 +33,8 @@
 const MAX_UNKNOWN_MS: u64 = 100;
 /// Environment variable with the number of further seeds.
 const MORE_SEEDS: &str = "STREAM_VERSIONS_SEEDS";
+/// Environment variable that has traces of unknown streams printed.
+const TRACES: &str = "STREAM_VERSIONS_TRACES";
 
 /// A disturbance beside the replacement of engines.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -251,14 +253,17 @@
     }
 }
 
-/// Returns the share of tries that brought events, and their number.
+/// Returns the share of wanted streams that got events at one of these tries, and their number.
 fn begun_share<'a, I>(tries: I) -> (f64, usize)
 where
     I: Iterator<Item = &'a Try>,
 {
-    let (begun, all) =
-        tries.fold((0, 0), |(begun, all), known| (begun + usize::from(known.has_events), all + 1));
-    (begun as f64 / all.max(1) as f64, all)
+    let mut wanted: BTreeMap<(u64, u32), bool> = BTreeMap::new();
+    for known in tries {
+        *wanted.entry(known.want).or_default() |= known.has_events;
+    }
+    let begun = wanted.values().filter(|has_events| **has_events).count();
+    (begun as f64 / wanted.len().max(1) as f64, wanted.len())
 }
 
 /// Returns the faults of one run.
@@ -298,9 +303,13 @@
     let all = versioned.tries.iter().filter(|known| known.is_resumption).count();
     let counted_unknown =
         counted().filter(|known| known.refused == Some(RefusalReason::UnknownStream)).count();
+    let of_tries = counted().filter(|known| known.is_resumption);
+    let (answered, tries) = of_tries.fold((0, 0), |(answered, tries), known| {
+        (answered + usize::from(known.has_events), tries + 1)
+    });
     println!(
         "{}/{} {:?} seed {seed}: {} of two versions; {} complete; of {starts} new ones {begun:.3} \
-         begin, of {resumptions} taken up {gone_on:.3} go on; {all} taken up in all, {} unknown \
+         begin, of {resumptions} taken up {gone_on:.3} go on ({answered} of {tries} tries); {all} taken up in all, {} unknown \
          after at most {slowest_ms} ms, {counted_unknown} of them in touch; {} bytes",
         case.instances,
         case.engines,
@@ -317,11 +326,17 @@
     if slowest_ms > MAX_UNKNOWN_MS {
         faults.push(format!("unknown after {slowest_ms} ms"));
     }
+    if env::var(TRACES).is_ok() {
+        versioned.unknown.iter().step_by(10).for_each(|trace| println!("{trace:#?}"));
+    }
     if all < COUNTED_TRIES {
         faults.push(format!("only {all} streams are taken up"));
     }
     if resumptions >= COUNTED_TRIES && gone_on < begun / 2.0 {
-        faults.push(format!("{gone_on} of {resumptions} streams go on, {begun} begin"));
+        let trace = versioned.unknown.last();
+        faults.push(format!(
+            "{gone_on} of {resumptions} streams go on, {begun} begin; an unknown one: {trace:#?}"
+        ));
     }
     faults.into_iter().map(|fault| format!("{:?} seed {seed}: {fault}", case.disturbance)).collect()
 }
