--- a/tests/stream_versions_fleet.rs
+++ b/tests/stream_versions_fleet.rs
@@ -375,6 +375,11 @@
         faults.push(format!("unknown after {slowest_ms} ms"));
     }
     if plan.is_traced {
+        let mut reasons: BTreeMap<String, usize> = BTreeMap::new();
+        counted().filter(|known| known.is_resumption && !known.has_events).for_each(|known| {
+            *reasons.entry(format!("{:?}", known.refused)).or_default() += 1;
+        });
+        println!("in touch, without events: {reasons:?}");
         versioned.unknown.iter().step_by(10).for_each(|trace| println!("{trace:#?}"));
     }
     if all < COUNTED_TRIES {
