Rely on no version alone after a gap in the knowledge of the store

A version that came and went while an instance heard of nothing is missing from the listing or the changes that it reads afterwards, so the instance took the other version for the only one. If no home knew the stream any more it went on at that one. An instance whose last proof is older than the limit now counts its versions as complete only from then on, and tells the homes of its streams.

--- a/src/gateway/fleet/origin_homes.rs
+++ b/src/gateway/fleet/origin_homes.rs
@@ -89,10 +89,13 @@
     }
 
     /// Records the versions of the backend servers that are present; homes learn of the streams of
-    /// a service that has a new one.
+    /// a service that has a new one, or may have had one while this instance heard of nothing.
     pub(crate) fn record_software_versions(&mut self, now_ms: u64) {
         let present = self.backends.present_versions();
-        let changed = self.versions.record(now_ms, &present);
+        let mut changed = self.versions.record(now_ms, &present);
+        if self.may_lack_versions(now_ms) {
+            changed = self.versions.record_gap(now_ms);
+        }
         self.backends.hold_versions(&self.versions);
         if changed.is_empty() {
             return;
@@ -102,6 +105,11 @@
         self.tell_homes(&own);
     }
 
+    /// Returns whether a version could have begun streams and left since the last proof.
+    pub(crate) fn may_lack_versions(&self, now_ms: u64) -> bool {
+        !self.freshness.is_within(now_ms, PROOF_LIMIT_MS)
+    }
+
     /// Tells the origins of all streams that began here, since a route moved to another service.
     pub(crate) fn tell_own_origins(&mut self) {
         let own = self.origins.own().map(|(stream, origin)| (stream, origin.clone()));
@@ -130,7 +138,7 @@
     }
 
     fn only_origin(&self, now_ms: u64, service: &Name) -> Option<StreamOrigin> {
-        if !self.freshness.is_within(now_ms, PROOF_LIMIT_MS) {
+        if self.may_lack_versions(now_ms) {
             return None;
         }
         let software_version = self.only_version(now_ms, service)?.clone();
--- a/src/gateway/software_versions.rs
+++ b/src/gateway/software_versions.rs
@@ -30,6 +30,8 @@
 
 #[derive(Clone, Debug)]
 struct ServiceVersions {
+    /// Since when all its versions are known, in milliseconds of the boot clock.
+    complete_since_ms: u64,
     /// When the service became known, in milliseconds of the boot clock.
     known_ms: u64,
     service: Name,
@@ -66,6 +68,17 @@
         changed
     }
 
+    /// Records that versions may have come and gone unnoticed up to now; returns all services.
+    pub fn record_gap(&mut self, now_ms: u64) -> Vec<Name> {
+        let services = self.services.iter_mut();
+        services
+            .map(|known| {
+                known.complete_since_ms = now_ms;
+                known.service.clone()
+            })
+            .collect()
+    }
+
     /// Returns the version of all streams of a service that can still be resumed, if there is only
     /// one; a stream can be resumed for `resumable_ms` after its start.
     pub fn only(&self, now_ms: u64, service: &str, resumable_ms: u64) -> Option<&Name> {
@@ -74,7 +87,7 @@
         let is_recent = |known: &&KnownVersion| known.is_present || known.left_ms > since_ms;
         let mut recent = of_service.versions.iter().filter(is_recent);
         let only = recent.next().filter(|_| recent.next().is_none())?;
-        (of_service.known_ms <= since_ms).then_some(&only.name)
+        (of_service.complete_since_ms <= since_ms).then_some(&only.name)
     }
 
     /// Returns whether a backend server has a version.
@@ -101,6 +114,7 @@
     fn index_or_insert(&mut self, now_ms: u64, service: &Name) -> usize {
         self.find(service).unwrap_or_else(|index| {
             let known = ServiceVersions {
+                complete_since_ms: now_ms,
                 known_ms: now_ms,
                 service: service.clone(),
                 versions: Vec::new(),
--- a/src/gateway/store_updates.rs
+++ b/src/gateway/store_updates.rs
@@ -196,7 +196,8 @@
     fn apply_items(&mut self, now_ms: u64, items: Vec<StoreItem>) -> Vec<StateChange> {
         let state_changes: Vec<_> =
             items.into_iter().filter_map(|item| self.apply_item(now_ms, item)).collect();
-        if state_changes.iter().any(|change| matches!(change, StateChange::Backend { .. })) {
+        let is_of_backend = |change: &StateChange| matches!(change, StateChange::Backend { .. });
+        if self.may_lack_versions(now_ms) || state_changes.iter().any(is_of_backend) {
             self.record_software_versions(now_ms);
         }
         if !self.is_behind() {
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -118,6 +118,17 @@
     assert_eq!(only(&versions, START_MS + RESUMABLE_MS, "model"), None);
 }
 
+#[test]
+fn versions_that_may_have_come_and_gone_unnoticed_leave_no_only_one() {
+    let mut versions = established();
+    let gap_ms = START_MS + 2 * RESUMABLE_MS;
+    assert_eq!(versions.record_gap(gap_ms), [name("model")]);
+    assert_eq!(only(&versions, gap_ms + RESUMABLE_MS - 1, "model"), None);
+    assert_eq!(only(&versions, gap_ms + RESUMABLE_MS, "model"), Some(name("v1")));
+    versions.record(gap_ms, &present(&[("model", "v1"), ("model", "v2")]));
+    assert_eq!(versions.held_until_ms("model", "v2"), gap_ms + HOLD_MS);
+}
+
 #[test]
 fn a_version_is_present_only_while_an_engine_has_it() {
     let mut versions = established();
