End a stream at another answer that begins inside an event

What callers saw: a stream without length or chunks broke off inside an event, and a late second answer followed on its connection. The caller got the half event with the head of that answer, and its events, as a complete answer under the digest of the first.

Cause: the head of another answer was recognized only at the start of a line. After half a line it was text of the event, whose end was the empty line after the head.

Change: an event that is complete is searched for a status line whose next line is no line of an event (data, id, event, retry, comment). After a status line that an event quotes comes such a line, so quotes pass. The stream ends before the event that holds the head.

--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -7,6 +7,10 @@
 
 /// Bytes by which the head of an HTTP answer begins, and no line of an event.
 const ANSWER_START: &[u8] = b"HTTP/1.";
+/// Length of a status line up to the end of its status, in bytes.
+const STATUS_LINE_BYTES: usize = "HTTP/1.1 200".len();
+/// Names of the fields of an event; a comment and the empty line have none.
+const EVENT_FIELDS: [&[u8]; 5] = [b"", b"data", b"event", b"id", b"retry"];
 
 /// Buffers a byte stream and splits it at the ends of events.
 #[derive(Clone, Debug, Default)]
@@ -54,7 +58,12 @@
         if self.rest.len() > EVENT_LIMIT_BYTES && has_long_event(&self.rest) {
             return SplitEvents::TooLong;
         }
-        let last_end = (searched..self.rest.len()).rev().find(|&end| ends_event(&self.rest, end));
+        let mut last_end = last_event_end(&self.rest, searched);
+        if let Some(start) = last_end.and_then(|end| answer_inside(&self.rest[..=end])) {
+            self.holds_answer = true;
+            self.rest.truncate(start);
+            last_end = last_event_end(&self.rest, searched);
+        }
         let Some(last_end) = last_end else { return SplitEvents::Incomplete };
         let complete = self.rest.split_to(last_end + 1).freeze();
         let count = count_events(&complete);
@@ -92,6 +101,41 @@
     (first..bytes.len()).filter(starts_line).find(|at| bytes[*at..].starts_with(ANSWER_START))
 }
 
+/// Returns where the head of an answer starts inside a line of complete events. The lines of a head
+/// after the first are no lines of an event, unlike those after the text of one.
+fn answer_inside(events: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    let mut lines = events.split_inclusive(is_line_end).peekable();
+    while let Some(line) = lines.next() {
+        if lines.peek().is_some_and(|next| !is_event_line(next))
+            && let Some(start) = status_line_start(line)
+        {
+            return Some(line_start + start);
+        }
+        line_start += line.len();
+    }
+    None
+}
+
+/// Returns whether a line belongs to an event, or ends one.
+fn is_event_line(line: &[u8]) -> bool {
+    let name = line.trim_ascii_end().split(|byte| *byte == b':').next().unwrap_or_default();
+    EVENT_FIELDS.contains(&name)
+}
+
+fn status_line_start(line: &[u8]) -> Option<usize> {
+    line.windows(STATUS_LINE_BYTES).position(|start| match start.strip_prefix(ANSWER_START) {
+        Some([version, b' ', status @ ..]) => {
+            version.is_ascii_digit() && status.iter().all(u8::is_ascii_digit)
+        }
+        _ => false,
+    })
+}
+
+fn last_event_end(bytes: &[u8], searched: usize) -> Option<usize> {
+    (searched..bytes.len()).rev().find(|&end| ends_event(bytes, end))
+}
+
 fn count_events(bytes: &[u8]) -> u32 {
     let mut count = 0;
     let mut line_is_empty = true;
--- a/tests/gateway_events.rs
+++ b/tests/gateway_events.rs
@@ -14,6 +14,17 @@
     }
 }
 
+/// Returns the events of a text that arrives in pieces of a size.
+fn passed_bytes(splitter: &mut EventSplitter, text: &str, piece_bytes: usize) -> Vec<u8> {
+    let mut passed = Vec::new();
+    for piece in text.as_bytes().chunks(piece_bytes) {
+        if let SplitEvents::Complete(events) = splitter.push(piece) {
+            passed.extend_from_slice(&events.bytes);
+        }
+    }
+    passed
+}
+
 #[test]
 fn an_incomplete_event_is_held_back() {
     let mut splitter = EventSplitter::default();
@@ -98,6 +109,38 @@
     }
 }
 
+#[test]
+fn an_answer_inside_an_event_ends_the_stream_however_it_is_cut() {
+    let first = "id: 1\ndata: a\n\n";
+    for half in ["id: 2\ndata: pie", "id: 2\ndata: HTTP/1.1 200 OK", "id: 2\r", "d"] {
+        for header in ["X-Request-Id: r-0", "X-Not-Executed: 1", "Date:Fri"] {
+            let other = format!("HTTP/1.1 200 OK\r\n{header}\r\n\r\nid: 3\ndata: b\n\n");
+            let text = format!("{first}{half}{other}");
+            for size in 1..=text.len() {
+                let mut splitter = EventSplitter::default();
+                let passed = passed_bytes(&mut splitter, &text, size);
+                assert_eq!(passed, first.as_bytes(), "{half:?} {header} in pieces of {size}");
+                assert!(splitter.holds_answer());
+            }
+        }
+    }
+}
+
+#[test]
+fn events_with_the_text_of_an_answer_pass() {
+    for text in [
+        "data: HTTP/1.1 200 OK\r\ndata: X-Request-Id: r-0\r\ndata:\r\ndata: a\r\n\r\n",
+        "data: as in HTTP/1.1 200 OK\r\nid: 1\r\n\r\n",
+        "data: HTTP/1.1 200 OK\r\n: a comment\r\ndata\r\n\r\n",
+        "data: HTTP/1.1 and 200\nx-note: HTTP/1.0\n\nx-note: 3\nid: 1\ndata: a\n\n",
+    ] {
+        for size in 1..=text.len() {
+            let mut splitter = EventSplitter::default();
+            assert_eq!(passed_bytes(&mut splitter, text, size), text.as_bytes());
+        }
+    }
+}
+
 proptest! {
     #[test]
     fn no_byte_is_lost_and_each_event_counts_once(
