Take an event whose id is not above the one before for a wrong answer

What callers saw: events of another answer, or the same event twice, in a stream that ended as complete, if these followed at one backend server without the head of an answer.

Cause: ids were compared only between the point of a resume and the first event after it.

Change: the splitter of a send knows the number of its last event, to begin with that of the event after which the stream is resumed. An event whose number is not above it ends the send as a wrong answer after the events before. Ids that are not numbers tell nothing. The check of the first event of a resumed stream is a part of this now, and another answer inside a stream counts as a wrong answer, no more as a broken connection that may be the sign of a crash.

--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -66,6 +66,9 @@
                 StreamRead::Broken(error) => {
                     self.resume(&SendFailure::ConnectionBroken(error)).await?;
                 }
+                StreamRead::Wrong(fault) => {
+                    self.resume(&SendFailure::WrongAnswer(fault.to_string())).await?;
+                }
                 StreamRead::Silent if self.may_move_stream() => self.resume(&silence()).await?,
                 StreamRead::Silent => {}
                 StreamRead::DeadlinePassed => return self.abort("the deadline passed").await,
--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -1,6 +1,9 @@
 //! Splits a byte stream of server-sent events at the ends of events.
 
+use std::borrow::Cow;
+
 use bytes::{Bytes, BytesMut};
+use thiserror::Error;
 
 /// Longest event, in bytes.
 pub const EVENT_LIMIT_BYTES: usize = 1_048_576;
@@ -15,10 +18,23 @@
 /// Buffers a byte stream and splits it at the ends of events.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
-    holds_answer: bool,
+    fault: Option<StreamFault>,
+    /// Id of the last event that has a number as its id.
+    last_number: Option<u64>,
     rest: BytesMut,
 }
 
+/// Why bytes of a stream are not part of the answer.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum StreamFault {
+    /// Another answer begins.
+    #[error("another answer began inside the stream")]
+    AnotherAnswer,
+    /// The number of an event is not above the one before.
+    #[error("the ids of the events do not rise")]
+    FallingIds,
+}
+
 /// Complete events that arrived together.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CompleteEvents {
@@ -26,8 +42,6 @@
     pub bytes: Bytes,
     /// Their number.
     pub count: u32,
-    /// Id of the first of them that has one.
-    pub first_id: Option<String>,
     /// Id of the last of them that has one.
     pub last_id: Option<String>,
 }
@@ -44,15 +58,20 @@
 }
 
 impl EventSplitter {
-    /// Adds bytes and returns the events that are complete now, up to another answer.
+    /// Returns a splitter for the events after the one with this id.
+    pub fn after(last_id: Option<&str>) -> Self {
+        Self { last_number: last_id.and_then(event_number), ..Self::default() }
+    }
+
+    /// Adds bytes and returns the events that are complete now, up to a fault.
     pub fn push(&mut self, bytes: &[u8]) -> SplitEvents {
-        if self.holds_answer {
+        if self.fault.is_some() {
             return SplitEvents::Incomplete;
         }
         let searched = self.rest.len();
         self.rest.extend_from_slice(bytes);
         if let Some(start) = answer_start(&self.rest, searched) {
-            self.holds_answer = true;
+            self.fault = Some(StreamFault::AnotherAnswer);
             self.rest.truncate(start);
         }
         if self.rest.len() > EVENT_LIMIT_BYTES && has_long_event(&self.rest) {
@@ -60,16 +79,23 @@
         }
         let mut last_end = last_event_end(&self.rest, searched);
         if let Some(start) = last_end.and_then(|end| answer_inside(&self.rest[..=end])) {
-            self.holds_answer = true;
+            self.fault = Some(StreamFault::AnotherAnswer);
             self.rest.truncate(start);
             last_end = last_event_end(&self.rest, searched);
         }
         let Some(last_end) = last_end else { return SplitEvents::Incomplete };
-        let complete = self.rest.split_to(last_end + 1).freeze();
+        let mut complete = self.rest.split_to(last_end + 1);
+        let rising_bytes = self.read_ids(&complete);
+        if rising_bytes < complete.len() {
+            self.fault = Some(StreamFault::FallingIds);
+            complete.truncate(rising_bytes);
+        }
+        if complete.is_empty() {
+            return SplitEvents::Incomplete;
+        }
         let count = count_events(&complete);
-        let first_id = complete.split(is_line_end).find_map(event_id);
-        let last_id = complete.rsplit(is_line_end).find_map(event_id);
-        SplitEvents::Complete(CompleteEvents { bytes: complete, count, first_id, last_id })
+        let last_id = complete.rsplit(is_line_end).find_map(event_id).map(Cow::into_owned);
+        SplitEvents::Complete(CompleteEvents { bytes: complete.freeze(), count, last_id })
     }
 
     /// Returns the size of the buffer, in bytes.
@@ -77,9 +103,9 @@
         self.rest.capacity()
     }
 
-    /// Returns whether another answer has begun inside the stream.
-    pub fn holds_answer(&self) -> bool {
-        self.holds_answer
+    /// Returns why the bytes after the last event are not part of the answer, if they are not.
+    pub fn fault(&self) -> Option<StreamFault> {
+        self.fault
     }
 
     /// Returns whether the last event is incomplete.
@@ -91,6 +117,24 @@
     pub fn rest_bytes(&self) -> usize {
         self.rest.len()
     }
+
+    /// Reads the ids of complete events up to one whose number is not above the one before, and
+    /// returns the length of the events before it. Ids that are not numbers tell nothing.
+    fn read_ids(&mut self, events: &[u8]) -> usize {
+        let (mut event_start, mut line_end) = (0, 0);
+        for line in events.split_inclusive(is_line_end) {
+            line_end += line.len();
+            if matches!(line, b"\n" | b"\r\n") {
+                event_start = line_end;
+            } else if let Some(number) = event_id(line).and_then(|id| event_number(&id)) {
+                if self.last_number.is_some_and(|last_number| number <= last_number) {
+                    return event_start;
+                }
+                self.last_number = Some(number);
+            }
+        }
+        events.len()
+    }
 }
 
 /// Returns where the first line starts that is the head of an answer; lines that were complete in
@@ -173,7 +217,11 @@
 }
 
 /// Returns the id that a line gives to its event.
-fn event_id(line: &[u8]) -> Option<String> {
+fn event_id(line: &[u8]) -> Option<Cow<'_, str>> {
     let id = line.strip_prefix(b"id:")?;
-    Some(String::from_utf8_lossy(id).trim().to_owned())
+    Some(String::from_utf8_lossy(id.trim_ascii()))
+}
+
+fn event_number(id: &str) -> Option<u64> {
+    id.parse().ok()
 }
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -20,7 +20,7 @@
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::caller_stream::CallerStream;
 use crate::gateway::connections::Connection;
-use crate::gateway::event_splitter::{EVENT_LIMIT_BYTES, EventSplitter, SplitEvents};
+use crate::gateway::event_splitter::{EVENT_LIMIT_BYTES, EventSplitter, SplitEvents, StreamFault};
 use crate::gateway::exchange::{CallerRequest, Reply, SendFailure, exchange, read_answer};
 use crate::gateway::place_finder::find_place;
 use crate::gateway::relay::{Relay, RelayStep, StreamSummary};
@@ -91,6 +91,8 @@
     End,
     Silent,
     DeadlinePassed,
+    /// What follows the last event is not part of the answer.
+    Wrong(StreamFault),
 }
 
 /// What follows from bytes of a stream.
@@ -195,7 +197,7 @@
             idle_timeout_ms,
             guard,
             share: self.relay.shared.answer_budget.share(),
-            splitter: EventSplitter::default(),
+            splitter: EventSplitter::after(self.resume_after.as_deref()),
         };
         loop {
             match self.read_next(&mut backend_stream).await {
@@ -226,6 +228,10 @@
                     let failure = SendFailure::ConnectionBroken(error);
                     return self.after_stream_failure(backend_stream, &failure);
                 }
+                StreamRead::Wrong(fault) => {
+                    let failure = SendFailure::WrongAnswer(fault.to_string());
+                    return self.after_stream_failure(backend_stream, &failure);
+                }
                 StreamRead::Silent => {
                     return self.after_stream_failure(backend_stream, &silence());
                 }
@@ -277,8 +283,8 @@
 
     /// Waits for the next bytes of a stream.
     pub(crate) async fn read_next(&self, backend_stream: &mut BackendStream) -> StreamRead {
-        if backend_stream.splitter.holds_answer() {
-            return StreamRead::Broken("another answer began inside the stream".to_owned());
+        if let Some(fault) = backend_stream.splitter.fault() {
+            return StreamRead::Wrong(fault);
         }
         let Relay { plan, sends, .. } = &self.relay;
         let left_ms = plan.deadline_ms.saturating_sub(boot_ms());
@@ -323,9 +329,6 @@
                 return Received::Wrong(reason);
             }
         };
-        if backend_stream.events == 0 && self.starts_over(events.first_id.as_deref()) {
-            return Received::Wrong("the resumed stream starts over".to_owned());
-        }
         let now_ms = boot_ms();
         if backend_stream.events == 0 {
             backend_stream.first_ms = now_ms;
@@ -346,15 +349,6 @@
         Received::Forward(share.attach_to(events.bytes))
     }
 
-    /// Returns whether the first event of a resumed stream is one that the caller has; ids that are
-    /// not numbers tell nothing.
-    fn starts_over(&self, first_id: Option<&str>) -> bool {
-        let number = |id: &str| id.parse::<u64>().ok();
-        let resumed_after = self.resume_after.as_deref().and_then(number);
-        let first = first_id.and_then(number);
-        first.zip(resumed_after).is_some_and(|(first, resumed_after)| first <= resumed_after)
-    }
-
     fn full_response(&self, mut head: http::response::Parts, body: Bytes) -> Response<ReplyBody> {
         self.relay.log_end(head.status, self.summary);
         self.relay.shared.wire.prepare_reply(&mut head.headers);
--- a/tests/gateway_events.rs
+++ b/tests/gateway_events.rs
@@ -1,7 +1,7 @@
 //! Tests of the split of streams at the ends of events, and of the retry budget of a service.
 
 use bergamotspan::gateway::event_splitter::{
-    CompleteEvents, EVENT_LIMIT_BYTES, EventSplitter, SplitEvents,
+    CompleteEvents, EVENT_LIMIT_BYTES, EventSplitter, SplitEvents, StreamFault,
 };
 use bergamotspan::gateway::gateway_settings::Bounds;
 use bergamotspan::gateway::service_retry_budget::ServiceRetryBudget;
@@ -105,7 +105,7 @@
             }
         }
         assert_eq!(passed, b"id: 1\ndata: HTTP/1.1 200 OK\n\n", "in pieces of {size}");
-        assert!(splitter.holds_answer());
+        assert_eq!(splitter.fault(), Some(StreamFault::AnotherAnswer));
     }
 }
 
@@ -120,7 +120,7 @@
                 let mut splitter = EventSplitter::default();
                 let passed = passed_bytes(&mut splitter, &text, size);
                 assert_eq!(passed, first.as_bytes(), "{half:?} {header} in pieces of {size}");
-                assert!(splitter.holds_answer());
+                assert_eq!(splitter.fault(), Some(StreamFault::AnotherAnswer));
             }
         }
     }
@@ -141,6 +141,42 @@
     }
 }
 
+#[test]
+fn an_event_whose_id_does_not_rise_ends_the_stream_however_it_is_cut() {
+    let first = "id: 7\ndata: a\n\ndata: b\n \ndata: c\n\n";
+    for other in ["id: 7\n\n", "id:6\r\n\r\n", "data: d\n \nid: 0\n\n", "id: 8\nid: 8\n\n"] {
+        let text = format!("{first}{other}id: 9\n\n");
+        for size in 1..=text.len() {
+            let mut splitter = EventSplitter::default();
+            let passed = passed_bytes(&mut splitter, &text, size);
+            assert_eq!(passed, first.as_bytes(), "{other:?} in pieces of {size}");
+            assert_eq!(splitter.fault(), Some(StreamFault::FallingIds));
+        }
+    }
+}
+
+#[test]
+fn ids_that_rise_or_are_not_numbers_pass() {
+    for text in [
+        "id: 6\n\nid: 8\n\nid: 10\n\n",
+        "id: b\n\nid: a\n\nid: -1\n\nid: 6\n\nid:\n\nid: 7\n\n",
+        "data: id: 1\n\n",
+    ] {
+        let mut splitter = EventSplitter::after(Some("5"));
+        assert_eq!(passed_bytes(&mut splitter, text, text.len()), text.as_bytes());
+        assert_eq!(splitter.fault(), None);
+    }
+}
+
+#[test]
+fn a_resumed_stream_begins_after_the_event_at_which_it_is_resumed() {
+    for (last_id, passes) in [(Some("4"), true), (Some("5"), false), (Some("a"), true)] {
+        let mut splitter = EventSplitter::after(last_id);
+        let passed = passed_bytes(&mut splitter, "id: 5\n\n", 7);
+        assert_eq!(!passed.is_empty(), passes, "after {last_id:?}");
+    }
+}
+
 proptest! {
     #[test]
     fn no_byte_is_lost_and_each_event_counts_once(
