Take a body that holds the head of another answer for a wrong answer

What callers saw: a plain answer with neither length nor chunks that was followed by another answer on its connection reached the caller with both, under its digest; so did an answer that was cut short and filled up to its length by another one.

Cause: such a body ends with its connection or at its length, whatever it holds.

Change: a body is a wrong answer if it holds a status line of HTTP/1 and, in the lines with CRLF right after it, a header that names a request, which the platform adapter reads. A request that may be repeated is sent again, others get 502. A head that is cut off counts if that header is whole.

What it costs: one pass over each plain body. An answer that quotes the head of an answer of the platform itself, raw, with CRLF and its request id, fails each time; quotes without that header, with line feeds or inside JSON pass. Not told apart: bytes that are no head, and a head that is cut off before that header.

Not done: one request per connection for a server that was caught with extra bytes. A late answer at the point where the next one is expected is told by its id, a second copy comes on the connection of its own answer whether that is reused or not, so it would spare some 502 and no foreign byte, at the price of a connection for each request to that server.

--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -5,13 +5,11 @@
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
 
+use crate::gateway::answer_head::{ANSWER_START, first_status};
+
 /// Longest event, in bytes.
 pub const EVENT_LIMIT_BYTES: usize = 1_048_576;
 
-/// Bytes by which the head of an HTTP answer begins, and no line of an event.
-const ANSWER_START: &[u8] = b"HTTP/1.";
-/// Length of a status line up to the end of its status, in bytes.
-const STATUS_LINE_BYTES: usize = "HTTP/1.1 200".len();
 /// Names of the fields of an event; a comment and the empty line have none.
 const EVENT_FIELDS: [&[u8]; 5] = [b"", b"data", b"event", b"id", b"retry"];
 
@@ -152,7 +150,7 @@
     let mut lines = events.split_inclusive(is_line_end).peekable();
     while let Some(line) = lines.next() {
         if lines.peek().is_some_and(|next| !is_event_line(next))
-            && let Some(start) = status_line_start(line)
+            && let Some((start, _)) = first_status(line)
         {
             return Some(line_start + start);
         }
@@ -167,15 +165,6 @@
     EVENT_FIELDS.contains(&name)
 }
 
-fn status_line_start(line: &[u8]) -> Option<usize> {
-    line.windows(STATUS_LINE_BYTES).position(|start| match start.strip_prefix(ANSWER_START) {
-        Some([version, b' ', status @ ..]) => {
-            version.is_ascii_digit() && status.iter().all(u8::is_ascii_digit)
-        }
-        _ => false,
-    })
-}
-
 fn last_event_end(bytes: &[u8], searched: usize) -> Option<usize> {
     (searched..bytes.len()).rev().find(|&end| ends_event(bytes, end))
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -15,6 +15,7 @@
 use crate::gateway::admission::RequestPlan;
 use crate::gateway::answer_body::{BodyError, read_body};
 use crate::gateway::answer_framing::AnswerFraming;
+use crate::gateway::answer_head::answer_heads;
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::connections::{Connection, limit_interim_answers};
 use crate::gateway::shared::Shared;
@@ -139,6 +140,9 @@
     let left_ms = plan.deadline_ms.saturating_sub(boot_ms());
     let body = read_body(body, shared.answer_buffer());
     match timeout(Duration::from_millis(left_ms), body).await {
+        Ok(Ok(bytes)) if holds_answer(shared, &bytes) => {
+            Err(SendFailure::WrongAnswer("another answer began inside its body".to_owned()))
+        }
         Ok(Ok(bytes)) => Ok(bytes),
         Ok(Err(BodyError::Broken(error))) => Err(SendFailure::ConnectionBroken(error.to_string())),
         Ok(Err(BodyError::Full(full))) => Err(SendFailure::WrongAnswer(full.to_string())),
@@ -146,6 +150,12 @@
     }
 }
 
+/// Returns whether a body holds the head of an answer that names a request.
+fn holds_answer(shared: &Shared, body: &[u8]) -> bool {
+    answer_heads(body)
+        .any(|(status, headers)| shared.wire.reply_metadata(status, &headers).request_id.is_some())
+}
+
 fn build_request(
     shared: &Rc<Shared>,
     plan: &RequestPlan,
