Send no request on a connection whose last request had its id

What callers saw: nothing that is reported. Two requests with one id, or without any, on one kept connection: if the answer to the first came again once the second was sent, it answered the second.

Cause: a late second answer is told by its id alone, and on a kept connection by unread bytes only if it is there before the next request.

Change: a connection knows the id of its last request, and is left in the pool for a request with another one. Requests with ids of their own, as the protocol has them, use the same connections as before.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -60,6 +60,9 @@
     backend_server: Name,
     /// Whether no request was sent on it before.
     pub is_new: bool,
+    /// Id of the last request sent on it; a second answer to that request would pass for the answer
+    /// to another one of that id.
+    last_request_id: Name,
     observer: SocketObserver,
     /// Sends a request.
     pub sender: SendRequest<Full<Bytes>>,
@@ -73,7 +76,7 @@
 }
 
 impl Connections {
-    /// Returns an idle connection to a backend server, or opens one.
+    /// Returns an idle connection to a backend server for one request, or opens one.
     ///
     /// # Errors
     ///
@@ -82,10 +85,14 @@
         &self,
         backend_server: &Name,
         address: SocketAddr,
+        request_id: &Name,
     ) -> io::Result<Connection> {
-        match self.take_idle(backend_server, address) {
-            Some(connection) => Ok(connection),
-            None => open(backend_server.clone(), address).await,
+        match self.take_idle(backend_server, address, request_id) {
+            Some(mut connection) => {
+                connection.last_request_id = request_id.clone();
+                Ok(connection)
+            }
+            None => open(backend_server.clone(), address, request_id.clone()).await,
         }
     }
 
@@ -115,13 +122,19 @@
         self.idle.borrow_mut().retain(|idle| *idle.connection.backend_server != *backend_server);
     }
 
-    fn take_idle(&self, backend_server: &Name, address: SocketAddr) -> Option<Connection> {
+    fn take_idle(
+        &self,
+        backend_server: &Name,
+        address: SocketAddr,
+        request_id: &Name,
+    ) -> Option<Connection> {
         let now_ms = boot_ms();
         let mut idle = self.idle.borrow_mut();
         loop {
             let index = idle.iter().rposition(|idle| {
                 idle.connection.address == address
                     && idle.connection.backend_server == *backend_server
+                    && idle.connection.last_request_id != *request_id
             })?;
             let candidate = idle.remove(index);
             if now_ms < candidate.expires_ms
@@ -141,11 +154,16 @@
     }
 }
 
-async fn open(backend_server: Name, address: SocketAddr) -> io::Result<Connection> {
+async fn open(
+    backend_server: Name,
+    address: SocketAddr,
+    last_request_id: Name,
+) -> io::Result<Connection> {
     let socket = SharedSocket::new(connect(address).await?);
     let observer = socket.observer();
     let (sender, task) = start_http(socket).await?;
-    Ok(Connection { address, backend_server, is_new: true, observer, sender, task })
+    let is_new = true;
+    Ok(Connection { address, backend_server, is_new, last_request_id, observer, sender, task })
 }
 
 /// Opens a connection for HTTP requests; it ends when its task is aborted.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -90,7 +90,7 @@
     loop {
         let mut connection = shared
             .connections
-            .acquire(backend_server, address)
+            .acquire(backend_server, address, &plan.request_id)
             .await
             .map_err(|error| SendFailure::NotSent(error.to_string()))?;
         let now_ms = boot_ms();
--- a/tests/gateway_connections.rs
+++ b/tests/gateway_connections.rs
@@ -51,7 +51,7 @@
             (listener, stream)
         });
         let pool = Connections::default();
-        let mut connection = acquire(&pool, address).await;
+        let mut connection = acquire(&pool, address, "r-1").await;
         send(&mut connection, "/first", Bytes::new()).await;
         let (listener, server) = server.join().expect("the server does not panic");
         pool.release(connection, None);
@@ -76,8 +76,9 @@
     }
 }
 
-async fn acquire(pool: &Connections, address: SocketAddr) -> Connection {
-    pool.acquire(&Name::from("d-1"), address).await.expect("a connection")
+async fn acquire(pool: &Connections, address: SocketAddr, request_id: &str) -> Connection {
+    let request_id = Name::from(request_id);
+    pool.acquire(&Name::from("d-1"), address, &request_id).await.expect("a connection")
 }
 
 async fn send(connection: &mut Connection, path: &str, body: Bytes) {
@@ -91,7 +92,16 @@
 fn a_quiet_connection_is_used_again() {
     run(async {
         let kept = Kept::after_one_answer().await;
-        assert!(!acquire(&kept.pool, kept.address).await.is_new);
+        assert!(!acquire(&kept.pool, kept.address, "r-2").await.is_new);
+    });
+}
+
+#[test]
+fn a_connection_is_not_used_again_for_the_id_of_its_last_request() {
+    run(async {
+        let kept = Kept::after_one_answer().await;
+        assert!(acquire(&kept.pool, kept.address, "r-1").await.is_new);
+        assert!(!acquire(&kept.pool, kept.address, "r-2").await.is_new);
     });
 }
 
@@ -102,7 +112,7 @@
             let mut kept = Kept::after_one_answer().await;
             kept.server.write_all(bytes).expect("the bytes are sent");
             kept.wait_for_change(4, "00000000:00000000");
-            assert!(acquire(&kept.pool, kept.address).await.is_new);
+            assert!(acquire(&kept.pool, kept.address, "r-2").await.is_new);
         });
     }
 }
@@ -113,7 +123,7 @@
         let kept = Kept::after_one_answer().await;
         kept.server.shutdown(std::net::Shutdown::Both).expect("the connection is open");
         kept.wait_for_change(3, "01");
-        assert!(acquire(&kept.pool, kept.address).await.is_new);
+        assert!(acquire(&kept.pool, kept.address, "r-2").await.is_new);
     });
 }
 
@@ -137,10 +147,10 @@
     });
     run(async move {
         let pool = Connections::default();
-        let mut first = acquire(&pool, address).await;
+        let mut first = acquire(&pool, address, "r-1").await;
         send(&mut first, "/first", body).await;
         pool.release(first, None);
-        let mut second = acquire(&pool, address).await;
+        let mut second = acquire(&pool, address, "r-2").await;
         send(&mut second, "/second", Bytes::new()).await;
     });
     server.join().expect("the server does not panic");
