Take an empty answer to a stream cut inside an event for no end

What callers saw: a stream that broke off inside its second event, and whose next server answered the resume with an empty 200, ended as complete without that event.

Cause: an empty answer to a resumed stream was taken for its end, whatever was known of what follows.

Change: a stream that broke off inside an event, or before the length that it had announced, lacks an event. Until that arrives, an empty answer is a failed send. After a break between events an empty answer is still the end where its framing says so, since nothing tells it from one.

Evidence: before, a_stream_that_breaks_off_inside_an_event_does_not_end_before_it failed (event 1 and the last chunk); it passes now.

That an answer which breaks off before its first event counts as the end is not the case: of ten empty answers to a resumed stream (chunks, length, neither, with and without an end), a_resumed_stream_without_events_is_the_end_only_where_its_framing_says_so finds the last chunk for the three that have an end alone, with and without this change.

--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -108,6 +108,7 @@
         if matches!(cause, SendFailure::ConnectionBroken(_)) {
             stream_relay.relay.record_broken_send(&backend_stream.guard);
         }
+        stream_relay.record_break(&backend_stream);
         backend_stream.guard.end(SendOutcome::Failed);
         drop(backend_stream.connection);
         let resumable =
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -42,6 +42,7 @@
 ) -> Response<ReplyBody> {
     let mut stream_relay = StreamRelay {
         last_event_ms: 0,
+        lacks_event: false,
         relay: Relay::new(shared, plan, request),
         resume_after: None,
         summary: StreamSummary::default(),
@@ -108,6 +109,8 @@
 /// A request that is answered by a stream, over all its sends.
 pub(crate) struct StreamRelay {
     last_event_ms: u64,
+    /// Whether the caller lacks an event of which a send that broke off had sent a part.
+    lacks_event: bool,
     pub(crate) relay: Relay,
     /// Id of the last event received, after which the stream is resumed.
     pub(crate) resume_after: Option<String>,
@@ -123,7 +126,19 @@
     }
 }
 
+impl BackendStream {
+    /// Returns whether bytes of an event or of its length are missing.
+    fn lacks_bytes(&self) -> bool {
+        self.splitter.is_inside_event() || self.body.size_hint().lower() > 0
+    }
+}
+
 impl StreamRelay {
+    /// Records that a stream broke off whose events the caller has received.
+    pub(crate) fn record_break(&mut self, backend_stream: &BackendStream) {
+        self.lacks_event = backend_stream.lacks_bytes();
+    }
+
     pub(crate) async fn open(&mut self) -> OpenOutcome {
         let Relay { plan, shared, tried, .. } = &mut self.relay;
         let started_send = match find_place(shared, plan, tried).await {
@@ -187,7 +202,8 @@
             return self.forward_error_response(guard, connection, head, body).await;
         }
         self.relay.may_have_run = true;
-        let may_be_empty = framing != AnswerFraming::ConnectionEnd || body.is_end_stream();
+        let ends_itself = framing != AnswerFraming::ConnectionEnd || body.is_end_stream();
+        let may_be_empty = ends_itself && !self.lacks_event;
         let idle_timeout_ms = metadata.idle_timeout_ms;
         let mut backend_stream = BackendStream {
             body,
@@ -268,6 +284,7 @@
         backend_stream: BackendStream,
         failure: &SendFailure,
     ) -> OpenOutcome {
+        self.lacks_event |= self.resume_after.is_some() && backend_stream.lacks_bytes();
         let incomplete_event_bytes = backend_stream.splitter.rest_bytes();
         let summary = StreamSummary { incomplete_event_bytes, ..self.summary };
         self.relay.after_failure(backend_stream.guard, failure, summary).into()
