Resume a stream at a token or an end that can't be read

What callers saw: nothing that is reported. An engine's stream without a length that broke off inside an event, and was followed by another answer on its connection, gave the caller a token with the head of that answer in it; inside the end event it ended as done, with the tokens so far.

Cause: the data of a token or an end that is not what docs/PROTOCOLS.md describes was taken for one without an index or a count.

Change: such a stream is resumed after the last token, within the limit of attempts.

Evidence: before, another_answer_inside_a_token_is_not_part_of_the_stream and another_answer_inside_an_end_event_does_not_end_the_stream failed (a foreign token; done with 6 of 10 tokens).

--- a/src/run_model.rs
+++ b/src/run_model.rs
@@ -126,9 +126,10 @@
         Some(RunEnd::Ended(AnswerEnd::Final(answer), Progress::Cancelled))
     }
 
-    /// Ends the run, or resumes the stream if its end event counts more or fewer tokens.
+    /// Ends the run, or resumes the stream if its end event can't be read or counts more or fewer
+    /// tokens.
     fn finish(&self, data: &str) -> RunStep {
-        let end: EndData = serde_json::from_str(data).unwrap_or_default();
+        let Ok(end) = serde_json::from_str::<EndData>(data) else { return RunStep::Resume };
         let tokens = u32::try_from(self.tokens).unwrap_or(u32::MAX);
         let output_tokens = end.output_tokens.unwrap_or(tokens);
         if output_tokens != tokens {
@@ -194,9 +195,10 @@
         }
     }
 
-    /// Emits a token if it is the next one, skips a duplicate, and resumes the stream at a gap.
+    /// Emits a token if it is the next one, skips a duplicate, and resumes the stream at a gap or a
+    /// token that can't be read.
     fn apply_token(&mut self, data: String) -> RunStep {
-        let token: TokenData = serde_json::from_str(&data).unwrap_or_default();
+        let Ok(token) = serde_json::from_str::<TokenData>(&data) else { return RunStep::Resume };
         let index = token.index.unwrap_or(self.tokens);
         if index > self.tokens {
             return RunStep::Resume;
