Resume an engine's stream at the head of another answer

What callers saw: nothing that is reported. After an engine's stream without a length had broken off between two lines, the tokens of another answer on its connection went on in its place.

Cause: the reader of events skips lines that it does not know, the head of an answer among them, and an index that fits is all that tells a token.

Change: a line that begins with HTTP/1. is an error of the stream, which is resumed.

Ids that do not rise are no fault in this front: a token whose index was there is skipped, and a gap resumes the stream (duplicate_tokens_reach_the_caller_once, a_stream_with_a_gap_is_resumed_where_the_gap_begins, which passed before and do now).

--- a/src/server_sent_events.rs
+++ b/src/server_sent_events.rs
@@ -6,6 +6,9 @@
 /// Longest event, in bytes; the answer of a plain service is one event.
 const EVENT_LIMIT_BYTES: u64 = 8 * 1_048_576;
 
+/// Text by which the head of an HTTP answer begins, and no line of an event.
+const ANSWER_START: &str = "HTTP/1.";
+
 /// One item of a stream of server-sent events.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ServerSentEvent {
@@ -27,7 +30,7 @@
 /// # Errors
 ///
 /// Returns the error of the underlying stream, a timeout among them, and an error for an event of
-/// 8 MiB or more.
+/// 8 MiB or more and for the head of another answer in place of a line.
 pub fn read_event<R>(reader: &mut R) -> io::Result<ServerSentEvent>
 where
     R: BufRead,
@@ -42,6 +45,9 @@
             return Err(io::Error::new(io::ErrorKind::InvalidData, "an event is too long"));
         }
         let Some(line) = line else { return Ok(ServerSentEvent::EndOfStream) };
+        if line.starts_with(ANSWER_START) {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "another answer began"));
+        }
         if line.is_empty() && !lines.is_empty() {
             let name = name.unwrap_or_else(|| "message".to_string());
             return Ok(ServerSentEvent::Event { data: lines.join("\n"), name });
--- a/tests/server_sent_events.rs
+++ b/tests/server_sent_events.rs
@@ -44,3 +44,20 @@
     assert_eq!(read_event(&mut reader).expect("an event"), event("message", "b"));
     assert_eq!(read_event(&mut reader).expect("an end"), ServerSentEvent::EndOfStream);
 }
+
+#[test]
+fn another_answer_between_lines_is_an_error() {
+    let other = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndata: b\n\n";
+    for before in ["", "data: a\n", "event: token\r", ": alive\r\n"] {
+        let text = format!("{before}{other}");
+        let mut reader = text.as_bytes();
+        let mut event = read_event(&mut reader);
+        if matches!(event, Ok(ServerSentEvent::Comment)) {
+            event = read_event(&mut reader);
+        }
+        assert_eq!(event.expect_err("another answer").kind(), ErrorKind::InvalidData, "{text:?}");
+    }
+    let event = read_event(&mut &b"data: HTTP/1.1 200 OK\n\n"[..]).expect("an event");
+    let data = "HTTP/1.1 200 OK".to_owned();
+    assert_eq!(event, ServerSentEvent::Event { data, name: "message".to_owned() });
+}
--- a/tests/stream_order.rs
+++ b/tests/stream_order.rs
@@ -135,3 +135,11 @@
 fn another_answer_inside_an_end_event_does_not_end_the_stream() {
     assert_whole_after(&format!("event: end\ndata: {{\"output_tok{}", part(0, TOKENS)));
 }
+
+#[test]
+fn another_answer_after_a_token_is_not_part_of_the_stream() {
+    let other = part(0, TOKENS).replace("\"text\":\"", "\"text\":\"other ");
+    for half in ["", "event: token\n", "event: token\ndata: {\"index\":6,\"text\":\"other\"}\n"] {
+        assert_whole_after(&format!("{half}{other}"));
+    }
+}
