End a joined answer as done only with all its events

What callers saw: nothing that is reported. An end event of another instance that could not be read, or that counted more events than had arrived, ended a joined answer as done.

Cause: whatever was no final answer was the end of a complete one, with an empty digest and a count of 0 where it had none.

Change: the join goes on at the event it has reached, within the limit of attempts, unless the end event says done and counts no more events.

Evidence: before, a_joined_answer_ends_as_done_only_with_all_its_events failed (done with digest "" and count 0 in place of "d" and 3); it passes now. a_join_beyond_the_end_of_an_answer_ends_as_done holds what stays.

--- a/src/join_answer.rs
+++ b/src/join_answer.rs
@@ -7,13 +7,14 @@
 use std::time::Duration;
 
 use attohttpc::{Method, RequestBuilder};
+use serde::Deserialize;
 use serde_json::Value;
 
 use crate::answer_log::{AnswerEnd, AnswerLog, AnswerRead, AnswerTotals};
 use crate::answer_writer::AnswerWriter;
 use crate::answers;
 use crate::backend_call::EventStream;
-use crate::final_answer::FinalAnswer;
+use crate::final_answer::{FinalAnswer, Outcome};
 use crate::http_client::http_request;
 use crate::server_sent_events::{ServerSentEvent, read_event};
 use crate::settings::DispatchSettings;
@@ -61,6 +62,14 @@
     }
 }
 
+/// Data of the event that ends a complete answer.
+#[derive(Deserialize)]
+struct DoneData {
+    digest: String,
+    events: usize,
+    outcome: Outcome,
+}
+
 /// Response of the other instance.
 enum PeerResponse {
     /// A final answer in place of a stream.
@@ -179,7 +188,9 @@
             *offset += 1;
             writer.events(&[Arc::from(data)])
         }
-        Ok(ServerSentEvent::Event { data, .. }) => return JoinStep::End(parse_end(&data)),
+        Ok(ServerSentEvent::Event { data, .. }) => {
+            return parse_end(&data, *offset).map_or(JoinStep::Reconnect, JoinStep::End);
+        }
         Ok(ServerSentEvent::EndOfStream) | Err(_) => return JoinStep::Reconnect,
     };
     match written {
@@ -188,15 +199,15 @@
     }
 }
 
-fn parse_end(data: &str) -> AnswerEnd {
+/// Reads an end event; returns `None` if it can't be read, or ends a complete answer before its
+/// last event.
+fn parse_end(data: &str, offset: usize) -> Option<AnswerEnd> {
     if let Ok(answer) = serde_json::from_str::<FinalAnswer>(data) {
-        return AnswerEnd::Final(answer);
+        return Some(AnswerEnd::Final(answer));
     }
-    let value: Value = serde_json::from_str(data).unwrap_or_default();
-    AnswerEnd::Done(AnswerTotals {
-        digest: value["digest"].as_str().unwrap_or_default().to_string(),
-        events: usize::try_from(value["events"].as_u64().unwrap_or_default()).unwrap_or_default(),
-    })
+    let DoneData { digest, events, outcome } = serde_json::from_str(data).ok()?;
+    let is_complete = outcome == Outcome::Done && events <= offset;
+    is_complete.then_some(AnswerEnd::Done(AnswerTotals { digest, events }))
 }
 
 fn request_to(
