--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -66,6 +66,9 @@
                 StreamRead::Broken(error) => {
                     self.resume(&SendFailure::ConnectionBroken(error)).await?;
                 }
+                StreamRead::Wrong(fault) => {
+                    self.resume(&SendFailure::WrongAnswer(fault.to_string())).await?;
+                }
                 StreamRead::Silent if self.may_move_stream() => self.resume(&silence()).await?,
                 StreamRead::Silent => {}
                 StreamRead::DeadlinePassed => return self.abort("the deadline passed").await,
@@ -106,6 +109,7 @@
         if matches!(cause, SendFailure::ConnectionBroken(_)) {
             stream_relay.relay.record_broken_send(&backend_stream.guard);
         }
+        stream_relay.record_break(&backend_stream);
         backend_stream.guard.end(SendOutcome::Failed);
         drop(backend_stream.connection);
         let resumable =
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -21,7 +21,7 @@
 use crate::gateway::caller_stream::CallerStream;
 use crate::gateway::connections::Connection;
 use crate::gateway::engine_query::VersionNeed;
-use crate::gateway::event_splitter::{EVENT_LIMIT_BYTES, EventSplitter, SplitEvents};
+use crate::gateway::event_splitter::{EVENT_LIMIT_BYTES, EventSplitter, SplitEvents, StreamFault};
 use crate::gateway::exchange::{CallerRequest, Reply, SendFailure, exchange, read_answer};
 use crate::gateway::forward::rejection;
 use crate::gateway::origin_finder::find_origin;
@@ -49,6 +49,7 @@
     }
     let mut stream_relay = StreamRelay {
         last_event_ms: 0,
+        lacks_event: false,
         relay: Relay::new(shared, plan, request),
         resume_after: None,
         summary: StreamSummary::default(),
@@ -98,6 +99,8 @@
     End,
     Silent,
     DeadlinePassed,
+    /// What follows the last event is not part of the answer.
+    Wrong(StreamFault),
 }
 
 /// What follows from bytes of a stream.
@@ -113,6 +116,8 @@
 /// A request that is answered by a stream, over all its sends.
 pub(crate) struct StreamRelay {
     last_event_ms: u64,
+    /// Whether the caller lacks an event of which a send that broke off had sent a part.
+    lacks_event: bool,
     pub(crate) relay: Relay,
     /// Id of the last event received, after which the stream is resumed.
     pub(crate) resume_after: Option<String>,
@@ -128,7 +133,19 @@
     }
 }
 
+impl BackendStream {
+    /// Returns whether bytes of an event or of its length are missing.
+    fn lacks_bytes(&self) -> bool {
+        self.splitter.is_inside_event() || self.body.size_hint().lower() > 0
+    }
+}
+
 impl StreamRelay {
+    /// Records that a stream broke off whose events the caller has received.
+    pub(crate) fn record_break(&mut self, backend_stream: &BackendStream) {
+        self.lacks_event = backend_stream.lacks_bytes();
+    }
+
     pub(crate) async fn open(&mut self) -> OpenOutcome {
         let Relay { plan, shared, tried, .. } = &mut self.relay;
         let started_send = match find_place(shared, plan, tried).await {
@@ -193,7 +210,8 @@
             return self.forward_error_response(guard, connection, head, body).await;
         }
         self.relay.may_have_run = true;
-        let may_be_empty = framing != AnswerFraming::ConnectionEnd || body.is_end_stream();
+        let ends_itself = framing != AnswerFraming::ConnectionEnd || body.is_end_stream();
+        let may_be_empty = ends_itself && !self.lacks_event;
         let idle_timeout_ms = metadata.idle_timeout_ms;
         let mut backend_stream = BackendStream {
             body,
@@ -203,7 +221,7 @@
             idle_timeout_ms,
             guard,
             share: self.relay.shared.answer_budget.share(),
-            splitter: EventSplitter::default(),
+            splitter: EventSplitter::after(self.resume_after.as_deref()),
         };
         loop {
             match self.read_next(&mut backend_stream).await {
@@ -234,6 +252,10 @@
                     let failure = SendFailure::ConnectionBroken(error);
                     return self.after_stream_failure(backend_stream, &failure);
                 }
+                StreamRead::Wrong(fault) => {
+                    let failure = SendFailure::WrongAnswer(fault.to_string());
+                    return self.after_stream_failure(backend_stream, &failure);
+                }
                 StreamRead::Silent => {
                     return self.after_stream_failure(backend_stream, &silence());
                 }
@@ -270,6 +292,7 @@
         backend_stream: BackendStream,
         failure: &SendFailure,
     ) -> OpenOutcome {
+        self.lacks_event |= self.resume_after.is_some() && backend_stream.lacks_bytes();
         let incomplete_event_bytes = backend_stream.splitter.rest_bytes();
         let summary = StreamSummary { incomplete_event_bytes, ..self.summary };
         self.relay.after_failure(backend_stream.guard, failure, summary).into()
@@ -285,8 +308,8 @@
 
     /// Waits for the next bytes of a stream.
     pub(crate) async fn read_next(&self, backend_stream: &mut BackendStream) -> StreamRead {
-        if backend_stream.splitter.holds_answer() {
-            return StreamRead::Broken("another answer began inside the stream".to_owned());
+        if let Some(fault) = backend_stream.splitter.fault() {
+            return StreamRead::Wrong(fault);
         }
         let Relay { plan, sends, .. } = &self.relay;
         let left_ms = plan.deadline_ms.saturating_sub(boot_ms());
@@ -331,9 +354,6 @@
                 return Received::Wrong(reason);
             }
         };
-        if backend_stream.events == 0 && self.starts_over(events.first_id.as_deref()) {
-            return Received::Wrong("the resumed stream starts over".to_owned());
-        }
         let now_ms = boot_ms();
         if backend_stream.events == 0 {
             backend_stream.first_ms = now_ms;
@@ -366,15 +386,6 @@
         }
     }
 
-    /// Returns whether the first event of a resumed stream is one that the caller has; ids that are
-    /// not numbers tell nothing.
-    fn starts_over(&self, first_id: Option<&str>) -> bool {
-        let number = |id: &str| id.parse::<u64>().ok();
-        let resumed_after = self.resume_after.as_deref().and_then(number);
-        let first = first_id.and_then(number);
-        first.zip(resumed_after).is_some_and(|(first, resumed_after)| first <= resumed_after)
-    }
-
     fn full_response(&self, mut head: http::response::Parts, body: Bytes) -> Response<ReplyBody> {
         self.relay.log_end(head.status, self.summary);
         self.relay.shared.wire.prepare_reply(&mut head.headers);
