--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -7,17 +7,19 @@
 //!
 //! A datagram is decoded in [`message`], recorded in [`roster`] and merged into the state in
 //! [`receiving`]; what is due is built in [`reporting`] and encoded by the socket that sends it.
-//! Places are asked for and granted in [`placing`] and counted in [`leases`]; [`origin_homes`] finds by
+//! Places are asked for in [`placing`], granted in `granting` and counted in [`leases`]; [`origin_homes`] finds by
 //! which software version a stream was begun. All of it is without sockets and clocks; `peer_socket`
 //! moves the datagrams.
 
 pub mod cells;
 pub mod coordinators;
 pub mod counter_feed;
+mod granting;
 pub mod leases;
 pub mod membership;
 pub mod message;
 pub mod origin_homes;
+pub mod origin_message;
 pub mod part_evidence;
 pub mod pending_ask;
 pub mod pending_origin;
--- a/src/gateway/fleet/placing.rs
+++ b/src/gateway/fleet/placing.rs
@@ -3,29 +3,25 @@
 //!
 //! One queue sees every request that waits for the engines of a cell, so ranks hold over all
 //! members, and a slot that becomes free is given away at once. A cell that is full names another
-//! one that announced free places, so a burst in one cell uses the engines of the others.
+//! one that announced free places, so a burst in one cell uses the engines of the others. What a
+//! coordinator grants to other instances is in `granting`.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use crate::gateway::admission::{PlanCharge, Refusal, RequestPlan};
 use crate::gateway::backend::{BackendStatus, SendOutcome};
-use crate::gateway::dispatching::{
-    DispatchDecision, PlaceQuery, SendEnd, StartedSend, WaitDecision,
-};
+use crate::gateway::dispatching::{DispatchDecision, PlaceQuery, SendEnd, StartedSend};
 use crate::gateway::engine_query::{EngineQuery, VersionNeed};
 use crate::gateway::fleet::coordinators::Decider;
-use crate::gateway::fleet::leases::Lease;
-use crate::gateway::fleet::membership::{Outgoing, OwnPlace, RemoteWaiting};
+use crate::gateway::fleet::membership::{Outgoing, OwnPlace};
 use crate::gateway::fleet::message::{
-    AskedUsage, Body, EndedPlace, GrantedPlace, PlaceAnswer, PlaceAsk, PlaceProgress, PlaceStep,
-    PlaceVerdict,
+    AskedUsage, Body, EndedPlace, GrantedPlace, PlaceAsk, PlaceProgress, PlaceStep,
 };
 use crate::gateway::fleet::pending_ask::PendingAsk;
 use crate::gateway::fleet::roster::LIVE_MS;
 use crate::gateway::request_metadata::PromptShape;
 use crate::gateway::routing_document::RouteKind;
-use crate::gateway::state::{GatewayState, RETRY_SOON_MS};
+use crate::gateway::state::GatewayState;
 use crate::gateway::usage_limits::Usage;
 use crate::name::Name;
 
@@ -247,222 +243,14 @@
         }
     }
 
-    pub(crate) fn receive_ask(
-        &mut self,
-        now_ms: u64,
-        from: SocketAddr,
-        holder: &Name,
-        ask: &PlaceAsk,
-    ) {
-        let verdict = self.decide_ask(now_ms, from, holder, ask);
-        let answer = PlaceAnswer { number: ask.number, verdict };
-        self.fleet.send(from, Body::Answer(answer));
-    }
-
-    fn decide_ask(
-        &mut self,
-        now_ms: u64,
-        from: SocketAddr,
-        holder: &Name,
-        ask: &PlaceAsk,
-    ) -> PlaceVerdict {
-        if !self.fleet.is_ready(now_ms) || self.stop.is_some() {
-            return PlaceVerdict::NotCoordinating;
-        }
-        if let Some(lease) = self.fleet.leases.get(holder, ask.number) {
-            return PlaceVerdict::Granted(self.granted(lease));
-        }
-        let waiting = self.fleet.remote_waiting.iter_mut();
-        let mut same = waiting.filter(|known| known.place == ask.number && known.holder == *holder);
-        if let Some(known) = same.next() {
-            known.asked_ms = now_ms;
-            return PlaceVerdict::Waiting;
-        }
-        if let Some(usage) = &ask.usage
-            && let Err(refusal) = self.charge_units(now_ms, &usage.customer, usage.usage())
-        {
-            return match refusal.shortage {
-                Some(shortage) => PlaceVerdict::OverLimit(shortage),
-                None => PlaceVerdict::NotCoordinating,
-            };
-        }
-        let verdict = self.decide_charged(now_ms, from, holder, ask);
-        if let Some(AskedUsage { customer, units, .. }) = &ask.usage {
-            match &verdict {
-                PlaceVerdict::Granted(_) => self.settle_units(now_ms, customer, *units),
-                PlaceVerdict::Waiting => {}
-                _ => self.limits.refund(customer, *units),
-            }
-        }
-        verdict
-    }
-
-    fn decide_charged(
-        &mut self,
-        now_ms: u64,
-        from: SocketAddr,
-        holder: &Name,
-        ask: &PlaceAsk,
-    ) -> PlaceVerdict {
-        let query = PlaceQuery::from_ask(now_ms, ask);
-        if !query.is_model {
-            let chosen = self.backends.choose_plain(now_ms, &ask.service, &ask.tried);
-            return match chosen {
-                Some(chosen) => self.grant(now_ms, holder, ask.number, &chosen, None),
-                None => PlaceVerdict::Refused(RETRY_SOON_MS),
-            };
-        }
-        if let Err(refusal) = self.check_parts(now_ms, &query.engine.prompt) {
-            return PlaceVerdict::Suspect(refusal);
-        }
-        if let Some(chosen) = self.free_engine(now_ms, &query) {
-            let prompt = Some(query.engine.prompt.clone());
-            return self.grant(now_ms, holder, ask.number, &chosen, prompt);
-        }
-        if ask.may_redirect
-            && let Some(address) = self.take_place_elsewhere(now_ms, &ask.service)
-        {
-            return PlaceVerdict::Elsewhere(address);
-        }
-        if !ask.may_wait {
-            return PlaceVerdict::Refused(self.retry_after_ms(now_ms, query.engine.deadline_ms));
-        }
-        match self.enqueue(now_ms, &query) {
-            Ok(number) => {
-                self.fleet.remote_waiting.push(RemoteWaiting {
-                    address: from,
-                    asked_ms: now_ms,
-                    deadline_ms: query.engine.deadline_ms,
-                    holder: holder.clone(),
-                    number,
-                    place: ask.number,
-                    service: ask.service.clone(),
-                    usage: ask.usage.clone(),
-                });
-                PlaceVerdict::Waiting
-            }
-            Err(wait_ms) => PlaceVerdict::Refused(wait_ms),
-        }
-    }
-
-    /// Answers the holder of a request that waited here; returns whether there is one.
-    pub(crate) fn answer_waiting(
-        &mut self,
-        now_ms: u64,
-        number: u64,
-        decision: &WaitDecision,
-    ) -> bool {
-        let index = self.fleet.remote_waiting.iter().position(|waiting| waiting.number == number);
-        let Some(index) = index else { return false };
-        let waiting = self.fleet.remote_waiting.swap_remove(index);
-        if let Some(AskedUsage { customer, units, .. }) = &waiting.usage {
-            match decision {
-                WaitDecision::Send(..) => self.settle_units(now_ms, customer, *units),
-                WaitDecision::Expire | WaitDecision::Refuse(_) => {
-                    self.limits.refund(customer, *units);
-                }
-            }
-        }
-        let verdict = match decision {
-            WaitDecision::Send(backend_server, prompt) => {
-                let prompt = Some(prompt.clone());
-                self.grant(now_ms, &waiting.holder, waiting.place, backend_server, prompt)
-            }
-            WaitDecision::Expire => {
-                PlaceVerdict::Refused(self.retry_after_ms(now_ms, waiting.deadline_ms))
-            }
-            WaitDecision::Refuse(refusal) => PlaceVerdict::Suspect(*refusal),
-        };
-        let answer = PlaceAnswer { number: waiting.place, verdict };
-        self.fleet.send(waiting.address, Body::Answer(answer));
-        true
-    }
-
-    fn grant(
-        &mut self,
-        now_ms: u64,
-        holder: &Name,
-        number: u64,
-        backend_server: &Name,
-        prompt: Option<Arc<PromptShape>>,
-    ) -> PlaceVerdict {
-        let Some(backend) = self.backends.get_mut(backend_server) else {
-            return PlaceVerdict::Refused(RETRY_SOON_MS);
-        };
-        let unread_tokens =
-            prompt.as_deref().map(|prompt| backend.uncached_tokens(prompt)).unwrap_or_default();
-        backend.record_prompt(now_ms, prompt.as_deref());
-        let lease = Lease {
-            backend_server: backend_server.clone(),
-            granted_ms: now_ms,
-            holder: holder.clone(),
-            is_model: prompt.is_some(),
-            number,
-            unread_tokens,
-            unstarted_parts: prompt.as_deref().map(PromptShape::shared_parts).unwrap_or_default(),
-        };
-        self.fleet.leases.add(lease.clone(), &mut self.backends);
-        PlaceVerdict::Granted(self.granted(&lease))
-    }
-
-    fn granted(&self, lease: &Lease) -> GrantedPlace {
-        let load =
-            self.backends.get(&lease.backend_server).map(|known| known.load()).unwrap_or_default();
-        GrantedPlace {
-            backend_server: lease.backend_server.clone(),
-            running: load.running,
-            tokens_ahead: load.unread_tokens,
-            unread_tokens: lease.unread_tokens,
-        }
-    }
-
-    pub(crate) fn record_remote_first_event(
+    /// Records at a backend server how a send of any instance ended.
+    pub(crate) fn record_end(
         &mut self,
         now_ms: u64,
-        holder: &Name,
-        number: u64,
-        elapsed_ms: u64,
-        tokens_ahead: u64,
+        backend_server: &str,
+        end: &EndedPlace,
+        is_model: bool,
     ) {
-        let Some(lease) = self.fleet.leases.get(holder, number).cloned() else { return };
-        self.fleet.leases.read_prompt(holder, number, &mut self.backends);
-        self.record_event_of_parts(now_ms, &lease.unstarted_parts);
-        if let Some(backend) = self.backends.get_mut(&lease.backend_server) {
-            backend.record_prefill(tokens_ahead, elapsed_ms as f64);
-        }
-    }
-
-    pub(crate) fn end_lease(&mut self, now_ms: u64, holder: &Name, number: u64, end: &EndedPlace) {
-        match self.fleet.leases.end(holder, number, &mut self.backends) {
-            Some(lease) => {
-                let Lease { backend_server, unstarted_parts, .. } = &lease;
-                self.record_end_of_parts(now_ms, end.outcome, backend_server, unstarted_parts);
-                self.record_end(now_ms, &lease.backend_server, end, lease.is_model);
-            }
-            None => self.cancel_remote_waiting(holder, number),
-        }
-    }
-
-    fn cancel_remote_waiting(&mut self, holder: &Name, number: u64) {
-        let waiting = &mut self.fleet.remote_waiting;
-        let index =
-            waiting.iter().position(|known| known.place == number && known.holder == *holder);
-        if let Some(index) = index {
-            let cancelled = waiting.swap_remove(index);
-            self.drop_remote_waiting(cancelled);
-        }
-    }
-
-    /// Removes a request of another instance from the queue and gives back its units.
-    pub(crate) fn drop_remote_waiting(&mut self, waiting: RemoteWaiting) {
-        self.remove_waiting(&waiting.service, waiting.number);
-        if let Some(usage) = waiting.usage {
-            self.limits.refund(&usage.customer, usage.units);
-        }
-    }
-
-    /// Records at a backend server how a send of any instance ended.
-    fn record_end(&mut self, now_ms: u64, backend_server: &str, end: &EndedPlace, is_model: bool) {
         let Some(backend) = self.backends.get_mut(backend_server) else { return };
         backend.record_end(now_ms, end.outcome);
         if let Some(pause_ms) = end.pause_ms {
@@ -508,7 +296,11 @@
     }
 
     /// Returns the coordinator of another cell that announced free places, and counts one as taken.
-    fn take_place_elsewhere(&mut self, now_ms: u64, service: &str) -> Option<SocketAddr> {
+    pub(crate) fn take_place_elsewhere(
+        &mut self,
+        now_ms: u64,
+        service: &str,
+    ) -> Option<SocketAddr> {
         let others = self
             .fleet
             .other_coordinators
@@ -529,7 +321,7 @@
 }
 
 impl AskedUsage {
-    fn usage(&self) -> Usage {
+    pub(crate) fn usage(&self) -> Usage {
         Usage { ranks_before: self.ranks_before as usize, units: self.units }
     }
 }
--- a/src/gateway/fleet/receiving.rs
+++ b/src/gateway/fleet/receiving.rs
@@ -6,9 +6,10 @@
 use crate::gateway::fleet::counter_feed::SourceId;
 use crate::gateway::fleet::membership::{Fleet, OtherCoordinator, SeenCoordinator};
 use crate::gateway::fleet::message::{
-    Body, CellReport, CellSummary, Envelope, MemberReport, Message, OriginAnswer, PlaceAnswer,
-    PlaceStep, ReportedSuspects, Sender, Spent, StoreStatus,
+    Body, CellReport, CellSummary, Envelope, MemberReport, Message, PlaceAnswer, PlaceStep,
+    ReportedSuspects, Sender, Spent, StoreStatus,
 };
+use crate::gateway::fleet::origin_message::OriginAnswer;
 use crate::gateway::fleet::roster::proved_ms;
 use crate::gateway::fleet::usage_book::UsageUpdate;
 use crate::gateway::state::{GatewayState, monotonic_now};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod peer_update;
 mod place_finder;
 mod plain_relay;
+mod planned_stop;
 mod readiness;
 pub mod recent_parts;
 mod relay;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,6 +16,7 @@
 use crate::gateway::freshness::Freshness;
 use crate::gateway::gateway_settings::GatewaySettings;
 use crate::gateway::part_quarantine::PartQuarantine;
+use crate::gateway::planned_stop::PlannedStop;
 use crate::gateway::request_metadata::PromptShape;
 use crate::gateway::request_queue::RequestQueue;
 use crate::gateway::routing_document::{Customer, RouteKind, RoutingDocument};
@@ -43,12 +44,6 @@
 /// Weight of a new sample in the mean time that a request occupies a slot.
 const SLOT_SAMPLE_WEIGHT: f64 = 0.05;
 
-/// Time after which a stopping instance admits no new request, in milliseconds; the balancer has
-/// noticed the stop by then.
-const STOP_ADMISSION_MS: u64 = 3_000;
-/// Factor on the typical duration of an answer when a stopping instance decides on admission.
-const STOP_DURATION_FACTOR: f64 = 2.0;
-
 /// State of a gateway instance.
 #[derive(Debug)]
 pub struct GatewayState {
@@ -86,7 +81,7 @@
     /// boot clock.
     pub(crate) relist_at_ms: Option<u64>,
     pub(crate) started_ms: u64,
-    pub(crate) stop: Option<Stop>,
+    pub(crate) stop: Option<PlannedStop>,
     /// Whether the store answered the last call.
     pub(crate) store_reachable: bool,
     pub(crate) store_log: StoreLog,
@@ -96,15 +91,6 @@
     pub(crate) versions: SoftwareVersions,
 }
 
-/// A requested stop of the process.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Stop {
-    /// When the process ends, in milliseconds of the boot clock.
-    ends_ms: u64,
-    /// When the stop was requested, in milliseconds of the boot clock.
-    requested_ms: u64,
-}
-
 impl GatewayState {
     /// Returns a state without document, backend servers or live peers.
     pub fn new(settings: GatewaySettings, now_ms: u64, incarnation: u64) -> Self {
@@ -217,13 +203,6 @@
         self.settings.store_address = settings.store_address;
     }
 
-    /// Records that a stop was requested and that the process ends at `ends_ms`.
-    pub fn stop(&mut self, now_ms: u64, ends_ms: u64) {
-        self.stop = Some(Stop { ends_ms, requested_ms: now_ms });
-        self.fleet.stopping = true;
-        self.fleet.is_urgent = true;
-    }
-
     /// Admits an arrived request and charges its customer, or refuses it; `random` picks one of the
     /// services of its route.
     pub fn admit(&mut self, now_ms: u64, arrival: &Arrival<'_>, random: u64) -> Admission {
@@ -297,20 +276,6 @@
         })
     }
 
-    /// Returns whether the process is stopping and a request that arrives now comes too late: it
-    /// would probably outlast the process, or the time for new requests is over.
-    fn would_outlast_process(
-        &self,
-        now_ms: u64,
-        service: &str,
-        prompt: Option<&PromptShape>,
-    ) -> bool {
-        let Some(stop) = self.stop else { return false };
-        let answer_ms = prompt.map(|prompt| self.backends.typical_stream_ms(service, prompt));
-        let answer_ms = answer_ms.unwrap_or_default() * STOP_DURATION_FACTOR;
-        now_ms >= stop.requested_ms + STOP_ADMISSION_MS || now_ms + answer_ms as u64 >= stop.ends_ms
-    }
-
     fn identify_customer(
         &self,
         now_ms: u64,
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::gateway::fleet::message::ToldOrigin;
+use crate::gateway::fleet::origin_message::ToldOrigin;
 use crate::name::Name;
 
 /// Number of generations; all but the newest cover the time for which a stream can be resumed.
--- a/tests/gateway_support/fleet.rs
+++ b/tests/gateway_support/fleet.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 
 use bergamotspan::gateway::dispatching::WaitOutcome;
-use bergamotspan::gateway::fleet::message::{Body, Envelope, Message, OriginAnswer, PlaceAnswer};
+use bergamotspan::gateway::fleet::message::{Body, Envelope, Message, PlaceAnswer};
+use bergamotspan::gateway::fleet::origin_message::OriginAnswer;
 use bergamotspan::gateway::gateway_settings::GatewaySettings;
 use bergamotspan::gateway::state::GatewayState;
 use bergamotspan::gateway::store_item::{StoreChanges, StoreItem};
--- a/tests/gateway_support/versioned_fleet.rs
+++ b/tests/gateway_support/versioned_fleet.rs
@@ -9,8 +9,9 @@
 use bergamotspan::gateway::admission::{Admission, Arrival, RefusalReason, RequestPlan};
 use bergamotspan::gateway::backend_record::BackendRecord;
 use bergamotspan::gateway::dispatching::StartedSend;
-use bergamotspan::gateway::fleet::message::{Body, OriginAsk};
+use bergamotspan::gateway::fleet::message::Body;
 use bergamotspan::gateway::fleet::origin_homes::OriginLookup;
+use bergamotspan::gateway::fleet::origin_message::OriginAsk;
 use bergamotspan::gateway::fleet::pending_origin::{
     OriginSource, OriginStep, PATIENCE_MS, PendingOrigin,
 };
