Let streams go on while a version is too new to have begun any

Streams of an instance that was killed right after a version arrived were unknown everywhere: their instance had not told its homes, and the others knew of two versions. A version that is new can't have begun streams before the hold ends that counts from the last proof without it, so until the proof limit after that one the other version is still the only one.

--- a/src/gateway/fleet/origin_homes.rs
+++ b/src/gateway/fleet/origin_homes.rs
@@ -49,7 +49,9 @@
         let Some(software_version) = started_send.software_version.clone() else { return };
         let Some(stream) = stream_of(plan).filter(|_| plan.route.resumable) else { return };
         let origin = StreamOrigin { service: plan.service.clone(), software_version };
-        if self.only_version(now_ms, &origin.service).is_none() {
+        let has_one = self.only_version(now_ms, &origin.service).is_some()
+            && !self.versions.has_unused(now_ms, &origin.service);
+        if !has_one {
             self.tell_homes(&[(stream, origin.clone())]);
         }
         self.origins.record(now_ms, stream, origin, true);
@@ -93,7 +95,9 @@
     /// a service that has a new one, or may have had one while this instance heard of nothing.
     pub(crate) fn record_software_versions(&mut self, now_ms: u64) {
         let present = self.backends.present_versions();
-        let mut changed = self.versions.record(now_ms, &present);
+        let proof_age_ms = self.freshness.age_ms(now_ms).unwrap_or(now_ms);
+        let proved_ms = now_ms.saturating_sub(proof_age_ms);
+        let mut changed = self.versions.record(now_ms, proved_ms, &present);
         if self.may_lack_versions(now_ms) {
             changed = self.versions.record_gap(now_ms);
         }
--- a/src/gateway/software_versions.rs
+++ b/src/gateway/software_versions.rs
@@ -46,12 +46,15 @@
     /// When its last backend server was removed, in milliseconds of the boot clock.
     left_ms: u64,
     name: Name,
+    /// Until when no instance can have begun a stream at it that may be resumed, in milliseconds of
+    /// the boot clock.
+    unused_until_ms: u64,
 }
 
 impl SoftwareVersions {
     /// Records the versions of all backend servers that are present; returns the services that have
-    /// a version that is new.
-    pub fn record(&mut self, now_ms: u64, present: &[PresentVersion]) -> Vec<Name> {
+    /// a version that is new. The versions before were all at `proved_ms`.
+    pub fn record(&mut self, now_ms: u64, proved_ms: u64, present: &[PresentVersion]) -> Vec<Name> {
         for known in self.services.iter_mut().flat_map(|service| &mut service.versions) {
             if std::mem::take(&mut known.is_present) {
                 known.left_ms = now_ms;
@@ -61,7 +64,7 @@
         for of_service in present.chunk_by(|left, right| left.service == right.service) {
             let Some(PresentVersion { service, .. }) = of_service.first() else { continue };
             let index = self.index_or_insert(now_ms, service);
-            if self.services[index].record(now_ms, of_service) {
+            if self.services[index].record(now_ms, proved_ms, of_service) {
                 changed.push(service.clone());
             }
         }
@@ -84,12 +87,21 @@
     pub fn only(&self, now_ms: u64, service: &str, resumable_ms: u64) -> Option<&Name> {
         let of_service = &self.services[self.find(service).ok()?];
         let since_ms = now_ms.checked_sub(resumable_ms)?;
-        let is_recent = |known: &&KnownVersion| known.is_present || known.left_ms > since_ms;
+        let is_recent = |known: &&KnownVersion| {
+            now_ms >= known.unused_until_ms && (known.is_present || known.left_ms > since_ms)
+        };
         let mut recent = of_service.versions.iter().filter(is_recent);
         let only = recent.next().filter(|_| recent.next().is_none())?;
         (of_service.complete_since_ms <= since_ms).then_some(&only.name)
     }
 
+    /// Returns whether a service has a version at which no stream can have begun yet.
+    pub fn has_unused(&self, now_ms: u64, service: &str) -> bool {
+        let of_service = self.find(service).ok().map(|index| &self.services[index]);
+        let mut versions = of_service.into_iter().flat_map(|known| &known.versions);
+        versions.any(|known| now_ms < known.unused_until_ms)
+    }
+
     /// Returns whether a backend server has a version.
     pub fn is_present(&self, service: &str, software_version: &str) -> bool {
         self.known(service, software_version).is_some_and(|known| known.is_present)
@@ -127,9 +139,12 @@
 
 impl ServiceVersions {
     /// Records the present versions, and returns whether one is new.
-    fn record(&mut self, now_ms: u64, present: &[PresentVersion]) -> bool {
+    fn record(&mut self, now_ms: u64, proved_ms: u64, present: &[PresentVersion]) -> bool {
         // What is there when the service becomes known is not new.
-        let held_until_ms = if now_ms > self.known_ms { now_ms + HOLD_MS } else { 0 };
+        let is_new = now_ms > self.known_ms;
+        let held_until_ms = if is_new { now_ms + HOLD_MS } else { 0 };
+        // It was not there at the proof, and all instances hold it from when they hear of it.
+        let unused_until_ms = if is_new { proved_ms + PROOF_LIMIT_MS } else { 0 };
         let mut has_new = false;
         for PresentVersion { software_version, .. } in present {
             let is_known = |known: &KnownVersion| known.name == *software_version;
@@ -145,6 +160,7 @@
                 is_present: true,
                 left_ms: now_ms,
                 name: software_version.clone(),
+                unused_until_ms,
             });
         }
         has_new
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -41,7 +41,7 @@
 /// Returns the record of a service that has had v1 alone since the start.
 fn established() -> SoftwareVersions {
     let mut versions = SoftwareVersions::default();
-    versions.record(START_MS, &present(&[("model", "v1")]));
+    versions.record(START_MS, START_MS, &present(&[("model", "v1")]));
     versions
 }
 
@@ -57,8 +57,12 @@
 fn a_version_that_left_counts_until_its_last_stream_can_no_longer_be_resumed() {
     let mut versions = established();
     let left_ms = START_MS + 2 * RESUMABLE_MS;
-    versions.record(left_ms - HOLD_MS, &present(&[("model", "v1"), ("model", "v2")]));
-    versions.record(left_ms, &present(&[("model", "v2")]));
+    versions.record(
+        left_ms - HOLD_MS,
+        left_ms - HOLD_MS,
+        &present(&[("model", "v1"), ("model", "v2")]),
+    );
+    versions.record(left_ms, left_ms, &present(&[("model", "v2")]));
     assert_eq!(only(&versions, left_ms + RESUMABLE_MS - 1, "model"), None);
     assert_eq!(only(&versions, left_ms + RESUMABLE_MS, "model"), Some(name("v2")));
 }
@@ -68,14 +72,14 @@
     let mut versions = established();
     let both = present(&[("model", "v1"), ("model", "v2")]);
     let added_ms = START_MS + RESUMABLE_MS;
-    versions.record(added_ms, &both);
-    versions.record(added_ms + HOLD_MS, &present(&[("model", "v1")]));
+    versions.record(added_ms, added_ms, &both);
+    versions.record(added_ms + HOLD_MS, added_ms + HOLD_MS, &present(&[("model", "v1")]));
     let left_ms = added_ms + HOLD_MS;
-    assert!(versions.record(left_ms + HOLD_MS - 1, &both).is_empty());
+    assert!(versions.record(left_ms + HOLD_MS - 1, left_ms + HOLD_MS - 1, &both).is_empty());
     assert_eq!(versions.held_until_ms("model", "v2"), added_ms + HOLD_MS);
-    versions.record(left_ms + HOLD_MS, &present(&[("model", "v1")]));
+    versions.record(left_ms + HOLD_MS, left_ms + HOLD_MS, &present(&[("model", "v1")]));
     let returned_ms = left_ms + 2 * HOLD_MS;
-    assert_eq!(versions.record(returned_ms, &both), [name("model")]);
+    assert_eq!(versions.record(returned_ms, returned_ms, &both), [name("model")]);
     assert_eq!(versions.held_until_ms("model", "v2"), returned_ms + HOLD_MS);
     assert_eq!(versions.held_until_ms("model", "v1"), 0);
 }
@@ -83,12 +87,15 @@
 #[test]
 fn a_version_of_one_service_does_not_count_in_another() {
     let mut versions = SoftwareVersions::default();
-    versions.record(START_MS, &present(&[("model", "v1"), ("other", "v2")]));
+    versions.record(START_MS, START_MS, &present(&[("model", "v1"), ("other", "v2")]));
     let now_ms = START_MS + RESUMABLE_MS;
     assert_eq!(only(&versions, now_ms, "model"), Some(name("v1")));
     assert_eq!(only(&versions, now_ms, "other"), Some(name("v2")));
-    let changed =
-        versions.record(now_ms, &present(&[("model", "v1"), ("model", "v2"), ("other", "v2")]));
+    let changed = versions.record(
+        now_ms,
+        now_ms,
+        &present(&[("model", "v1"), ("model", "v2"), ("other", "v2")]),
+    );
     assert_eq!(changed, [name("model")]);
     assert_eq!(versions.held_until_ms("model", "v2"), now_ms + HOLD_MS);
     assert_eq!(versions.held_until_ms("other", "v2"), 0);
@@ -101,7 +108,7 @@
     let mut versions = established();
     let added_ms = START_MS + 100;
     assert_eq!(
-        versions.record(added_ms, &present(&[("model", "v1"), ("model", "v2")])),
+        versions.record(added_ms, added_ms, &present(&[("model", "v1"), ("model", "v2")])),
         [name("model")]
     );
     assert_eq!(versions.held_until_ms("model", "v2"), added_ms + HOLD_MS);
@@ -112,7 +119,7 @@
 #[test]
 fn versions_that_are_there_when_the_service_becomes_known_are_not_held() {
     let mut versions = SoftwareVersions::default();
-    versions.record(START_MS, &present(&[("model", "v1"), ("model", "v2")]));
+    versions.record(START_MS, START_MS, &present(&[("model", "v1"), ("model", "v2")]));
     assert_eq!(versions.held_until_ms("model", "v1"), 0);
     assert_eq!(versions.held_until_ms("model", "v2"), 0);
     assert_eq!(only(&versions, START_MS + RESUMABLE_MS, "model"), None);
@@ -125,17 +132,30 @@
     assert_eq!(versions.record_gap(gap_ms), [name("model")]);
     assert_eq!(only(&versions, gap_ms + RESUMABLE_MS - 1, "model"), None);
     assert_eq!(only(&versions, gap_ms + RESUMABLE_MS, "model"), Some(name("v1")));
-    versions.record(gap_ms, &present(&[("model", "v1"), ("model", "v2")]));
+    versions.record(gap_ms, gap_ms, &present(&[("model", "v1"), ("model", "v2")]));
     assert_eq!(versions.held_until_ms("model", "v2"), gap_ms + HOLD_MS);
 }
 
+#[test]
+fn streams_of_a_killed_instance_go_on_although_a_version_is_new() {
+    let mut versions = established();
+    let added_ms = START_MS + RESUMABLE_MS;
+    let proved_ms = added_ms - 400;
+    versions.record(added_ms, proved_ms, &present(&[("model", "v1"), ("model", "v2")]));
+    let unused_until_ms = proved_ms + PROOF_LIMIT_MS;
+    assert_eq!(only(&versions, unused_until_ms - 1, "model"), Some(name("v1")));
+    assert!(versions.has_unused(unused_until_ms - 1, "model"));
+    assert_eq!(only(&versions, unused_until_ms, "model"), None);
+    assert!(!versions.has_unused(unused_until_ms, "model"));
+}
+
 #[test]
 fn a_version_is_present_only_while_an_engine_has_it() {
     let mut versions = established();
     assert!(versions.is_present("model", "v1"));
     assert!(!versions.is_present("model", "v2"));
     assert!(!versions.is_present("other", "v1"));
-    versions.record(START_MS + 10, &present(&[("model", "v2")]));
+    versions.record(START_MS + 10, START_MS + 10, &present(&[("model", "v2")]));
     assert!(!versions.is_present("model", "v1"));
 }
 
