--- a/tests/crashing_parts_fleet.rs
+++ b/tests/crashing_parts_fleet.rs
@@ -2,6 +2,8 @@
 //! the quarantine holds, and whether sound requests go on.
 
 mod gateway_support;
+#[path = "gateway_support/placer.rs"]
+mod placer;
 #[path = "gateway_support/served_fleet.rs"]
 mod served_fleet;
 #[path = "gateway_support/fleet.rs"]
--- a/tests/gateway_support/served_fleet.rs
+++ b/tests/gateway_support/served_fleet.rs
@@ -3,18 +3,14 @@
 #![allow(dead_code, reason = "each test takes what it needs")]
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use bergamotspan::gateway::admission::{Admission, Arrival, RefusalReason, RequestPlan};
 use bergamotspan::gateway::backend::SendOutcome;
 use bergamotspan::gateway::backend_record::BackendRecord;
 use bergamotspan::gateway::broken_sends::BrokenSend;
 use bergamotspan::gateway::crash_records::CrashNotice;
-use bergamotspan::gateway::dispatching::{DispatchDecision, SendEnd, StartedSend, WaitResult};
+use bergamotspan::gateway::dispatching::{SendEnd, StartedSend};
 use bergamotspan::gateway::fleet::coordinators::Decider;
-use bergamotspan::gateway::fleet::message::{Body, PlaceVerdict};
-use bergamotspan::gateway::fleet::pending_ask::{AskStep, PendingAsk};
-use bergamotspan::gateway::fleet::placing::Placement;
 use bergamotspan::gateway::part_stage::PartStage;
 use bergamotspan::gateway::request_metadata::{PromptPart, PromptShape, RequestMetadata};
 use bergamotspan::gateway::routing_document::{Route, RouteKind, RoutingDocument};
@@ -25,6 +21,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::gateway_support::{HOST, backend, document, metadata, record, route};
+use crate::placer::{PlaceResult, PlaceSearch, Placer};
 use crate::simulated_fleet::SimulatedFleet;
 
 /// First parts of sound prompts: 1 to this number.
@@ -41,8 +38,6 @@
 const SLOTS: usize = 320;
 /// Number of sends that a resumable request may have.
 const ATTEMPTS: u32 = 2;
-/// Number of coordinators that are asked before an instance decides alone.
-const MAX_COORDINATORS: usize = 2;
 /// Number of unreachable engines after which a request is refused.
 const UNREACHABLE_LIMIT: usize = 3;
 /// Time from the arrival of a bad request until its engine ends, in milliseconds.
@@ -96,10 +91,7 @@
 }
 
 struct CallerRequest {
-    asked: usize,
     at: usize,
-    /// Coordinators that may have granted a place.
-    asked_to: Vec<SocketAddr>,
     arrived_ms: u64,
     fingerprint: u64,
     is_bad: bool,
@@ -112,9 +104,7 @@
 }
 
 enum Phase {
-    Asking { ask: Box<PendingAsk>, wake: u64 },
     Placing,
-    Queued(u64),
     Sent(Sent),
 }
 
@@ -122,10 +112,6 @@
     fn is_at(&self, engine: usize) -> bool {
         matches!(&self.phase, Phase::Sent(sent) if sent.engine == engine)
     }
-
-    fn asks_for(&self, place: u64) -> bool {
-        matches!(&self.phase, Phase::Asking { ask, .. } if ask.ask.number == place)
-    }
 }
 
 #[derive(Clone)]
@@ -138,7 +124,6 @@
 
 #[derive(Clone)]
 enum Timer {
-    AskSilence { request: u64, wake: u64 },
     Crash { engine: usize, run: u64 },
     EndAnswer { request: u64 },
     EngineUp(usize),
@@ -170,6 +155,7 @@
     lives: Vec<u64>,
     items: BTreeMap<Name, BackendRecord>,
     next_number: u64,
+    placer: Placer,
     random: StdRng,
     requests: BTreeMap<u64, CallerRequest>,
     revision: u64,
@@ -194,6 +180,7 @@
             lives: vec![0; instances],
             items: BTreeMap::new(),
             next_number: 0,
+            placer: Placer::default(),
             random: StdRng::seed_from_u64(random_seed),
             requests: BTreeMap::new(),
             revision: 1,
@@ -244,8 +231,8 @@
         if now_ms.is_multiple_of(PROOF_MS) {
             self.fleet.states.iter_mut().flatten().for_each(|state| state.record_proof(now_ms));
         }
-        self.deliver_answers();
-        self.deliver_outcomes();
+        self.placer.step(&mut self.fleet);
+        self.take_places();
         while let Some(entry) = self.timers.first_entry()
             && entry.key().0 <= now_ms
         {
@@ -262,6 +249,7 @@
     /// Ends an instance and all that it does.
     pub fn kill(&mut self, at: usize) {
         self.fleet.kill(at);
+        self.placer.kill(at);
         self.lives[at] += 1;
         self.requests.retain(|_, request| request.at != at);
         let now_ms = self.now_ms();
@@ -312,7 +300,6 @@
     fn apply_timer(&mut self, timer: Timer) {
         let now_ms = self.now_ms();
         match timer {
-            Timer::AskSilence { request, wake } => self.note_silence(request, wake),
             Timer::Crash { engine, run } if self.engines[engine].runs == run => {
                 self.crash_engine(engine);
             }
@@ -407,9 +394,7 @@
         }
         let Admission::Forward(plan) = admission else { return };
         let request = CallerRequest {
-            asked: 0,
             at,
-            asked_to: Vec::new(),
             arrived_ms: now_ms,
             fingerprint: number,
             is_bad,
@@ -431,156 +416,20 @@
     }
 
     fn find_place(&mut self, number: u64) {
-        let now_ms = self.now_ms();
-        let (request, state) = self.request(number);
+        let request = self.requests.get_mut(&number).expect("in progress");
         request.phase = Phase::Placing;
-        let placement = if request.asked < MAX_COORDINATORS {
-            state.find_place(now_ms, &mut request.plan, &request.tried)
-        } else {
-            let decided = state.decide_alone(now_ms, &mut request.plan, &request.tried);
-            decided.map(Placement::Decided)
-        };
-        match placement {
-            Err(refusal) => self.refuse(number, refusal.reason),
-            Ok(Placement::Decided(decision)) => self.apply_decision(number, decision),
-            Ok(Placement::Ask(ask)) => self.take_ask_step(number, ask, AskStep::Send),
-        }
-    }
-
-    fn apply_decision(&mut self, number: u64, decision: DispatchDecision) {
-        match decision {
-            DispatchDecision::Send(started_send) => self.begin_send(number, started_send),
-            DispatchDecision::Reject(_) => self.refuse(number, RefusalReason::NotInTime),
-            DispatchDecision::Suspect(refusal) => {
-                self.refuse_for_parts(number, refusal.is_quarantined)
-            }
-            DispatchDecision::Wait(waiting) => {
-                self.request(number).0.phase = Phase::Queued(waiting);
-            }
-        }
-    }
-
-    fn take_ask_step(&mut self, number: u64, ask: Box<PendingAsk>, step: AskStep) {
-        let now_ms = self.now_ms();
-        let mut ask = ask;
-        let (request, state) = self.request(number);
-        match step {
-            AskStep::Send => {
-                let due_ms = request.plan.arrived_ms + request.plan.route.goal_ms;
-                ask.ask.due_left_ms = due_ms.saturating_sub(now_ms);
-                ask.ask.deadline_left_ms = request.plan.deadline_ms.saturating_sub(now_ms);
-                if !request.asked_to.contains(&ask.to) {
-                    request.asked_to.push(ask.to);
-                }
-                let at = request.at;
-                self.fleet.send(at, &[ask.to], Body::Ask(Box::new(ask.ask.clone())));
-                self.await_answer(number, ask);
-            }
-            AskStep::Wait => self.await_answer(number, ask),
-            AskStep::Granted(place) => {
-                request.asked_to.retain(|to| *to != ask.to);
-                let started_send = state.accept_place(now_ms, &mut request.plan, &ask, place);
-                self.abandon_places(number, ask.ask.number);
-                self.begin_send(number, started_send);
-            }
-            AskStep::OverLimit(_) => self.refuse(number, RefusalReason::UsageLimit),
-            AskStep::Refused(_) => self.refuse(number, RefusalReason::NotInTime),
-            AskStep::Suspect(refusal) => self.refuse_for_parts(number, refusal.is_quarantined),
-            AskStep::Another => {
-                state.suspect_coordinator(now_ms, ask.to);
-                request.asked += 1;
-                self.abandon_places(number, ask.ask.number);
-                self.find_place(number);
-            }
-            AskStep::Alone => {
-                request.asked = MAX_COORDINATORS;
-                self.abandon_places(number, ask.ask.number);
-                self.find_place(number);
-            }
-        }
-    }
-
-    fn await_answer(&mut self, number: u64, ask: Box<PendingAsk>) {
-        let wake = self.new_number();
-        let wake_ms = self.now_ms() + ask.patience_ms();
-        self.add_timer(wake_ms, Timer::AskSilence { request: number, wake });
-        self.request(number).0.phase = Phase::Asking { ask, wake };
-    }
-
-    fn abandon_places(&mut self, number: u64, place: u64) {
-        let (request, state) = self.request(number);
-        let at = request.at;
-        for to in std::mem::take(&mut request.asked_to) {
-            state.abandon_place(to, place);
-        }
-        self.fleet.send_outbox(at);
-    }
-
-    /// Removes the request for a place from its phase.
-    fn take_ask(&mut self, number: u64) -> Option<Box<PendingAsk>> {
-        let request = self.requests.get_mut(&number)?;
-        match std::mem::replace(&mut request.phase, Phase::Placing) {
-            Phase::Asking { ask, .. } => Some(ask),
-            other => {
-                request.phase = other;
-                None
-            }
-        }
-    }
-
-    fn note_silence(&mut self, number: u64, wake: u64) {
-        let request = self.requests.get(&number);
-        let is_due = request.is_some_and(
-            |request| matches!(request.phase, Phase::Asking { wake: due, .. } if due == wake),
-        );
-        if is_due && let Some(mut ask) = self.take_ask(number) {
-            let step = ask.on_silence();
-            self.take_ask_step(number, ask, step);
-        }
-    }
-
-    fn deliver_answers(&mut self) {
-        for (at, from, answer) in std::mem::take(&mut self.fleet.answers) {
-            let asks =
-                |request: &CallerRequest| request.at == at && request.asks_for(answer.number);
-            let asker = self.requests.iter().find(|(_, request)| asks(request));
-            let asker = asker.map(|(number, _)| *number);
-            match asker.and_then(|number| Some((number, self.take_ask(number)?))) {
-                Some((number, mut ask)) => {
-                    let step = ask.on_answer(answer.verdict);
-                    self.take_ask_step(number, ask, step);
-                }
-                None if matches!(answer.verdict, PlaceVerdict::Granted(_)) => {
-                    if let Some(state) = &mut self.fleet.states[at] {
-                        state.abandon_place(from, answer.number);
-                    }
-                    self.fleet.send_outbox(at);
-                }
-                None => {}
-            }
-        }
-    }
-
-    fn deliver_outcomes(&mut self) {
-        let now_ms = self.now_ms();
-        for (at, outcome) in std::mem::take(&mut self.fleet.outcomes) {
-            let waits = |request: &CallerRequest| {
-                request.at == at
-                    && matches!(request.phase, Phase::Queued(waiting) if waiting == outcome.number)
-            };
-            let waiter = self.requests.iter().find(|(_, request)| waits(request));
-            match (waiter.map(|(number, _)| *number), outcome.result) {
-                (Some(number), WaitResult::Sent(send)) => self.begin_send(number, send),
-                (Some(number), WaitResult::Expired) => {
-                    self.refuse(number, RefusalReason::NotInTime);
-                }
-                (Some(number), WaitResult::Suspect(refusal)) => {
-                    self.refuse_for_parts(number, refusal.is_quarantined);
-                }
-                (None, WaitResult::Sent(send)) => {
-                    self.fleet.state(at).end_send(now_ms, &send, &SendEnd::unused());
-                }
-                (None, _) => {}
+        let search = PlaceSearch::new(request.at, request.plan.clone(), request.tried.clone());
+        self.placer.start(&mut self.fleet, number, search);
+        self.take_places();
+    }
+
+    fn take_places(&mut self) {
+        while let Some(PlaceResult { number, search, found }) = self.placer.results.pop() {
+            let Some(request) = self.requests.get_mut(&number) else { continue };
+            request.plan = search.plan;
+            match found {
+                Ok(started_send) => self.begin_send(number, started_send),
+                Err(reason) => self.refuse(number, reason),
             }
         }
     }
@@ -592,7 +441,6 @@
             state.end_send(now_ms, &started_send, &SendEnd::unused());
             return self.refuse(number, refusal.reason);
         }
-        request.asked = 0;
         request.tried.push(started_send.backend_server.clone());
         let engines = self.engines.iter();
         let mut running = engines
@@ -709,22 +557,13 @@
         }
     }
 
-    fn refuse_for_parts(&mut self, number: u64, is_quarantined: bool) {
+    fn refuse(&mut self, number: u64, reason: RefusalReason) {
         let now_ms = self.now_ms();
-        let request = &self.requests[&number];
-        if is_quarantined && !request.is_bad {
+        let Some(request) = self.requests.remove(&number) else { return };
+        if reason == RefusalReason::Quarantined && !request.is_bad {
             let parts = request.plan.prompt.as_ref().expect("a prompt").shared_parts();
             self.sound_held.push((now_ms, parts[0]));
         }
-        let reason = match is_quarantined {
-            true => RefusalReason::Quarantined,
-            false => RefusalReason::Suspected,
-        };
-        self.refuse(number, reason);
-    }
-
-    fn refuse(&mut self, number: u64, reason: RefusalReason) {
-        let Some(request) = self.requests.remove(&number) else { return };
         if let Some(index) = request.sound_index {
             self.sound[index].refused = Some(reason);
         }
