Compare the first event of a stream with the id after which its caller resumes it

What callers saw: nothing that is reported. A caller that resumed a stream itself, at a backend server that started over, got the events that it had a second time, in an answer that ended as complete.

Cause: ids were compared only within one answer. The id in the caller's request was passed on and not looked at.

Change: where the route allows a resume, the splitter of a send knows the caller's id until the answer has an event of its own. Elsewhere a stream is passed on from its start, as before.

Evidence: before, a_caller_does_not_get_an_event_again_after_which_it_resumes failed ("id: 1" to "id: 4" and the last chunk, after a request with Last-Event-Id 2, and one send). It passes now. The other two tests passed before too.

--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -40,7 +40,12 @@
     plan: RequestPlan,
     request: CallerRequest,
 ) -> Response<ReplyBody> {
+    let caller_resumes_after = match plan.route.resumable {
+        true => shared.wire.request_metadata(&request.headers).last_event_id,
+        false => None,
+    };
     let mut stream_relay = StreamRelay {
+        caller_resumes_after,
         last_event_ms: 0,
         lacks_event: false,
         relay: Relay::new(shared, plan, request),
@@ -108,6 +113,8 @@
 
 /// A request that is answered by a stream, over all its sends.
 pub(crate) struct StreamRelay {
+    /// Id of the event after which the caller resumes the stream, if the route allows it.
+    caller_resumes_after: Option<String>,
     last_event_ms: u64,
     /// Whether the caller lacks an event of which a send that broke off had sent a part.
     lacks_event: bool,
@@ -134,6 +141,11 @@
 }
 
 impl StreamRelay {
+    /// Returns the id of the last event that the caller has, in this answer or an earlier one.
+    fn last_event_id(&self) -> Option<&str> {
+        self.resume_after.as_deref().or(self.caller_resumes_after.as_deref())
+    }
+
     /// Records that a stream broke off whose events the caller has received.
     pub(crate) fn record_break(&mut self, backend_stream: &BackendStream) {
         self.lacks_event = backend_stream.lacks_bytes();
@@ -213,7 +225,7 @@
             idle_timeout_ms,
             guard,
             share: self.relay.shared.answer_budget.share(),
-            splitter: EventSplitter::after(self.resume_after.as_deref()),
+            splitter: EventSplitter::after(self.last_event_id()),
         };
         loop {
             match self.read_next(&mut backend_stream).await {
