Count an event that began for a caller that resumes a stream as missing

What callers saw: nothing that is reported. A caller resumed a stream itself; one backend server broke off inside the next event, the next one had nothing left. The caller got an empty answer that ended as complete.

Cause: that an event is missing was kept only for a resume within one answer.

Change: it is kept after a resume by the caller as well.

Evidence: before, a_stream_that_a_caller_resumes_does_not_end_before_an_event_that_has_begun failed (200, empty and complete, after "id: 3\nda" from the first backend server). It passes now.

--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -296,7 +296,7 @@
         backend_stream: BackendStream,
         failure: &SendFailure,
     ) -> OpenOutcome {
-        self.lacks_event |= self.resume_after.is_some() && backend_stream.lacks_bytes();
+        self.lacks_event |= self.last_event_id().is_some() && backend_stream.lacks_bytes();
         let incomplete_event_bytes = backend_stream.splitter.rest_bytes();
         let summary = StreamSummary { incomplete_event_bytes, ..self.summary };
         self.relay.after_failure(backend_stream.guard, failure, summary).into()
