Take a body that another answer fills for a wrong answer

What callers saw: a plain answer that broke off before its length, followed by another answer on its connection, ended with the first bytes of that answer, complete and under the digest of the first: "booHTT" in place of a body of six bytes.

Cause: a head in a body was recognized only if its request id was in the body as well, thus not where fewer bytes are missing than a head has.

Change: a connection keeps what it has read beyond the last answer. A head that begins in the body and goes on there makes the answer a wrong one. Bytes that begin with a head of their own follow a whole body, which is passed on as before.

Not covered: a head of which the rest has not been read when the body is complete.

--- a/src/gateway/answer_head.rs
+++ b/src/gateway/answer_head.rs
@@ -8,6 +8,8 @@
 
 /// Bytes by which the head of an HTTP answer begins.
 pub(crate) const ANSWER_START: &[u8] = b"HTTP/1.";
+/// Longest head that is recognized across two texts, in bytes.
+const HEAD_LIMIT_BYTES: usize = 65_536;
 /// Length of a status line up to the end of its status, in bytes.
 const STATUS_LINE_BYTES: usize = "HTTP/1.1 200".len();
 
@@ -15,12 +17,29 @@
 ///
 /// The lines of a head end with CRLF. Of a head that is cut off, the whole lines count.
 pub fn answer_heads(text: &[u8]) -> impl Iterator<Item = (StatusCode, HeaderMap)> {
+    heads_with_starts(text).map(|(_, status, headers)| (status, headers))
+}
+
+/// Returns the heads that begin in a text and go on in the one that follows it. There are none if the
+/// latter begins with a head of its own.
+pub(crate) fn heads_across(text: &[u8], following: &[u8]) -> Vec<(StatusCode, HeaderMap)> {
+    if following.is_empty() || following.starts_with(ANSWER_START) {
+        return Vec::new();
+    }
+    let tail = &text[text.len().saturating_sub(HEAD_LIMIT_BYTES)..];
+    let joined = [tail, &following[..following.len().min(HEAD_LIMIT_BYTES)]].concat();
+    let heads = heads_with_starts(&joined).take_while(|(start, ..)| *start < tail.len());
+    heads.map(|(_, status, headers)| (status, headers)).collect()
+}
+
+fn heads_with_starts(text: &[u8]) -> impl Iterator<Item = (usize, StatusCode, HeaderMap)> {
     let mut rest = text;
     from_fn(move || {
         let (start, status) = first_status(rest)?;
+        let start_in_text = text.len() - rest.len() + start;
         let (headers, after) = read_headers(&rest[start + STATUS_LINE_BYTES..]);
         rest = after;
-        Some((status, headers))
+        Some((start_in_text, status, headers))
     })
 }
 
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -1,9 +1,11 @@
 //! The pool of connections to backend servers, and the opening of HTTP connections.
 
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -66,9 +68,20 @@
     observer: SocketObserver,
     /// Sends a request.
     pub sender: SendRequest<Full<Bytes>>,
+    surplus: Surplus,
     task: AbortHandle,
 }
 
+/// Bytes that were read after the last answer, once the connection has ended.
+type Surplus = Rc<OnceCell<Bytes>>;
+
+impl Connection {
+    /// Returns the bytes that were read after the last answer.
+    pub(crate) fn surplus(&self) -> &[u8] {
+        self.surplus.get().map(|bytes| &bytes[..]).unwrap_or_default()
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -161,9 +174,18 @@
 ) -> io::Result<Connection> {
     let socket = SharedSocket::new(connect(address).await?);
     let observer = socket.observer();
-    let (sender, task) = start_http(socket).await?;
+    let (sender, task, surplus) = start_http(socket).await?;
     let is_new = true;
-    Ok(Connection { address, backend_server, is_new, last_request_id, observer, sender, task })
+    Ok(Connection {
+        address,
+        backend_server,
+        is_new,
+        last_request_id,
+        observer,
+        sender,
+        surplus,
+        task,
+    })
 }
 
 /// Opens a connection for HTTP requests; it ends when its task is aborted.
@@ -175,21 +197,27 @@
 where
     B: Body<Data = Bytes, Error = Infallible> + Unpin + 'static,
 {
-    start_http(connect(address).await?).await
+    let (sender, task, _) = start_http(connect(address).await?).await?;
+    Ok((sender, task))
 }
 
-async fn start_http<B, S>(stream: S) -> io::Result<(SendRequest<B>, AbortHandle)>
+async fn start_http<B, S>(stream: S) -> io::Result<(SendRequest<B>, AbortHandle, Surplus)>
 where
     B: Body<Data = Bytes, Error = Infallible> + Unpin + 'static,
     S: AsyncRead + AsyncWrite + Unpin + 'static,
 {
     let mut builder = Builder::new();
     builder.max_buf_size(READ_BUFFER_BYTES);
-    let (sender, connection) =
+    let (sender, mut connection) =
         builder.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-    // An error of the connection reaches the request that uses it.
-    let task = spawn_local(async move { drop(connection.await) }).abort_handle();
-    Ok((sender, task))
+    let surplus = Surplus::default();
+    let set_surplus = surplus.clone();
+    let task = spawn_local(async move {
+        // An error of the connection reaches the request that uses it.
+        let _ = poll_fn(|context| connection.poll_without_shutdown(context)).await;
+        let _ = set_surplus.set(connection.into_parts().read_buf);
+    });
+    Ok((sender, task.abort_handle(), surplus))
 }
 
 /// Returns whether an address refuses connections, so that no process listens there.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -15,7 +15,7 @@
 use crate::gateway::admission::RequestPlan;
 use crate::gateway::answer_body::{BodyError, read_body};
 use crate::gateway::answer_framing::AnswerFraming;
-use crate::gateway::answer_head::answer_heads;
+use crate::gateway::answer_head::{answer_heads, heads_across};
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::connections::{Connection, limit_interim_answers};
 use crate::gateway::shared::Shared;
@@ -135,12 +135,13 @@
 pub(crate) async fn read_answer(
     shared: &Shared,
     plan: &RequestPlan,
+    connection: &Connection,
     body: Incoming,
 ) -> Result<Bytes, SendFailure> {
     let left_ms = plan.deadline_ms.saturating_sub(boot_ms());
     let body = read_body(body, shared.answer_buffer());
     match timeout(Duration::from_millis(left_ms), body).await {
-        Ok(Ok(bytes)) if holds_answer(shared, &bytes) => {
+        Ok(Ok(bytes)) if holds_answer(shared, &bytes, connection.surplus()) => {
             Err(SendFailure::WrongAnswer("another answer began inside its body".to_owned()))
         }
         Ok(Ok(bytes)) => Ok(bytes),
@@ -150,9 +151,11 @@
     }
 }
 
-/// Returns whether a body holds the head of an answer that names a request.
-fn holds_answer(shared: &Shared, body: &[u8]) -> bool {
+/// Returns whether a body holds the head of an answer that names a request, or a part of one that
+/// goes on in the surplus: another answer fills a body that breaks off before its length.
+fn holds_answer(shared: &Shared, body: &[u8], surplus: &[u8]) -> bool {
     answer_heads(body)
+        .chain(heads_across(body, surplus))
         .any(|(status, headers)| shared.wire.reply_metadata(status, &headers).request_id.is_some())
 }
 
--- a/src/gateway/plain_relay.rs
+++ b/src/gateway/plain_relay.rs
@@ -88,7 +88,8 @@
         }
         let Reply { connection, metadata, response, .. } = reply;
         let (mut head, body) = response.into_parts();
-        let body = match read_answer(&self.relay.shared, &self.relay.plan, body).await {
+        let body = match read_answer(&self.relay.shared, &self.relay.plan, &connection, body).await
+        {
             Ok(body) => body,
             Err(failure) => return self.after_send_failure(guard, &failure),
         };
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -278,7 +278,8 @@
         body: Incoming,
     ) -> OpenOutcome {
         self.relay.may_have_run = true;
-        let body = match read_answer(&self.relay.shared, &self.relay.plan, body).await {
+        let body = match read_answer(&self.relay.shared, &self.relay.plan, &connection, body).await
+        {
             Ok(body) => body,
             Err(failure) => return self.after_send_failure(guard, &failure),
         };
