Miss no event of an answer whose ids do not rise

What callers saw: nothing that is reported. A stream that was resumed at a backend server that started over, and then at one that had nothing left, failed although the caller had all its events.

Cause: an incomplete event or length of the answer that started over counted as a missing event of the caller's stream.

Change: after ids that do not rise, what is left belongs to another answer and counts no more. If events of its own came before, a length that was not reached still counts.

Evidence: before, an_event_of_a_stream_that_starts_over_is_not_missed failed (502). It passes now.

--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -136,7 +136,12 @@
 impl BackendStream {
     /// Returns whether bytes of an event or of its length are missing.
     fn lacks_bytes(&self) -> bool {
-        self.splitter.is_inside_event() || self.body.size_hint().lower() > 0
+        let lacks_length = self.body.size_hint().lower() > 0;
+        match self.splitter.fault() {
+            // What is left belongs to another answer, as does the whole if no event came before.
+            Some(StreamFault::FallingIds) => self.events > 0 && lacks_length,
+            _ => self.splitter.is_inside_event() || lacks_length,
+        }
     }
 }
 
