--- a/src/gateway/request_metadata.rs
+++ b/src/gateway/request_metadata.rs
@@ -24,6 +24,8 @@
 pub struct Resumption {
     /// Id of the send that brought the first event, if the caller names exactly one.
     pub first_request_id: Option<Name>,
+    /// Id of the last event that the caller has.
+    pub last_event_id: Option<Name>,
 }
 
 /// Size of a model request: the tokens of its prompt and of its expected answer.
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -30,6 +30,7 @@
 use crate::gateway::reply::{ReplyBody, full_body};
 use crate::gateway::send_guard::SendGuard;
 use crate::gateway::shared::Shared;
+use crate::name::Name;
 
 /// Silence of a backend server after which a resumable stream moves to another one, as a multiple
 /// of the route's goal for the gap between events.
@@ -47,7 +48,10 @@
     if let Err(refusal) = find_origin(&shared, &mut plan).await {
         return rejection(&shared, &plan, &refusal);
     }
+    let resumption = plan.resumption.as_ref().filter(|_| plan.route.resumable);
+    let caller_resumes_after = resumption.and_then(|resumption| resumption.last_event_id.clone());
     let mut stream_relay = StreamRelay {
+        caller_resumes_after,
         last_event_ms: 0,
         lacks_event: false,
         relay: Relay::new(shared, plan, request),
@@ -115,6 +119,8 @@
 
 /// A request that is answered by a stream, over all its sends.
 pub(crate) struct StreamRelay {
+    /// Id of the event after which the caller resumes the stream, if the route allows it.
+    caller_resumes_after: Option<Name>,
     last_event_ms: u64,
     /// Whether the caller lacks an event of which a send that broke off had sent a part.
     lacks_event: bool,
@@ -136,11 +142,21 @@
 impl BackendStream {
     /// Returns whether bytes of an event or of its length are missing.
     fn lacks_bytes(&self) -> bool {
-        self.splitter.is_inside_event() || self.body.size_hint().lower() > 0
+        let lacks_length = self.body.size_hint().lower() > 0;
+        match self.splitter.fault() {
+            // What is left belongs to another answer, as does the whole if no event came before.
+            Some(StreamFault::FallingIds) => self.events > 0 && lacks_length,
+            _ => self.splitter.is_inside_event() || lacks_length,
+        }
     }
 }
 
 impl StreamRelay {
+    /// Returns the id of the last event that the caller has, in this answer or an earlier one.
+    fn last_event_id(&self) -> Option<&str> {
+        self.resume_after.as_deref().or(self.caller_resumes_after.as_deref())
+    }
+
     /// Records that a stream broke off whose events the caller has received.
     pub(crate) fn record_break(&mut self, backend_stream: &BackendStream) {
         self.lacks_event = backend_stream.lacks_bytes();
@@ -221,7 +237,7 @@
             idle_timeout_ms,
             guard,
             share: self.relay.shared.answer_budget.share(),
-            splitter: EventSplitter::after(self.resume_after.as_deref()),
+            splitter: EventSplitter::after(self.last_event_id()),
         };
         loop {
             match self.read_next(&mut backend_stream).await {
@@ -274,7 +290,8 @@
         body: Incoming,
     ) -> OpenOutcome {
         self.relay.may_have_run = true;
-        let body = match read_answer(&self.relay.shared, &self.relay.plan, body).await {
+        let body = match read_answer(&self.relay.shared, &self.relay.plan, &connection, body).await
+        {
             Ok(body) => body,
             Err(failure) => return self.after_send_failure(guard, &failure),
         };
@@ -292,7 +309,7 @@
         backend_stream: BackendStream,
         failure: &SendFailure,
     ) -> OpenOutcome {
-        self.lacks_event |= self.resume_after.is_some() && backend_stream.lacks_bytes();
+        self.lacks_event |= self.last_event_id().is_some() && backend_stream.lacks_bytes();
         let incomplete_event_bytes = backend_stream.splitter.rest_bytes();
         let summary = StreamSummary { incomplete_event_bytes, ..self.summary };
         self.relay.after_failure(backend_stream.guard, failure, summary).into()
