Take a plain service's body that holds another answer for a lost one

What callers saw: nothing that is reported. A plain answer with neither length nor chunks that was followed by another one on its connection, or was cut short and filled up by it, was returned with both as done.

Cause: each call has a connection of its own, so that a second copy of its own answer is all that can follow; nothing looked for it.

Change: a body with a status line and a header line right after it, both with CRLF, counts as lost, so that the outcome is unknown. JSON, which these answers are, has no line ends in its texts, so none of them is concerned. The recognition of heads moved out of the gateway, since both fronts use it.

Evidence: before, another_answer_inside_a_body_counts_as_lost failed (Ok with both answers); it passes now, and a_body_with_the_text_of_an_answer_is_returned did so before and after.

--- a/src/backend_call.rs
+++ b/src/backend_call.rs
@@ -8,6 +8,7 @@
 use attohttpc::body::{Body, BodyKind};
 use attohttpc::{Method, RequestBuilder, Response, ResponseReader};
 
+use crate::answer_head::answer_heads;
 use crate::clock::Clock;
 use crate::effect::Dispatch;
 use crate::http_client::{http_request, read_text};
@@ -99,11 +100,19 @@
     let read_timeout = Duration::from_millis(left_ms.max(settings.idle_limit_ms));
     let response = post(clock, &url, dispatch, request, settings, read_timeout)?;
     match response.status().as_u16() {
-        200..=299 => read_text(response).map_err(|_| CallFailure::Lost),
+        200..=299 => match read_text(response) {
+            Ok(text) if !holds_answer(&text) => Ok(text),
+            Ok(_) | Err(_) => Err(CallFailure::Lost),
+        },
         status => Err(CallFailure::Status(status)),
     }
 }
 
+/// Returns whether a body holds the head of another answer; the text of JSON has no line ends.
+fn holds_answer(body: &str) -> bool {
+    answer_heads(body.as_bytes()).any(|(_, headers)| !headers.is_empty())
+}
+
 /// Returns whether something listens at an address; only a refused connection counts as no.
 pub fn is_listening(address: SocketAddr, settings: &DispatchSettings) -> bool {
     let timeout = Duration::from_millis(settings.connect_timeout_ms);
--- a/src/gateway/event_splitter.rs
+++ b/src/gateway/event_splitter.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
 
-use crate::gateway::answer_head::{ANSWER_START, first_status};
+use crate::answer_head::{ANSWER_START, first_status};
 
 /// Longest event, in bytes.
 pub const EVENT_LIMIT_BYTES: usize = 1_048_576;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -12,10 +12,10 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
+use crate::answer_head::{answer_heads, heads_across};
 use crate::gateway::admission::RequestPlan;
 use crate::gateway::answer_body::{BodyError, read_body};
 use crate::gateway::answer_framing::AnswerFraming;
-use crate::gateway::answer_head::{answer_heads, heads_across};
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::connections::{Connection, limit_interim_answers};
 use crate::gateway::shared::Shared;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,7 +9,6 @@
 mod answer_body;
 pub mod answer_budget;
 mod answer_framing;
-pub mod answer_head;
 pub mod backend;
 pub mod backend_record;
 pub mod backends;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admit;
 pub mod adopt;
+pub mod answer_head;
 pub mod answer_log;
 pub mod answer_logs;
 pub mod answer_writer;
--- a/src/server_sent_events.rs
+++ b/src/server_sent_events.rs
@@ -3,12 +3,11 @@
 use std::borrow::Cow;
 use std::io::{self, BufRead, Read};
 
+use crate::answer_head::ANSWER_START;
+
 /// Longest event, in bytes; the answer of a plain service is one event.
 const EVENT_LIMIT_BYTES: u64 = 8 * 1_048_576;
 
-/// Text by which the head of an HTTP answer begins, and no line of an event.
-const ANSWER_START: &str = "HTTP/1.";
-
 /// One item of a stream of server-sent events.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ServerSentEvent {
@@ -45,7 +44,7 @@
             return Err(io::Error::new(io::ErrorKind::InvalidData, "an event is too long"));
         }
         let Some(line) = line else { return Ok(ServerSentEvent::EndOfStream) };
-        if line.starts_with(ANSWER_START) {
+        if line.as_bytes().starts_with(ANSWER_START) {
             return Err(io::Error::new(io::ErrorKind::InvalidData, "another answer began"));
         }
         if line.is_empty() && !lines.is_empty() {
--- a/tests/gateway_answer_heads.rs
+++ b/tests/answer_heads.rs
@@ -1,6 +1,6 @@
 //! Tests of the recognition of heads of answers inside other bytes.
 
-use bergamotspan::gateway::answer_head::answer_heads;
+use bergamotspan::answer_head::answer_heads;
 
 /// Returns status and names of the headers of each head in a text.
 fn heads(text: &str) -> Vec<(u16, String)> {
--- a/tests/backend_call.rs
+++ b/tests/backend_call.rs
@@ -179,6 +179,29 @@
     }
 }
 
+#[test]
+fn another_answer_inside_a_body_counts_as_lost() {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    for framing in ["", "Content-Length: 70\r\n"] {
+        for own in ["{}", "{\"a", ""] {
+            let server = Server::start(format!("{head}{framing}\r\n{own}{head}\r\n{:70}", "{}"));
+
+            let answer = call(Clock::start(), server.address, u64::MAX, "{}");
+
+            assert_eq!(answer, Err(CallFailure::Lost), "framing {framing:?}, own {own:?}");
+        }
+    }
+}
+
+#[test]
+fn a_body_with_the_text_of_an_answer_is_returned() {
+    for body in [r#"{"a":"HTTP/1.1 200 OK\r\nDate: 1\r\n"}"#, "HTTP/1.1 200 OK\r\n\r\n"] {
+        let server = Server::start(format!("HTTP/1.1 200 OK\r\n\r\n{body}"));
+
+        assert_eq!(call(Clock::start(), server.address, u64::MAX, "{}"), Ok(body.to_owned()));
+    }
+}
+
 #[test]
 fn an_answer_of_its_length_is_returned_whole() {
     let answers = [
--- a/tests/gateway_support/versioned_fleet.rs
+++ b/tests/gateway_support/versioned_fleet.rs
@@ -336,7 +336,8 @@
             want,
         });
         let metadata = RequestMetadata {
-            resumption: is_resumption.then_some(Resumption { first_request_id }),
+            resumption: is_resumption
+                .then_some(Resumption { first_request_id, ..Resumption::default() }),
             time_left_ms: Some(deadline_ms.saturating_sub(now_ms)),
             ..draft(&request_id, 100, 200)
         };
