--- a/tests/gateway_support/versioned_fleet.rs
+++ b/tests/gateway_support/versioned_fleet.rs
@@ -37,6 +37,8 @@
 pub const RESUMABLE_MS: u64 = 8_000;
 /// Share of streams that break off at their engine.
 const BREAK_SHARE: f64 = 0.25;
+/// Share of streams whose callers lose their instance.
+const DROP_SHARE: f64 = 0.1;
 /// Number of tries of a caller.
 const MAX_TRIES: u32 = 8;
 /// Time for which an instance is undisturbed before it counts as in touch, in milliseconds.
@@ -110,6 +112,7 @@
 enum Timer {
     Break { request: u64, send: u32 },
     Complete { request: u64, send: u32 },
+    Drop { request: u64, send: u32 },
     FirstEvent { request: u64, send: u32 },
     Silence { request: u64, wake: u64 },
     Try(u64),
@@ -285,7 +288,13 @@
             Timer::FirstEvent { request, send } if self.is_sent(request, send) => {
                 self.begin_events(request);
             }
-            Timer::Break { .. } | Timer::Complete { .. } | Timer::FirstEvent { .. } => {}
+            Timer::Drop { request, send } if self.is_sent(request, send) => {
+                self.drop_request(request);
+            }
+            Timer::Break { .. }
+            | Timer::Drop { .. }
+            | Timer::Complete { .. }
+            | Timer::FirstEvent { .. } => {}
             Timer::Silence { request: number, wake } => {
                 let Some(request) = self.requests.get_mut(&number) else { return };
                 if let Phase::Asking { pending, wake: due, .. } = &mut request.phase
--- a/tests/gateway_support/versioned_sends.rs
+++ b/tests/gateway_support/versioned_sends.rs
@@ -8,8 +8,8 @@
 use rand::RngExt;
 
 use super::{
-    ATTEMPTS, BREAK_SHARE, Engine, MAX_TRIES, Phase, Request, Sent, Timer, UNREACHABLE_LIMIT,
-    VersionedFleet,
+    ATTEMPTS, BREAK_SHARE, DROP_SHARE, Engine, MAX_TRIES, Phase, Request, Sent, Timer,
+    UNREACHABLE_LIMIT, VersionedFleet,
 };
 
 impl Engine {
@@ -107,6 +107,23 @@
             let after_ms = self.random.random_range(1..=left_ms);
             self.add_timer(after_ms, Timer::Break { request: number, send });
         }
+        if self.random.random_bool(DROP_SHARE) {
+            let after_ms = self.random.random_range(1..=left_ms);
+            self.add_timer(after_ms, Timer::Drop { request: number, send });
+        }
+    }
+
+    /// Ends a request whose caller has lost the instance and takes the stream up elsewhere.
+    pub(super) fn drop_request(&mut self, number: u64) {
+        let now_ms = self.now_ms();
+        let Some(mut request) = self.requests.remove(&number) else { return };
+        self.keep_rest(&mut request);
+        let Phase::Sent(sent) = &request.phase else { return };
+        let mut end = SendEnd::new(SendOutcome::Abandoned);
+        end.prompt_was_read = sent.event_ms.is_some();
+        self.fleet.state(request.at).end_send(now_ms, &sent.started_send, &end);
+        self.fleet.send_outbox(request.at);
+        self.end_try(request, None);
     }
 
     pub(super) fn complete(&mut self, number: u64) {
--- a/tests/stream_versions_fleet.rs
+++ b/tests/stream_versions_fleet.rs
@@ -46,7 +46,10 @@
     KillAll,
     KillMost,
     KillOne,
-    /// Some instances hear of nothing from right before the first replacement.
+    /// Some instances hear of nothing from right before many engines of a version come, while the
+    /// others start.
+    JustStarted,
+    /// Some instances hear of nothing from right before the first replacement, while some start.
     LateNews,
     Loss,
     Mixed,
@@ -197,6 +200,7 @@
             }
             Disturbance::BriefVersion
             | Disturbance::ForgottenVersion
+            | Disturbance::JustStarted
             | Disturbance::LateNews
             | Disturbance::Loss
             | Disturbance::None => u64::MAX,
@@ -332,12 +336,18 @@
             let is_forgotten = case.disturbance == Disturbance::ForgottenVersion;
             next_ms = plan.add_brief_version(begun_ms, case.instances, is_forgotten);
         }
-        Disturbance::LateNews => {
+        Disturbance::JustStarted | Disturbance::LateNews => {
             let mut is_cut = vec![false; case.instances];
             plan.some(case.instances, 0.3).into_iter().for_each(|at| is_cut[at] = true);
+            let mut restarted: Vec<usize> = (0..case.instances).filter(|at| !is_cut[*at]).collect();
+            if case.disturbance == Disturbance::LateNews {
+                restarted = plan.some(case.instances, 0.3);
+            }
             next_ms = plan.cut_off(begun_ms, is_cut, 4_000);
-            let restarted = plan.some(case.instances, 0.3);
             plan.kill(begun_ms, restarted, true);
+            if case.disturbance == Disturbance::JustStarted {
+                (0..case.engines).for_each(|_| plan.add(begun_ms + 200, Action::AddEngine("v2")));
+            }
             plan.replace_engines(begun_ms + 300, end_ms, case.engines);
         }
         _ => plan.replace_engines(begun_ms, end_ms, case.engines),
@@ -429,6 +439,23 @@
     check_seeds(Case { duration_ms: 8_000, ..LARGE }, 1);
 }
 
+#[test]
+#[ignore = "takes long; run by hand with more seeds"]
+fn disturbances_in_large_fleets_mix_no_versions() {
+    for disturbance in [
+        Disturbance::KillAll,
+        Disturbance::KillMost,
+        Disturbance::KillOne,
+        Disturbance::LateNews,
+        Disturbance::Loss,
+        Disturbance::Split,
+        Disturbance::StoreCut,
+    ] {
+        check_seeds(Case { disturbance, duration_ms: 12_000, ..MEDIUM }, 1);
+        check_seeds(Case { disturbance, duration_ms: 12_000, ..LARGE }, 1);
+    }
+}
+
 #[test]
 fn instances_killed_alone_mix_no_versions() {
     check_seeds(Case { disturbance: Disturbance::KillOne, ..SMALL }, 2);
@@ -459,6 +486,11 @@
     check_seeds(Case { disturbance: Disturbance::LateNews, duration_ms: 7_000, ..SMALL }, 3);
 }
 
+#[test]
+fn instances_that_just_started_begin_no_streams_at_a_version_that_others_lack() {
+    check_seeds(Case { disturbance: Disturbance::JustStarted, duration_ms: 7_000, ..SMALL }, 3);
+}
+
 #[test]
 fn a_version_that_came_and_went_unheard_is_mixed_with_no_other() {
     check_seeds(Case { disturbance: Disturbance::BriefVersion, duration_ms: 8_000, ..SMALL }, 3);
