Count a plain service's answer that is not JSON as lost

What callers saw: nothing that is reported. A plain service's answer without a length, or one that broke off before its length, was followed by another answer on its connection. The caller got the two as one.

Cause: what arrived was passed on unread, although docs/PROTOCOLS.md says that it is JSON.

Change: an answer that is neither JSON nor empty counts as lost.

Evidence: before, an_answer_that_holds_bytes_of_another_one_counts_as_lost failed with half an answer and the head and body of the other one. It passes now.

--- a/src/backend_call.rs
+++ b/src/backend_call.rs
@@ -7,8 +7,8 @@
 
 use attohttpc::body::{Body, BodyKind};
 use attohttpc::{Method, RequestBuilder, Response, ResponseReader};
+use serde::de::IgnoredAny;
 
-use crate::answer_head::answer_heads;
 use crate::clock::Clock;
 use crate::effect::Dispatch;
 use crate::http_client::{http_request, read_text};
@@ -100,19 +100,11 @@
     let read_timeout = Duration::from_millis(left_ms.max(settings.idle_limit_ms));
     let response = post(clock, &url, dispatch, request, settings, read_timeout)?;
     match response.status().as_u16() {
-        200..=299 => match read_text(response) {
-            Ok(text) if !holds_answer(&text) => Ok(text),
-            Ok(_) | Err(_) => Err(CallFailure::Lost),
-        },
+        200..=299 => read_text(response).ok().filter(|body| is_json(body)).ok_or(CallFailure::Lost),
         status => Err(CallFailure::Status(status)),
     }
 }
 
-/// Returns whether a body holds the head of another answer; the text of JSON has no line ends.
-fn holds_answer(body: &str) -> bool {
-    answer_heads(body.as_bytes()).any(|(_, headers)| !headers.is_empty())
-}
-
 /// Returns whether something listens at an address; only a refused connection counts as no.
 pub fn is_listening(address: SocketAddr, settings: &DispatchSettings) -> bool {
     let timeout = Duration::from_millis(settings.connect_timeout_ms);
@@ -122,6 +114,11 @@
     }
 }
 
+/// Returns whether a body is JSON, or empty; bytes of another answer in it make it something else.
+fn is_json(body: &str) -> bool {
+    body.is_empty() || serde_json::from_str::<IgnoredAny>(body).is_ok()
+}
+
 /// Resumes a stream at a token offset on a new connection, without running the request again.
 ///
 /// # Errors
