Treat a request as a resume only where its route allows one

Callers that sent Last-Event-Id on a route whose streams can't be resumed were refused (unknown_stream) by an instance that had just started; such a stream begins at its start, as before.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -266,7 +266,7 @@
             prompt: prompt.filter(|_| route.kind == RouteKind::Stream),
             rank: Rank { customer: rank.unwrap_or_default(), route: route.priority },
             request_id: arrival.metadata.request_id.clone().unwrap_or_else(|| "".into()),
-            resumption: resumption.filter(|_| route.kind == RouteKind::Stream),
+            resumption: resumption.filter(|_| route.resumable),
             route,
             service,
             customer,
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -48,7 +48,7 @@
     if let Err(refusal) = find_origin(&shared, &mut plan).await {
         return rejection(&shared, &plan, &refusal);
     }
-    let resumption = plan.resumption.as_ref().filter(|_| plan.route.resumable);
+    let resumption = plan.resumption.as_ref();
     let caller_resumes_after = resumption.and_then(|resumption| resumption.last_event_id.clone());
     let mut stream_relay = StreamRelay {
         caller_resumes_after,
