--- a/tests/backend_call.rs
+++ b/tests/backend_call.rs
@@ -195,13 +195,21 @@
 
 #[test]
 fn a_body_with_the_text_of_an_answer_is_returned() {
-    for body in [r#"{"a":"HTTP/1.1 200 OK\r\nDate: 1\r\n"}"#, "HTTP/1.1 200 OK\r\n\r\n"] {
+    let texts = [r#"{"a":"HTTP/1.1 200 OK\r\nDate: 1\r\n"}"#, r#""HTTP/1.1 200 OK\r\n\r\n""#];
+    for body in texts {
         let server = Server::start(format!("HTTP/1.1 200 OK\r\n\r\n{body}"));
 
         assert_eq!(call(Clock::start(), server.address, u64::MAX, "{}"), Ok(body.to_owned()));
     }
 }
 
+#[test]
+fn a_body_that_is_only_the_head_of_an_answer_counts_as_lost() {
+    let server = Server::start("HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 200 OK\r\n\r\n".to_owned());
+
+    assert_eq!(call(Clock::start(), server.address, u64::MAX, "{}"), Err(CallFailure::Lost));
+}
+
 #[test]
 fn an_answer_of_its_length_is_returned_whole() {
     let answers = [
