--- a/tests/backend_call.rs
+++ b/tests/backend_call.rs
@@ -205,7 +205,7 @@
 
 #[test]
 fn a_body_that_is_only_the_head_of_an_answer_counts_as_lost() {
-    let server = Server::start("HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 200 OK\r\n\r\n".to_owned());
+    let server = Server::start("HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 200 OK\r\n\r\n");
 
     assert_eq!(call(Clock::start(), server.address, u64::MAX, "{}"), Err(CallFailure::Lost));
 }
