--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -26,6 +26,14 @@
     backend_stream: Option<BackendStream>,
 }
 
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if !self.end_logged {
+            self.stream_relay.log_disconnection();
+        }
+    }
+}
+
 impl CallerStream {
     pub(crate) fn new(
         stream_relay: StreamRelay,
@@ -61,6 +69,7 @@
                 StreamRead::End => {
                     let backend_stream = self.backend_stream.take()?;
                     self.stream_relay.finish(backend_stream);
+                    self.end_logged = true;
                     return None;
                 }
                 StreamRead::Broken(error) => {
@@ -139,6 +148,7 @@
         self.backend_stream = None;
         if !self.end_logged {
             self.stream_relay.relay.log_end(StatusCode::BAD_GATEWAY, self.stream_relay.summary);
+            self.end_logged = true;
         }
         // An error drops what is buffered for the caller; while this waits, it is written.
         yield_now().await;
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -441,6 +441,22 @@
         self.relay.log_end(StatusCode::OK, self.summary);
     }
 
+    /// Logs that the caller disconnected before the end of its answer.
+    pub(crate) fn log_disconnection(&self) {
+        let Relay { plan, sends, .. } = &self.relay;
+        info!(
+            target: "end",
+            request = &*plan.request_id,
+            route = &*plan.route.name,
+            sends,
+            events = self.summary.events,
+            longest_gap_ms = self.summary.longest_gap_ms,
+            silent_ms = boot_ms().saturating_sub(self.last_event_ms),
+            elapsed_ms = boot_ms().saturating_sub(plan.arrived_ms);
+            "Caller disconnected before the end of its answer."
+        );
+    }
+
     /// Returns the mean time between tokens of a stream, in milliseconds, if it had enough events.
     fn token_ms(&self, backend_server: &str, events: u32, first_ms: u64) -> Option<f32> {
         if events <= 2 {
