--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -1,19 +1,35 @@
 //! Forwards the events of a started stream to the caller, and resumes it where it breaks off.
 
 use std::io;
+use std::pin::pin;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::StatusCode;
-use log::info;
 use tokio::task::yield_now;
+use tokio::time::sleep;
 
-use crate::gateway::backend::SendOutcome;
+use crate::gateway::backend_stream::{BackendStream, StreamRead};
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::exchange::SendFailure;
-use crate::gateway::relay::Relay;
-use crate::gateway::stream_relay::{
-    BackendStream, OpenOutcome, Received, StreamRead, StreamRelay, silence,
-};
+use crate::gateway::relay::{FinalFailure, Relay};
+use crate::gateway::stream_relay::{OpenOutcome, Received, StreamRelay};
+
+/// Longest time for which a silent backend server may go on once another one has the request, in
+/// milliseconds.
+const MAX_OVERLAP_MS: u64 = 300;
+
+/// What became of the attempt to replace a silent backend server.
+enum Replacement {
+    /// The silent one broke off; this became of opening the stream at another one.
+    Broken(String, BackendStream, OpenOutcome),
+    /// There is no other one, for this reason; the silent one keeps the stream.
+    Failed(FinalFailure, BackendStream),
+    /// The silent one went on.
+    GoesOn(StreamRead, BackendStream),
+    /// Another one has the stream; the silent one was released.
+    Opened(OpenOutcome),
+}
 
 /// A stream that is forwarded to the caller.
 pub(crate) struct CallerStream {
@@ -55,9 +71,9 @@
             if let Some(first_chunk) = self.first_chunk.take() {
                 return Some(Ok(first_chunk));
             }
-            let backend_stream = self.backend_stream.as_mut()?;
-            match self.stream_relay.read_next(backend_stream).await {
+            match self.read_next().await? {
                 StreamRead::Bytes(bytes) => {
+                    let backend_stream = self.backend_stream.as_mut()?;
                     match self.stream_relay.receive(backend_stream, &bytes) {
                         Received::Forward(complete) => return Some(Ok(complete)),
                         Received::Nothing => {}
@@ -78,7 +94,6 @@
                 StreamRead::Wrong(fault) => {
                     self.resume(&SendFailure::WrongAnswer(fault.to_string())).await?;
                 }
-                StreamRead::Silent if self.may_move_stream() => self.resume(&silence()).await?,
                 StreamRead::Silent => {}
                 StreamRead::DeadlinePassed => return self.abort("the deadline passed").await,
             }
@@ -91,6 +106,99 @@
         }
     }
 
+    /// Waits for the next bytes of the stream, or until another backend server has taken it over.
+    async fn read_next(&mut self) -> Option<StreamRead> {
+        let backend_stream = self.backend_stream.as_mut()?;
+        match self.stream_relay.read_next(backend_stream).await {
+            StreamRead::Silent if self.may_move_stream() => Some(self.replace_silent().await),
+            read => Some(read),
+        }
+    }
+
+    /// Opens the stream at another backend server; its own may go on until that one has the request.
+    async fn replace_silent(&mut self) -> StreamRead {
+        let Some(mut silent) = self.backend_stream.take() else { return StreamRead::Silent };
+        let stream_relay = &mut self.stream_relay;
+        let Relay { plan, sends, tried, .. } = &stream_relay.relay;
+        let (request_id, sends_before, tried_before) =
+            (plan.request_id.clone(), *sends, tried.len());
+        stream_relay.record_missing_bytes(&silent);
+        let written = stream_relay.relay.next_written();
+        let overlap = async {
+            written.notified().await;
+            sleep(Duration::from_millis(MAX_OVERLAP_MS)).await;
+        };
+        let replacement = {
+            let mut successor = pin!(stream_relay.open_successor());
+            tokio::select! {
+                biased;
+                read = silent.read() => match read {
+                    StreamRead::Broken(error) => {
+                        Replacement::Broken(error, silent, successor.await)
+                    }
+                    read => Replacement::GoesOn(read, silent),
+                },
+                opened = &mut successor => match opened {
+                    OpenOutcome::Fail(failure) => Replacement::Failed(failure, silent),
+                    opened => {
+                        silent.release_silent(&request_id);
+                        Replacement::Opened(opened)
+                    }
+                },
+                () = overlap => {
+                    silent.release_silent(&request_id);
+                    Replacement::Opened(successor.await)
+                }
+            }
+        };
+        match replacement {
+            Replacement::GoesOn(read, silent) => {
+                stream_relay.relay.count_cancelled(sends_before, tried_before);
+                self.keep(silent);
+                read
+            }
+            Replacement::Broken(error, silent, opened) => {
+                self.stream_relay.end_broken(silent, &SendFailure::ConnectionBroken(error));
+                self.take_over(opened);
+                StreamRead::Silent
+            }
+            Replacement::Failed(failure, silent) => {
+                stream_relay.log_kept(&silent, &failure);
+                self.keep(silent);
+                StreamRead::Silent
+            }
+            Replacement::Opened(opened) => {
+                self.take_over(opened);
+                StreamRead::Silent
+            }
+        }
+    }
+
+    fn keep(&mut self, silent: BackendStream) {
+        self.stream_relay.clear_missing_bytes();
+        self.backend_stream = Some(silent);
+    }
+
+    /// Goes on with what another backend server sends; without a stream, `backend_stream` is `None`.
+    fn take_over(&mut self, opened: OpenOutcome) {
+        match opened {
+            OpenOutcome::Stream(started) => {
+                self.first_chunk = Some(started.first_chunk);
+                self.backend_stream = Some(started.backend_stream);
+            }
+            OpenOutcome::Answer(response) => {
+                self.end_logged = true;
+                self.is_complete = response.status().is_success();
+            }
+            OpenOutcome::Fail(failure) => {
+                self.end_logged = true;
+                // The caller has the head of its answer, so only the log tells of the failure.
+                drop(self.stream_relay.answer_failure(&failure));
+            }
+            OpenOutcome::TryAnother => {}
+        }
+    }
+
     /// Returns whether a silent stream may move to another backend server.
     fn may_move_stream(&self) -> bool {
         let Some(backend_stream) = &self.backend_stream else { return false };
@@ -104,44 +212,17 @@
     async fn resume(&mut self, cause: &SendFailure) -> Option<()> {
         let backend_stream = self.backend_stream.take()?;
         let stream_relay = &mut self.stream_relay;
-        info!(
-            target: "send",
-            request = &*stream_relay.relay.plan.request_id,
-            backend_server = &*backend_stream.guard.started_send().backend_server,
-            cause:%,
-            events = stream_relay.summary.events,
-            version_need:? = stream_relay.relay.plan.version_need,
-            resume_after = stream_relay.resume_after.as_deref(),
-            incomplete_event_bytes = backend_stream.splitter.rest_bytes();
-            "Stream interrupted."
-        );
-        if matches!(cause, SendFailure::ConnectionBroken(_)) {
-            stream_relay.relay.record_broken_send(&backend_stream.guard);
-        }
-        stream_relay.record_break(&backend_stream);
-        backend_stream.guard.end(SendOutcome::Failed);
-        drop(backend_stream.connection);
+        stream_relay.record_missing_bytes(&backend_stream);
+        stream_relay.end_broken(backend_stream, cause);
         let resumable =
             stream_relay.relay.plan.route.resumable && stream_relay.resume_after.is_some();
         if !resumable || !stream_relay.relay.may_retry() {
             return Some(());
         }
         stream_relay.relay.plan.wanted_ms = boot_ms();
-        loop {
-            match stream_relay.open().await {
-                OpenOutcome::Stream(started) => {
-                    self.first_chunk = Some(started.first_chunk);
-                    self.backend_stream = Some(started.backend_stream);
-                    return Some(());
-                }
-                OpenOutcome::Answer(response) => {
-                    self.end_logged = true;
-                    self.is_complete = response.status().is_success();
-                    return Some(());
-                }
-                OpenOutcome::TryAnother => {}
-            }
-        }
+        let opened = stream_relay.open_until_decided().await;
+        self.take_over(opened);
+        Some(())
     }
 
     async fn abort(&mut self, cause: &'static str) -> Option<io::Result<Bytes>> {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,6 +10,7 @@
 use hyper::header::CONTENT_ENCODING;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, Version};
 use thiserror::Error;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::answer_head::{answer_heads, heads_across};
@@ -78,13 +79,15 @@
     WrongAnswer(String),
 }
 
-/// Sends a request and waits for the head of the answer.
+/// Sends a request and waits for the head of the answer; `written` is notified when the request is
+/// written to a connection.
 pub(crate) async fn exchange(
     shared: &Rc<Shared>,
     plan: &RequestPlan,
     request: &CallerRequest,
     to: (&Name, SocketAddr),
     resume_after: Option<&str>,
+    written: &Notify,
 ) -> Result<Reply, SendFailure> {
     let (backend_server, address) = to;
     loop {
@@ -102,6 +105,7 @@
             build_request(shared, plan, request, backend_server, left_ms, resume_after)?;
         let too_many = limit_interim_answers(&mut message);
         let limit = Duration::from_millis(left_ms);
+        written.notify_one();
         let answer = tokio::select! {
             answer = timeout(limit, connection.sender.try_send_request(message)) => answer,
             () = too_many.notified() => {
--- a/src/gateway/plain_relay.rs
+++ b/src/gateway/plain_relay.rs
@@ -10,7 +10,7 @@
 use crate::gateway::admission::RequestPlan;
 use crate::gateway::backend::SendOutcome;
 use crate::gateway::boot_clock::boot_ms;
-use crate::gateway::exchange::{CallerRequest, Reply, SendFailure, exchange, read_answer};
+use crate::gateway::exchange::{CallerRequest, Reply, SendFailure, read_answer};
 use crate::gateway::place_finder::find_place;
 use crate::gateway::relay::{Relay, RelayStep, StreamSummary};
 use crate::gateway::reply::{ReplyBody, full_body};
@@ -25,8 +25,12 @@
 ) -> Response<ReplyBody> {
     let mut relay = PlainRelay { relay: Relay::new(shared, plan, request) };
     loop {
-        if let RelayStep::Answer(response) = relay.step().await {
-            return response;
+        match relay.step().await {
+            RelayStep::Answer(response) => return response,
+            RelayStep::Fail(failure) => {
+                return relay.relay.answer_failure(&failure, StreamSummary::default());
+            }
+            RelayStep::TryAnother => {}
         }
     }
 }
@@ -38,15 +42,15 @@
 impl PlainRelay {
     async fn step(&mut self) -> RelayStep {
         if let Err(refusal) = self.relay.recheck() {
-            return self.relay.refuse(refusal);
+            return RelayStep::Fail(self.relay.refuse(refusal));
         }
         let Relay { plan, shared, tried, .. } = &mut self.relay;
         let guard = match find_place(shared, plan, tried).await {
             Ok(started_send) => SendGuard::new(shared.clone(), started_send),
-            Err(refusal) => return self.relay.refuse(refusal),
+            Err(refusal) => return RelayStep::Fail(self.relay.refuse(refusal)),
         };
         if let Err(refusal) = self.relay.recheck() {
-            return self.relay.refuse(refusal);
+            return RelayStep::Fail(self.relay.refuse(refusal));
         }
         self.relay.tried.push(guard.started_send().backend_server.clone());
         self.send(guard).await
@@ -66,12 +70,8 @@
             left_ms = plan.deadline_ms.saturating_sub(boot_ms());
             "Request sent to a backend server."
         );
-        self.relay.record_spent();
-        let Relay { plan, request, shared, .. } = &self.relay;
         let to = (&started_send.backend_server, address);
-        let result = exchange(shared, plan, request, to, None).await;
-        self.relay.count_send(&result);
-        match result {
+        match self.relay.exchange(to, None).await {
             Ok(reply) => self.read_reply(guard, reply).await,
             Err(failure) => self.after_send_failure(guard, &failure),
         }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,10 +1,12 @@
 //! Decides for plain and streaming requests what follows a failed send: a retry, a refusal or a
 //! failure.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use hyper::{Response, StatusCode};
 use log::info;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
 use crate::gateway::admission::{Refusal, RefusalReason, RequestPlan};
@@ -13,7 +15,7 @@
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::broken_sends::BrokenSend;
 use crate::gateway::connections::refuses_connections;
-use crate::gateway::exchange::{CallerRequest, Reply, SendFailure};
+use crate::gateway::exchange::{CallerRequest, Reply, SendFailure, exchange};
 use crate::gateway::fleet::message::LeavingServer;
 use crate::gateway::forward::rejection;
 use crate::gateway::reply::{ReplyBody, failure_response};
@@ -32,10 +34,31 @@
 pub(crate) enum RelayStep {
     /// The caller receives this answer.
     Answer(Response<ReplyBody>),
+    /// The request has failed.
+    Fail(FinalFailure),
     /// Another backend server is tried.
     TryAnother,
 }
 
+/// Why no backend server answers a request.
+#[derive(Debug)]
+pub(crate) enum FinalFailure {
+    /// A send may have run.
+    MayHaveRun { cause: &'static str, timed_out: bool },
+    /// It did not run.
+    Refused(Refusal),
+}
+
+impl FinalFailure {
+    /// Returns why, for the log.
+    pub(crate) fn cause(&self) -> &'static str {
+        match self {
+            Self::MayHaveRun { cause, .. } => cause,
+            Self::Refused(refusal) => refusal.reason.name(),
+        }
+    }
+}
+
 /// Events and times of a stream, for the log.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct StreamSummary {
@@ -67,6 +90,8 @@
     /// Whether a send may have run.
     pub(crate) may_have_run: bool,
     unreachable_count: usize,
+    /// Notified when the request is written to a connection.
+    written: Rc<Notify>,
 }
 
 impl Relay {
@@ -80,6 +105,33 @@
             tried: Vec::new(),
             may_have_run: false,
             unreachable_count: 0,
+            written: Rc::default(),
+        }
+    }
+
+    /// Sends the request to a backend server and waits for the head of the answer.
+    pub(crate) async fn exchange(
+        &mut self,
+        to: (&Name, SocketAddr),
+        resume_after: Option<&str>,
+    ) -> Result<Reply, SendFailure> {
+        self.record_spent();
+        let Self { plan, request, shared, written, .. } = &*self;
+        let result = exchange(shared, plan, request, to, resume_after, written).await;
+        self.count_send(&result);
+        result
+    }
+
+    /// Returns what is notified when the next send is written to a connection.
+    pub(crate) fn next_written(&mut self) -> Rc<Notify> {
+        self.written = Rc::default();
+        self.written.clone()
+    }
+
+    /// Counts a send that was cancelled, unless the request had found no place since then.
+    pub(crate) fn count_cancelled(&mut self, sends_before: u32, tried_before: usize) {
+        if self.tried.len() > tried_before && self.sends == sends_before {
+            self.sends += 1;
         }
     }
 
@@ -93,7 +145,7 @@
     }
 
     /// Counts a send whose bytes may have reached a backend server.
-    pub(crate) fn count_send(&mut self, result: &Result<Reply, SendFailure>) {
+    fn count_send(&mut self, result: &Result<Reply, SendFailure>) {
         self.answer_source = None;
         if !matches!(result, Err(SendFailure::NotSent(_))) {
             self.sends += 1;
@@ -101,7 +153,7 @@
     }
 
     /// Records the units of the request as spent before its first send.
-    pub(crate) fn record_spent(&mut self) {
+    fn record_spent(&mut self) {
         self.shared.state.borrow_mut().record_spent(boot_ms(), &mut self.plan);
     }
 
@@ -138,7 +190,8 @@
         if self.may_retry() {
             return RelayStep::TryAnother;
         }
-        self.refuse(Refusal::retryable(RefusalReason::RefusedByBackend, RETRY_REFUSED_MS))
+        let refusal = Refusal::retryable(RefusalReason::RefusedByBackend, RETRY_REFUSED_MS);
+        RelayStep::Fail(self.refuse(refusal))
     }
 
     /// Returns the next step after a backend server could not be reached.
@@ -147,7 +200,8 @@
         if self.unreachable_count < UNREACHABLE_LIMIT {
             return RelayStep::TryAnother;
         }
-        self.refuse(Refusal::retryable(RefusalReason::NoBackendServer, RETRY_SOON_MS))
+        let refusal = Refusal::retryable(RefusalReason::NoBackendServer, RETRY_SOON_MS);
+        RelayStep::Fail(self.refuse(refusal))
     }
 
     /// Ends a failed send and returns the next step.
@@ -184,7 +238,7 @@
         if !timed_out && self.plan.route.is_repeatable() && self.may_retry() {
             return RelayStep::TryAnother;
         }
-        RelayStep::Answer(self.fail(timed_out, summary))
+        RelayStep::Fail(FinalFailure::MayHaveRun { cause: "send_failed", timed_out })
     }
 
     /// Records that the request of a send may have crashed its backend server.
@@ -215,16 +269,25 @@
         });
     }
 
-    /// Refuses the request, or fails it if it may have run.
-    pub(crate) fn refuse(&self, refusal: Refusal) -> RelayStep {
+    /// Returns the failure of a request that is refused now: it did not run unless a send may have.
+    pub(crate) fn refuse(&self, refusal: Refusal) -> FinalFailure {
         if self.may_have_run {
             let timed_out = refusal.reason == RefusalReason::TimedOut;
-            return RelayStep::Answer(self.fail(timed_out, StreamSummary::default()));
+            return FinalFailure::MayHaveRun { cause: refusal.reason.name(), timed_out };
         }
-        RelayStep::Answer(rejection(&self.shared, &self.plan, &refusal))
+        FinalFailure::Refused(refusal)
     }
 
-    fn fail(&self, timed_out: bool, summary: StreamSummary) -> Response<ReplyBody> {
+    /// Returns the answer to the caller of a failed request.
+    pub(crate) fn answer_failure(
+        &self,
+        failure: &FinalFailure,
+        summary: StreamSummary,
+    ) -> Response<ReplyBody> {
+        let timed_out = match failure {
+            FinalFailure::Refused(refusal) => return rejection(&self.shared, &self.plan, refusal),
+            FinalFailure::MayHaveRun { timed_out, .. } => *timed_out,
+        };
         let status = if timed_out { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
         self.log_end(status, summary);
         failure_response(timed_out)
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode, http};
@@ -14,19 +13,20 @@
 use tokio::time::timeout;
 
 use crate::gateway::admission::RequestPlan;
-use crate::gateway::answer_budget::{BudgetShare, BufferFull};
+use crate::gateway::answer_budget::BufferFull;
 use crate::gateway::answer_framing::AnswerFraming;
 use crate::gateway::backend::SendOutcome;
+use crate::gateway::backend_stream::{BackendStream, StreamRead};
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::caller_stream::CallerStream;
 use crate::gateway::connections::Connection;
 use crate::gateway::engine_query::VersionNeed;
-use crate::gateway::event_splitter::{EVENT_LIMIT_BYTES, EventSplitter, SplitEvents, StreamFault};
-use crate::gateway::exchange::{CallerRequest, Reply, SendFailure, exchange, read_answer};
+use crate::gateway::event_splitter::{EVENT_LIMIT_BYTES, EventSplitter, SplitEvents};
+use crate::gateway::exchange::{CallerRequest, Reply, SendFailure, read_answer};
 use crate::gateway::forward::rejection;
 use crate::gateway::origin_finder::find_origin;
 use crate::gateway::place_finder::find_place;
-use crate::gateway::relay::{Relay, RelayStep, StreamSummary};
+use crate::gateway::relay::{FinalFailure, Relay, RelayStep, StreamSummary};
 use crate::gateway::reply::{ReplyBody, full_body};
 use crate::gateway::send_guard::SendGuard;
 use crate::gateway::shared::Shared;
@@ -61,6 +61,7 @@
     loop {
         match stream_relay.open().await {
             OpenOutcome::Answer(response) => return response,
+            OpenOutcome::Fail(failure) => return stream_relay.answer_failure(&failure),
             OpenOutcome::Stream(started) => return stream_relay.into_response(*started),
             OpenOutcome::TryAnother => {}
         }
@@ -70,6 +71,7 @@
 /// Outcome of opening a stream.
 pub(crate) enum OpenOutcome {
     Answer(Response<ReplyBody>),
+    Fail(FinalFailure),
     Stream(Box<StartedStream>),
     TryAnother,
 }
@@ -81,32 +83,6 @@
     pub(crate) backend_stream: BackendStream,
 }
 
-/// A stream that one backend server sends.
-pub(crate) struct BackendStream {
-    body: Incoming,
-    pub(crate) connection: Connection,
-    events: u32,
-    /// When the first event arrived, in milliseconds of the boot clock.
-    first_ms: u64,
-    idle_timeout_ms: Option<u64>,
-    pub(crate) guard: SendGuard,
-    /// Covers the buffer of the splitter.
-    share: BudgetShare,
-    /// Holds what has arrived of an incomplete event; another send starts with an empty one.
-    pub(crate) splitter: EventSplitter,
-}
-
-/// Result of reading a stream once.
-pub(crate) enum StreamRead {
-    Bytes(Bytes),
-    Broken(String),
-    End,
-    Silent,
-    DeadlinePassed,
-    /// What follows the last event is not part of the answer.
-    Wrong(StreamFault),
-}
-
 /// What follows from bytes of a stream.
 pub(crate) enum Received {
     /// These bytes are forwarded.
@@ -121,7 +97,7 @@
 pub(crate) struct StreamRelay {
     /// Id of the event after which the caller resumes the stream, if the route allows it.
     caller_resumes_after: Option<Name>,
-    last_event_ms: u64,
+    pub(crate) last_event_ms: u64,
     /// Whether the caller lacks an event of which a send that broke off had sent a part.
     lacks_event: bool,
     pub(crate) relay: Relay,
@@ -134,48 +110,87 @@
     fn from(step: RelayStep) -> Self {
         match step {
             RelayStep::Answer(response) => Self::Answer(response),
+            RelayStep::Fail(failure) => Self::Fail(failure),
             RelayStep::TryAnother => Self::TryAnother,
         }
     }
 }
 
-impl BackendStream {
-    /// Returns whether bytes of an event or of its length are missing.
-    fn lacks_bytes(&self) -> bool {
-        let lacks_length = self.body.size_hint().lower() > 0;
-        match self.splitter.fault() {
-            // What is left belongs to another answer, as does the whole if no event came before.
-            Some(StreamFault::FallingIds) => self.events > 0 && lacks_length,
-            _ => self.splitter.is_inside_event() || lacks_length,
-        }
-    }
-}
-
 impl StreamRelay {
     /// Returns the id of the last event that the caller has, in this answer or an earlier one.
     fn last_event_id(&self) -> Option<&str> {
         self.resume_after.as_deref().or(self.caller_resumes_after.as_deref())
     }
 
-    /// Records that a stream broke off whose events the caller has received.
-    pub(crate) fn record_break(&mut self, backend_stream: &BackendStream) {
+    /// Records whether the caller lacks an event of which a send has sent a part.
+    pub(crate) fn record_missing_bytes(&mut self, backend_stream: &BackendStream) {
         self.lacks_event = backend_stream.lacks_bytes();
     }
 
+    /// Records that a send goes on whose missing bytes were recorded.
+    pub(crate) fn clear_missing_bytes(&mut self) {
+        self.lacks_event = false;
+    }
+
+    pub(crate) fn answer_failure(&self, failure: &FinalFailure) -> Response<ReplyBody> {
+        self.relay.answer_failure(failure, self.summary)
+    }
+
+    /// Sends the request to a backend server and waits for the first event.
     pub(crate) async fn open(&mut self) -> OpenOutcome {
+        match self.find_place().await {
+            Ok(guard) => self.send(guard).await,
+            Err(failure) => OpenOutcome::Fail(failure),
+        }
+    }
+
+    /// Opens the stream, at another backend server as long as one can't be reached.
+    pub(crate) async fn open_until_decided(&mut self) -> OpenOutcome {
+        loop {
+            match self.open().await {
+                OpenOutcome::TryAnother => {}
+                opened => return opened,
+            }
+        }
+    }
+
+    /// Opens the stream at the successor of a silent backend server; the retry is taken from the
+    /// budget only once there is a place.
+    pub(crate) async fn open_successor(&mut self) -> OpenOutcome {
+        self.relay.plan.wanted_ms = boot_ms();
+        let guard = match self.find_place().await {
+            Ok(guard) => guard,
+            Err(failure) => return OpenOutcome::Fail(failure),
+        };
+        if !self.relay.may_retry() {
+            let cause = "no_retry_left";
+            return OpenOutcome::Fail(FinalFailure::MayHaveRun { cause, timed_out: false });
+        }
+        match self.send(guard).await {
+            OpenOutcome::TryAnother => self.open_until_decided().await,
+            opened => opened,
+        }
+    }
+
+    /// Finds a place at a backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure of the request if there is none, or it may no longer be sent.
+    pub(crate) async fn find_place(&mut self) -> Result<SendGuard, FinalFailure> {
         let Relay { plan, shared, tried, .. } = &mut self.relay;
         let started_send = match find_place(shared, plan, tried).await {
             Ok(started_send) => started_send,
-            Err(refusal) => return self.relay.refuse(refusal).into(),
+            Err(refusal) => return Err(self.relay.refuse(refusal)),
         };
         let guard = SendGuard::new(self.relay.shared.clone(), started_send);
-        if let Err(refusal) = self.relay.recheck() {
-            return self.relay.refuse(refusal).into();
+        match self.relay.recheck() {
+            Ok(()) => Ok(guard),
+            Err(refusal) => Err(self.relay.refuse(refusal)),
         }
-        self.send(guard).await
     }
 
-    async fn send(&mut self, guard: SendGuard) -> OpenOutcome {
+    pub(crate) async fn send(&mut self, guard: SendGuard) -> OpenOutcome {
         let started_send = guard.started_send().clone();
         self.relay.tried.push(started_send.backend_server.clone());
         let Some(address) = started_send.address else {
@@ -198,13 +213,8 @@
             resume_after = self.resume_after.as_deref();
             "Request sent to a backend server."
         );
-        self.relay.record_spent();
-        let Relay { plan, request, shared, .. } = &self.relay;
         let to = (&started_send.backend_server, address);
-        let resume_after = self.resume_after.as_deref();
-        let result = exchange(shared, plan, request, to, resume_after).await;
-        self.relay.count_send(&result);
-        match result {
+        match self.relay.exchange(to, self.resume_after.as_deref()).await {
             Ok(reply) => self.read_head(guard, reply).await,
             Err(failure) => self.after_send_failure(guard, &failure),
         }
@@ -301,6 +311,11 @@
         if repeatable && self.relay.may_retry() {
             return OpenOutcome::TryAnother;
         }
+        if self.summary.events > 0 {
+            // The head of the caller's answer has been sent.
+            let cause = "error_response";
+            return OpenOutcome::Fail(FinalFailure::MayHaveRun { cause, timed_out: false });
+        }
         OpenOutcome::Answer(self.full_response(head, body))
     }
 
@@ -341,15 +356,10 @@
         } else {
             left_ms
         };
-        match timeout(Duration::from_millis(limit_ms), backend_stream.body.frame()).await {
+        match timeout(Duration::from_millis(limit_ms), backend_stream.read()).await {
+            Ok(read) => read,
             Err(_) if limit_ms < left_ms => StreamRead::Silent,
             Err(_) => StreamRead::DeadlinePassed,
-            Ok(None) if backend_stream.splitter.is_inside_event() => {
-                StreamRead::Broken("the stream ended inside an event".to_owned())
-            }
-            Ok(None) => StreamRead::End,
-            Ok(Some(Err(error))) => StreamRead::Broken(error.to_string()),
-            Ok(Some(Ok(frame))) => StreamRead::Bytes(frame.into_data().unwrap_or_default()),
         }
     }
 
@@ -441,22 +451,6 @@
         self.relay.log_end(StatusCode::OK, self.summary);
     }
 
-    /// Logs that the caller disconnected before the end of its answer.
-    pub(crate) fn log_disconnection(&self) {
-        let Relay { plan, sends, .. } = &self.relay;
-        info!(
-            target: "end",
-            request = &*plan.request_id,
-            route = &*plan.route.name,
-            sends,
-            events = self.summary.events,
-            longest_gap_ms = self.summary.longest_gap_ms,
-            silent_ms = boot_ms().saturating_sub(self.last_event_ms),
-            elapsed_ms = boot_ms().saturating_sub(plan.arrived_ms);
-            "Caller disconnected before the end of its answer."
-        );
-    }
-
     /// Returns the mean time between tokens of a stream, in milliseconds, if it had enough events.
     fn token_ms(&self, backend_server: &str, events: u32, first_ms: u64) -> Option<f32> {
         if events <= 2 {
