--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -17,22 +16,15 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::timeout;
 
 use crate::gateway::boot_clock::boot_ms;
+use crate::gateway::dialer::{CONNECT_TIMEOUT_MS, Dial, Dialed, DirectDialer, connect};
 use crate::gateway::shared_socket::{SharedSocket, SocketObserver};
 use crate::name::Name;
 
-/// Longest time to open a connection, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 500;
-/// Time after which a connection with unacknowledged data counts as lost (TCP_USER_TIMEOUT), in
-/// milliseconds.
-const UNACKNOWLEDGED_LIMIT_MS: u64 = 3_000;
 /// Longest time for which an idle connection is kept if the backend server announces no timeout,
 /// in milliseconds.
 const IDLE_LIMIT_MS: u64 = 4_000;
@@ -46,8 +38,8 @@
 const IDLE_COUNT_LIMIT: usize = 24;
 
 /// Pool of idle connections to backend servers.
-#[derive(Default)]
 pub struct Connections {
+    dialer: Box<dyn Dial>,
     idle: RefCell<Vec<IdleConnection>>,
 }
 
@@ -65,17 +57,28 @@
     /// Id of the last request sent on it; a second answer to that request would pass for the answer
     /// to another one of that id.
     last_request_id: Name,
-    observer: SocketObserver,
+    /// `None` if it runs through another instance.
+    observer: Option<SocketObserver>,
     /// Sends a request.
     pub sender: SendRequest<Full<Bytes>>,
     surplus: Surplus,
     task: AbortHandle,
+    via: Option<Name>,
 }
 
 /// Bytes that were read after the last answer, once the connection has ended.
 type Surplus = Rc<OnceCell<Bytes>>;
 
 impl Connection {
+    /// Returns the instance that it runs through.
+    pub(crate) fn via(&self) -> Option<&Name> {
+        self.via.as_ref()
+    }
+
+    fn is_quiet(&self) -> bool {
+        self.observer.as_ref().is_some_and(SocketObserver::is_quiet)
+    }
+
     /// Returns the bytes that were read after the last answer.
     pub(crate) fn surplus(&self) -> &[u8] {
         self.surplus.get().map(|bytes| &bytes[..]).unwrap_or_default()
@@ -88,7 +91,18 @@
     }
 }
 
+impl Default for Connections {
+    fn default() -> Self {
+        Self::new(Box::new(DirectDialer))
+    }
+}
+
 impl Connections {
+    /// Returns an empty pool of connections that the dialer opens.
+    pub(crate) fn new(dialer: Box<dyn Dial>) -> Self {
+        Self { dialer, idle: RefCell::default() }
+    }
+
     /// Returns an idle connection to a backend server for one request, or opens one.
     ///
     /// # Errors
@@ -105,7 +119,10 @@
                 connection.last_request_id = request_id.clone();
                 Ok(connection)
             }
-            None => open(backend_server.clone(), address, request_id.clone()).await,
+            None => {
+                let dialed = self.dialer.dial(backend_server, address).await?;
+                open(backend_server.clone(), address, request_id.clone(), dialed).await
+            }
         }
     }
 
@@ -113,7 +130,11 @@
     pub fn release(&self, mut connection: Connection, idle_timeout_ms: Option<u64>) {
         let limit_ms = idle_timeout_ms.unwrap_or(IDLE_LIMIT_MS).min(IDLE_LIMIT_MS * 4);
         let kept_ms = limit_ms.saturating_sub(IDLE_MARGIN_MS);
-        if connection.sender.is_closed() || kept_ms == 0 {
+        if connection.sender.is_closed()
+            || kept_ms == 0
+            || connection.via.is_some()
+            || !self.dialer.may_reuse(&connection.backend_server)
+        {
             return;
         }
         connection.is_new = false;
@@ -135,12 +156,20 @@
         self.idle.borrow_mut().retain(|idle| *idle.connection.backend_server != *backend_server);
     }
 
+    /// Closes all idle connections.
+    pub(crate) fn close_all(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     fn take_idle(
         &self,
         backend_server: &Name,
         address: SocketAddr,
         request_id: &Name,
     ) -> Option<Connection> {
+        if !self.dialer.may_reuse(backend_server) {
+            return None;
+        }
         let now_ms = boot_ms();
         let mut idle = self.idle.borrow_mut();
         loop {
@@ -153,7 +182,7 @@
             if now_ms < candidate.expires_ms
                 && candidate.is_open()
                 && candidate.connection.sender.is_ready()
-                && candidate.connection.observer.is_quiet()
+                && candidate.connection.is_quiet()
             {
                 return Some(candidate.connection);
             }
@@ -171,10 +200,16 @@
     backend_server: Name,
     address: SocketAddr,
     last_request_id: Name,
+    dialed: Dialed,
 ) -> io::Result<Connection> {
-    let socket = SharedSocket::new(connect(address).await?);
-    let observer = socket.observer();
-    let (sender, task, surplus) = start_http(socket).await?;
+    let ((sender, task, surplus), observer, via) = match dialed {
+        Dialed::Direct(stream) => {
+            let socket = SharedSocket::new(stream);
+            let observer = socket.observer();
+            (start_http(socket).await?, Some(observer), None)
+        }
+        Dialed::Relayed { via, stream } => (start_http(stream).await?, None, Some(via)),
+    };
     let is_new = true;
     Ok(Connection {
         address,
@@ -185,6 +220,7 @@
         sender,
         surplus,
         task,
+        via,
     })
 }
 
@@ -197,7 +233,7 @@
 where
     B: Body<Data = Bytes, Error = Infallible> + Unpin + 'static,
 {
-    let (sender, task, _) = start_http(connect(address).await?).await?;
+    let (sender, task, _) = start_http(connect(address, CONNECT_TIMEOUT_MS).await?).await?;
     Ok((sender, task))
 }
 
@@ -220,12 +256,6 @@
     Ok((sender, task.abort_handle(), surplus))
 }
 
-/// Returns whether an address refuses connections, so that no process listens there.
-pub(crate) async fn refuses_connections(address: SocketAddr) -> bool {
-    let refused = |error: io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
-    connect(address).await.is_err_and(refused)
-}
-
 /// Limits the interim answers (1xx) to a request; the result is notified if there are more.
 pub(crate) fn limit_interim_answers<B>(message: &mut Request<B>) -> Arc<Notify> {
     let too_many = Arc::new(Notify::new());
@@ -237,19 +267,3 @@
     });
     too_many
 }
-
-/// Opens a connection that closes if the other end stops acknowledging bytes.
-///
-/// # Errors
-///
-/// Returns an error if the connection could not be opened.
-async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
-    let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
-    let stream = timeout(limit, TcpStream::connect(address))
-        .await
-        .map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "connecting timed out"))??;
-    stream.set_nodelay(true)?;
-    let unacknowledged = Duration::from_millis(UNACKNOWLEDGED_LIMIT_MS);
-    SockRef::from(&stream).set_tcp_user_timeout(Some(unacknowledged))?;
-    Ok(stream)
-}
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -28,6 +28,7 @@
     part_changes: RefCell<Vec<(&'static str, u64)>>,
     peer_bytes: RefCell<Vec<(&'static str, u64)>>,
     refusals: RefCell<Vec<(&'static str, u64)>>,
+    relayed_connections: RefCell<Vec<(&'static str, u64)>>,
     request: RefCell<Histogram>,
     resumptions: RefCell<Vec<(&'static str, u64)>>,
     store_calls: Cell<u64>,
@@ -102,6 +103,11 @@
         increment(&mut self.resumptions.borrow_mut(), name);
     }
 
+    /// Counts a relayed connection: opened, failed, or served to another instance.
+    pub fn record_relayed_connection(&self, event: &'static str) {
+        increment(&mut self.relayed_connections.borrow_mut(), event);
+    }
+
     /// Counts bytes sent to other instances.
     pub fn record_peer_bytes(&self, kind: &'static str, bytes: usize) {
         add(&mut self.peer_bytes.borrow_mut(), kind, bytes as u64);
@@ -147,6 +153,14 @@
                 format_args!("bergamotspan_resumptions_total{{source=\"{source}\"}} {number}"),
             );
         }
+        for (event, number) in self.relayed_connections.borrow().iter() {
+            write_line(
+                &mut text,
+                format_args!(
+                    "bergamotspan_relayed_connections_total{{event=\"{event}\"}} {number}"
+                ),
+            );
+        }
         for (kind, number) in self.peer_bytes.borrow().iter() {
             write_line(
                 &mut text,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -129,7 +129,8 @@
         "Instance starting."
     );
     let peers = Rc::new(peers);
-    let shared = Rc::new(Shared::new(wire, settings, peers.clone()));
+    let shared =
+        Rc::new_cyclic(|shared| Shared::new(shared.clone(), wire, settings, peers.clone()));
     spawn_local(store_watch::follow(shared.clone()));
     spawn_local(peer_socket::receive(shared.clone(), peers));
     spawn_local(peer_socket::report(shared.clone()));
--- /dev/null
+++ b/src/gateway/fleet_dialer.rs
@@ -0,0 +1,223 @@
+//! Opens connections to backend servers directly, or through other instances where that fails.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use futures_util::future::{Either, select};
+use log::{info, warn};
+use rand::seq::SliceRandom;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::gateway::boot_clock::boot_ms;
+use crate::gateway::dialer::{CONNECT_TIMEOUT_MS, Dial, Dialed, connect};
+use crate::gateway::engine_paths::{PathNotice, Way};
+use crate::gateway::relay_request::{RelayError, RelayTarget, open_relayed};
+use crate::gateway::relayed_stream::RelayedStream;
+use crate::gateway::shared::Shared;
+use crate::name::Name;
+
+/// Time after which another way is tried beside a direct connection, in milliseconds.
+const HEAD_START_MS: u64 = 60;
+/// Longest time to open a connection through other instances, in milliseconds.
+const RELAYED_LIMIT_MS: u64 = CONNECT_TIMEOUT_MS - HEAD_START_MS;
+/// Longest time to open a connection through one other instance, in milliseconds.
+const INSTANCE_LIMIT_MS: u64 = 180;
+/// Other instances that are asked for one connection.
+const INSTANCE_LIMIT: usize = 3;
+
+/// Opens the connections of an instance that knows others.
+pub(crate) struct FleetDialer {
+    shared: Weak<Shared>,
+}
+
+impl FleetDialer {
+    pub(crate) fn new(shared: Weak<Shared>) -> Self {
+        Self { shared }
+    }
+}
+
+#[async_trait(?Send)]
+impl Dial for FleetDialer {
+    async fn dial(&self, backend_server: &Name, address: SocketAddr) -> io::Result<Dialed> {
+        let shared = self.shared.upgrade().ok_or(io::ErrorKind::NotConnected)?;
+        let way = shared.paths.borrow_mut().way(boot_ms(), backend_server);
+        if way == Way::Relayed
+            && let Some(dialed) = dial_relayed(&shared, backend_server).await
+        {
+            return Ok(dialed);
+        }
+        match way {
+            Way::DirectFirst => dial_directly_first(&shared, backend_server, address).await,
+            Way::Relayed => dial_direct(&shared, backend_server, address, HEAD_START_MS)
+                .await
+                .map(Dialed::Direct),
+        }
+    }
+
+    fn may_reuse(&self, backend_server: &Name) -> bool {
+        let shared = self.shared.upgrade();
+        shared.is_some_and(|shared| shared.paths.borrow().is_direct(backend_server))
+    }
+}
+
+async fn dial_directly_first(
+    shared: &Rc<Shared>,
+    backend_server: &Name,
+    address: SocketAddr,
+) -> io::Result<Dialed> {
+    let mut direct = pin!(dial_direct(shared, backend_server, address, CONNECT_TIMEOUT_MS));
+    let head_start = Duration::from_millis(HEAD_START_MS);
+    let first = timeout(head_start, direct.as_mut()).await.ok();
+    let error = match first {
+        Some(Ok(stream)) => return Ok(Dialed::Direct(stream)),
+        Some(Err(error)) => error,
+        None => {
+            let relayed = pin!(dial_relayed(shared, backend_server));
+            match select(direct, relayed).await {
+                Either::Left((Ok(stream), _)) => return Ok(Dialed::Direct(stream)),
+                Either::Left((Err(error), relayed)) => {
+                    return bypass(shared, backend_server, relayed.await, error);
+                }
+                Either::Right((Some(dialed), _)) => {
+                    return bypass(shared, backend_server, Some(dialed), timed_out());
+                }
+                Either::Right((None, direct)) => return direct.await.map(Dialed::Direct),
+            }
+        }
+    };
+    let relayed = dial_relayed(shared, backend_server).await;
+    bypass(shared, backend_server, relayed, error)
+}
+
+/// Records that only a relayed connection succeeded, or returns the error of the direct one.
+fn bypass(
+    shared: &Rc<Shared>,
+    backend_server: &Name,
+    relayed: Option<Dialed>,
+    error: io::Error,
+) -> io::Result<Dialed> {
+    let dialed = relayed.ok_or(error)?;
+    shared.paths.borrow_mut().record_bypassed(boot_ms(), backend_server);
+    apply_notices(shared);
+    Ok(dialed)
+}
+
+fn timed_out() -> io::Error {
+    io::Error::new(io::ErrorKind::TimedOut, "connecting timed out")
+}
+
+async fn dial_direct(
+    shared: &Rc<Shared>,
+    backend_server: &Name,
+    address: SocketAddr,
+    limit_ms: u64,
+) -> io::Result<TcpStream> {
+    let stream = connect(address, limit_ms).await?;
+    shared.paths.borrow_mut().record_direct(boot_ms(), backend_server);
+    apply_notices(shared);
+    Ok(stream)
+}
+
+/// Opens a connection through one of several other instances; `None` if that is not possible.
+async fn dial_relayed(shared: &Rc<Shared>, backend_server: &Name) -> Option<Dialed> {
+    let instances = instances_to_ask(shared);
+    if instances.is_empty() {
+        return None;
+    }
+    let target = target(shared, backend_server);
+    let limit = Duration::from_millis(RELAYED_LIMIT_MS);
+    let dialed = timeout(limit, ask_in_turn(shared, instances, &target)).await.ok().flatten();
+    let event = if dialed.is_some() { "opened" } else { "failed" };
+    shared.counters.record_relayed_connection(event);
+    dialed
+}
+
+async fn ask_in_turn(
+    shared: &Rc<Shared>,
+    instances: Vec<(Name, SocketAddr)>,
+    target: &RelayTarget,
+) -> Option<Dialed> {
+    let mut without_way = Vec::new();
+    for (via, instance) in instances {
+        match open_through(instance, target).await {
+            Ok(stream) => {
+                let mut paths = shared.paths.borrow_mut();
+                for other in without_way {
+                    paths.leave_out(boot_ms(), other);
+                }
+                return Some(Dialed::Relayed { via, stream });
+            }
+            Err(RelayError::Refused | RelayError::Unreachable) => without_way.push(instance),
+            Err(RelayError::NotAble | RelayError::NoAnswer(_)) => {
+                shared.paths.borrow_mut().leave_out(boot_ms(), instance);
+            }
+        }
+    }
+    None
+}
+
+async fn open_through(
+    instance: SocketAddr,
+    target: &RelayTarget,
+) -> Result<RelayedStream<TcpStream>, RelayError> {
+    let limit = Duration::from_millis(INSTANCE_LIMIT_MS);
+    timeout(limit, open_relayed(instance, target, INSTANCE_LIMIT_MS))
+        .await
+        .unwrap_or_else(|_| Err(RelayError::NoAnswer(timed_out().to_string())))
+}
+
+fn target(shared: &Shared, backend_server: &Name) -> RelayTarget {
+    let state = shared.state.borrow();
+    let born_ms = state.backends().get(backend_server).and_then(|known| known.record.born_ms);
+    RelayTarget { backend_server: backend_server.clone(), born_ms }
+}
+
+/// Returns the names and operators' addresses of live instances.
+fn other_instances(shared: &Shared) -> Vec<(Name, SocketAddr)> {
+    let now_ms = boot_ms();
+    let state = shared.state.borrow();
+    let port = state.settings().operator_address.port();
+    let live = state.fleet().roster().iter().filter(|known| known.is_live(now_ms));
+    live.filter(|known| !known.stopping)
+        .map(|known| (known.name.clone(), SocketAddr::new(known.address.ip(), port)))
+        .collect()
+}
+
+/// Returns a few instances at random, without those that lately did not help.
+fn instances_to_ask(shared: &Shared) -> Vec<(Name, SocketAddr)> {
+    let now_ms = boot_ms();
+    let mut instances = other_instances(shared);
+    let paths = shared.paths.borrow();
+    instances.retain(|(_, address)| paths.may_ask(now_ms, *address));
+    instances.shuffle(&mut rand::rng());
+    instances.truncate(INSTANCE_LIMIT);
+    instances
+}
+
+/// Logs changes of the ways, and closes connections that may be cut.
+pub(crate) fn apply_notices(shared: &Shared) {
+    let notices = shared.paths.borrow_mut().take_notices();
+    for notice in notices {
+        match notice {
+            PathNotice::CutOff { bypassed } => {
+                warn!(
+                    target: "paths",
+                    bypassed:? = bypassed;
+                    "Cut off from backend servers; connecting through other instances."
+                );
+                shared.connections.close_all();
+            }
+            PathNotice::Restored { after_ms, backend_server } => info!(
+                target: "paths",
+                after_ms,
+                backend_server = &*backend_server;
+                "Backend servers reached directly again."
+            ),
+        }
+    }
+}
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -1,4 +1,5 @@
-//! Serves readiness to the balancer, metrics to operators and store updates to other instances.
+//! Serves readiness to the balancer, metrics to operators, and store updates and relayed connections
+//! to other instances.
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -17,6 +18,8 @@
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::counters::Gauges;
 use crate::gateway::peer_update::{self, UPDATE_PATH};
+use crate::gateway::relay_request::RELAY_PATH;
+use crate::gateway::relay_server;
 use crate::gateway::shared::Shared;
 
 /// Path at which metrics are served.
@@ -46,13 +49,20 @@
         };
         let shared = shared.clone();
         spawn_local(async move {
-            let service = service_fn(|request| {
-                let response = answer(&shared, &request, audience);
-                async move { Ok::<_, Infallible>(response) }
+            let service = service_fn(|mut request| {
+                let shared = shared.clone();
+                async move {
+                    Ok::<_, Infallible>(match request.uri().path() {
+                        RELAY_PATH if audience == Audience::Fleet => {
+                            relay_server::answer(&shared, &mut request).await
+                        }
+                        _ => answer(&shared, &request, audience),
+                    })
+                }
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             // Clients may disconnect at any time.
-            drop(connection.await);
+            drop(connection.with_upgrades().await);
         });
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,7 +12,7 @@
 use crate::gateway::backend::SendOutcome;
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::broken_sends::BrokenSend;
-use crate::gateway::connections::refuses_connections;
+use crate::gateway::dialer::refuses_connections;
 use crate::gateway::exchange::{CallerRequest, Reply, SendFailure};
 use crate::gateway::fleet::message::LeavingServer;
 use crate::gateway::forward::rejection;
@@ -49,10 +49,12 @@
 }
 
 /// How the answer to the last send arrived, for the log.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct AnswerSource {
     framing: AnswerFraming,
     on_new_connection: bool,
+    /// The instance that its connection ran through.
+    via: Option<Name>,
 }
 
 /// A request in progress, with the history of its sends.
@@ -108,7 +110,8 @@
     /// Records how an answer arrived, and what the backend server announced about itself in it.
     pub(crate) fn record_reply(&mut self, guard: &mut SendGuard, reply: &Reply) {
         let on_new_connection = reply.connection.is_new;
-        self.answer_source = Some(AnswerSource { framing: reply.framing, on_new_connection });
+        let via = reply.connection.via().cloned();
+        self.answer_source = Some(AnswerSource { framing: reply.framing, on_new_connection, via });
         self.note_announcements(guard, &reply.metadata);
     }
 
@@ -165,9 +168,10 @@
             failure:%,
             after_ms = boot_ms().saturating_sub(guard.sent_ms()),
             events = summary.events,
-            framing = self.answer_source.map(|source| source.framing.name()),
-            on_new_connection = self.answer_source.map(|source| source.on_new_connection),
-            incomplete_event_bytes = summary.incomplete_event_bytes;
+            framing = self.answer_source.as_ref().map(|source| source.framing.name()),
+            on_new_connection = self.answer_source.as_ref().map(|source| source.on_new_connection),
+            incomplete_event_bytes = summary.incomplete_event_bytes,
+            via = self.answer_source.as_ref().and_then(|source| source.via.as_deref());
             "Send failed."
         );
         if matches!(failure, SendFailure::NotSent(_)) {
@@ -242,9 +246,10 @@
             events = summary.events,
             first_event_ms = summary.first_event_ms,
             longest_gap_ms = summary.longest_gap_ms,
-            framing = self.answer_source.map(|source| source.framing.name()),
-            on_new_connection = self.answer_source.map(|source| source.on_new_connection),
-            elapsed_ms;
+            framing = self.answer_source.as_ref().map(|source| source.framing.name()),
+            on_new_connection = self.answer_source.as_ref().map(|source| source.on_new_connection),
+            elapsed_ms,
+            via = self.answer_source.as_ref().and_then(|source| source.via.as_deref());
             "Request completed."
         );
         self.shared.counters.record_answer(status, elapsed_ms);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 use log::info;
 use rand::random;
@@ -15,9 +15,11 @@
 use crate::gateway::counters::Counters;
 use crate::gateway::crash_records::CrashNotice;
 use crate::gateway::dispatching::{SendEnd, WaitOutcome, WaitResult};
+use crate::gateway::engine_paths::EnginePaths;
 use crate::gateway::fleet::message::PlaceVerdict;
 use crate::gateway::fleet::origin_message::OriginAnswer;
 use crate::gateway::fleet::pending_origin::OriginSource;
+use crate::gateway::fleet_dialer::FleetDialer;
 use crate::gateway::gateway_settings::GatewaySettings;
 use crate::gateway::origin_finder::{OriginAsker, OriginReport};
 use crate::gateway::peer_socket;
@@ -43,10 +45,13 @@
     pub(crate) fetching_update: Cell<bool>,
     pub(crate) in_progress: Cell<usize>,
     origin_askers: RefCell<Vec<(u64, OriginAsker)>>,
+    pub(crate) paths: RefCell<EnginePaths>,
     /// Notified when the store should be read at once.
     pub(crate) read_now: Notify,
     /// Notified when reports should be sent to other instances soon.
     pub(crate) report_soon: Notify,
+    /// Connections to backend servers that are relayed for other instances.
+    pub(crate) relayed: Cell<usize>,
     socket: Rc<UdpSocket>,
     pub(crate) state: RefCell<GatewayState>,
     /// When a stopping process must have exited, in milliseconds of the boot clock.
@@ -56,7 +61,9 @@
 }
 
 impl Shared {
+    /// Returns the shared state, which knows itself as `shared`.
     pub(crate) fn new(
+        shared: Weak<Self>,
         wire: Box<dyn Wire>,
         settings: GatewaySettings,
         socket: Rc<UdpSocket>,
@@ -65,12 +72,14 @@
         Self {
             answer_budget: AnswerBudget::new(ANSWER_BUDGET_BYTES),
             askers: RefCell::default(),
-            connections: Connections::default(),
+            connections: Connections::new(Box::new(FleetDialer::new(shared))),
             counters: Counters::default(),
             fetching_update: Cell::new(false),
             in_progress: Cell::new(0),
             origin_askers: RefCell::default(),
+            paths: RefCell::default(),
             read_now: Notify::new(),
+            relayed: Cell::new(0),
             report_soon: Notify::new(),
             socket,
             state: RefCell::new(state),
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -281,6 +281,7 @@
             info!(target: "beliefs", backend_server = &**id, change:?; "Backend server changed.");
             if matches!(change, RecordChange::Left | RecordChange::Restarted) {
                 shared.connections.close(id);
+                shared.paths.borrow_mut().forget(id);
             }
         }
         StateChange::Document { version, before } => {
