--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -23,6 +23,7 @@
 use tokio::time::sleep;
 
 use crate::gateway::boot_clock::boot_ms;
+use crate::gateway::caller_phase::{CallerPhase, Overdue};
 use crate::gateway::forward::forward;
 use crate::gateway::reply::ReplyBody;
 use crate::gateway::shared::Shared;
@@ -31,21 +32,44 @@
 const MIN_HEAD_BYTES: usize = 8_192;
 /// Time between two checks of a connection's timeouts, in milliseconds.
 const TIMEOUT_CHECK_INTERVAL_MS: u64 = 500;
-/// Time beyond the idle timeout of callers for which a connection is kept, in milliseconds.
-const IDLE_MARGIN_MS: u64 = 1_000;
-
-/// Current phase of a connection; times are in milliseconds of the boot clock.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Phase {
-    Answering,
-    ReadingHead { since_ms: u64 },
-    Idle { since_ms: u64 },
-}
 
 /// State of a connection that its timeout check reads.
 struct ConnectionState {
     close: Notify,
-    phase: Cell<Phase>,
+    phase: Cell<CallerPhase>,
+    shared: Rc<Shared>,
+}
+
+impl ConnectionState {
+    fn new(shared: Rc<Shared>) -> Self {
+        let phase = CallerPhase::idle(boot_ms(), shared.state.borrow().table().limits());
+        Self { close: Notify::new(), phase: Cell::new(phase), shared }
+    }
+
+    fn record_bytes(&self) {
+        if !matches!(self.phase.get(), CallerPhase::Idle { .. }) {
+            return;
+        }
+        let state = self.shared.state.borrow();
+        self.phase.set(self.phase.get().after_bytes(boot_ms(), state.table().limits()));
+    }
+
+    fn set_idle(&self) {
+        let state = self.shared.state.borrow();
+        self.phase.set(CallerPhase::idle(boot_ms(), state.table().limits()));
+    }
+
+    /// Returns the timeout that the connection has exceeded.
+    fn overdue(&self) -> Overdue {
+        let now_ms = boot_ms();
+        self.phase.set(self.phase.get().under(self.shared.state.borrow().table().limits()));
+        match self.phase.get() {
+            CallerPhase::Idle { .. } if self.shared.closes_idle_connections(now_ms) => {
+                Overdue::Idle
+            }
+            phase => phase.overdue(now_ms),
+        }
+    }
 }
 
 /// Accepts connections until the process ends.
@@ -67,10 +91,7 @@
     if let Err(error) = stream.set_nodelay(true) {
         warn!(target: "callers", error:%; "TCP_NODELAY could not be set on a connection.");
     }
-    let connection = Rc::new(ConnectionState {
-        close: Notify::new(),
-        phase: Cell::new(Phase::Idle { since_ms: boot_ms() }),
-    });
+    let connection = Rc::new(ConnectionState::new(shared.clone()));
     let io = TokioIo::new(TrackedStream { stream, connection: connection.clone() });
     let service = service_fn(|request| answer(shared.clone(), connection.clone(), request));
     let head_bytes = shared.state.borrow().table().limits().header_bytes.max(MIN_HEAD_BYTES);
@@ -83,7 +104,7 @@
         match select(http_connection.as_mut(), select(timeout_check, close)).await {
             // Callers may disconnect at any time.
             Either::Left(_) => return,
-            Either::Right((Either::Left(_), _)) => match overdue(&shared, &connection) {
+            Either::Right((Either::Left(_), _)) => match connection.overdue() {
                 Overdue::No => {}
                 Overdue::Idle => http_connection.as_mut().graceful_shutdown(),
                 Overdue::Head => return,
@@ -93,29 +114,6 @@
     }
 }
 
-/// The timeout that a connection has exceeded.
-enum Overdue {
-    Head,
-    Idle,
-    No,
-}
-
-fn overdue(shared: &Shared, connection: &ConnectionState) -> Overdue {
-    let now_ms = boot_ms();
-    let state = shared.state.borrow();
-    let limits = state.table().limits();
-    match connection.phase.get() {
-        Phase::ReadingHead { since_ms } if now_ms > since_ms + limits.header_timeout_ms => {
-            Overdue::Head
-        }
-        Phase::Idle { since_ms } if now_ms > since_ms + limits.idle_timeout_ms + IDLE_MARGIN_MS => {
-            Overdue::Idle
-        }
-        Phase::Idle { .. } if shared.closes_idle_connections(now_ms) => Overdue::Idle,
-        _ => Overdue::No,
-    }
-}
-
 async fn answer(
     shared: Rc<Shared>,
     connection: Rc<ConnectionState>,
@@ -138,7 +136,7 @@
 impl InProgressGuard {
     fn begin(shared: Rc<Shared>, connection: Rc<ConnectionState>) -> Self {
         shared.in_progress.set(shared.in_progress.get() + 1);
-        connection.phase.set(Phase::Answering);
+        connection.phase.set(CallerPhase::Answering);
         Self { shared, connection }
     }
 }
@@ -146,7 +144,7 @@
 impl Drop for InProgressGuard {
     fn drop(&mut self) {
         self.shared.in_progress.set(self.shared.in_progress.get().saturating_sub(1));
-        self.connection.phase.set(Phase::Idle { since_ms: boot_ms() });
+        self.connection.set_idle();
     }
 }
 
@@ -191,10 +189,8 @@
         let this = self.get_mut();
         let before = buffer.filled().len();
         let poll = Pin::new(&mut this.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before
-            && matches!(this.connection.phase.get(), Phase::Idle { .. })
-        {
-            this.connection.phase.set(Phase::ReadingHead { since_ms: boot_ms() });
+        if buffer.filled().len() > before {
+            this.connection.record_bytes();
         }
         poll
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod backends;
 pub mod boot_clock;
 pub mod broken_sends;
+pub mod caller_phase;
 mod caller_server;
 mod caller_stream;
 pub mod connections;
