--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -27,6 +27,7 @@
 use crate::gateway::forward::forward;
 use crate::gateway::reply::ReplyBody;
 use crate::gateway::shared::Shared;
+use crate::gateway::shared_socket::{SharedSocket, SocketObserver};
 
 /// Smallest buffer for a request head that the HTTP library accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
@@ -36,14 +37,15 @@
 /// State of a connection that its timeout check reads.
 struct ConnectionState {
     close: Notify,
+    observer: SocketObserver,
     phase: Cell<CallerPhase>,
     shared: Rc<Shared>,
 }
 
 impl ConnectionState {
-    fn new(shared: Rc<Shared>) -> Self {
+    fn new(shared: Rc<Shared>, observer: SocketObserver) -> Self {
         let phase = CallerPhase::idle(boot_ms(), shared.state.borrow().table().limits());
-        Self { close: Notify::new(), phase: Cell::new(phase), shared }
+        Self { close: Notify::new(), observer, phase: Cell::new(phase), shared }
     }
 
     fn record_bytes(&self) {
@@ -59,16 +61,18 @@
         self.phase.set(CallerPhase::idle(boot_ms(), state.table().limits()));
     }
 
-    /// Returns the timeout that the connection has exceeded.
+    /// Returns the timeout that the connection has exceeded; none while it holds bytes that were not
+    /// read yet, which may be a whole request.
     fn overdue(&self) -> Overdue {
         let now_ms = boot_ms();
         self.phase.set(self.phase.get().under(self.shared.state.borrow().table().limits()));
-        match self.phase.get() {
+        let overdue = match self.phase.get() {
             CallerPhase::Idle { .. } if self.shared.closes_idle_connections(now_ms) => {
                 Overdue::Idle
             }
             phase => phase.overdue(now_ms),
-        }
+        };
+        if overdue == Overdue::No || self.observer.is_quiet() { overdue } else { Overdue::No }
     }
 }
 
@@ -91,8 +95,9 @@
     if let Err(error) = stream.set_nodelay(true) {
         warn!(target: "callers", error:%; "TCP_NODELAY could not be set on a connection.");
     }
-    let connection = Rc::new(ConnectionState::new(shared.clone()));
-    let io = TokioIo::new(TrackedStream { stream, connection: connection.clone() });
+    let socket = SharedSocket::new(stream);
+    let connection = Rc::new(ConnectionState::new(shared.clone(), socket.observer()));
+    let io = TokioIo::new(TrackedStream { connection: connection.clone(), socket });
     let service = service_fn(|request| answer(shared.clone(), connection.clone(), request));
     let head_bytes = shared.state.borrow().table().limits().header_bytes.max(MIN_HEAD_BYTES);
     let http_connection =
@@ -176,8 +181,8 @@
 
 /// A stream that records when the first byte of a request head arrives.
 struct TrackedStream {
-    stream: TcpStream,
     connection: Rc<ConnectionState>,
+    socket: SharedSocket,
 }
 
 impl AsyncRead for TrackedStream {
@@ -188,7 +193,7 @@
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         let before = buffer.filled().len();
-        let poll = Pin::new(&mut this.stream).poll_read(context, buffer);
+        let poll = Pin::new(&mut this.socket).poll_read(context, buffer);
         if buffer.filled().len() > before {
             this.connection.record_bytes();
         }
@@ -202,15 +207,15 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+        Pin::new(&mut self.get_mut().socket).poll_write(context, bytes)
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+        Pin::new(&mut self.get_mut().socket).poll_flush(context)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+        Pin::new(&mut self.get_mut().socket).poll_shutdown(context)
     }
 
     fn poll_write_vectored(
@@ -218,10 +223,10 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+        Pin::new(&mut self.get_mut().socket).poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.socket.is_write_vectored()
     }
 }
