--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -23,29 +23,57 @@
 use tokio::time::sleep;
 
 use crate::gateway::boot_clock::boot_ms;
+use crate::gateway::caller_phase::{CallerPhase, Overdue};
 use crate::gateway::forward::forward;
 use crate::gateway::reply::ReplyBody;
 use crate::gateway::shared::Shared;
+use crate::gateway::shared_socket::{SharedSocket, SocketObserver};
 
 /// Smallest buffer for a request head that the HTTP library accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
 /// Time between two checks of a connection's timeouts, in milliseconds.
 const TIMEOUT_CHECK_INTERVAL_MS: u64 = 500;
-/// Time beyond the idle timeout of callers for which a connection is kept, in milliseconds.
-const IDLE_MARGIN_MS: u64 = 1_000;
-
-/// Current phase of a connection; times are in milliseconds of the boot clock.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Phase {
-    Answering,
-    ReadingHead { since_ms: u64 },
-    Idle { since_ms: u64 },
-}
 
 /// State of a connection that its timeout check reads.
 struct ConnectionState {
     close: Notify,
-    phase: Cell<Phase>,
+    observer: SocketObserver,
+    phase: Cell<CallerPhase>,
+    shared: Rc<Shared>,
+}
+
+impl ConnectionState {
+    fn new(shared: Rc<Shared>, observer: SocketObserver) -> Self {
+        let phase = CallerPhase::idle(boot_ms(), shared.state.borrow().table().limits());
+        Self { close: Notify::new(), observer, phase: Cell::new(phase), shared }
+    }
+
+    fn record_bytes(&self) {
+        if !matches!(self.phase.get(), CallerPhase::Idle { .. }) {
+            return;
+        }
+        let state = self.shared.state.borrow();
+        self.phase.set(self.phase.get().after_bytes(boot_ms(), state.table().limits()));
+    }
+
+    fn set_idle(&self) {
+        let state = self.shared.state.borrow();
+        self.phase.set(CallerPhase::idle(boot_ms(), state.table().limits()));
+    }
+
+    /// Returns the timeout that the connection has exceeded; none while it holds bytes that were not
+    /// read yet, which may be a whole request.
+    fn overdue(&self) -> Overdue {
+        let now_ms = boot_ms();
+        self.phase.set(self.phase.get().under(self.shared.state.borrow().table().limits()));
+        let overdue = match self.phase.get() {
+            CallerPhase::Idle { .. } if self.shared.closes_idle_connections(now_ms) => {
+                Overdue::Idle
+            }
+            phase => phase.overdue(now_ms),
+        };
+        if overdue == Overdue::No || self.observer.is_quiet() { overdue } else { Overdue::No }
+    }
 }
 
 /// Accepts connections until the process ends.
@@ -67,11 +95,9 @@
     if let Err(error) = stream.set_nodelay(true) {
         warn!(target: "callers", error:%; "TCP_NODELAY could not be set on a connection.");
     }
-    let connection = Rc::new(ConnectionState {
-        close: Notify::new(),
-        phase: Cell::new(Phase::Idle { since_ms: boot_ms() }),
-    });
-    let io = TokioIo::new(TrackedStream { stream, connection: connection.clone() });
+    let socket = SharedSocket::new(stream);
+    let connection = Rc::new(ConnectionState::new(shared.clone(), socket.observer()));
+    let io = TokioIo::new(TrackedStream { connection: connection.clone(), socket });
     let service = service_fn(|request| answer(shared.clone(), connection.clone(), request));
     let head_bytes = shared.state.borrow().table().limits().header_bytes.max(MIN_HEAD_BYTES);
     let http_connection =
@@ -83,7 +109,7 @@
         match select(http_connection.as_mut(), select(timeout_check, close)).await {
             // Callers may disconnect at any time.
             Either::Left(_) => return,
-            Either::Right((Either::Left(_), _)) => match overdue(&shared, &connection) {
+            Either::Right((Either::Left(_), _)) => match connection.overdue() {
                 Overdue::No => {}
                 Overdue::Idle => http_connection.as_mut().graceful_shutdown(),
                 Overdue::Head => return,
@@ -93,29 +119,6 @@
     }
 }
 
-/// The timeout that a connection has exceeded.
-enum Overdue {
-    Head,
-    Idle,
-    No,
-}
-
-fn overdue(shared: &Shared, connection: &ConnectionState) -> Overdue {
-    let now_ms = boot_ms();
-    let state = shared.state.borrow();
-    let limits = state.table().limits();
-    match connection.phase.get() {
-        Phase::ReadingHead { since_ms } if now_ms > since_ms + limits.header_timeout_ms => {
-            Overdue::Head
-        }
-        Phase::Idle { since_ms } if now_ms > since_ms + limits.idle_timeout_ms + IDLE_MARGIN_MS => {
-            Overdue::Idle
-        }
-        Phase::Idle { .. } if shared.closes_idle_connections(now_ms) => Overdue::Idle,
-        _ => Overdue::No,
-    }
-}
-
 async fn answer(
     shared: Rc<Shared>,
     connection: Rc<ConnectionState>,
@@ -138,7 +141,7 @@
 impl InProgressGuard {
     fn begin(shared: Rc<Shared>, connection: Rc<ConnectionState>) -> Self {
         shared.in_progress.set(shared.in_progress.get() + 1);
-        connection.phase.set(Phase::Answering);
+        connection.phase.set(CallerPhase::Answering);
         Self { shared, connection }
     }
 }
@@ -146,7 +149,7 @@
 impl Drop for InProgressGuard {
     fn drop(&mut self) {
         self.shared.in_progress.set(self.shared.in_progress.get().saturating_sub(1));
-        self.connection.phase.set(Phase::Idle { since_ms: boot_ms() });
+        self.connection.set_idle();
     }
 }
 
@@ -178,8 +181,8 @@
 
 /// A stream that records when the first byte of a request head arrives.
 struct TrackedStream {
-    stream: TcpStream,
     connection: Rc<ConnectionState>,
+    socket: SharedSocket,
 }
 
 impl AsyncRead for TrackedStream {
@@ -190,11 +193,9 @@
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         let before = buffer.filled().len();
-        let poll = Pin::new(&mut this.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before
-            && matches!(this.connection.phase.get(), Phase::Idle { .. })
-        {
-            this.connection.phase.set(Phase::ReadingHead { since_ms: boot_ms() });
+        let poll = Pin::new(&mut this.socket).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            this.connection.record_bytes();
         }
         poll
     }
@@ -206,15 +207,15 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+        Pin::new(&mut self.get_mut().socket).poll_write(context, bytes)
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+        Pin::new(&mut self.get_mut().socket).poll_flush(context)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+        Pin::new(&mut self.get_mut().socket).poll_shutdown(context)
     }
 
     fn poll_write_vectored(
@@ -222,10 +223,10 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+        Pin::new(&mut self.get_mut().socket).poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.socket.is_write_vectored()
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod backends;
 pub mod boot_clock;
 pub mod broken_sends;
+pub mod caller_phase;
 mod caller_server;
 mod caller_stream;
 pub mod connections;
