--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -3,7 +3,9 @@
 mod gateway_support;
 
 use bergamotspan::gateway::admission::{Rank, RefusalReason};
+use bergamotspan::gateway::backend::SendOutcome;
 use bergamotspan::gateway::crash_records::CrashNotice;
+use bergamotspan::gateway::dispatching::SendEnd;
 use bergamotspan::gateway::request_metadata::RequestMetadata;
 use bergamotspan::gateway::routing_document::WeightedService;
 use bergamotspan::gateway::routing_table::{RoutingTable, weighted_service};
@@ -13,7 +15,7 @@
 
 use crate::gateway_support::{
     START_MS, admitted, apply_store_changes, customer, document, draft, fail_to_connect, metadata,
-    record_broken_send, refused, route, settings, state,
+    record_broken_send, refused, route, settings, started_send, state,
 };
 use bergamotspan::gateway::routing_document::{RouteKind, RoutingDocument};
 
@@ -171,6 +173,19 @@
     assert!(state.take_crash_notices().is_empty());
 }
 
+#[test]
+fn a_connection_that_is_not_accepted_in_time_is_no_crash() {
+    let mut state = state();
+    for (at_ms, id) in [(0, "m-1"), (400, "m-2")] {
+        record_broken_send(&mut state, START_MS + at_ms, id, START_MS);
+        let started_send = started_send(id);
+        let end = SendEnd::new(SendOutcome::Unreachable);
+        state.end_send(START_MS + at_ms + 100, &started_send, &end);
+    }
+    assert_eq!(state.take_crash_notices(), []);
+    admitted(&mut state, START_MS + 1_000, "/draft/a", &draft("r-1", 100, 10));
+}
+
 #[test]
 fn a_broken_connection_to_a_live_backend_server_is_no_crash() {
     let mut state = state();
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -168,9 +168,9 @@
     });
 }
 
-/// Records that a backend server accepted no connection for a request.
-pub fn fail_to_connect(state: &mut GatewayState, now_ms: u64, backend_server: &str) {
-    let started_send = StartedSend {
+/// Returns a send to a backend server.
+pub fn started_send(backend_server: &str) -> StartedSend {
+    StartedSend {
         address: None,
         backend_server: backend_server.into(),
         is_model: true,
@@ -179,8 +179,13 @@
         tokens_ahead: 0,
         unread_tokens: 0,
         software_version: Some("v1".into()),
-    };
-    state.end_send(now_ms, &started_send, &SendEnd::new(SendOutcome::Unreachable));
+    }
+}
+
+/// Records that a backend server accepted no connection for a request.
+pub fn fail_to_connect(state: &mut GatewayState, now_ms: u64, backend_server: &str) {
+    let end = SendEnd::new(SendOutcome::Unreachable);
+    state.end_send(now_ms, &started_send(backend_server), &end);
 }
 
 pub fn metadata(id: &str) -> RequestMetadata {
