--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -65,7 +65,7 @@
     Abandoned,
     /// It failed at the backend server or on the way.
     Failed,
-    /// The backend server accepted no connection or disappeared.
+    /// No connection to the backend server was opened, or it ended before any byte was sent.
     Unreachable,
     /// The backend server did not run it.
     Refused,
--- a/src/gateway/broken_sends.rs
+++ b/src/gateway/broken_sends.rs
@@ -2,8 +2,9 @@
 //! broke.
 //!
 //! A broken connection alone proves no crash: answers get lost and connections are reset while the
-//! backend server keeps running. It counts as crashed once it accepts no connection or its record
-//! is removed, and as running once it answers any request completely.
+//! backend server keeps running, and one that is silent for a moment accepts no connection in time.
+//! It counts as crashed once it refuses a connection or its record is removed, and as running once it
+//! answers any request completely.
 
 use crate::name::Name;
 
--- a/src/gateway/dispatching.rs
+++ b/src/gateway/dispatching.rs
@@ -100,13 +100,20 @@
     pub place: EndedPlace,
     /// Whether its first event had arrived.
     pub prompt_was_read: bool,
+    /// Whether the backend server was found to have ended.
+    pub proves_crash: bool,
 }
 
 impl SendEnd {
     /// Returns the end of a send with an outcome and nothing measured.
     pub fn new(outcome: SendOutcome) -> Self {
         let place = EndedPlace { outcome, slot_ms: None, token_ms: None, pause_ms: None };
-        Self { place, prompt_was_read: false }
+        Self { place, prompt_was_read: false, proves_crash: false }
+    }
+
+    /// Returns the end of a send whose connection was refused: no process listens at the address.
+    pub fn refused_connection() -> Self {
+        Self { proves_crash: true, ..Self::new(SendOutcome::Unreachable) }
     }
 
     /// Returns the end of a send that was not carried out.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one backend server and reads the head of its answer.
 
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -67,7 +68,13 @@
     /// The connection broke after some or all of the request was sent.
     #[error("the connection broke: {0}")]
     ConnectionBroken(String),
-    /// No byte of the request was sent.
+    /// Its time or its customer's key ended before any byte was sent.
+    #[error("nothing was sent: the request may no longer be sent")]
+    NoLongerAllowed,
+    /// No connection was opened.
+    #[error("nothing was sent: {0}")]
+    NotConnected(io::Error),
+    /// The connection ended before any byte of the request was sent.
     #[error("nothing was sent: {0}")]
     NotSent(String),
     /// The deadline passed after the request was sent.
@@ -78,6 +85,18 @@
     WrongAnswer(String),
 }
 
+impl SendFailure {
+    /// Returns whether no byte of the request was sent.
+    pub(crate) fn sent_nothing(&self) -> bool {
+        matches!(self, Self::NoLongerAllowed | Self::NotConnected(_) | Self::NotSent(_))
+    }
+
+    /// Returns whether the backend server refused the connection, so that no process listens there.
+    pub(crate) fn is_refused_connection(&self) -> bool {
+        matches!(self, Self::NotConnected(error) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Sends a request and waits for the head of the answer.
 pub(crate) async fn exchange(
     shared: &Rc<Shared>,
@@ -92,11 +111,11 @@
             .connections
             .acquire(backend_server, address, &plan.request_id)
             .await
-            .map_err(|error| SendFailure::NotSent(error.to_string()))?;
+            .map_err(SendFailure::NotConnected)?;
         let now_ms = boot_ms();
         let left_ms = plan.deadline_ms.saturating_sub(now_ms);
         if left_ms == 0 || shared.state.borrow().recheck(now_ms, plan).is_err() {
-            return Err(SendFailure::NotSent("the request may no longer be sent".to_owned()));
+            return Err(SendFailure::NoLongerAllowed);
         }
         let mut message =
             build_request(shared, plan, request, backend_server, left_ms, resume_after)?;
--- a/src/gateway/fleet/placing.rs
+++ b/src/gateway/fleet/placing.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 use crate::gateway::admission::{PlanCharge, Refusal, RequestPlan};
-use crate::gateway::backend::{BackendStatus, SendOutcome};
+use crate::gateway::backend::BackendStatus;
 use crate::gateway::dispatching::{DispatchDecision, PlaceQuery, SendEnd, StartedSend};
 use crate::gateway::engine_query::{EngineQuery, VersionNeed};
 use crate::gateway::fleet::coordinators::Decider;
@@ -220,7 +220,7 @@
         }
     }
 
-    /// Records the end of a send; a backend server that was unreachable counts as crashed.
+    /// Records the end of a send.
     pub fn end_send(&mut self, now_ms: u64, started_send: &StartedSend, end: &SendEnd) {
         let backend_server = &started_send.backend_server;
         if let Some(backend) = self.backends.get_mut(backend_server) {
@@ -238,7 +238,7 @@
             let progress = PlaceProgress { number: started_send.place, step };
             self.report_progress(now_ms, granted_by, progress);
         }
-        if end.place.outcome == SendOutcome::Unreachable {
+        if end.proves_crash {
             self.record_crash(now_ms, backend_server);
         }
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -95,7 +95,7 @@
     /// Counts a send whose bytes may have reached a backend server.
     pub(crate) fn count_send(&mut self, result: &Result<Reply, SendFailure>) {
         self.answer_source = None;
-        if !matches!(result, Err(SendFailure::NotSent(_))) {
+        if !result.as_ref().is_err_and(SendFailure::sent_nothing) {
             self.sends += 1;
         }
     }
@@ -170,8 +170,14 @@
             incomplete_event_bytes = summary.incomplete_event_bytes;
             "Send failed."
         );
-        if matches!(failure, SendFailure::NotSent(_)) {
-            guard.end(SendOutcome::Unreachable);
+        if matches!(failure, SendFailure::NoLongerAllowed) {
+            return RelayStep::TryAnother;
+        }
+        if failure.sent_nothing() {
+            match failure.is_refused_connection() {
+                true => guard.end_refused(),
+                false => guard.end(SendOutcome::Unreachable),
+            }
             self.shared.connections.close(&backend_server);
             return self.after_unreachable();
         }
--- a/src/gateway/send_guard.rs
+++ b/src/gateway/send_guard.rs
@@ -59,6 +59,11 @@
         self.end.place.outcome = SendOutcome::Answered;
     }
 
+    /// Ends a send whose connection was refused.
+    pub(crate) fn end_refused(mut self) {
+        self.end = SendEnd::refused_connection();
+    }
+
     /// Ends the send with an outcome; without this call a dropped send counts as abandoned.
     pub(crate) fn end(mut self, outcome: SendOutcome) {
         self.end.place.outcome = outcome;
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 
 use bergamotspan::gateway::admission::{Admission, Arrival, Refusal, RequestPlan};
-use bergamotspan::gateway::backend::SendOutcome;
 use bergamotspan::gateway::backend_record::BackendRecord;
 use bergamotspan::gateway::broken_sends::BrokenSend;
 use bergamotspan::gateway::dispatching::{SendEnd, StartedSend};
@@ -182,10 +181,9 @@
     }
 }
 
-/// Records that a backend server accepted no connection for a request.
+/// Records that a backend server refused a connection for a request.
 pub fn fail_to_connect(state: &mut GatewayState, now_ms: u64, backend_server: &str) {
-    let end = SendEnd::new(SendOutcome::Unreachable);
-    state.end_send(now_ms, &started_send(backend_server), &end);
+    state.end_send(now_ms, &started_send(backend_server), &SendEnd::refused_connection());
 }
 
 pub fn metadata(id: &str) -> RequestMetadata {
--- a/tests/gateway_support/served_fleet.rs
+++ b/tests/gateway_support/served_fleet.rs
@@ -472,11 +472,11 @@
         request.unreachable += 1;
         let is_last = request.unreachable >= UNREACHABLE_LIMIT;
         // A backend server that is not known any more is not connected to.
-        let outcome = match started_send.address {
-            Some(_) => SendOutcome::Unreachable,
-            None => SendOutcome::Abandoned,
+        let end = match started_send.address {
+            Some(_) => SendEnd::refused_connection(),
+            None => SendEnd::unused(),
         };
-        state.end_send(now_ms, started_send, &SendEnd::new(outcome));
+        state.end_send(now_ms, started_send, &end);
         self.fleet.send_outbox(at);
         if is_last {
             self.refuse(number, RefusalReason::NoBackendServer);
--- a/tests/gateway_support/versioned_sends.rs
+++ b/tests/gateway_support/versioned_sends.rs
@@ -65,11 +65,11 @@
         request.unreachable += 1;
         let is_last = request.unreachable >= UNREACHABLE_LIMIT;
         // A backend server that is not known any more is not connected to.
-        let outcome = match started_send.address {
-            Some(_) => SendOutcome::Unreachable,
-            None => SendOutcome::Abandoned,
+        let end = match started_send.address {
+            Some(_) => SendEnd::refused_connection(),
+            None => SendEnd::unused(),
         };
-        self.fleet.state(at).end_send(now_ms, started_send, &SendEnd::new(outcome));
+        self.fleet.state(at).end_send(now_ms, started_send, &end);
         self.fleet.send_outbox(at);
         if is_last {
             self.end_request(number, Some(RefusalReason::NoBackendServer));
