--- a/tests/gateway_backends.rs
+++ b/tests/gateway_backends.rs
@@ -95,6 +95,17 @@
     assert!(backend.may_serve(START_MS + 300));
 }
 
+#[test]
+fn connections_that_fail_together_prolong_a_backoff_once() {
+    let mut backends = two_engines();
+    let backend = backends.get_mut("m-1").expect("a backend server");
+    (0..5).for_each(|at_ms| backend.record_end(START_MS + at_ms, SendOutcome::Unreachable));
+    assert!(backend.may_serve(START_MS + 260));
+    backend.record_end(START_MS + 260, SendOutcome::Unreachable);
+    assert!(!backend.may_serve(START_MS + 750));
+    assert!(backend.may_serve(START_MS + 770));
+}
+
 #[test]
 fn a_large_prompt_avoids_the_engine_with_slow_prefill() {
     let mut backends = two_engines();
