--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -14,7 +14,7 @@
 /// Weight of a new outcome in the share of failures.
 const OUTCOME_WEIGHT: f64 = 0.12;
 /// Time for which a backend server that was unreachable or refused a request receives none, in
-/// milliseconds; it doubles with each consecutive failure.
+/// milliseconds; it doubles with each failure after its end and each refusal.
 const BACKOFF_MS: u64 = 250;
 /// Maximum number of doublings of the back-off.
 const MAX_DOUBLINGS: u32 = 4;
@@ -295,7 +295,10 @@
             SendOutcome::Failed => self.record_outcome(1.0),
             SendOutcome::Unreachable => {
                 self.record_outcome(1.0);
-                self.back_off(now_ms);
+                // During a back-off only sends fail that were begun before it.
+                if now_ms >= self.backoff_until_ms {
+                    self.back_off(now_ms);
+                }
             }
             SendOutcome::Refused => self.back_off(now_ms),
         }
