--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 
 use bergamotspan::gateway::admission::{Admission, Arrival, Refusal, RequestPlan};
-use bergamotspan::gateway::backend::SendOutcome;
 use bergamotspan::gateway::backend_record::BackendRecord;
 use bergamotspan::gateway::broken_sends::BrokenSend;
 use bergamotspan::gateway::dispatching::{SendEnd, StartedSend};
@@ -168,9 +167,9 @@
     });
 }
 
-/// Records that a backend server accepted no connection for a request.
-pub fn fail_to_connect(state: &mut GatewayState, now_ms: u64, backend_server: &str) {
-    let started_send = StartedSend {
+/// Returns a send to a backend server.
+pub fn started_send(backend_server: &str) -> StartedSend {
+    StartedSend {
         address: None,
         backend_server: backend_server.into(),
         is_model: true,
@@ -179,8 +178,12 @@
         tokens_ahead: 0,
         unread_tokens: 0,
         software_version: Some("v1".into()),
-    };
-    state.end_send(now_ms, &started_send, &SendEnd::new(SendOutcome::Unreachable));
+    }
+}
+
+/// Records that a backend server refused a connection for a request.
+pub fn fail_to_connect(state: &mut GatewayState, now_ms: u64, backend_server: &str) {
+    state.end_send(now_ms, &started_send(backend_server), &SendEnd::refused_connection());
 }
 
 pub fn metadata(id: &str) -> RequestMetadata {
