Release a silent engine only once another one accepts the request (LOST)

Change: the head of a success is the moment of release, whole events alone count as going on, and a stream without ids does not move. A send counts as soon as its bytes may have arrived, wherever it is cancelled. A send that breaks off meanwhile ends at once. An answer without events is no end while the caller lacks part of one.

--- a/src/gateway/backend_stream.rs
+++ b/src/gateway/backend_stream.rs
@@ -5,10 +5,13 @@
 use hyper::body::{Body, Incoming};
 use log::info;
 
-use crate::gateway::answer_budget::BudgetShare;
+use crate::gateway::answer_budget::{BudgetShare, BufferFull};
 use crate::gateway::backend::SendOutcome;
 use crate::gateway::connections::Connection;
-use crate::gateway::event_splitter::{EventSplitter, StreamFault};
+use crate::gateway::event_splitter::{
+    CompleteEvents, EVENT_LIMIT_BYTES, EventSplitter, SplitEvents, StreamFault,
+};
+use crate::gateway::exchange::SendFailure;
 use crate::gateway::send_guard::SendGuard;
 
 /// A stream that one backend server sends.
@@ -26,6 +29,16 @@
     pub(crate) splitter: EventSplitter,
 }
 
+/// What bytes add to a stream.
+pub(crate) enum Split {
+    /// These events are complete.
+    Events(CompleteEvents),
+    /// An event is incomplete.
+    Nothing,
+    /// The answer is wrong, for this reason.
+    Wrong(String),
+}
+
 /// Result of reading a stream once.
 pub(crate) enum StreamRead {
     Bytes(Bytes),
@@ -50,8 +63,40 @@
         }
     }
 
-    /// Ends the send to a silent backend server whose stream another one has.
-    pub(crate) fn release_silent(self, request_id: &str) {
+    /// Adds received bytes.
+    pub(crate) fn split(&mut self, bytes: &[u8]) -> Split {
+        match self.splitter.push(bytes) {
+            SplitEvents::Complete(events) => Split::Events(events),
+            SplitEvents::Incomplete if self.share.resize(self.splitter.capacity_bytes()) => {
+                Split::Nothing
+            }
+            SplitEvents::Incomplete => Split::Wrong(BufferFull::BudgetUsedUp.to_string()),
+            SplitEvents::TooLong => {
+                Split::Wrong(format!("an event is longer than {EVENT_LIMIT_BYTES} bytes"))
+            }
+        }
+    }
+
+    /// Ends a send that broke off while another one was being opened; returns whether bytes of it are
+    /// missing.
+    pub(crate) fn end_interrupted(self, request_id: &str, cause: &SendFailure) -> bool {
+        info!(
+            target: "send",
+            request = request_id,
+            backend_server = &*self.guard.started_send().backend_server,
+            cause:%,
+            events = self.events,
+            incomplete_event_bytes = self.splitter.rest_bytes();
+            "Stream interrupted."
+        );
+        let lacks_bytes = self.lacks_bytes();
+        self.guard.end(SendOutcome::Failed);
+        lacks_bytes
+    }
+
+    /// Ends the send to a silent backend server whose stream another one has; returns whether bytes of
+    /// it are missing.
+    pub(crate) fn release_silent(self, request_id: &str) -> bool {
         info!(
             target: "send",
             request = request_id,
@@ -59,7 +104,9 @@
             events = self.events;
             "Silent stream moved to another backend server."
         );
+        let lacks_bytes = self.lacks_bytes();
         self.guard.end(SendOutcome::Failed);
+        lacks_bytes
     }
 
     /// Returns whether bytes of an event or of its length are missing.
--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -1,36 +1,18 @@
 //! Forwards the events of a started stream to the caller, and resumes it where it breaks off.
 
 use std::io;
-use std::pin::pin;
-use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::StatusCode;
 use tokio::task::yield_now;
-use tokio::time::sleep;
 
 use crate::gateway::backend_stream::{BackendStream, StreamRead};
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::exchange::SendFailure;
-use crate::gateway::relay::{FinalFailure, Relay};
+use crate::gateway::relay::Relay;
+use crate::gateway::silent_race::{Race, race_successor};
 use crate::gateway::stream_relay::{OpenOutcome, Received, StreamRelay};
 
-/// Longest time for which a silent backend server may go on once another one has the request, in
-/// milliseconds.
-const MAX_OVERLAP_MS: u64 = 300;
-
-/// What became of the attempt to replace a silent backend server.
-enum Replacement {
-    /// The silent one broke off; this became of opening the stream at another one.
-    Broken(String, BackendStream, OpenOutcome),
-    /// There is no other one, for this reason; the silent one keeps the stream.
-    Failed(FinalFailure, BackendStream),
-    /// The silent one went on.
-    GoesOn(StreamRead, BackendStream),
-    /// Another one has the stream; the silent one was released.
-    Opened(OpenOutcome),
-}
-
 /// A stream that is forwarded to the caller.
 pub(crate) struct CallerStream {
     /// Whether the end of the request is logged.
@@ -115,59 +97,26 @@
         }
     }
 
-    /// Opens the stream at another backend server; its own may go on until that one has the request.
+    /// Opens the stream at another backend server; its own may go on until that one accepts it.
     async fn replace_silent(&mut self) -> StreamRead {
-        let Some(mut silent) = self.backend_stream.take() else { return StreamRead::Silent };
+        let Some(silent) = self.backend_stream.take() else { return StreamRead::Silent };
         let stream_relay = &mut self.stream_relay;
-        let Relay { plan, sends, tried, .. } = &stream_relay.relay;
-        let (request_id, sends_before, tried_before) =
-            (plan.request_id.clone(), *sends, tried.len());
+        let tried_before = stream_relay.relay.tried.len();
         stream_relay.record_missing_bytes(&silent);
-        let written = stream_relay.relay.next_written();
-        let overlap = async {
-            written.notified().await;
-            sleep(Duration::from_millis(MAX_OVERLAP_MS)).await;
-        };
-        let replacement = {
-            let mut successor = pin!(stream_relay.open_successor());
-            tokio::select! {
-                biased;
-                read = silent.read() => match read {
-                    StreamRead::Broken(error) => {
-                        Replacement::Broken(error, silent, successor.await)
-                    }
-                    read => Replacement::GoesOn(read, silent),
-                },
-                opened = &mut successor => match opened {
-                    OpenOutcome::Fail(failure) => Replacement::Failed(failure, silent),
-                    opened => {
-                        silent.release_silent(&request_id);
-                        Replacement::Opened(opened)
-                    }
-                },
-                () = overlap => {
-                    silent.release_silent(&request_id);
-                    Replacement::Opened(successor.await)
-                }
-            }
-        };
-        match replacement {
-            Replacement::GoesOn(read, silent) => {
-                stream_relay.relay.count_cancelled(sends_before, tried_before);
+        match race_successor(stream_relay, silent).await {
+            Race::GoesOn(mut silent, events) => {
+                stream_relay.relay.record_cancelled(tried_before);
+                self.first_chunk =
+                    events.map(|events| stream_relay.record_events(&mut silent, events));
                 self.keep(silent);
-                read
+                if self.first_chunk.is_some() { StreamRead::Silent } else { StreamRead::End }
             }
-            Replacement::Broken(error, silent, opened) => {
-                self.stream_relay.end_broken(silent, &SendFailure::ConnectionBroken(error));
-                self.take_over(opened);
-                StreamRead::Silent
-            }
-            Replacement::Failed(failure, silent) => {
+            Race::Kept(silent, failure) => {
                 stream_relay.log_kept(&silent, &failure);
                 self.keep(silent);
                 StreamRead::Silent
             }
-            Replacement::Opened(opened) => {
+            Race::Opened(opened) => {
                 self.take_over(opened);
                 StreamRead::Silent
             }
@@ -202,6 +151,9 @@
     /// Returns whether a silent stream may move to another backend server.
     fn may_move_stream(&self) -> bool {
         let Some(backend_stream) = &self.backend_stream else { return false };
+        if self.stream_relay.resume_after.is_none() {
+            return false;
+        }
         let Relay { plan, shared, .. } = &self.stream_relay.relay;
         let backend_server = &backend_stream.guard.started_send().backend_server;
         let silence_limit_ms = self.stream_relay.silence_limit_ms();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -11,7 +11,6 @@
 use hyper::header::CONTENT_ENCODING;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, Version};
 use thiserror::Error;
-use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::answer_head::{answer_heads, heads_across};
@@ -20,6 +19,7 @@
 use crate::gateway::answer_framing::AnswerFraming;
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::connections::{Connection, limit_interim_answers};
+use crate::gateway::send_progress::SendProgress;
 use crate::gateway::shared::Shared;
 use crate::gateway::wire::{ReplyMetadata, SendMetadata};
 use crate::name::Name;
@@ -98,15 +98,14 @@
     }
 }
 
-/// Sends a request and waits for the head of the answer; `written` is notified when the request is
-/// written to a connection.
+/// Sends a request and waits for the head of the answer.
 pub(crate) async fn exchange(
     shared: &Rc<Shared>,
     plan: &RequestPlan,
     request: &CallerRequest,
     to: (&Name, SocketAddr),
     resume_after: Option<&str>,
-    written: &Notify,
+    progress: &SendProgress,
 ) -> Result<Reply, SendFailure> {
     let (backend_server, address) = to;
     loop {
@@ -124,7 +123,7 @@
             build_request(shared, plan, request, backend_server, left_ms, resume_after)?;
         let too_many = limit_interim_answers(&mut message);
         let limit = Duration::from_millis(left_ms);
-        written.notify_one();
+        progress.record_written();
         let answer = tokio::select! {
             answer = timeout(limit, connection.sender.try_send_request(message)) => answer,
             () = too_many.notified() => {
@@ -136,6 +135,9 @@
             Ok(response) => return check_reply(shared, plan, connection, response),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
+                if unsent {
+                    progress.clear_written();
+                }
                 let is_new = connection.is_new;
                 let error = error.into_error();
                 let head_is_too_long = error.is_parse_too_large();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,7 +6,6 @@
 
 use hyper::{Response, StatusCode};
 use log::info;
-use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
 use crate::gateway::admission::{Refusal, RefusalReason, RequestPlan};
@@ -20,6 +19,7 @@
 use crate::gateway::forward::rejection;
 use crate::gateway::reply::{ReplyBody, failure_response};
 use crate::gateway::send_guard::SendGuard;
+use crate::gateway::send_progress::SendProgress;
 use crate::gateway::shared::Shared;
 use crate::gateway::state::RETRY_SOON_MS;
 use crate::gateway::wire::ReplyMetadata;
@@ -92,8 +92,7 @@
     /// Whether a send may have run.
     pub(crate) may_have_run: bool,
     unreachable_count: usize,
-    /// Notified when the request is written to a connection.
-    written: Rc<Notify>,
+    progress: Rc<SendProgress>,
 }
 
 impl Relay {
@@ -107,7 +106,7 @@
             tried: Vec::new(),
             may_have_run: false,
             unreachable_count: 0,
-            written: Rc::default(),
+            progress: Rc::default(),
         }
     }
 
@@ -118,23 +117,33 @@
         resume_after: Option<&str>,
     ) -> Result<Reply, SendFailure> {
         self.record_spent();
-        let Self { plan, request, shared, written, .. } = &*self;
-        let result = exchange(shared, plan, request, to, resume_after, written).await;
+        let Self { plan, request, shared, progress, .. } = &*self;
+        let result = exchange(shared, plan, request, to, resume_after, progress).await;
         self.count_send(&result);
         result
     }
 
-    /// Returns what is notified when the next send is written to a connection.
-    pub(crate) fn next_written(&mut self) -> Rc<Notify> {
-        self.written = Rc::default();
-        self.written.clone()
+    /// Records that the backend server of the send in progress has accepted the request.
+    pub(crate) fn record_accepted(&self) {
+        self.progress.record_accepted();
     }
 
-    /// Counts a send that was cancelled, unless the request had found no place since then.
-    pub(crate) fn count_cancelled(&mut self, sends_before: u32, tried_before: usize) {
-        if self.tried.len() > tried_before && self.sends == sends_before {
+    /// Returns the progress of the sends from now on.
+    pub(crate) fn next_progress(&mut self) -> Rc<SendProgress> {
+        self.progress = Rc::default();
+        self.progress.clone()
+    }
+
+    /// Records that the send in progress was cancelled; its backend server, unless it was tried
+    /// before, may be tried again.
+    pub(crate) fn record_cancelled(&mut self, tried_before: usize) {
+        if self.progress.is_written() {
             self.sends += 1;
         }
+        self.progress.clear_written();
+        if self.tried.len() > tried_before {
+            self.tried.pop();
+        }
     }
 
     /// Checks again whether the request may be sent.
@@ -149,6 +158,7 @@
     /// Counts a send whose bytes may have reached a backend server.
     fn count_send(&mut self, result: &Result<Reply, SendFailure>) {
         self.answer_source = None;
+        self.progress.clear_written();
         if !result.as_ref().is_err_and(SendFailure::sent_nothing) {
             self.sends += 1;
         }
@@ -253,16 +263,21 @@
 
     /// Records that the request of a send may have crashed its backend server.
     pub(crate) fn record_broken_send(&self, guard: &SendGuard) {
+        let broken_send = self.broken_send(guard);
+        if self.shared.state.borrow_mut().record_broken_send(broken_send) {
+            self.check_for_crash(guard);
+        }
+    }
+
+    /// Returns what is recorded of a send whose connection breaks now.
+    pub(crate) fn broken_send(&self, guard: &SendGuard) -> BrokenSend {
         let prompt = self.plan.prompt.as_ref().filter(|_| !guard.has_started());
-        let broken_send = BrokenSend {
+        BrokenSend {
             backend_server: guard.started_send().backend_server.clone(),
             broken_ms: boot_ms(),
             fingerprint: self.plan.fingerprint,
             sent_ms: guard.sent_ms(),
             unstarted_parts: prompt.map(|prompt| prompt.shared_parts()).unwrap_or_default(),
-        };
-        if self.shared.state.borrow_mut().record_broken_send(broken_send) {
-            self.check_for_crash(guard);
         }
     }
 
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -13,15 +13,14 @@
 use tokio::time::timeout;
 
 use crate::gateway::admission::RequestPlan;
-use crate::gateway::answer_budget::BufferFull;
 use crate::gateway::answer_framing::AnswerFraming;
 use crate::gateway::backend::SendOutcome;
-use crate::gateway::backend_stream::{BackendStream, StreamRead};
+use crate::gateway::backend_stream::{BackendStream, Split, StreamRead};
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::caller_stream::CallerStream;
 use crate::gateway::connections::Connection;
 use crate::gateway::engine_query::VersionNeed;
-use crate::gateway::event_splitter::{EVENT_LIMIT_BYTES, EventSplitter, SplitEvents};
+use crate::gateway::event_splitter::{CompleteEvents, EventSplitter};
 use crate::gateway::exchange::{CallerRequest, Reply, SendFailure, read_answer};
 use crate::gateway::forward::rejection;
 use crate::gateway::origin_finder::find_origin;
@@ -236,6 +235,7 @@
             return self.forward_error_response(guard, connection, head, body).await;
         }
         self.relay.may_have_run = true;
+        self.relay.record_accepted();
         let ends_itself = framing != AnswerFraming::ConnectionEnd || body.is_end_stream();
         let may_be_empty = ends_itself && !self.lacks_event;
         let idle_timeout_ms = metadata.idle_timeout_ms;
@@ -272,7 +272,7 @@
                 }
                 StreamRead::End => {
                     self.finish(backend_stream);
-                    return OpenOutcome::Answer(self.full_response(head, Bytes::new()));
+                    return OpenOutcome::Answer(self.forward_response(head, Bytes::new()));
                 }
                 StreamRead::Broken(error) => {
                     let failure = SendFailure::ConnectionBroken(error);
@@ -316,7 +316,8 @@
             let cause = "error_response";
             return OpenOutcome::Fail(FinalFailure::MayHaveRun { cause, timed_out: false });
         }
-        OpenOutcome::Answer(self.full_response(head, body))
+        self.relay.log_end(head.status, self.summary);
+        OpenOutcome::Answer(self.forward_response(head, body))
     }
 
     fn after_stream_failure(
@@ -367,20 +368,19 @@
     pub(crate) fn receive(&mut self, backend_stream: &mut BackendStream, bytes: &[u8]) -> Received {
         let backend_server = &backend_stream.guard.started_send().backend_server;
         self.relay.shared.state.borrow_mut().record_activity(boot_ms(), backend_server);
-        let events = match backend_stream.splitter.push(bytes) {
-            SplitEvents::Complete(events) => events,
-            SplitEvents::Incomplete => {
-                let capacity_bytes = backend_stream.splitter.capacity_bytes();
-                return match backend_stream.share.resize(capacity_bytes) {
-                    true => Received::Nothing,
-                    false => Received::Wrong(BufferFull::BudgetUsedUp.to_string()),
-                };
-            }
-            SplitEvents::TooLong => {
-                let reason = format!("an event is longer than {EVENT_LIMIT_BYTES} bytes");
-                return Received::Wrong(reason);
-            }
-        };
+        match backend_stream.split(bytes) {
+            Split::Events(events) => Received::Forward(self.record_events(backend_stream, events)),
+            Split::Nothing => Received::Nothing,
+            Split::Wrong(reason) => Received::Wrong(reason),
+        }
+    }
+
+    /// Records events that arrived, and returns their bytes.
+    pub(crate) fn record_events(
+        &mut self,
+        backend_stream: &mut BackendStream,
+        events: CompleteEvents,
+    ) -> Bytes {
         let now_ms = boot_ms();
         if backend_stream.events == 0 {
             backend_stream.first_ms = now_ms;
@@ -399,7 +399,7 @@
         }
         let empty_share = self.relay.shared.answer_budget.share();
         let share = mem::replace(&mut backend_stream.share, empty_share);
-        Received::Forward(share.attach_to(events.bytes))
+        share.attach_to(events.bytes)
     }
 
     /// Records by which software version the stream was begun, and limits its resumes to it.
@@ -413,8 +413,8 @@
         }
     }
 
-    fn full_response(&self, mut head: http::response::Parts, body: Bytes) -> Response<ReplyBody> {
-        self.relay.log_end(head.status, self.summary);
+    fn forward_response(&self, head: http::response::Parts, body: Bytes) -> Response<ReplyBody> {
+        let mut head = head;
         self.relay.shared.wire.prepare_reply(&mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
         Response::from_parts(head, full_body(body))
