--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -37,6 +37,8 @@
 /// State of a connection that its timeout check reads.
 struct ConnectionState {
     close: Notify,
+    /// Whether the end of the answer waits in the connection's buffer.
+    is_flushing: Cell<bool>,
     observer: SocketObserver,
     phase: Cell<CallerPhase>,
     shared: Rc<Shared>,
@@ -45,7 +47,8 @@
 impl ConnectionState {
     fn new(shared: Rc<Shared>, observer: SocketObserver) -> Self {
         let phase = CallerPhase::idle(boot_ms(), shared.state.borrow().table().limits());
-        Self { close: Notify::new(), observer, phase: Cell::new(phase), shared }
+        let (close, is_flushing, phase) = (Notify::new(), Cell::new(false), Cell::new(phase));
+        Self { close, is_flushing, observer, phase, shared }
     }
 
     fn record_bytes(&self) {
@@ -56,9 +59,26 @@
         self.phase.set(self.phase.get().after_bytes(boot_ms(), state.table().limits()));
     }
 
-    fn set_idle(&self) {
-        let state = self.shared.state.borrow();
-        self.phase.set(CallerPhase::idle(boot_ms(), state.table().limits()));
+    /// Counts a request as in progress, unless the answer before it still counts.
+    fn begin_answer(&self) {
+        if self.phase.get() != CallerPhase::Answering {
+            self.shared.in_progress.set(self.shared.in_progress.get() + 1);
+        }
+        self.is_flushing.set(false);
+        self.phase.set(CallerPhase::Answering);
+    }
+
+    /// Ends an answer of which all bytes are written.
+    fn record_flush(&self) {
+        if self.is_flushing.replace(false) {
+            self.end_answer();
+            let state = self.shared.state.borrow();
+            self.phase.set(CallerPhase::idle(boot_ms(), state.table().limits()));
+        }
+    }
+
+    fn end_answer(&self) {
+        self.shared.in_progress.set(self.shared.in_progress.get().saturating_sub(1));
     }
 
     /// Returns the timeout that the connection has exceeded; none while it holds bytes that were not
@@ -76,6 +96,14 @@
     }
 }
 
+impl Drop for ConnectionState {
+    fn drop(&mut self) {
+        if self.phase.get() == CallerPhase::Answering {
+            self.end_answer();
+        }
+    }
+}
+
 /// Accepts connections until the process ends.
 pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
     loop {
@@ -123,43 +151,39 @@
     shared: Rc<Shared>,
     connection: Rc<ConnectionState>,
     request: Request<Incoming>,
-) -> Result<Response<CountedBody>, Infallible> {
-    let in_progress = InProgressGuard::begin(shared.clone(), connection);
+) -> Result<Response<GuardedBody>, Infallible> {
+    let guard = AnswerGuard::begin(connection);
     let mut response = forward(shared.clone(), request).await;
     if shared.stop_by_ms.get().is_some() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response.map(|body| CountedBody { body, _in_progress: in_progress }))
+    Ok(response.map(|body| GuardedBody { _guard: guard, body }))
 }
 
-/// Counts a request as in progress until its answer is written or dropped.
-struct InProgressGuard {
-    shared: Rc<Shared>,
-    connection: Rc<ConnectionState>,
-}
+/// Marks a connection as answering until its answer is read to the end or dropped; what the
+/// connection has in its buffer then is still to be written.
+struct AnswerGuard(Rc<ConnectionState>);
 
-impl InProgressGuard {
-    fn begin(shared: Rc<Shared>, connection: Rc<ConnectionState>) -> Self {
-        shared.in_progress.set(shared.in_progress.get() + 1);
-        connection.phase.set(CallerPhase::Answering);
-        Self { shared, connection }
+impl AnswerGuard {
+    fn begin(connection: Rc<ConnectionState>) -> Self {
+        connection.begin_answer();
+        Self(connection)
     }
 }
 
-impl Drop for InProgressGuard {
+impl Drop for AnswerGuard {
     fn drop(&mut self) {
-        self.shared.in_progress.set(self.shared.in_progress.get().saturating_sub(1));
-        self.connection.set_idle();
+        self.0.is_flushing.set(true);
     }
 }
 
-/// A body whose request counts as in progress until the body is dropped.
-struct CountedBody {
-    _in_progress: InProgressGuard,
+/// A body whose connection is answering until the body is dropped.
+struct GuardedBody {
+    _guard: AnswerGuard,
     body: ReplyBody,
 }
 
-impl Body for CountedBody {
+impl Body for GuardedBody {
     type Data = bytes::Bytes;
     type Error = io::Error;
 
@@ -179,7 +203,8 @@
     }
 }
 
-/// A stream that records when the first byte of a request head arrives.
+/// A stream that records when the first byte of a request head arrives, and when all bytes of an
+/// answer are written: it is flushed once the connection's buffer is empty.
 struct TrackedStream {
     connection: Rc<ConnectionState>,
     socket: SharedSocket,
@@ -211,7 +236,12 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().socket).poll_flush(context)
+        let this = self.get_mut();
+        let poll = Pin::new(&mut this.socket).poll_flush(context);
+        if matches!(poll, Poll::Ready(Ok(()))) {
+            this.connection.record_flush();
+        }
+        poll
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
