--- /dev/null
+++ b/tests/failed_paths.rs
@@ -0,0 +1,112 @@
+//! Tests of what a failure to connect says: of the instance that failed, or of the backend server.
+
+mod gateway_support;
+#[path = "gateway_support/placer.rs"]
+mod placer;
+#[path = "gateway_support/fleet.rs"]
+mod simulated_fleet;
+
+use bergamotspan::gateway::admission::RefusalReason;
+use bergamotspan::gateway::backend::SendOutcome;
+use bergamotspan::gateway::backend_record::BackendRecord;
+use bergamotspan::gateway::dispatching::{SendEnd, StartedSend};
+use bergamotspan::gateway::store_item::StoreItem;
+
+use crate::gateway_support::{admitted, backend, document, draft, record, record_broken_send};
+use crate::placer::{PlaceSearch, Placer};
+use crate::simulated_fleet::SimulatedFleet;
+
+/// Number of instances.
+const INSTANCES: usize = 4;
+/// Time in which a fleet finds itself, in milliseconds.
+const SETTLE_MS: u64 = 4_000;
+/// Longest time for which a search for a place may last, in milliseconds.
+const SEARCH_MS: u64 = 2_000;
+/// Time in which reports reach their receivers, in milliseconds.
+const REPORT_MS: u64 = 50;
+
+/// A fleet whose instances send one request after the other.
+struct SmallFleet {
+    fleet: SimulatedFleet,
+    placer: Placer,
+    requests: u64,
+}
+
+impl SmallFleet {
+    fn start(engines: u16) -> Self {
+        let mut fleet = SimulatedFleet::start(INSTANCES, 1, 1);
+        let records = (1..=engines).map(|number| {
+            let record = BackendRecord { slots: 50, ..record("model", number) };
+            backend(&format!("m-{number}"), record)
+        });
+        let document = StoreItem::Document(Ok(Box::new(document(1))));
+        let items: Vec<_> = std::iter::once(document).chain(records).collect();
+        fleet.publish_to_all(1, &items);
+        let mut small = Self { fleet, placer: Placer::default(), requests: 0 };
+        small.run(SETTLE_MS);
+        small
+    }
+
+    fn run(&mut self, duration_ms: u64) {
+        let end_ms = self.fleet.now_ms + duration_ms;
+        while self.fleet.now_ms < end_ms {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.fleet.step();
+        let now_ms = self.fleet.now_ms;
+        self.fleet.states.iter_mut().flatten().for_each(|state| state.record_proof(now_ms));
+        self.placer.step(&mut self.fleet);
+    }
+
+    /// Returns a place for a request of an instance.
+    fn place(&mut self, at: usize) -> Result<StartedSend, RefusalReason> {
+        self.requests += 1;
+        let now_ms = self.fleet.now_ms;
+        let metadata = draft(&format!("r-{}", self.requests), 100, 10);
+        let plan = admitted(self.fleet.state(at), now_ms, "/draft/a", &metadata);
+        let search = PlaceSearch::new(at, plan, Vec::new());
+        self.placer.start(&mut self.fleet, self.requests, search);
+        while self.placer.results.is_empty() && self.fleet.now_ms < now_ms + SEARCH_MS {
+            self.step();
+        }
+        self.placer.results.pop().expect("a search ends").found
+    }
+
+    fn end(&mut self, at: usize, started_send: &StartedSend, end: &SendEnd) {
+        let now_ms = self.fleet.now_ms;
+        self.fleet.state(at).end_send(now_ms, started_send, end);
+        self.fleet.send_outbox(at);
+        self.run(REPORT_MS);
+    }
+}
+
+#[test]
+fn a_server_that_one_instance_cannot_reach_is_granted_to_the_others() {
+    for cut in 0..INSTANCES {
+        let mut small = SmallFleet::start(1);
+        let failed = small.place(cut).expect("a place");
+        small.end(cut, &failed, &SendEnd::new(SendOutcome::Unreachable));
+        let now_ms = small.fleet.now_ms;
+        for at in (0..INSTANCES).filter(|at| *at != cut) {
+            let found = small.place(at);
+            assert!(found.is_ok(), "{found:?} at {at}, cut {cut}");
+        }
+        assert!(small.fleet.now_ms < now_ms + 200, "they waited, cut {cut}");
+    }
+}
+
+#[test]
+fn a_refused_connection_at_one_of_several_instances_is_no_crash() {
+    for cut in 0..INSTANCES {
+        let mut small = SmallFleet::start(2);
+        let now_ms = small.fleet.now_ms;
+        let failed = small.place(cut).expect("a place");
+        let state = small.fleet.state(cut);
+        record_broken_send(state, now_ms, &failed.backend_server, now_ms - 10);
+        small.end(cut, &failed, &SendEnd::refused_connection());
+        assert_eq!(small.fleet.state(cut).take_crash_notices(), [], "cut {cut}");
+    }
+}
