--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -97,6 +97,7 @@
     prefill_ms: MovingAverage,
     reply_ms: MovingAverage,
     token_ms: MovingAverage,
+    unreachable_until_ms: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -154,6 +155,7 @@
             prefill_ms: MovingAverage::default(),
             reply_ms: MovingAverage::default(),
             token_ms: MovingAverage::default(),
+            unreachable_until_ms: 0,
         }
     }
 
@@ -162,6 +164,7 @@
         self.status == BackendStatus::Usable
             && now_ms >= self.backoff_until_ms
             && now_ms >= self.paused_until_ms
+            && now_ms >= self.unreachable_until_ms
     }
 
     /// Returns the load of all instances.
@@ -287,7 +290,7 @@
         self.own_load.unread_tokens = self.own_load.unread_tokens.saturating_sub(unread_tokens);
     }
 
-    /// Records how a send of any instance ended.
+    /// Records how a send of any instance ended, if that concerns the backend server itself.
     pub fn record_end(&mut self, now_ms: u64, outcome: SendOutcome) {
         match outcome {
             SendOutcome::Answered => self.record_outcome(0.0),
@@ -296,14 +299,19 @@
             SendOutcome::Unreachable => {
                 self.record_outcome(1.0);
                 // During a back-off only sends fail that were begun before it.
-                if now_ms >= self.backoff_until_ms {
-                    self.back_off(now_ms);
+                if now_ms >= self.unreachable_until_ms {
+                    self.unreachable_until_ms = self.next_backoff_until_ms(now_ms);
                 }
             }
-            SendOutcome::Refused => self.back_off(now_ms),
+            SendOutcome::Refused => self.backoff_until_ms = self.next_backoff_until_ms(now_ms),
         }
     }
 
+    /// Records that an instance reaches it.
+    pub fn record_contact(&mut self) {
+        self.unreachable_until_ms = 0;
+    }
+
     /// Sends nothing for this time, in milliseconds, since the backend server asked for it.
     pub fn pause(&mut self, now_ms: u64, pause_ms: u64) {
         let until_ms = now_ms.saturating_add(pause_ms.min(MAX_PAUSE_MS));
@@ -353,10 +361,10 @@
         }
     }
 
-    fn back_off(&mut self, now_ms: u64) {
+    fn next_backoff_until_ms(&mut self, now_ms: u64) -> u64 {
         let doublings = self.failures_in_a_row.min(MAX_DOUBLINGS);
-        self.backoff_until_ms = now_ms + (BACKOFF_MS << doublings);
         self.failures_in_a_row = self.failures_in_a_row.saturating_add(1);
+        now_ms + (BACKOFF_MS << doublings)
     }
 
     fn record_outcome(&mut self, failure: f64) {
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -288,6 +288,22 @@
         }
     }
 
+    /// Returns whether any backend server that may serve a request was not tried, available or not.
+    pub fn has_untried(&self, service: &str, query: &EngineQuery) -> bool {
+        let Some(pool) = self.pool(service) else { return true };
+        let indices = match query.version_need {
+            VersionNeed::Only(_) => &pool.all,
+            VersionNeed::Any | VersionNeed::Settled => &pool.cell,
+        };
+        let mut ids = indices.iter().map(|index| &self.list[*index].id);
+        query.tried.is_empty() || ids.any(|id| !query.tried.contains(id))
+    }
+
+    /// Returns whether a service has a usable backend server in any cell except for these.
+    pub fn has_other(&self, service: &str, except: &[Name]) -> bool {
+        self.of_service(service, except).next().is_some()
+    }
+
     /// Returns the slots of a service's available backend servers in this cell: all, and the free
     /// ones.
     pub fn slots(&self, now_ms: u64, service: &str) -> (usize, usize) {
--- a/src/gateway/broken_sends.rs
+++ b/src/gateway/broken_sends.rs
@@ -3,8 +3,9 @@
 //!
 //! A broken connection alone proves no crash: answers get lost and connections are reset while the
 //! backend server keeps running, and one that is silent for a moment accepts no connection in time.
-//! It counts as crashed once it refuses a connection or its record is removed, and as running once it
-//! answers any request completely.
+//! It counts as crashed once it is found to refuse connections or its record is removed, and as running
+//! once it answers any request completely. What one of several instances finds of its own path alone is
+//! no proof: the instance may be cut off from a backend server that runs.
 
 use crate::name::Name;
 
@@ -47,6 +48,13 @@
         self.sends.retain(|known| &*known.backend_server != backend_server);
     }
 
+    /// Returns whether a crash of a backend server would count against a request.
+    pub fn awaits_proof(&self, now_ms: u64, backend_server: &str) -> bool {
+        let since_ms = now_ms.saturating_sub(CRASH_CONFIRMATION_MS);
+        let mut recent = self.sends.iter().filter(|known| known.broken_ms >= since_ms);
+        recent.any(|known| &*known.backend_server == backend_server)
+    }
+
     /// Removes the broken sends of a crashed backend server, and returns those that are recent
     /// enough to have caused the crash.
     pub fn take_for_crash(&mut self, now_ms: u64, backend_server: &str) -> Vec<BrokenSend> {
--- a/src/gateway/crash_records.rs
+++ b/src/gateway/crash_records.rs
@@ -33,6 +33,11 @@
         is_unproved
     }
 
+    /// Returns whether a crash of a backend server would count against a request.
+    pub fn awaits_crash_proof(&self, now_ms: u64, backend: &str) -> bool {
+        self.broken_sends.awaits_proof(now_ms, backend)
+    }
+
     /// Records a crash of a backend server, against the requests that may have caused it.
     pub fn record_crash(&mut self, now_ms: u64, backend: &str) {
         for broken_send in self.broken_sends.take_for_crash(now_ms, backend) {
--- a/src/gateway/dispatching.rs
+++ b/src/gateway/dispatching.rs
@@ -100,20 +100,20 @@
     pub place: EndedPlace,
     /// Whether its first event had arrived.
     pub prompt_was_read: bool,
-    /// Whether the backend server was found to have ended.
-    pub proves_crash: bool,
+    /// Whether the connection was refused, so that no process listens there or the path is cut.
+    pub was_refused: bool,
 }
 
 impl SendEnd {
     /// Returns the end of a send with an outcome and nothing measured.
     pub fn new(outcome: SendOutcome) -> Self {
         let place = EndedPlace { outcome, slot_ms: None, token_ms: None, pause_ms: None };
-        Self { place, prompt_was_read: false, proves_crash: false }
+        Self { place, prompt_was_read: false, was_refused: false }
     }
 
-    /// Returns the end of a send whose connection was refused: no process listens at the address.
+    /// Returns the end of a send whose connection was refused.
     pub fn refused_connection() -> Self {
-        Self { proves_crash: true, ..Self::new(SendOutcome::Unreachable) }
+        Self { was_refused: true, ..Self::new(SendOutcome::Unreachable) }
     }
 
     /// Returns the end of a send that was not carried out.
@@ -204,6 +204,9 @@
     /// Returns the time after which the caller may retry, in milliseconds, if the wait would be too
     /// long.
     pub(crate) fn enqueue(&mut self, now_ms: u64, query: &PlaceQuery) -> Result<u64, u64> {
+        if !self.backends.has_untried(&query.service, &query.engine) {
+            return Err(RETRY_SOON_MS);
+        }
         let ahead = self.queue(&query.service).ahead_of(query.rank);
         let (slots, _) =
             self.backends.slots_for(now_ms, &query.service, &query.engine.version_need);
--- a/src/gateway/fleet/granting.rs
+++ b/src/gateway/fleet/granting.rs
@@ -197,6 +197,7 @@
         if let Some(backend) = self.backends.get_mut(&lease.backend_server) {
             backend.record_prefill(tokens_ahead, elapsed_ms as f64);
         }
+        self.record_contact(now_ms, holder, &lease.backend_server);
     }
 
     pub(crate) fn end_lease(&mut self, now_ms: u64, holder: &Name, number: u64, end: &EndedPlace) {
@@ -204,7 +205,7 @@
             Some(lease) => {
                 let Lease { backend_server, unstarted_parts, .. } = &lease;
                 self.record_end_of_parts(now_ms, end.outcome, backend_server, unstarted_parts);
-                self.record_end(now_ms, &lease.backend_server, end, lease.is_model);
+                self.record_end(now_ms, holder, backend_server, end, lease.is_model);
             }
             None => self.cancel_remote_waiting(holder, number),
         }
--- a/src/gateway/fleet/membership.rs
+++ b/src/gateway/fleet/membership.rs
@@ -5,6 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::fleet::cells::{CellLayout, cell_count, cell_of};
+use crate::gateway::fleet::failed_paths::FailedPaths;
 use crate::gateway::fleet::leases::Leases;
 use crate::gateway::fleet::message::{AskedUsage, Body, FreePlaces, ReportedSuspects};
 use crate::gateway::fleet::roster::Roster;
@@ -90,6 +91,8 @@
     /// Addresses of the other members of the own cell, including those that are stopping.
     pub(crate) cell_addresses: Vec<SocketAddr>,
     pub(crate) coordinating_since_ms: Option<u64>,
+    /// Paths of this instance, and of those to which it grants places, that failed lately.
+    pub(crate) failed_paths: FailedPaths,
     /// Whether something changed that is sent at once.
     pub(crate) is_urgent: bool,
     pub(crate) layout: CellLayout,
@@ -143,6 +146,7 @@
             capacity: settings.capacity,
             cell_addresses: Vec::new(),
             coordinating_since_ms: None,
+            failed_paths: FailedPaths::default(),
             is_urgent: false,
             layout: CellLayout::default(),
             leaders: Vec::new(),
@@ -198,6 +202,11 @@
         self.next_place
     }
 
+    /// Returns whether this instance knows of no other one.
+    pub(crate) fn is_alone(&self) -> bool {
+        self.roster.count() == 1
+    }
+
     /// Recalculates the cells and the ranks in the own cell from the roster.
     pub(crate) fn arrange(&mut self, now_ms: u64) {
         self.needs_arranging = false;
--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -14,6 +14,7 @@
 pub mod cells;
 pub mod coordinators;
 pub mod counter_feed;
+pub mod failed_paths;
 mod granting;
 pub mod leases;
 pub mod membership;
--- a/src/gateway/fleet/placing.rs
+++ b/src/gateway/fleet/placing.rs
@@ -9,11 +9,11 @@
 use std::net::SocketAddr;
 
 use crate::gateway::admission::{PlanCharge, Refusal, RequestPlan};
-use crate::gateway::backend::BackendStatus;
+use crate::gateway::backend::{BackendStatus, SendOutcome};
 use crate::gateway::dispatching::{DispatchDecision, PlaceQuery, SendEnd, StartedSend};
 use crate::gateway::engine_query::{EngineQuery, VersionNeed};
 use crate::gateway::fleet::coordinators::Decider;
-use crate::gateway::fleet::membership::{Outgoing, OwnPlace};
+use crate::gateway::fleet::membership::{Fleet, Outgoing, OwnPlace};
 use crate::gateway::fleet::message::{
     AskedUsage, Body, EndedPlace, GrantedPlace, PlaceAsk, PlaceProgress, PlaceStep,
 };
@@ -50,6 +50,7 @@
         tried: &[Name],
     ) -> Result<Placement, Refusal> {
         let cell = self.backends.coordinating_cell(&plan.service);
+        let tried = &self.with_left_out(now_ms, plan, tried);
         match self.fleet.decider_of(now_ms, cell) {
             Decider::None => self.decide_alone(now_ms, plan, tried).map(Placement::Decided),
             Decider::Other(address) => {
@@ -81,7 +82,20 @@
         tried: &[Name],
     ) -> Result<DispatchDecision, Refusal> {
         self.charge(now_ms, plan)?;
-        Ok(self.dispatch(now_ms, plan, tried))
+        let tried = self.with_left_out(now_ms, plan, tried);
+        Ok(self.dispatch(now_ms, plan, &tried))
+    }
+
+    /// Adds the backend servers that this instance could not reach lately to those that a request
+    /// tried; a plain request tries them again rather than none.
+    fn with_left_out(&self, now_ms: u64, plan: &RequestPlan, tried: &[Name]) -> Vec<Name> {
+        let mut left_out = self.fleet.failed_paths.left_out(now_ms, &self.fleet.own_name);
+        left_out.retain(|id| !tried.contains(id));
+        let all: Vec<_> = tried.iter().cloned().chain(left_out).collect();
+        if is_model(plan) || self.backends.has_other(&plan.service, &all) {
+            return all;
+        }
+        tried.to_vec()
     }
 
     /// Starts the send of a request to which a coordinator granted a place.
@@ -183,6 +197,8 @@
         if let Some(backend) = self.backends.get_mut(backend_server) {
             backend.record_send(now_ms, prompt, unread_tokens);
         }
+        let Fleet { failed_paths, own_name, .. } = &mut self.fleet;
+        failed_paths.record_send(now_ms, own_name, backend_server);
     }
 
     /// Records the first event of a stream, `elapsed_ms` after its send.
@@ -191,6 +207,8 @@
         if let Some(backend) = self.backends.get_mut(&started_send.backend_server) {
             backend.record_first_event(unread_tokens, tokens_ahead, elapsed_ms as f64);
         }
+        let own_name = self.fleet.own_name.clone();
+        self.record_contact(now_ms, &own_name, &started_send.backend_server);
         let own = self.fleet.own_places.iter_mut().find(|own| own.number == place);
         let Some(own) = own else { return };
         own.unread_tokens = 0;
@@ -227,7 +245,8 @@
             let unread_tokens = if end.prompt_was_read { 0 } else { started_send.unread_tokens };
             backend.release(unread_tokens);
         }
-        self.record_end(now_ms, backend_server, &end.place, started_send.is_model);
+        let own_name = self.fleet.own_name.clone();
+        self.record_end(now_ms, &own_name, backend_server, &end.place, started_send.is_model);
         let index = self.fleet.own_places.iter().position(|own| own.number == started_send.place);
         if let Some(index) = index {
             let own = self.fleet.own_places.swap_remove(index);
@@ -238,7 +257,8 @@
             let progress = PlaceProgress { number: started_send.place, step };
             self.report_progress(now_ms, granted_by, progress);
         }
-        if end.proves_crash {
+        // Without another instance there is no other path to tell a cut from a crash by.
+        if end.was_refused && self.fleet.is_alone() {
             self.record_crash(now_ms, backend_server);
         }
     }
@@ -247,10 +267,17 @@
     pub(crate) fn record_end(
         &mut self,
         now_ms: u64,
-        backend_server: &str,
+        instance: &Name,
+        backend_server: &Name,
         end: &EndedPlace,
         is_model: bool,
     ) {
+        if end.outcome == SendOutcome::Unreachable {
+            return self.record_failed_path(now_ms, instance, backend_server);
+        }
+        if matches!(end.outcome, SendOutcome::Answered | SendOutcome::Refused) {
+            self.record_contact(now_ms, instance, backend_server);
+        }
         let Some(backend) = self.backends.get_mut(backend_server) else { return };
         backend.record_end(now_ms, end.outcome);
         if let Some(pause_ms) = end.pause_ms {
@@ -266,6 +293,30 @@
         }
     }
 
+    /// Records that an instance could not reach a backend server.
+    fn record_failed_path(&mut self, now_ms: u64, instance: &Name, backend_server: &Name) {
+        self.fleet.failed_paths.record_failure(now_ms, instance, backend_server);
+        if self.fleet.is_alone() {
+            self.hold_back(now_ms, backend_server);
+        }
+    }
+
+    /// Records that an instance reached a backend server.
+    pub(crate) fn record_contact(&mut self, now_ms: u64, instance: &Name, backend_server: &Name) {
+        if let Some(backend) = self.backends.get_mut(backend_server) {
+            backend.record_contact();
+        }
+        let out_of_reach = self.fleet.failed_paths.record_contact(now_ms, instance, backend_server);
+        out_of_reach.iter().for_each(|backend_server| self.hold_back(now_ms, backend_server));
+    }
+
+    /// Sends nothing to a backend server for a while, from any instance of the cell.
+    fn hold_back(&mut self, now_ms: u64, backend_server: &str) {
+        if let Some(backend) = self.backends.get_mut(backend_server) {
+            backend.record_end(now_ms, SendOutcome::Unreachable);
+        }
+    }
+
     fn place_ask(&mut self, now_ms: u64, plan: &RequestPlan, tried: &[Name]) -> PlaceAsk {
         let due_ms = plan.wanted_ms + plan.route.goal_ms;
         PlaceAsk {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -174,6 +174,12 @@
             return RelayStep::TryAnother;
         }
         if failure.sent_nothing() {
+            let state = self.shared.state.borrow();
+            let awaits_proof = state.awaits_crash_proof(boot_ms(), &backend_server);
+            drop(state);
+            if failure.is_refused_connection() && awaits_proof {
+                self.check_for_crash(&guard);
+            }
             match failure.is_refused_connection() {
                 true => guard.end_refused(),
                 false => guard.end(SendOutcome::Unreachable),
