--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -40,6 +40,8 @@
 pub struct Gauges {
     /// Backend servers that accept requests.
     pub backend_servers: usize,
+    /// Whether the instance counts as cut off from backend servers.
+    pub cut_off: bool,
     /// Version of the document in force.
     pub document_version: u64,
     /// Requests whose answer is not complete yet.
@@ -174,6 +176,7 @@
             ("store_calls_total", self.store_calls.get() as i64),
             ("store_failures_total", self.store_failures.get() as i64),
             ("backend_servers", gauges.backend_servers as i64),
+            ("cut_off", i64::from(gauges.cut_off)),
             ("document_version", gauges.document_version as i64),
             ("requests_in_progress", gauges.in_progress as i64),
             ("requests_waiting", gauges.waiting as i64),
--- a/src/gateway/fleet_dialer.rs
+++ b/src/gateway/fleet_dialer.rs
@@ -208,7 +208,7 @@
                 warn!(
                     target: "paths",
                     bypassed:? = bypassed;
-                    "Cut off from backend servers; connecting through other instances."
+                    "Cut off from backend servers."
                 );
                 shared.connections.close_all();
             }
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -125,6 +125,7 @@
     let state = shared.state.borrow();
     Gauges {
         backend_servers: state.backends().usable().count(),
+        cut_off: shared.paths.borrow().is_cut_off(),
         document_version: state.table().version(),
         in_progress: shared.in_progress.get(),
         instances: state.fleet().live_count(now_ms),
--- /dev/null
+++ b/tests/gateway_engine_paths.rs
@@ -0,0 +1,132 @@
+//! Tests when connections to backend servers go through other instances.
+
+use std::net::SocketAddr;
+
+use bergamotspan::gateway::engine_paths::{EnginePaths, PathNotice, Way};
+use bergamotspan::name::Name;
+
+fn name(text: &str) -> Name {
+    Name::from(text)
+}
+
+fn peer(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 80))
+}
+
+/// Returns paths with these backend servers reached through others only, at this time.
+fn bypassing(now_ms: u64, backend_servers: &[&str]) -> EnginePaths {
+    let mut paths = EnginePaths::default();
+    for backend_server in backend_servers {
+        paths.record_bypassed(now_ms, &name(backend_server));
+    }
+    paths
+}
+
+fn direct_count(paths: &mut EnginePaths, now_ms: u64, backend_servers: &[&str]) -> usize {
+    let ways = backend_servers.iter().map(|id| paths.way(now_ms, id));
+    ways.filter(|way| *way == Way::DirectFirst).count()
+}
+
+#[test]
+fn connections_are_direct_until_one_had_to_go_round() {
+    let mut paths = EnginePaths::default();
+    assert_eq!(direct_count(&mut paths, 0, &["a"; 20]), 20);
+    paths.record_bypassed(100, &name("a"));
+    assert_eq!(direct_count(&mut paths, 100, &["a"; 20]), 0);
+    assert_eq!(direct_count(&mut paths, 100, &["b"; 20]), 20);
+}
+
+#[test]
+fn one_connection_alone_tries_the_direct_way_again() {
+    let mut paths = bypassing(0, &["a"]);
+    assert_eq!(direct_count(&mut paths, 999, &["a"; 20]), 0);
+    assert_eq!(direct_count(&mut paths, 1_000, &["a"; 20]), 1);
+    // It has not told the outcome.
+    assert_eq!(direct_count(&mut paths, 1_499, &["a"; 20]), 0);
+    assert_eq!(direct_count(&mut paths, 1_500, &["a"; 20]), 1);
+    paths.record_bypassed(1_600, &name("a"));
+    assert_eq!(direct_count(&mut paths, 2_599, &["a"; 20]), 0);
+    assert_eq!(direct_count(&mut paths, 2_600, &["a"; 20]), 1);
+    paths.record_direct(2_610, &name("a"));
+    assert_eq!(direct_count(&mut paths, 2_610, &["a"; 20]), 20);
+}
+
+#[test]
+fn one_backend_server_that_is_not_reached_is_no_cut() {
+    let mut paths = bypassing(0, &["a", "a", "a"]);
+    assert!(!paths.is_cut_off());
+    assert!(paths.take_notices().is_empty());
+    assert!(!paths.is_direct("a") && paths.is_direct("b"));
+}
+
+#[test]
+fn two_backend_servers_that_are_not_reached_are_no_cut_if_one_was_reached_between() {
+    let mut paths = bypassing(0, &["a"]);
+    paths.record_direct(10, &name("b"));
+    paths.record_bypassed(20, &name("c"));
+    assert!(!paths.is_cut_off());
+}
+
+#[test]
+fn two_backend_servers_that_are_not_reached_far_apart_are_no_cut() {
+    let mut paths = bypassing(0, &["a"]);
+    paths.record_bypassed(10_000, &name("b"));
+    assert!(!paths.is_cut_off());
+}
+
+#[test]
+fn a_cut_bypasses_all_backend_servers_and_is_told_once() {
+    let mut paths = bypassing(50, &["b", "a"]);
+    paths.record_bypassed(60, &name("c"));
+    assert!(paths.is_cut_off());
+    let bypassed = vec![name("a"), name("b")];
+    assert_eq!(paths.take_notices(), [PathNotice::CutOff { bypassed }]);
+    assert!(!paths.is_direct("z"));
+    assert_eq!(direct_count(&mut paths, 549, &["a", "b", "c", "z"]), 0);
+}
+
+#[test]
+fn one_connection_to_any_backend_server_tries_whether_a_cut_has_ended() {
+    let mut paths = bypassing(0, &["a", "b"]);
+    for trial_ms in [500, 1_000, 1_500, 2_000] {
+        assert_eq!(direct_count(&mut paths, trial_ms, &["a", "b", "z", "z"]), 1, "{trial_ms}");
+        assert_eq!(direct_count(&mut paths, trial_ms + 499, &["a", "b", "z", "z"]), 0);
+    }
+}
+
+#[test]
+fn the_first_direct_connection_ends_a_cut_without_a_herd() {
+    let mut paths = bypassing(0, &["a", "b", "c"]);
+    paths.take_notices();
+    paths.record_direct(700, &name("a"));
+    let backend_server = name("a");
+    let restored = PathNotice::Restored { after_ms: 700, backend_server };
+    assert_eq!(paths.take_notices(), [restored]);
+    assert!(!paths.is_cut_off());
+    assert_eq!(direct_count(&mut paths, 700, &["a"; 10]), 10);
+    // Each of the others is tried by one connection.
+    assert_eq!(direct_count(&mut paths, 700, &["b"; 10]), 1);
+    assert_eq!(direct_count(&mut paths, 700, &["c"; 10]), 1);
+    paths.record_direct(710, &name("b"));
+    assert_eq!(direct_count(&mut paths, 710, &["b"; 10]), 10);
+    assert!(paths.take_notices().is_empty());
+}
+
+#[test]
+fn a_backend_server_that_restarted_is_tried_directly() {
+    let mut paths = bypassing(0, &["a"]);
+    paths.forget("a");
+    assert_eq!(direct_count(&mut paths, 10, &["a"; 5]), 5);
+}
+
+#[test]
+fn an_instance_that_did_not_help_is_left_out_for_a_while() {
+    let mut paths = EnginePaths::default();
+    paths.leave_out(100, peer(2));
+    paths.leave_out(100, peer(1));
+    assert!(!paths.may_ask(2_099, peer(1)) && !paths.may_ask(2_099, peer(2)));
+    assert!(paths.may_ask(2_099, peer(3)));
+    paths.leave_out(2_000, peer(1));
+    assert!(paths.may_ask(2_100, peer(2)) && !paths.may_ask(3_999, peer(1)));
+    assert!(paths.may_ask(4_000, peer(1)));
+}
