--- a/src/gateway/dialer.rs
+++ b/src/gateway/dialer.rs
@@ -73,12 +73,6 @@
     Ok(stream)
 }
 
-/// Returns whether an address refuses connections, so that no process listens there.
-pub(crate) async fn refuses_connections(address: SocketAddr) -> bool {
-    let refused = |error: io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
-    connect(address, CONNECT_TIMEOUT_MS).await.is_err_and(refused)
-}
-
 /// Has a connection send at once, and close if the other end stops acknowledging bytes.
 ///
 /// # Errors
--- a/src/gateway/fleet_dialer.rs
+++ b/src/gateway/fleet_dialer.rs
@@ -65,6 +65,31 @@
     }
 }
 
+/// Returns whether a backend server refuses connections, also those of another instance if there is
+/// one, so that no process listens at its address.
+pub(crate) async fn refuses_connections(
+    shared: &Rc<Shared>,
+    backend_server: &Name,
+    address: SocketAddr,
+) -> bool {
+    let refused = |error: io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+    if !connect(address, CONNECT_TIMEOUT_MS).await.is_err_and(refused) {
+        return false;
+    }
+    if other_instances(shared).is_empty() {
+        return true;
+    }
+    let target = target(shared, backend_server);
+    for (_, instance) in instances_to_ask(shared) {
+        match open_through(instance, &target).await {
+            Ok(_) => return false,
+            Err(RelayError::Refused) => return true,
+            Err(_) => {}
+        }
+    }
+    false
+}
+
 async fn dial_directly_first(
     shared: &Rc<Shared>,
     backend_server: &Name,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,9 +12,9 @@
 use crate::gateway::backend::SendOutcome;
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::broken_sends::BrokenSend;
-use crate::gateway::dialer::refuses_connections;
 use crate::gateway::exchange::{CallerRequest, Reply, SendFailure};
 use crate::gateway::fleet::message::LeavingServer;
+use crate::gateway::fleet_dialer::refuses_connections;
 use crate::gateway::forward::rejection;
 use crate::gateway::reply::{ReplyBody, failure_response};
 use crate::gateway::send_guard::SendGuard;
@@ -212,7 +212,7 @@
         let backend_server = guard.started_send().backend_server.clone();
         let shared = self.shared.clone();
         spawn_local(async move {
-            if refuses_connections(address).await {
+            if refuses_connections(&shared, &backend_server, address).await {
                 shared.state.borrow_mut().record_crash(boot_ms(), &backend_server);
                 shared.dispatch_waiting();
             }
