Ask any known instance for a relayed connection (RECOVER)

Callers of an instance that was cut off were refused in a cell whose other instances it does not hear itself: members hear their coordinators only, and where these were cut off as well, nobody was left to ask. All instances of the roster that are not stopping may be asked now.

--- a/src/gateway/fleet/roster.rs
+++ b/src/gateway/fleet/roster.rs
@@ -215,6 +215,11 @@
         self.known.iter()
     }
 
+    /// Returns the other instances that are not stopping, also those that only others have heard.
+    pub fn not_stopping(&self) -> impl Iterator<Item = &KnownInstance> {
+        self.known.iter().filter(|known| !known.stopping)
+    }
+
     /// Returns the number of instances that are not stopping, this one included.
     pub fn count(&self) -> usize {
         self.known.iter().filter(|known| !known.stopping).count() + 1
--- a/src/gateway/fleet_dialer.rs
+++ b/src/gateway/fleet_dialer.rs
@@ -202,15 +202,12 @@
     RelayTarget { backend_server: backend_server.clone(), born_ms }
 }
 
-/// Returns the names and operators' addresses of live instances.
+/// Returns the names and operators' addresses of the instances that may be asked.
 fn other_instances(shared: &Shared) -> Vec<(Name, SocketAddr)> {
-    let now_ms = boot_ms();
     let state = shared.state.borrow();
     let port = state.settings().operator_address.port();
-    let live = state.fleet().roster().iter().filter(|known| known.is_live(now_ms));
-    live.filter(|known| !known.stopping)
-        .map(|known| (known.name.clone(), SocketAddr::new(known.address.ip(), port)))
-        .collect()
+    let known = state.fleet().roster().not_stopping();
+    known.map(|known| (known.name.clone(), SocketAddr::new(known.address.ip(), port))).collect()
 }
 
 /// Returns a few instances at random, without those that lately did not help.
--- a/tests/gateway_engine_paths.rs
+++ b/tests/gateway_engine_paths.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use bergamotspan::gateway::engine_paths::{EnginePaths, PathNotice, Way};
+use bergamotspan::gateway::fleet::message::RosterEntry;
+use bergamotspan::gateway::fleet::roster::Roster;
 use bergamotspan::name::Name;
 
 fn name(text: &str) -> Name {
@@ -130,3 +132,19 @@
     assert!(paths.may_ask(2_100, peer(2)) && !paths.may_ask(3_999, peer(1)));
     assert!(paths.may_ask(4_000, peer(1)));
 }
+
+#[test]
+fn instances_that_only_others_have_heard_may_be_asked_unless_they_stop() {
+    let entry = |instance: &str, last: u8, stopping: bool| RosterEntry {
+        instance: name(instance),
+        address: peer(last),
+        capacity: 1_000,
+        age_ms: 100,
+        stopping,
+    };
+    let mut roster = Roster::new(name("front-1"), peer(1), &[]);
+    roster.merge(1_000, &[entry("front-2", 2, false), entry("front-3", 3, true)]);
+    assert!(!roster.get("front-2").expect("it is known").is_live(1_000));
+    let asked: Vec<_> = roster.not_stopping().map(|known| &*known.name).collect();
+    assert_eq!(asked, ["front-2"]);
+}
