--- a/src/gateway/fleet_dialer.rs
+++ b/src/gateway/fleet_dialer.rs
@@ -65,6 +65,31 @@
     }
 }
 
+/// Returns whether a backend server refuses connections, also those of another instance if there is
+/// one, so that no process listens at its address.
+pub(crate) async fn refuses_connections(
+    shared: &Rc<Shared>,
+    backend_server: &Name,
+    address: SocketAddr,
+) -> bool {
+    let refused = |error: io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+    if !connect(address, CONNECT_TIMEOUT_MS).await.is_err_and(refused) {
+        return false;
+    }
+    if other_instances(shared).is_empty() {
+        return true;
+    }
+    let target = target(shared, backend_server);
+    for (_, instance) in instances_to_ask(shared) {
+        match open_through(instance, &target).await {
+            Ok(_) => return false,
+            Err(RelayError::Refused) => return true,
+            Err(_) => {}
+        }
+    }
+    false
+}
+
 async fn dial_directly_first(
     shared: &Rc<Shared>,
     backend_server: &Name,
@@ -177,15 +202,12 @@
     RelayTarget { backend_server: backend_server.clone(), born_ms }
 }
 
-/// Returns the names and operators' addresses of live instances.
+/// Returns the names and operators' addresses of the instances that may be asked.
 fn other_instances(shared: &Shared) -> Vec<(Name, SocketAddr)> {
-    let now_ms = boot_ms();
     let state = shared.state.borrow();
     let port = state.settings().operator_address.port();
-    let live = state.fleet().roster().iter().filter(|known| known.is_live(now_ms));
-    live.filter(|known| !known.stopping)
-        .map(|known| (known.name.clone(), SocketAddr::new(known.address.ip(), port)))
-        .collect()
+    let known = state.fleet().roster().not_stopping();
+    known.map(|known| (known.name.clone(), SocketAddr::new(known.address.ip(), port))).collect()
 }
 
 /// Returns a few instances at random, without those that lately did not help.
@@ -208,7 +230,7 @@
                 warn!(
                     target: "paths",
                     bypassed:? = bypassed;
-                    "Cut off from backend servers; connecting through other instances."
+                    "Cut off from backend servers."
                 );
                 shared.connections.close_all();
             }
