--- a/src/gateway/fleet/granting.rs
+++ b/src/gateway/fleet/granting.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::gateway::dispatching::{PlaceQuery, WaitDecision};
+use crate::gateway::fleet::failed_paths::SendPath;
 use crate::gateway::fleet::leases::Lease;
 use crate::gateway::fleet::membership::RemoteWaiting;
 use crate::gateway::fleet::message::{
@@ -205,7 +206,9 @@
             Some(lease) => {
                 let Lease { backend_server, unstarted_parts, .. } = &lease;
                 self.record_end_of_parts(now_ms, end.outcome, backend_server, unstarted_parts);
-                self.record_end(now_ms, holder, backend_server, end, lease.is_model);
+                let path =
+                    SendPath { backend_server, begun_ms: lease.granted_ms, instance: holder };
+                self.record_end(now_ms, path, end, lease.is_model);
             }
             None => self.cancel_remote_waiting(holder, number),
         }
--- a/src/gateway/fleet/membership.rs
+++ b/src/gateway/fleet/membership.rs
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct OwnPlace {
     pub(crate) backend_server: Name,
+    /// When the send began, in milliseconds of the boot clock.
+    pub(crate) begun_ms: u64,
     /// Coordinator that granted the place.
     pub(crate) granted_by: Option<SocketAddr>,
     pub(crate) number: u64,
--- a/src/gateway/fleet/placing.rs
+++ b/src/gateway/fleet/placing.rs
@@ -13,6 +13,7 @@
 use crate::gateway::dispatching::{DispatchDecision, PlaceQuery, SendEnd, StartedSend};
 use crate::gateway::engine_query::{EngineQuery, VersionNeed};
 use crate::gateway::fleet::coordinators::Decider;
+use crate::gateway::fleet::failed_paths::SendPath;
 use crate::gateway::fleet::membership::{Fleet, Outgoing, OwnPlace};
 use crate::gateway::fleet::message::{
     AskedUsage, Body, EndedPlace, GrantedPlace, PlaceAsk, PlaceProgress, PlaceStep,
@@ -114,6 +115,7 @@
         self.count_own_send(now_ms, &backend_server, prompt, unread_tokens);
         self.fleet.own_places.push(OwnPlace {
             backend_server: backend_server.clone(),
+            begun_ms: now_ms,
             granted_by: Some(ask.to),
             number: ask.ask.number,
             unread_tokens,
@@ -166,6 +168,7 @@
         let number = self.fleet.new_place_number();
         self.fleet.own_places.push(OwnPlace {
             backend_server: backend_server.clone(),
+            begun_ms: now_ms,
             granted_by: None,
             number,
             unread_tokens,
@@ -246,10 +249,12 @@
             backend.release(unread_tokens);
         }
         let own_name = self.fleet.own_name.clone();
-        self.record_end(now_ms, &own_name, backend_server, &end.place, started_send.is_model);
         let index = self.fleet.own_places.iter().position(|own| own.number == started_send.place);
-        if let Some(index) = index {
-            let own = self.fleet.own_places.swap_remove(index);
+        let own = index.map(|index| self.fleet.own_places.swap_remove(index));
+        let begun_ms = own.as_ref().map(|own| own.begun_ms).unwrap_or(now_ms);
+        let path = SendPath { backend_server, begun_ms, instance: &own_name };
+        self.record_end(now_ms, path, &end.place, started_send.is_model);
+        if let Some(own) = own {
             let outcome = end.place.outcome;
             self.record_end_of_parts(now_ms, outcome, backend_server, &own.unstarted_parts);
             let granted_by = own.granted_by;
@@ -267,14 +272,14 @@
     pub(crate) fn record_end(
         &mut self,
         now_ms: u64,
-        instance: &Name,
-        backend_server: &Name,
+        path: SendPath,
         end: &EndedPlace,
         is_model: bool,
     ) {
         if end.outcome == SendOutcome::Unreachable {
-            return self.record_failed_path(now_ms, instance, backend_server);
+            return self.record_failed_path(now_ms, path);
         }
+        let SendPath { backend_server, instance, .. } = path;
         if matches!(end.outcome, SendOutcome::Answered | SendOutcome::Refused) {
             self.record_contact(now_ms, instance, backend_server);
         }
@@ -293,11 +298,11 @@
         }
     }
 
-    /// Records that an instance could not reach a backend server.
-    fn record_failed_path(&mut self, now_ms: u64, instance: &Name, backend_server: &Name) {
-        self.fleet.failed_paths.record_failure(now_ms, instance, backend_server);
+    /// Records that a send did not reach its backend server.
+    fn record_failed_path(&mut self, now_ms: u64, path: SendPath) {
+        self.fleet.failed_paths.record_failure(now_ms, path);
         if self.fleet.is_alone() {
-            self.hold_back(now_ms, backend_server);
+            self.hold_back(now_ms, path.backend_server);
         }
     }
 
