--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -109,10 +109,11 @@
 ) -> Result<Reply, SendFailure> {
     let (backend_server, address) = to;
     loop {
-        let mut connection = shared
-            .connections
-            .acquire(backend_server, address, &plan.request_id)
+        let limit = Duration::from_millis(plan.deadline_ms.saturating_sub(boot_ms()));
+        let acquired = shared.connections.acquire(backend_server, address, &plan.request_id);
+        let mut connection = timeout(limit, acquired)
             .await
+            .map_err(|_| SendFailure::NoLongerAllowed)?
             .map_err(SendFailure::NotConnected)?;
         let now_ms = boot_ms();
         let left_ms = plan.deadline_ms.saturating_sub(now_ms);
