--- a/src/gateway/plain_relay.rs
+++ b/src/gateway/plain_relay.rs
@@ -107,6 +107,7 @@
         guard.end(SendOutcome::Failed);
         self.relay.may_have_run = true;
         if self.relay.plan.route.is_repeatable() && self.relay.may_retry() {
+            self.relay.keep_error_answer(response.map(full_body));
             return RelayStep::TryAnother;
         }
         self.finish(response)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -83,6 +83,8 @@
 /// A request in progress, with the history of its sends.
 pub(crate) struct Relay {
     answer_source: Option<AnswerSource>,
+    /// The error answer of a backend server, while another one is tried.
+    error_answer: Option<Response<ReplyBody>>,
     pub(crate) plan: RequestPlan,
     pub(crate) request: CallerRequest,
     pub(crate) sends: u32,
@@ -99,6 +101,7 @@
     pub(crate) fn new(shared: Rc<Shared>, plan: RequestPlan, request: CallerRequest) -> Self {
         Self {
             answer_source: None,
+            error_answer: None,
             plan,
             request,
             sends: 0,
@@ -309,12 +312,21 @@
         FinalFailure::Refused(refusal)
     }
 
+    /// Keeps the error answer of a backend server in case no other one answers.
+    pub(crate) fn keep_error_answer(&mut self, response: Response<ReplyBody>) {
+        self.error_answer = Some(response);
+    }
+
     /// Returns the answer to the caller of a failed request.
     pub(crate) fn answer_failure(
-        &self,
+        &mut self,
         failure: &FinalFailure,
         summary: StreamSummary,
     ) -> Response<ReplyBody> {
+        if let Some(response) = self.error_answer.take() {
+            self.log_end(response.status(), summary);
+            return response;
+        }
         let timed_out = match failure {
             FinalFailure::Refused(refusal) => return rejection(&self.shared, &self.plan, refusal),
             FinalFailure::MayHaveRun { timed_out, .. } => *timed_out,
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -131,7 +131,7 @@
         self.lacks_event = false;
     }
 
-    pub(crate) fn answer_failure(&self, failure: &FinalFailure) -> Response<ReplyBody> {
+    pub(crate) fn answer_failure(&mut self, failure: &FinalFailure) -> Response<ReplyBody> {
         self.relay.answer_failure(failure, self.summary)
     }
 
@@ -308,11 +308,15 @@
         drop(connection);
         guard.end(SendOutcome::Failed);
         let repeatable = head.status.is_server_error() && self.relay.plan.route.is_repeatable();
+        let caller_has_head = self.summary.events > 0;
         if repeatable && self.relay.may_retry() {
+            if !caller_has_head {
+                let response = self.forward_response(head, body);
+                self.relay.keep_error_answer(response);
+            }
             return OpenOutcome::TryAnother;
         }
-        if self.summary.events > 0 {
-            // The head of the caller's answer has been sent.
+        if caller_has_head {
             let cause = "error_response";
             return OpenOutcome::Fail(FinalFailure::MayHaveRun { cause, timed_out: false });
         }
