--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -18,6 +18,10 @@
 /// answer.
 pub const FAULT_MARGIN_MS: u64 = 3_000;
 
+/// Time after which an answer that does not come counts as late rather than as lost, in
+/// milliseconds; seven tenths of the time of a request.
+pub const LOSS_TIME_MS: u64 = 1_800;
+
 /// Outcome of a request as its caller saw it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReportedOutcome {
@@ -137,6 +141,17 @@
         findings
     }
 
+    /// Returns a message for each answer that was lost in a trial without faults, though its request
+    /// ran and had time left.
+    pub fn losses(&self) -> Vec<String> {
+        let lost = self.sent.iter().filter(|(id, sent)| {
+            let ran = self.runs.contains_key(*id);
+            let used_ms = sent.ended_ms.saturating_sub(sent.at_ms);
+            ran && sent.told == ReportedOutcome::Open && used_ms < LOSS_TIME_MS
+        });
+        lost.map(|(id, sent)| format!("{id} was lost without a fault: {sent:?}")).collect()
+    }
+
     /// Returns the share of served requests among those sent with a key from `since_ms` on.
     pub fn served_share(&self, key: &str, since_ms: u64) -> f64 {
         let is_counted = |sent: &&Sent| sent.at_ms >= since_ms && sent.key == key;
--- a/soak/src/command.rs
+++ b/soak/src/command.rs
@@ -36,6 +36,14 @@
     #[argh(option, default = "24")]
     callers: usize,
 
+    /// only silences of backend servers and changes of the document, which excuse no lost answer
+    #[argh(switch)]
+    silences: bool,
+
+    /// further line of the settings of all instances
+    #[argh(option)]
+    setting: Vec<String>,
+
     /// executable of an instance
     #[argh(option, default = "PathBuf::from(\"target/debug/bergamotspan-gateway\")")]
     program: PathBuf,
@@ -59,6 +67,8 @@
             length_ms: options.seconds * 1_000,
             program: options.program.clone(),
             seed,
+            settings: options.setting.clone(),
+            silences: options.silences,
         };
         match trial::run_trial(&setup) {
             Ok(outcome) => {
--- a/soak/src/engine.rs
+++ b/soak/src/engine.rs
@@ -18,7 +18,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Name;
@@ -44,6 +44,8 @@
     breaks_streams: Rc<Cell<bool>>,
     id: Rc<RefCell<String>>,
     is_down: Rc<Cell<bool>>,
+    /// Until when it writes nothing.
+    silent_until: Rc<Cell<Instant>>,
     checker: Rc<RefCell<Checker>>,
     started: Instant,
     tasks: Rc<RefCell<Vec<AbortHandle>>>,
@@ -99,6 +101,7 @@
             breaks_streams,
             id: Rc::new(RefCell::new(id.to_owned())),
             is_down: Rc::default(),
+            silent_until: Rc::new(Cell::new(started)),
             checker,
             started,
             tasks: Rc::default(),
@@ -114,6 +117,14 @@
         self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
     }
 
+    /// Writes nothing for a while, unless it is silent already.
+    pub fn fall_silent(&self, duration: Duration) {
+        let now = Instant::now();
+        if self.silent_until.get() <= now {
+            self.silent_until.set(now + duration);
+        }
+    }
+
     /// Accepts connections again, under another id.
     pub fn restart(&self, id: &str) {
         *self.id.borrow_mut() = id.to_owned();
@@ -161,11 +172,12 @@
         let body = if is_stream {
             let events = after + 1..=EVENT_COUNT;
             let events = events.map(|number| event(&id, number, &self.version)).collect();
-            event_stream(events, break_bytes)
+            event_stream(events, break_bytes, self.silent_until.clone())
         } else {
             sleep(Duration::from_millis(PLAIN_REPLY_MS)).await;
             full_body(format!("done {id}"))
         };
+        sleep_until(self.silent_until.get()).await;
         let mut response = Response::new(body);
         set_header(&mut response, "x-response-seal", &seal(&id));
         set_header(&mut response, "x-request-id", &id);
@@ -193,12 +205,17 @@
     Full::new(Bytes::from(text)).map_err(|never| match never {}).boxed()
 }
 
-fn event_stream(events: Vec<String>, break_bytes: Option<usize>) -> AnswerBody {
+fn event_stream(
+    events: Vec<String>,
+    break_bytes: Option<usize>,
+    silent_until: Rc<Cell<Instant>>,
+) -> AnswerBody {
     let (mut sender, body) = Channel::<Bytes, io::Error>::new(1);
     spawn_local(async move {
         let mut left_bytes = break_bytes.unwrap_or(usize::MAX);
         for mut piece in events {
             sleep(Duration::from_millis(EVENT_INTERVAL_MS)).await;
+            sleep_until(silent_until.get()).await;
             let is_last = left_bytes < piece.len();
             piece.truncate(left_bytes);
             left_bytes -= piece.len();
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -73,7 +73,7 @@
         for number in 0..setup.instances {
             let proxy = Proxy::start(store_address).await?;
             let address = proxy.address;
-            let instance = Instance::new(number, ports, address, &setup.program, directory)?;
+            let instance = Instance::new(number, ports, address, setup, directory)?;
             instances.push(RefCell::new(instance));
             store_proxies.push(proxy);
         }
@@ -171,9 +171,11 @@
     pub(crate) fn write_document(&self) {
         let version = self.version.get() + 1;
         self.version.set(version);
+        // Every other document has shorter timeouts and smaller limits.
+        let shorter = version % 2;
         let route = |name: &str, kind: &str, service: &str| {
             json!({"name": name, "host": HOST, "prefix": format!("/{name}/"), "kind": kind,
-                "timeout-ms": 3_000, "goal-ms": 500, "priority": 1, "service": service,
+                "timeout-ms": 3_000 - 400 * shorter, "goal-ms": 500, "priority": 1, "service": service,
                 "attempts": 2, "gap-target-ms": 300, "stream-resume": kind == "stream"})
         };
         let revoked = self.revoked_keys.borrow();
@@ -182,8 +184,10 @@
             "routes": [route("draft", "stream", "model"), route("booking", "unsafe", "desk"),
                 route("status", "safe", "desk"), route(&version_route(version), "safe", "desk")],
             "services": [{"name": "model", "engine": {"slots": 32, "stride": 1}}, {"name": "desk"}],
-            "limits": {"max-header-bytes": 16_384, "max-body-bytes": 10_000,
-                "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000},
+            "limits": {"max-header-bytes": 16_384 - 8_000 * shorter,
+                "max-body-bytes": 10_000 - 9_000 * shorter,
+                "header-timeout-ms": 3_000 - 2_000 * shorter,
+                "idle-timeout-ms": 15_000 - 14_000 * shorter},
             "tenants": [{"name": "free", "api-keys": [UNLIMITED_KEY]},
                 {"name": "limited", "api-keys": keys, "rate-per-s": CUSTOMER_LIMIT.per_s,
                     "burst": CUSTOMER_LIMIT.burst}]});
--- a/soak/src/injection.rs
+++ b/soak/src/injection.rs
@@ -48,6 +48,15 @@
             fleet.write_document();
         }
         Fault::Document => revoke_key(&fleet, duration).await,
+        // Neither of these excuses a lost answer.
+        Fault::DocumentLimits => {
+            fleet.write_document();
+            return Ok(());
+        }
+        Fault::EngineSilence(number) => {
+            fleet.backend(number).server.fall_silent(duration);
+            return Ok(());
+        }
         Fault::Drain(number) => drain_backend(&fleet, &fleet.backend(number)).await,
         Fault::EngineCrash(number) => {
             let backend = fleet.backend(number);
--- a/soak/src/instance.rs
+++ b/soak/src/instance.rs
@@ -8,6 +8,8 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::trial::Setup;
+
 /// Ports that every instance uses on its own loopback address.
 #[derive(Clone, Copy, Debug)]
 pub struct Ports {
@@ -68,7 +70,7 @@
         number: usize,
         ports: Ports,
         store: SocketAddr,
-        program: &Path,
+        setup: &Setup,
         directory: &Path,
     ) -> io::Result<Self> {
         let ip = format!("127.0.0.{}", number + 2);
@@ -78,12 +80,13 @@
              listen.ready={ip}:{readiness}\nlisten.control={ip}:{operators}\n\
              port-range={peers},{peers}\nseeds=127.0.0.2:{operators},127.0.0.3:{operators}\n\
              bounds.revoke-strict=true\nbounds.revoke-ms=5000\nbounds.grace-s=8\n\
-             bounds.drain-ms=2000\nbounds.config-apply-ms=2000\nprovider.address={store}\n",
-            number % 3
+             bounds.drain-ms=2000\nbounds.config-apply-ms=2000\nprovider.address={store}\n{}",
+            number % 3,
+            setup.settings.join("\n")
         );
         std::fs::write(directory.join(format!("{number}.conf")), settings)?;
         Ok(Self {
-            program: program.to_owned(),
+            program: setup.program.clone(),
             child: None,
             directory: directory.to_owned(),
             ip,
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -10,6 +10,11 @@
 /// Shortest and longest duration of a fault, in milliseconds; the end of the trial cuts it short.
 const DURATION_RANGE_MS: (u64, u64) = (300, 4_000);
 
+/// Shortest and longest time for which a backend server falls silent, in milliseconds.
+const SILENCE_RANGE_MS: (u64, u64) = (800, 1_500);
+/// Longest time between the beginnings of two events of a trial with silences, in milliseconds.
+const MAX_SILENCE_GAP_MS: u64 = 1_000;
+
 /// A fault of the fleet or of the systems around it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fault {
@@ -19,12 +24,16 @@
     Compact,
     /// A new document revokes a key; a later one restores it.
     Document,
+    /// A new document has other limits and timeouts.
+    DocumentLimits,
     /// A backend server is published as draining, then ends; another one replaces it.
     Drain(usize),
     /// A backend server crashes; one with another id replaces it at the same address.
     EngineCrash(usize),
     /// The connections to a backend server misbehave.
     EngineConnections(usize, ConnectionFault),
+    /// A backend server writes nothing for a while and goes on.
+    EngineSilence(usize),
     /// An instance is killed and started again.
     Kill(usize),
     /// An instance is paused by SIGSTOP.
@@ -86,6 +95,23 @@
     faults
 }
 
+/// Returns silences of backend servers beside changes of the document, which excuse no lost answer.
+pub fn silence_schedule(seed: u64, engines: usize, length_ms: u64) -> Vec<TimedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut at_ms = FIRST_FAULT_MS;
+    let mut faults = Vec::new();
+    while at_ms < length_ms {
+        let (shortest_ms, longest_ms) = SILENCE_RANGE_MS;
+        let duration_ms = random.random_range(shortest_ms..=longest_ms);
+        let engine = random.random_range(0..engines);
+        let is_silence = random.random_bool(0.7);
+        let fault = if is_silence { Fault::EngineSilence(engine) } else { Fault::DocumentLimits };
+        faults.push(TimedFault { at_ms, fault, duration_ms });
+        at_ms += random.random_range(0..MAX_SILENCE_GAP_MS);
+    }
+    faults
+}
+
 fn random_fault(random: &mut ChaCha8Rng, instances: usize, engines: usize) -> Fault {
     let instance = random.random_range(0..instances);
     let engine = random.random_range(0..engines);
--- a/soak/src/trial.rs
+++ b/soak/src/trial.rs
@@ -14,7 +14,7 @@
 use crate::caller::{self, CallerContext, elapsed_ms};
 use crate::fleet::{Fleet, LIMITED_KEYS, UNLIMITED_KEY, poll_readiness};
 use crate::injection::inject_fault;
-use crate::schedule::random_schedule;
+use crate::schedule::{random_schedule, silence_schedule};
 use crate::streams::StreamCounts;
 
 /// Time without faults at the end of a trial, in milliseconds; all changes are in force well before
@@ -43,6 +43,10 @@
     pub program: PathBuf,
     /// Seed of the faults and of the callers.
     pub seed: u64,
+    /// Further lines of the settings of all instances.
+    pub settings: Vec<String>,
+    /// Whether backend servers fall silent beside changes of the document, in place of all faults.
+    pub silences: bool,
 }
 
 /// Outcome of a trial.
@@ -121,7 +125,11 @@
     let running: Vec<_> = (0..setup.callers)
         .map(|number| spawn_local(caller::run(context.clone(), setup.seed, number)))
         .collect();
-    let faults = random_schedule(setup.seed, setup.instances, setup.engines, setup.length_ms);
+    let faults = if setup.silences {
+        silence_schedule(setup.seed, setup.engines, setup.length_ms)
+    } else {
+        random_schedule(setup.seed, setup.instances, setup.engines, setup.length_ms)
+    };
     let faults_start_ms = elapsed_ms(fleet.started);
     let injections: Vec<_> = faults
         .iter()
@@ -137,7 +145,10 @@
     for caller in running {
         caller.await.map_err(io::Error::other)?;
     }
-    let findings = fleet.checker.borrow().findings();
+    let mut findings = fleet.checker.borrow().findings();
+    if setup.silences {
+        findings.extend(fleet.checker.borrow().losses());
+    }
     let mut recovery_findings = Vec::new();
     if !all_ready || !ready_again {
         recovery_findings.push("not all instances are ready though no fault is active".to_owned());
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -1,8 +1,8 @@
 //! Tests that the checker reports each kind of violation, and nothing for a history without one.
 
 use soak::checker::{
-    Checker, FAULT_MARGIN_MS, FaultPeriod, LIMIT_WINDOW_MS, Limit, REVOKE_MS, ReportedOutcome, Run,
-    Sent,
+    Checker, FAULT_MARGIN_MS, FaultPeriod, LIMIT_WINDOW_MS, LOSS_TIME_MS, Limit, REVOKE_MS,
+    ReportedOutcome, Run, Sent,
 };
 
 const AT_MS: u64 = 20_000;
@@ -138,3 +138,12 @@
     checker.sent.remove("r-0");
     assert!(checker.findings().is_empty());
 }
+
+#[test]
+fn an_answer_that_was_lost_before_its_time_was_nearly_over_is_a_loss() {
+    assert_eq!(checker(sent(ReportedOutcome::Open), 1).losses().len(), 1);
+    assert!(checker(sent(ReportedOutcome::Open), 0).losses().is_empty());
+    assert!(checker(sent(ReportedOutcome::Served), 1).losses().is_empty());
+    let late = Sent { ended_ms: AT_MS + LOSS_TIME_MS, ..sent(ReportedOutcome::Open) };
+    assert!(checker(late, 1).losses().is_empty());
+}
--- a/soak/tests/schedule.rs
+++ b/soak/tests/schedule.rs
@@ -1,6 +1,6 @@
 //! A seed determines its schedule of faults.
 
-use soak::schedule::{Fault, TimedFault, random_schedule};
+use soak::schedule::{Fault, TimedFault, random_schedule, silence_schedule};
 
 #[test]
 fn a_seed_always_gives_the_same_faults_and_another_seed_gives_others() {
@@ -38,3 +38,14 @@
     assert!(both_directions >= 10, "{both_directions} of 50 seeds");
     assert!(overlapping >= 40, "{overlapping} of 50 seeds");
 }
+
+#[test]
+fn silences_of_about_a_second_fall_beside_changes_of_the_document() {
+    let faults = silence_schedule(1, 6, 20_000);
+    assert_eq!(faults, silence_schedule(1, 6, 20_000));
+    let silences = faults.iter().filter(|each| matches!(each.fault, Fault::EngineSilence(_)));
+    assert!(silences.clone().all(|each| (800..=1_500).contains(&each.duration_ms)));
+    let changes = faults.iter().filter(|each| each.fault == Fault::DocumentLimits);
+    assert_eq!(silences.count() + changes.clone().count(), faults.len());
+    assert!(changes.count() > 3);
+}
