--- a/tests/gateway_support/served_fleet.rs
+++ b/tests/gateway_support/served_fleet.rs
@@ -3,18 +3,17 @@
 
 #![allow(dead_code, reason = "each test takes what it needs")]
 
-#[path = "served_sends.rs"]
-mod served_sends;
+#[path = "served_requests.rs"]
+mod served_requests;
 
 use std::collections::BTreeMap;
 
-use bergamotspan::gateway::admission::{Admission, Arrival, RefusalReason, RequestPlan};
+use bergamotspan::gateway::admission::{RefusalReason, RequestPlan};
 use bergamotspan::gateway::backend_record::BackendRecord;
 use bergamotspan::gateway::crash_records::CrashNotice;
 use bergamotspan::gateway::dispatching::StartedSend;
 use bergamotspan::gateway::fleet::coordinators::Decider;
 use bergamotspan::gateway::part_stage::PartStage;
-use bergamotspan::gateway::request_metadata::{PromptPart, PromptShape, RequestMetadata};
 use bergamotspan::gateway::routing_document::{Route, RouteKind, RoutingDocument};
 use bergamotspan::gateway::state::GatewayState;
 use bergamotspan::gateway::store_item::StoreItem;
@@ -22,36 +21,22 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::gateway_support::{HOST, backend, document, metadata, record, route};
-use crate::placer::{PlaceResult, PlaceSearch, Placer};
+use crate::gateway_support::{backend, document, record, route};
+use crate::placer::Placer;
 use crate::simulated_fleet::SimulatedFleet;
 
 /// First parts of sound prompts: 1 to this number.
 pub const SOUND_PARTS: u64 = 40;
-/// First parts of sound prompts that bad ones have as well: 1 to this number.
-const SHARED_PARTS: u64 = 8;
-/// First parts that only bad prompts have start here.
-const OTHER_PARTS: u64 = 100;
-/// Bad parts start here.
-const BAD_PARTS: u64 = 1_000;
-/// Last parts, which no two prompts share, start here.
-const LAST_PARTS: u64 = 1_000_000;
 /// Slots of all engines together.
 const SLOTS: usize = 320;
 /// Number of sends that a resumable request may have.
 const ATTEMPTS: u32 = 2;
-/// Number of unreachable engines after which a request is refused.
-const UNREACHABLE_LIMIT: usize = 3;
-/// Time from the arrival of a bad request until its engine ends, in milliseconds.
-const CRASH_MS: u64 = 100;
 /// Time from a broken connection until a refused one proves the crash, in milliseconds.
 const CONNECT_MS: u64 = 5;
 /// Time for which a crashed engine is down, in milliseconds.
 const DOWN_MS: u64 = 3_000;
 /// Time from a crash until the record is removed, in milliseconds.
 const RECORD_MS: u64 = 4_000;
-/// Time from the first event of an answer to its end, in milliseconds.
-const ANSWER_MS: u64 = 1_000;
 /// Time from a change of what is known of a part until the next report, in milliseconds.
 const REPORT_MS: u64 = 10;
 /// Time between two proofs that the document is the newest, in milliseconds.
@@ -398,98 +383,10 @@
         self.next_number
     }
 
-    fn receive_arrivals(&mut self) {
-        // One sound request in each step of 10 ms on average.
-        for _ in 0..self.random.random_range(0..3) {
-            let first = self.random.random_range(1..=SOUND_PARTS);
-            self.receive_request(vec![first], false);
-        }
-        if self.traffic.bad_parts > 0 && self.random.random_bool(self.traffic.bad_per_s / 100.0) {
-            let base = if self.random.random_bool(0.5) { 0 } else { OTHER_PARTS };
-            let first = base + self.random.random_range(1..=SHARED_PARTS);
-            let bad = BAD_PARTS + self.random.random_range(0..self.traffic.bad_parts);
-            self.bad_arrivals += 1;
-            self.receive_request(vec![first, bad], true);
-        }
-    }
-
-    fn receive_request(&mut self, shared_parts: Vec<u64>, is_bad: bool) {
-        let now_ms = self.now_ms();
-        let ready = self.fleet.live().filter(|(_, state)| state.is_ready(now_ms));
-        let ready: Vec<usize> = ready.map(|(index, _)| index).collect();
-        if ready.is_empty() {
-            return;
-        }
-        let at = ready[self.random.random_range(0..ready.len())];
-        let number = self.new_number();
-        let is_resumable = self.random.random_bool(0.5);
-        let path = if is_resumable { "/draft/a" } else { "/once/a" };
-        let metadata = RequestMetadata {
-            prompt: Some(prompt(&shared_parts, LAST_PARTS + number)),
-            ..metadata(&format!("r-{number}"))
-        };
-        let arrival = Arrival {
-            arrived_ms: now_ms,
-            metadata: &metadata,
-            fingerprint: number,
-            host: HOST,
-            path,
-        };
-        let admission = self.fleet.state(at).admit(now_ms, &arrival, 0);
-        let sound_index = (!is_bad).then_some(self.sound.len());
-        let refused = match &admission {
-            Admission::Forward(_) => None,
-            Admission::Refuse(refusal) => Some(refusal.reason),
-        };
-        if !is_bad {
-            self.sound.push(SoundRequest { arrived_ms: now_ms, at, has_begun: false, refused });
-        }
-        let Admission::Forward(plan) = admission else { return };
-        let request = CallerRequest {
-            at,
-            arrived_ms: now_ms,
-            fingerprint: number,
-            is_bad,
-            phase: Phase::Placing,
-            plan,
-            sends: 0,
-            sound_index,
-            tried: Vec::new(),
-            unreachable: 0,
-        };
-        self.requests.insert(number, request);
-        self.find_place(number);
-    }
-
-    fn request(&mut self, number: u64) -> (&mut CallerRequest, &mut GatewayState) {
-        let request = self.requests.get_mut(&number).expect("in progress");
-        let state = self.fleet.states[request.at].as_mut().expect("its instance runs");
-        (request, state)
-    }
-
     fn running_engine(&self, id: &str) -> Option<usize> {
         self.engines.iter().position(|engine| engine.is_up && &*engine.id == id)
     }
 
-    fn find_place(&mut self, number: u64) {
-        let request = self.requests.get_mut(&number).expect("in progress");
-        request.phase = Phase::Placing;
-        let search = PlaceSearch::new(request.at, request.plan.clone(), request.tried.clone());
-        self.placer.start(&mut self.fleet, number, search);
-        self.take_places();
-    }
-
-    fn take_places(&mut self) {
-        while let Some(PlaceResult { number, search, found }) = self.placer.results.pop() {
-            let Some(request) = self.requests.get_mut(&number) else { continue };
-            request.plan = search.plan;
-            match found {
-                Ok(started_send) => self.begin_send(number, started_send),
-                Err(reason) => self.refuse(number, reason),
-            }
-        }
-    }
-
     /// Finds out soon whether an engine has crashed, which an instance that reaches it confirms.
     fn find_crash(&mut self, at: usize, engine: Name) {
         let life = self.lives[at];
@@ -560,17 +457,6 @@
     format!("m-{number:04}-{run}").into()
 }
 
-fn prompt(shared_parts: &[u64], last: u64) -> PromptShape {
-    let parts = shared_parts.iter().copied().chain([last]);
-    let parts: Vec<_> = parts.map(|id| PromptPart { id, tokens: 100 }).collect();
-    PromptShape {
-        likely_output_tokens: Some(100),
-        most_output_tokens: 200,
-        prompt_tokens: 100 * parts.len() as u64,
-        parts,
-    }
-}
-
 fn routes() -> RoutingDocument {
     let resumable =
         Route { attempts: ATTEMPTS, resumable: true, ..route("draft", RouteKind::Stream, "model") };
--- a/tests/gateway_support/served_sends.rs
+++ b/tests/gateway_support/served_requests.rs
@@ -1,17 +1,123 @@
-//! The sends of the requests of a served fleet.
+//! The requests of a served fleet, from their arrival to the ends of their sends.
 
-use bergamotspan::gateway::admission::RefusalReason;
+use bergamotspan::gateway::admission::{Admission, Arrival, RefusalReason};
 use bergamotspan::gateway::backend::SendOutcome;
 use bergamotspan::gateway::broken_sends::BrokenSend;
 use bergamotspan::gateway::dispatching::{SendEnd, StartedSend};
-
-use super::{ANSWER_MS, CRASH_MS, Cut, Phase, Sent, ServedFleet, Timer, UNREACHABLE_LIMIT};
+use bergamotspan::gateway::request_metadata::{PromptPart, PromptShape, RequestMetadata};
+use bergamotspan::gateway::state::GatewayState;
 use rand::RngExt;
 
+use super::{CallerRequest, Cut, Phase, SOUND_PARTS, Sent, ServedFleet, SoundRequest, Timer};
+use crate::gateway_support::{HOST, metadata};
+use crate::placer::{PlaceResult, PlaceSearch};
+
+/// First parts of sound prompts that bad ones have as well: 1 to this number.
+const SHARED_PARTS: u64 = 8;
+/// First parts that only bad prompts have start here.
+const OTHER_PARTS: u64 = 100;
+/// Bad parts start here.
+const BAD_PARTS: u64 = 1_000;
+/// Last parts, which no two prompts share, start here.
+const LAST_PARTS: u64 = 1_000_000;
+/// Time from the arrival of a bad request until its engine ends, in milliseconds.
+const CRASH_MS: u64 = 100;
+/// Time from the first event of an answer to its end, in milliseconds.
+const ANSWER_MS: u64 = 1_000;
+/// Number of unreachable engines after which a request is refused.
+const UNREACHABLE_LIMIT: usize = 3;
 /// Longest time to open a connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 500;
 
 impl ServedFleet {
+    pub(super) fn receive_arrivals(&mut self) {
+        // One sound request in each step of 10 ms on average.
+        for _ in 0..self.random.random_range(0..3) {
+            let first = self.random.random_range(1..=SOUND_PARTS);
+            self.receive_request(vec![first], false);
+        }
+        if self.traffic.bad_parts > 0 && self.random.random_bool(self.traffic.bad_per_s / 100.0) {
+            let base = if self.random.random_bool(0.5) { 0 } else { OTHER_PARTS };
+            let first = base + self.random.random_range(1..=SHARED_PARTS);
+            let bad = BAD_PARTS + self.random.random_range(0..self.traffic.bad_parts);
+            self.bad_arrivals += 1;
+            self.receive_request(vec![first, bad], true);
+        }
+    }
+
+    fn receive_request(&mut self, shared_parts: Vec<u64>, is_bad: bool) {
+        let now_ms = self.now_ms();
+        let ready = self.fleet.live().filter(|(_, state)| state.is_ready(now_ms));
+        let ready: Vec<usize> = ready.map(|(index, _)| index).collect();
+        if ready.is_empty() {
+            return;
+        }
+        let at = ready[self.random.random_range(0..ready.len())];
+        let number = self.new_number();
+        let is_resumable = self.random.random_bool(0.5);
+        let path = if is_resumable { "/draft/a" } else { "/once/a" };
+        let metadata = RequestMetadata {
+            prompt: Some(prompt(&shared_parts, LAST_PARTS + number)),
+            ..metadata(&format!("r-{number}"))
+        };
+        let arrival = Arrival {
+            arrived_ms: now_ms,
+            metadata: &metadata,
+            fingerprint: number,
+            host: HOST,
+            path,
+        };
+        let admission = self.fleet.state(at).admit(now_ms, &arrival, 0);
+        let sound_index = (!is_bad).then_some(self.sound.len());
+        let refused = match &admission {
+            Admission::Forward(_) => None,
+            Admission::Refuse(refusal) => Some(refusal.reason),
+        };
+        if !is_bad {
+            self.sound.push(SoundRequest { arrived_ms: now_ms, at, has_begun: false, refused });
+        }
+        let Admission::Forward(plan) = admission else { return };
+        let request = CallerRequest {
+            at,
+            arrived_ms: now_ms,
+            fingerprint: number,
+            is_bad,
+            phase: Phase::Placing,
+            plan,
+            sends: 0,
+            sound_index,
+            tried: Vec::new(),
+            unreachable: 0,
+        };
+        self.requests.insert(number, request);
+        self.find_place(number);
+    }
+
+    fn request(&mut self, number: u64) -> (&mut CallerRequest, &mut GatewayState) {
+        let request = self.requests.get_mut(&number).expect("in progress");
+        let state = self.fleet.states[request.at].as_mut().expect("its instance runs");
+        (request, state)
+    }
+
+    fn find_place(&mut self, number: u64) {
+        let request = self.requests.get_mut(&number).expect("in progress");
+        request.phase = Phase::Placing;
+        let search = PlaceSearch::new(request.at, request.plan.clone(), request.tried.clone());
+        self.placer.start(&mut self.fleet, number, search);
+        self.take_places();
+    }
+
+    pub(super) fn take_places(&mut self) {
+        while let Some(PlaceResult { number, search, found }) = self.placer.results.pop() {
+            let Some(request) = self.requests.get_mut(&number) else { continue };
+            request.plan = search.plan;
+            match found {
+                Ok(started_send) => self.begin_send(number, started_send),
+                Err(reason) => self.refuse(number, reason),
+            }
+        }
+    }
+
     pub(super) fn begin_send(&mut self, number: u64, started_send: StartedSend) {
         let now_ms = self.now_ms();
         let (request, state) = self.request(number);
@@ -167,3 +273,14 @@
         None => SendEnd::unused(),
     }
 }
+
+fn prompt(shared_parts: &[u64], last: u64) -> PromptShape {
+    let parts = shared_parts.iter().copied().chain([last]);
+    let parts: Vec<_> = parts.map(|id| PromptPart { id, tokens: 100 }).collect();
+    PromptShape {
+        likely_output_tokens: Some(100),
+        most_output_tokens: 200,
+        prompt_tokens: 100 * parts.len() as u64,
+        parts,
+    }
+}
