--- a/src/gateway/engine_paths.rs
+++ b/src/gateway/engine_paths.rs
@@ -12,6 +12,8 @@
 const TRIAL_MS: u64 = 500;
 /// Backend servers that could only be reached through others before this instance counts as cut off.
 const CUT_OFF_COUNT: usize = 2;
+/// Shortest time between two probes of a backend server, in milliseconds.
+const PROBE_INTERVAL_MS: u64 = 1_000;
 /// Time for which an instance that did not help is not asked again, in milliseconds.
 const LEFT_OUT_MS: u64 = 2_000;
 
@@ -67,6 +69,8 @@
     /// Until when instances are not asked, in milliseconds of the boot clock; sorted by address.
     left_out: Vec<(SocketAddr, u64)>,
     notices: Vec<PathNotice>,
+    /// When backend servers were last probed, in milliseconds of the boot clock; sorted by id.
+    probes: Vec<(Name, u64)>,
     /// When a direct connection last succeeded, in milliseconds of the boot clock.
     reached_ms: Option<u64>,
 }
@@ -146,6 +150,22 @@
         }
     }
 
+    /// Returns whether the direct way to a silent backend server should be probed now, and counts the
+    /// probe.
+    pub fn take_probe(&mut self, now_ms: u64, backend_server: &Name) -> bool {
+        if !self.is_direct(backend_server) {
+            return false;
+        }
+        self.probes.retain(|(_, probed_ms)| now_ms < probed_ms + PROBE_INTERVAL_MS);
+        match self.probes.binary_search_by(|(known, _)| known.cmp(backend_server)) {
+            Ok(_) => false,
+            Err(index) => {
+                self.probes.insert(index, (backend_server.clone(), now_ms));
+                true
+            }
+        }
+    }
+
     /// Removes a backend server that left or restarted.
     pub fn forget(&mut self, backend_server: &str) {
         if let Ok(index) = find(&self.bypasses, backend_server) {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -18,6 +18,7 @@
 use crate::gateway::answer_framing::AnswerFraming;
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::connections::{Connection, limit_interim_answers};
+use crate::gateway::fleet_dialer::watch_silence;
 use crate::gateway::shared::Shared;
 use crate::gateway::wire::{ReplyMetadata, SendMetadata};
 use crate::name::Name;
@@ -102,11 +103,13 @@
             build_request(shared, plan, request, backend_server, left_ms, resume_after)?;
         let too_many = limit_interim_answers(&mut message);
         let limit = Duration::from_millis(left_ms);
+        let is_direct = connection.via().is_none();
         let answer = tokio::select! {
             answer = timeout(limit, connection.sender.try_send_request(message)) => answer,
             () = too_many.notified() => {
                 return Err(SendFailure::WrongAnswer("it has too many interim answers".to_owned()));
             }
+            never = watch_silence(shared, backend_server, address), if is_direct => match never {},
         };
         let Ok(answer) = answer else { return Err(SendFailure::TimedOut) };
         match answer {
--- a/src/gateway/fleet_dialer.rs
+++ b/src/gateway/fleet_dialer.rs
@@ -1,5 +1,6 @@
 //! Opens connections to backend servers directly, or through other instances where that fails.
 
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -11,7 +12,7 @@
 use log::{info, warn};
 use rand::seq::SliceRandom;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::dialer::{CONNECT_TIMEOUT_MS, Dial, Dialed, connect};
@@ -23,6 +24,10 @@
 
 /// Time after which another way is tried beside a direct connection, in milliseconds.
 const HEAD_START_MS: u64 = 60;
+/// Silence of a backend server with a request after which the way to it is probed, in milliseconds.
+const SILENCE_MS: u64 = 250;
+/// Longest time to open a connection that probes the way, in milliseconds.
+const PROBE_LIMIT_MS: u64 = 150;
 /// Longest time to open a connection through other instances, in milliseconds.
 const RELAYED_LIMIT_MS: u64 = CONNECT_TIMEOUT_MS - HEAD_START_MS;
 /// Longest time to open a connection through one other instance, in milliseconds.
@@ -90,6 +95,37 @@
     false
 }
 
+/// Finds out while a request is unanswered whether the direct way to a backend server is cut: its
+/// open connections may just be silent.
+pub(crate) async fn watch_silence(
+    shared: &Rc<Shared>,
+    backend_server: &Name,
+    address: SocketAddr,
+) -> Infallible {
+    loop {
+        sleep(Duration::from_millis(SILENCE_MS)).await;
+        let now_ms = boot_ms();
+        let is_silent = {
+            let state = shared.state.borrow();
+            let known = state.backends().get(backend_server);
+            known.is_some_and(|known| known.is_silent(now_ms, SILENCE_MS))
+        };
+        if is_silent && shared.paths.borrow_mut().take_probe(now_ms, backend_server) {
+            probe(shared, backend_server, address).await;
+        }
+    }
+}
+
+async fn probe(shared: &Rc<Shared>, backend_server: &Name, address: SocketAddr) {
+    let Err(error) = dial_direct(shared, backend_server, address, PROBE_LIMIT_MS).await else {
+        return;
+    };
+    let relayed = dial_relayed(shared, backend_server).await;
+    if bypass(shared, backend_server, relayed, error).is_ok() {
+        shared.connections.close(backend_server);
+    }
+}
+
 async fn dial_directly_first(
     shared: &Rc<Shared>,
     backend_server: &Name,
--- a/tests/gateway_engine_paths.rs
+++ b/tests/gateway_engine_paths.rs
@@ -148,3 +148,13 @@
     let asked: Vec<_> = roster.not_stopping().map(|known| &*known.name).collect();
     assert_eq!(asked, ["front-2"]);
 }
+
+#[test]
+fn a_silent_backend_server_is_probed_once_a_second_and_only_if_it_is_reached_directly() {
+    let mut paths = EnginePaths::default();
+    assert!(paths.take_probe(0, &name("a")) && paths.take_probe(0, &name("b")));
+    assert!(!paths.take_probe(999, &name("a")));
+    assert!(paths.take_probe(1_000, &name("a")));
+    paths.record_bypassed(1_100, &name("b"));
+    assert!(!paths.take_probe(5_000, &name("b")));
+}
