Sample the instances that are asked for a relayed connection (RECOVER)

Each relayed connection went through the list of all known instances, which grows with the fleet. Twelve are drawn at random now, of which up to three are asked. Each of a hundred is drawn about as often as the others (test).

--- a/src/gateway/fleet/roster.rs
+++ b/src/gateway/fleet/roster.rs
@@ -5,6 +5,8 @@
 
 use std::net::SocketAddr;
 
+use rand::Rng;
+use rand::seq::index::sample;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::fleet::message::{Envelope, RosterEntry, Sender};
@@ -215,9 +217,20 @@
         self.known.iter()
     }
 
-    /// Returns the other instances that are not stopping, also those that only others have heard.
-    pub fn not_stopping(&self) -> impl Iterator<Item = &KnownInstance> {
-        self.known.iter().filter(|known| !known.stopping)
+    /// Returns whether another instance is known that is not stopping.
+    pub fn has_others(&self) -> bool {
+        self.known.iter().any(|known| !known.stopping)
+    }
+
+    /// Returns up to `count` other instances at random, also such that only others have heard; those
+    /// that are stopping are left out.
+    pub fn sample<R>(&self, random: &mut R, count: usize) -> Vec<&KnownInstance>
+    where
+        R: Rng,
+    {
+        let indices = sample(random, self.known.len(), count.min(self.known.len()));
+        let sampled = indices.into_iter().map(|index| &self.known[index]);
+        sampled.filter(|known| !known.stopping).collect()
     }
 
     /// Returns the number of instances that are not stopping, this one included.
--- a/src/gateway/fleet_dialer.rs
+++ b/src/gateway/fleet_dialer.rs
@@ -10,7 +10,6 @@
 use async_trait::async_trait;
 use futures_util::future::{Either, select};
 use log::{info, warn};
-use rand::seq::SliceRandom;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -35,6 +34,9 @@
 /// Other instances that are asked for one connection.
 const INSTANCE_LIMIT: usize = 3;
 
+/// Other instances that are considered for one connection.
+const SAMPLED_INSTANCES: usize = 12;
+
 /// Opens the connections of an instance that knows others.
 pub(crate) struct FleetDialer {
     shared: Weak<Shared>,
@@ -81,7 +83,7 @@
     if !connect(address, CONNECT_TIMEOUT_MS).await.is_err_and(refused) {
         return false;
     }
-    if other_instances(shared).is_empty() {
+    if !shared.state.borrow().fleet().roster().has_others() {
         return true;
     }
     let target = target(shared, backend_server);
@@ -238,23 +240,18 @@
     RelayTarget { backend_server: backend_server.clone(), born_ms }
 }
 
-/// Returns the names and operators' addresses of the instances that may be asked.
-fn other_instances(shared: &Shared) -> Vec<(Name, SocketAddr)> {
-    let state = shared.state.borrow();
-    let port = state.settings().operator_address.port();
-    let known = state.fleet().roster().not_stopping();
-    known.map(|known| (known.name.clone(), SocketAddr::new(known.address.ip(), port))).collect()
-}
-
-/// Returns a few instances at random, without those that lately did not help.
+/// Returns the names and operators' addresses of a few instances at random, without those that lately
+/// did not help.
 fn instances_to_ask(shared: &Shared) -> Vec<(Name, SocketAddr)> {
     let now_ms = boot_ms();
-    let mut instances = other_instances(shared);
+    let state = shared.state.borrow();
     let paths = shared.paths.borrow();
-    instances.retain(|(_, address)| paths.may_ask(now_ms, *address));
-    instances.shuffle(&mut rand::rng());
-    instances.truncate(INSTANCE_LIMIT);
-    instances
+    let port = state.settings().operator_address.port();
+    let sampled = state.fleet().roster().sample(&mut rand::rng(), SAMPLED_INSTANCES);
+    let addressed = sampled
+        .into_iter()
+        .map(|known| (known.name.clone(), SocketAddr::new(known.address.ip(), port)));
+    addressed.filter(|(_, address)| paths.may_ask(now_ms, *address)).take(INSTANCE_LIMIT).collect()
 }
 
 /// Logs changes of the ways, and closes connections that may be cut.
--- a/tests/gateway_engine_paths.rs
+++ b/tests/gateway_engine_paths.rs
@@ -1,11 +1,14 @@
 //! Tests when connections to backend servers go through other instances.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use bergamotspan::gateway::engine_paths::{EnginePaths, PathNotice, Way};
 use bergamotspan::gateway::fleet::message::RosterEntry;
 use bergamotspan::gateway::fleet::roster::Roster;
 use bergamotspan::name::Name;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 fn name(text: &str) -> Name {
     Name::from(text)
@@ -145,10 +148,34 @@
     let mut roster = Roster::new(name("front-1"), peer(1), &[]);
     roster.merge(1_000, &[entry("front-2", 2, false), entry("front-3", 3, true)]);
     assert!(!roster.get("front-2").expect("it is known").is_live(1_000));
-    let asked: Vec<_> = roster.not_stopping().map(|known| &*known.name).collect();
+    assert!(roster.has_others());
+    let asked = roster.sample(&mut StdRng::seed_from_u64(1), 12);
+    let asked: Vec<_> = asked.iter().map(|known| &*known.name).collect();
     assert_eq!(asked, ["front-2"]);
 }
 
+#[test]
+fn a_few_instances_of_a_large_fleet_are_asked_each_as_likely_as_the_others() {
+    let entry = |number: u8| RosterEntry {
+        instance: name(&format!("front-{number}")),
+        address: peer(number),
+        capacity: 1_000,
+        age_ms: 100,
+        stopping: false,
+    };
+    let mut roster = Roster::new(name("front-0"), peer(0), &[]);
+    roster.merge(1_000, &(1..=100).map(entry).collect::<Vec<_>>());
+    let mut random = StdRng::seed_from_u64(1);
+    let mut times = BTreeMap::new();
+    for _ in 0..1_000 {
+        let sampled = roster.sample(&mut random, 12);
+        assert_eq!(sampled.len(), 12);
+        sampled.iter().for_each(|known| *times.entry(known.name.clone()).or_insert(0) += 1);
+    }
+    assert_eq!(times.len(), 100);
+    assert!(times.values().all(|times| (60..=180).contains(times)), "{times:?}");
+}
+
 #[test]
 fn a_silent_backend_server_is_probed_once_a_second_and_only_if_it_is_reached_directly() {
     let mut paths = EnginePaths::default();
