Take a refusal at another instance for a proof only if that one reaches a second server (RECOVER)

When several instances of a data centre are cut off together and connections are refused, one asked another that did not know yet that it was cut off, and its refusal counted as a crash of a sound server: parts of prompts were suspected for it. The instance that is asked must now reach another backend server as well.

--- a/src/gateway/fleet_dialer.rs
+++ b/src/gateway/fleet_dialer.rs
@@ -10,6 +10,7 @@
 use async_trait::async_trait;
 use futures_util::future::{Either, select};
 use log::{info, warn};
+use rand::seq::IndexedRandom;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -90,13 +91,27 @@
     for (_, instance) in instances_to_ask(shared) {
         match open_through(instance, &target).await {
             Ok(_) => return false,
-            Err(RelayError::Refused) => return true,
+            Err(RelayError::Refused) if reaches_another(shared, instance, backend_server).await => {
+                return true;
+            }
             Err(_) => {}
         }
     }
     false
 }
 
+/// Returns whether an instance reaches a backend server other than this one: it may be cut off
+/// itself without knowing it yet.
+async fn reaches_another(shared: &Rc<Shared>, instance: SocketAddr, backend_server: &Name) -> bool {
+    let others: Vec<Name> = {
+        let state = shared.state.borrow();
+        let others = state.backends().usable().filter(|known| known.id != *backend_server);
+        others.map(|known| known.id.clone()).collect()
+    };
+    let Some(other) = others.choose(&mut rand::rng()) else { return false };
+    open_through(instance, &target(shared, other)).await.is_ok()
+}
+
 /// Finds out while a request is unanswered whether the direct way to a backend server is cut: its
 /// open connections may just be silent.
 pub(crate) async fn watch_silence(
