Ask an instance that was left out if there is no other one (RECOVER)

After one answer that came too late the only other instance was not asked for 2 s, and each caller was refused meanwhile. One that does not know a backend server, or does not reach it, is not left out for the others either.

--- a/src/gateway/fleet_dialer.rs
+++ b/src/gateway/fleet_dialer.rs
@@ -256,17 +256,22 @@
 }
 
 /// Returns the names and operators' addresses of a few instances at random, without those that lately
-/// did not help.
+/// did not help unless there are no others.
 fn instances_to_ask(shared: &Shared) -> Vec<(Name, SocketAddr)> {
     let now_ms = boot_ms();
     let state = shared.state.borrow();
     let paths = shared.paths.borrow();
     let port = state.settings().operator_address.port();
     let sampled = state.fleet().roster().sample(&mut rand::rng(), SAMPLED_INSTANCES);
-    let addressed = sampled
+    let (mut instances, left_out): (Vec<_>, Vec<_>) = sampled
         .into_iter()
-        .map(|known| (known.name.clone(), SocketAddr::new(known.address.ip(), port)));
-    addressed.filter(|(_, address)| paths.may_ask(now_ms, *address)).take(INSTANCE_LIMIT).collect()
+        .map(|known| (known.name.clone(), SocketAddr::new(known.address.ip(), port)))
+        .partition(|(_, address)| paths.may_ask(now_ms, *address));
+    if instances.is_empty() {
+        instances = left_out;
+    }
+    instances.truncate(INSTANCE_LIMIT);
+    instances
 }
 
 /// Logs changes of the ways, and closes connections that may be cut.
--- a/src/gateway/relay_request.rs
+++ b/src/gateway/relay_request.rs
@@ -25,10 +25,9 @@
 pub(crate) const RELAY_PROTOCOL: HeaderValue = HeaderValue::from_static("bergamotspan-relay");
 /// Status if the backend server refuses connections.
 pub(crate) const REFUSED_STATUS: StatusCode = StatusCode::BAD_GATEWAY;
-/// Status if the backend server can't be reached for another reason.
+/// Status if the backend server can't be reached for another reason, or only through others.
 pub(crate) const UNREACHABLE_STATUS: StatusCode = StatusCode::GATEWAY_TIMEOUT;
-/// Status if the instance can't relay: it is cut off itself, stops, has enough to do, or does not
-/// know the backend server.
+/// Status if the instance can't relay: it stops, or has enough to do.
 pub(crate) const NOT_ABLE_STATUS: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
 
 /// Why another instance did not open a connection.
@@ -119,7 +118,7 @@
     match status {
         StatusCode::SWITCHING_PROTOCOLS => Ok(()),
         REFUSED_STATUS => Err(RelayError::Refused),
-        UNREACHABLE_STATUS => Err(RelayError::Unreachable),
+        UNREACHABLE_STATUS | StatusCode::NOT_FOUND => Err(RelayError::Unreachable),
         _ => Err(RelayError::NotAble),
     }
 }
