Relay to a backend server that may be reached again (RECOVER)

An instance that had to reach a server through others refused to relay to it until a request of its own tried the direct way, for as long as it had none. A request to relay may be the one that tries. The new test failed before.

--- a/src/gateway/relay_server.rs
+++ b/src/gateway/relay_server.rs
@@ -21,6 +21,7 @@
 
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::dialer::{connect, set_options};
+use crate::gateway::engine_paths::Way;
 use crate::gateway::fleet_dialer::apply_notices;
 use crate::gateway::relay_request::{
     NOT_ABLE_STATUS, REFUSED_STATUS, RELAY_PROTOCOL, RelayTarget, UNREACHABLE_STATUS,
@@ -89,8 +90,8 @@
         (known.record.address, is_same_run)
     });
     let Some((address, true)) = known else { return Err(StatusCode::NOT_FOUND) };
-    if !shared.paths.borrow().is_direct(&target.backend_server) {
-        return Err(NOT_ABLE_STATUS);
+    if shared.paths.borrow_mut().way(boot_ms(), &target.backend_server) == Way::Relayed {
+        return Err(UNREACHABLE_STATUS);
     }
     let guard = RelayedGuard::begin(shared).ok_or(NOT_ABLE_STATUS)?;
     match connect(address, CONNECT_LIMIT_MS).await {
