--- a/src/gateway/relay_server.rs
+++ b/src/gateway/relay_server.rs
@@ -132,6 +132,10 @@
     let mut is_open = to.write_all(&early).await.is_ok();
     let mut buffer = vec![0; COPY_BYTES];
     while let Ok(length @ 1..) = from.read(&mut buffer).await {
+        // What its sender has given up does not reach the backend server.
+        if is_closed(&from) {
+            return;
+        }
         // An answer may still arrive from a backend server that takes no more bytes.
         if is_open {
             is_open = tokio::select! {
@@ -146,13 +150,17 @@
 async fn closed(from: &ReadHalf<'_>) {
     loop {
         sleep(Duration::from_millis(CLOSE_CHECK_INTERVAL_MS)).await;
-        let ready = from.ready(Interest::READABLE).now_or_never();
-        if ready.is_some_and(|ready| ready.map_or(true, |ready| ready.is_read_closed())) {
+        if is_closed(from) {
             return;
         }
     }
 }
 
+fn is_closed(from: &ReadHalf<'_>) -> bool {
+    let ready = from.ready(Interest::READABLE).now_or_never();
+    ready.is_some_and(|ready| ready.map_or(true, |ready| ready.is_read_closed()))
+}
+
 /// Copies bytes of the backend server in frames, and its end.
 async fn send_back(mut from: ReadHalf<'_>, mut to: WriteHalf<'_>) -> io::Result<()> {
     let mut buffer = vec![0; FRAME_HEAD_BYTES + COPY_BYTES];
