--- a/src/gateway/engine_paths.rs
+++ b/src/gateway/engine_paths.rs
@@ -71,7 +71,7 @@
     notices: Vec<PathNotice>,
     /// When backend servers were last probed, in milliseconds of the boot clock; sorted by id.
     probes: Vec<(Name, u64)>,
-    /// When a direct connection last succeeded, in milliseconds of the boot clock.
+    /// When a direct connection last succeeded or brought an answer, in milliseconds of the boot clock.
     reached_ms: Option<u64>,
 }
 
@@ -100,6 +100,11 @@
         self.cut_off.is_some()
     }
 
+    /// Records an answer on a direct connection, which may be an old one.
+    pub fn record_answer(&mut self, now_ms: u64) {
+        self.reached_ms = self.reached_ms.max(Some(now_ms));
+    }
+
     /// Records a direct connection to a backend server.
     pub fn record_direct(&mut self, now_ms: u64, backend_server: &Name) {
         self.reached_ms = Some(now_ms);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -176,6 +176,12 @@
     pub(crate) fn record_reply(&mut self, guard: &mut SendGuard, reply: &Reply) {
         let on_new_connection = reply.connection.is_new;
         let via = reply.connection.via().cloned();
+        let now_ms = boot_ms();
+        if via.is_none() {
+            self.shared.paths.borrow_mut().record_answer(now_ms);
+        }
+        let backend_server = &guard.started_send().backend_server;
+        self.shared.state.borrow_mut().record_activity(now_ms, backend_server);
         self.answer_source = Some(AnswerSource { framing: reply.framing, on_new_connection, via });
         self.note_announcements(guard, &reply.metadata);
     }
--- a/tests/gateway_engine_paths.rs
+++ b/tests/gateway_engine_paths.rs
@@ -185,3 +185,14 @@
     paths.record_bypassed(1_100, &name("b"));
     assert!(!paths.take_probe(5_000, &name("b")));
 }
+
+#[test]
+fn an_instance_whose_old_connections_bring_answers_is_not_cut_off() {
+    let mut paths = EnginePaths::default();
+    paths.record_bypassed(100, &name("a"));
+    paths.record_answer(150);
+    paths.record_bypassed(200, &name("b"));
+    assert!(!paths.is_cut_off());
+    paths.record_bypassed(1_200, &name("a"));
+    assert!(paths.is_cut_off());
+}
