--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -127,7 +127,8 @@
     }
 
     /// Records that the backend server of the send in progress has accepted the request.
-    pub(crate) fn record_accepted(&self) {
+    pub(crate) fn record_accepted(&mut self) {
+        self.error_answer = None;
         self.progress.record_accepted();
     }
 
