--- a/src/gateway/engine_paths.rs
+++ b/src/gateway/engine_paths.rs
@@ -12,6 +12,13 @@
 const TRIAL_MS: u64 = 500;
 /// Backend servers that could only be reached through others before this instance counts as cut off.
 const CUT_OFF_COUNT: usize = 2;
+/// Time after a direct connection was opened for which the failure of others is no sign of a cut, in
+/// milliseconds.
+const OPENED_MS: u64 = 300;
+/// Longest time between two checks whether another direct connection was opened, in milliseconds.
+const ROUND_CHECK_MS: u64 = 20;
+/// Time after an answer or a new connection for which no backend server is probed, in milliseconds.
+const REACHED_MS: u64 = 250;
 /// Shortest time between two probes of a backend server, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 1_000;
 /// Time for which an instance that did not help is not asked again, in milliseconds.
@@ -26,6 +33,17 @@
     Relayed,
 }
 
+/// What follows for a connection that is not opened directly.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RoundStep {
+    /// It fails: others are opened meanwhile.
+    GiveUp,
+    /// It goes through another instance.
+    GoRound,
+    /// It is decided after this time, in milliseconds.
+    Wait(u64),
+}
+
 /// A change that is logged.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PathNotice {
@@ -71,6 +89,8 @@
     notices: Vec<PathNotice>,
     /// When backend servers were last probed, in milliseconds of the boot clock; sorted by id.
     probes: Vec<(Name, u64)>,
+    /// When a direct connection was last opened, in milliseconds of the boot clock.
+    opened_ms: Option<u64>,
     /// When a direct connection last succeeded or brought an answer, in milliseconds of the boot clock.
     reached_ms: Option<u64>,
 }
@@ -90,6 +110,23 @@
         Way::DirectFirst
     }
 
+    /// Returns what follows for a connection that was begun at `begun_ms` and is not opened directly.
+    ///
+    /// Backend servers that are busy or gone fail connections as well, so it goes round only where no
+    /// other direct one is opened.
+    pub fn round_step(&self, now_ms: u64, begun_ms: u64) -> RoundStep {
+        let Some(opened_ms) = self.opened_ms.filter(|_| self.cut_off.is_none()) else {
+            return RoundStep::GoRound;
+        };
+        if opened_ms > begun_ms {
+            return RoundStep::GiveUp;
+        }
+        match (opened_ms + OPENED_MS).saturating_sub(now_ms) {
+            0 => RoundStep::GoRound,
+            left_ms => RoundStep::Wait(left_ms.min(ROUND_CHECK_MS)),
+        }
+    }
+
     /// Returns whether connections to a backend server are direct.
     pub fn is_direct(&self, backend_server: &str) -> bool {
         self.cut_off.is_none() && find(&self.bypasses, backend_server).is_err()
@@ -108,6 +145,7 @@
     /// Records a direct connection to a backend server.
     pub fn record_direct(&mut self, now_ms: u64, backend_server: &Name) {
         self.reached_ms = Some(now_ms);
+        self.opened_ms = Some(now_ms);
         if let Ok(index) = find(&self.bypasses, backend_server) {
             self.bypasses.remove(index);
         }
@@ -158,7 +196,8 @@
     /// Returns whether the direct way to a silent backend server should be probed now, and counts the
     /// probe.
     pub fn take_probe(&mut self, now_ms: u64, backend_server: &Name) -> bool {
-        if !self.is_direct(backend_server) {
+        let is_reached = self.reached_ms.is_some_and(|reached_ms| now_ms < reached_ms + REACHED_MS);
+        if is_reached || !self.is_direct(backend_server) {
             return false;
         }
         self.probes.retain(|(_, probed_ms)| now_ms < probed_ms + PROBE_INTERVAL_MS);
--- a/src/gateway/fleet_dialer.rs
+++ b/src/gateway/fleet_dialer.rs
@@ -16,7 +16,7 @@
 
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::dialer::{CONNECT_TIMEOUT_MS, Dial, Dialed, connect};
-use crate::gateway::engine_paths::{PathNotice, Way};
+use crate::gateway::engine_paths::{PathNotice, RoundStep, Way};
 use crate::gateway::relay_request::{RelayError, RelayTarget, open_relayed};
 use crate::gateway::relayed_stream::RelayedStream;
 use crate::gateway::shared::Shared;
@@ -148,6 +148,7 @@
     backend_server: &Name,
     address: SocketAddr,
 ) -> io::Result<Dialed> {
+    let begun_ms = boot_ms();
     let mut direct = pin!(dial_direct(shared, backend_server, address, CONNECT_TIMEOUT_MS));
     let head_start = Duration::from_millis(HEAD_START_MS);
     let first = timeout(head_start, direct.as_mut()).await.ok();
@@ -155,7 +156,7 @@
         Some(Ok(stream)) => return Ok(Dialed::Direct(stream)),
         Some(Err(error)) => error,
         None => {
-            let relayed = pin!(dial_relayed(shared, backend_server));
+            let relayed = pin!(dial_round(shared, backend_server, begun_ms));
             match select(direct, relayed).await {
                 Either::Left((Ok(stream), _)) => return Ok(Dialed::Direct(stream)),
                 Either::Left((Err(error), relayed)) => {
@@ -168,10 +169,23 @@
             }
         }
     };
-    let relayed = dial_relayed(shared, backend_server).await;
+    let relayed = dial_round(shared, backend_server, begun_ms).await;
     bypass(shared, backend_server, relayed, error)
 }
 
+/// Opens a connection through another instance if nothing speaks against a cut; `None` otherwise, or
+/// if that is not possible.
+async fn dial_round(shared: &Rc<Shared>, backend_server: &Name, begun_ms: u64) -> Option<Dialed> {
+    loop {
+        let step = shared.paths.borrow().round_step(boot_ms(), begun_ms);
+        match step {
+            RoundStep::GiveUp => return None,
+            RoundStep::GoRound => return dial_relayed(shared, backend_server).await,
+            RoundStep::Wait(wait_ms) => sleep(Duration::from_millis(wait_ms)).await,
+        }
+    }
+}
+
 /// Records that only a relayed connection succeeded, or returns the error of the direct one.
 fn bypass(
     shared: &Rc<Shared>,
--- a/tests/gateway_engine_paths.rs
+++ b/tests/gateway_engine_paths.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use bergamotspan::gateway::engine_paths::{EnginePaths, PathNotice, Way};
+use bergamotspan::gateway::engine_paths::{EnginePaths, PathNotice, RoundStep, Way};
 use bergamotspan::gateway::fleet::message::RosterEntry;
 use bergamotspan::gateway::fleet::roster::Roster;
 use bergamotspan::name::Name;
@@ -196,3 +196,26 @@
     paths.record_bypassed(1_200, &name("a"));
     assert!(paths.is_cut_off());
 }
+
+#[test]
+fn a_connection_goes_round_only_while_no_other_is_opened_directly() {
+    let mut paths = EnginePaths::default();
+    assert_eq!(paths.round_step(50, 0), RoundStep::GoRound);
+    paths.record_direct(100, &name("a"));
+    assert_eq!(paths.round_step(150, 140), RoundStep::Wait(20));
+    assert_eq!(paths.round_step(395, 140), RoundStep::Wait(5));
+    assert_eq!(paths.round_step(400, 140), RoundStep::GoRound);
+    paths.record_direct(401, &name("b"));
+    assert_eq!(paths.round_step(401, 140), RoundStep::GiveUp);
+    paths.record_bypassed(800, &name("a"));
+    paths.record_bypassed(801, &name("b"));
+    assert_eq!(paths.round_step(802, 140), RoundStep::GoRound);
+}
+
+#[test]
+fn a_silent_backend_server_is_not_probed_while_others_answer() {
+    let mut paths = EnginePaths::default();
+    paths.record_answer(100);
+    assert!(!paths.take_probe(349, &name("a")));
+    assert!(paths.take_probe(350, &name("a")));
+}
