--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -27,6 +27,7 @@
     first_event: RefCell<Histogram>,
     part_changes: RefCell<Vec<(&'static str, u64)>>,
     peer_bytes: RefCell<Vec<(&'static str, u64)>>,
+    peer_largest_bytes: RefCell<Vec<(&'static str, u64)>>,
     refusals: RefCell<Vec<(&'static str, u64)>>,
     relayed_connections: RefCell<Vec<(&'static str, u64)>>,
     request: RefCell<Histogram>,
@@ -110,9 +111,10 @@
         increment(&mut self.relayed_connections.borrow_mut(), event);
     }
 
-    /// Counts bytes sent to other instances.
-    pub fn record_peer_bytes(&self, kind: &'static str, bytes: usize) {
-        add(&mut self.peer_bytes.borrow_mut(), kind, bytes as u64);
+    /// Counts a message of this size, in bytes, that is sent to several other instances.
+    pub fn record_peer_message(&self, kind: &'static str, bytes: usize, receivers: usize) {
+        add(&mut self.peer_bytes.borrow_mut(), kind, (bytes * receivers) as u64);
+        raise(&mut self.peer_largest_bytes.borrow_mut(), kind, bytes as u64);
     }
 
     /// Returns the bytes sent to other instances, by kind of message.
@@ -120,6 +122,11 @@
         self.peer_bytes.borrow().clone()
     }
 
+    /// Returns the size of the largest message sent to other instances, in bytes, by its kind.
+    pub fn peer_largest_bytes(&self) -> Vec<(&'static str, u64)> {
+        self.peer_largest_bytes.borrow().clone()
+    }
+
     /// Counts a call to the store.
     pub fn record_store_call(&self, failed: bool) {
         self.store_calls.set(self.store_calls.get() + 1);
@@ -169,6 +176,12 @@
                 format_args!("bergamotspan_peer_bytes_total{{kind=\"{kind}\"}} {number}"),
             );
         }
+        for (kind, bytes) in self.peer_largest_bytes.borrow().iter() {
+            write_line(
+                &mut text,
+                format_args!("bergamotspan_peer_largest_bytes{{kind=\"{kind}\"}} {bytes}"),
+            );
+        }
         self.request.borrow().write("bergamotspan_request_ms", &mut text);
         self.first_event.borrow().write("bergamotspan_first_event_ms", &mut text);
         let proof_age_ms = gauges.proof_age_ms.map(|age_ms| age_ms as i64).unwrap_or(-1);
@@ -206,6 +219,17 @@
     }
 }
 
+/// Raises a value that is lower than `number` to it.
+fn raise<T>(values: &mut Vec<(T, u64)>, key: T, number: u64)
+where
+    T: Copy + Ord,
+{
+    match values.binary_search_by_key(&key, |(known, _)| *known) {
+        Ok(index) => values[index].1 = values[index].1.max(number),
+        Err(index) => values.insert(index, (key, number)),
+    }
+}
+
 fn write_line(text: &mut String, line: std::fmt::Arguments<'_>) {
     // Writing to a string does not fail.
     let _ = writeln!(text, "{line}");
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -21,6 +21,7 @@
 use crate::gateway::routing_document::RouteKind;
 use crate::gateway::shared::Shared;
 use crate::gateway::stream_relay::relay_stream;
+use crate::name::Name;
 
 /// Longest time for which a request is held while the instance joins the fleet, in milliseconds.
 const JOIN_WAIT_MS: u64 = 250;
@@ -46,14 +47,63 @@
         path: request.uri.path(),
     };
     match admit(&shared, &arrival).await {
-        Admission::Forward(plan) if plan.route.kind == RouteKind::Stream => {
-            relay_stream(shared, plan, request).await
-        }
-        Admission::Forward(plan) => relay_plain(shared, plan, request).await,
+        Admission::Forward(plan) => relay(shared, plan, request).await,
         Admission::Refuse(refusal) => refuse_arrival(&shared, &metadata, &refusal, arrived_ms),
     }
 }
 
+async fn relay(
+    shared: Rc<Shared>,
+    plan: RequestPlan,
+    request: CallerRequest,
+) -> Response<ReplyBody> {
+    let waiting = WaitingCaller::new(&plan);
+    let response = match plan.route.kind {
+        RouteKind::Stream => relay_stream(shared, plan, request).await,
+        RouteKind::Idempotent | RouteKind::Unsafe => relay_plain(shared, plan, request).await,
+    };
+    waiting.end();
+    response
+}
+
+/// A caller whose answer has not begun; logs that it disconnects.
+struct WaitingCaller {
+    arrived_ms: u64,
+    has_answer: bool,
+    request_id: Name,
+    route: Name,
+}
+
+impl WaitingCaller {
+    fn new(plan: &RequestPlan) -> Self {
+        Self {
+            arrived_ms: plan.arrived_ms,
+            has_answer: false,
+            request_id: plan.request_id.clone(),
+            route: plan.route.name.clone(),
+        }
+    }
+
+    fn end(mut self) {
+        self.has_answer = true;
+    }
+}
+
+impl Drop for WaitingCaller {
+    fn drop(&mut self) {
+        if self.has_answer {
+            return;
+        }
+        info!(
+            target: "end",
+            request = &*self.request_id,
+            route = &*self.route,
+            elapsed_ms = boot_ms().saturating_sub(self.arrived_ms);
+            "Caller disconnected before its answer began."
+        );
+    }
+}
+
 /// Has the state admit a request; one that arrives while the instance joins the fleet is held for a
 /// moment, since it is about to know what it needs.
 async fn admit(shared: &Shared, arrival: &Arrival<'_>) -> Admission {
--- a/src/gateway/peer_socket.rs
+++ b/src/gateway/peer_socket.rs
@@ -92,7 +92,13 @@
         if now_ms >= bytes_logged_ms + BYTES_LOG_MS {
             bytes_logged_ms = now_ms;
             let bytes = shared.counters.peer_bytes();
-            info!(target: "peers", bytes:?; "Bytes sent to other instances since the start.");
+            let largest_bytes = shared.counters.peer_largest_bytes();
+            info!(
+                target: "peers",
+                bytes:?,
+                largest_bytes:?;
+                "Bytes sent to other instances since the start."
+            );
         }
         let limit = Duration::from_millis(TICK_MS);
         let changed = timeout(limit, shared.report_soon.notified()).await.is_ok();
@@ -138,7 +144,7 @@
     let kind = outgoing.body.kind();
     let message = Message { sender: state.sender(now_ms), body: outgoing.body };
     let message = encode_message(&message)?;
-    shared.counters.record_peer_bytes(kind, message.len() * outgoing.to.len());
+    shared.counters.record_peer_message(kind, message.len(), outgoing.to.len());
     for to in outgoing.to {
         let datagram = encode_datagram(&state.fleet().roster().envelope(now_ms, to), &message)?;
         match socket.try_send_to(&datagram, to) {
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -107,7 +107,7 @@
 fn store_update(shared: &Shared, query: Option<&str>) -> Response<Full<Bytes>> {
     match peer_update::encode(&shared.state.borrow(), query.unwrap_or_default()) {
         Ok(Some(bytes)) => {
-            shared.counters.record_peer_bytes("update", bytes.len());
+            shared.counters.record_peer_message("update", bytes.len(), 1);
             Response::new(Full::new(bytes.into()))
         }
         Ok(None) => {
