Tell crashes under requests as news, in bounded reports (GONE)

Cause: each report of a coordinator listed every request that any instance knew to have been running at a crashed engine, to each member, three times a second. Instances passed on what they had heard from each other and so renewed it for ever. The reports filled links of 10 Mbit/s; members lost sight of their coordinator, took over one by one and sent such reports themselves: 2.0 GB in 30 s in place of 19 MB.

Change: a crash is passed on only by an instance that it is news to, only to those that the report which brought it does not reach, in three reports, at most 64 in one and those of requests with most crashes first. Full reports repeat 24 others, for instances that start later. The messages are as before.

Two tests show that a request that crashed two engines is still quarantined everywhere within 3 s, and at an instance that starts later.

--- a/src/gateway/crash_records.rs
+++ b/src/gateway/crash_records.rs
@@ -49,6 +49,9 @@
                 fingerprint,
                 sent_ms,
             );
+            if let Some(suspect) = self.quarantine.own_suspect(fingerprint) {
+                self.fleet.suspect_feeds.add_own(now_ms, &self.fleet.own_name, &suspect);
+            }
             self.record_crash_of_parts(now_ms, broken_ms, &backend_server, &unstarted_parts);
             self.crash_notices.push(CrashNotice::Crashed {
                 backend_server,
@@ -63,6 +66,7 @@
     pub fn record_answer(&mut self, backend: &str, fingerprint: u64) {
         self.broken_sends.discard(backend);
         self.quarantine.record_finish(fingerprint);
+        self.fleet.suspect_feeds.remove_own(&self.fleet.own_name, fingerprint);
     }
 
     /// Removes and returns what is to be logged about crashes.
--- a/src/gateway/fleet/membership.rs
+++ b/src/gateway/fleet/membership.rs
@@ -7,8 +7,9 @@
 use crate::gateway::fleet::cells::{CellLayout, cell_count, cell_of};
 use crate::gateway::fleet::failed_paths::FailedPaths;
 use crate::gateway::fleet::leases::Leases;
-use crate::gateway::fleet::message::{AskedUsage, Body, FreePlaces, ReportedSuspects};
+use crate::gateway::fleet::message::{AskedUsage, Body, FreePlaces};
 use crate::gateway::fleet::roster::Roster;
+use crate::gateway::fleet::suspect_feed::SuspectFeeds;
 use crate::gateway::fleet::usage_book::UsageBook;
 use crate::gateway::gateway_settings::GatewaySettings;
 use crate::name::Name;
@@ -118,8 +119,7 @@
     pub(crate) started_ms: u64,
     /// Members of the cell that the store does not answer, sorted.
     pub(crate) store_unreachable: Vec<Name>,
-    /// Suspects that other instances reported lately, with the time of the report.
-    pub(crate) suspects: Vec<(u64, ReportedSuspects)>,
+    pub(crate) suspect_feeds: SuspectFeeds,
     /// Coordinators that left requests unanswered, and until when they are passed over.
     pub(crate) suspected: Vec<(Name, u64)>,
     /// When the last tick was, in milliseconds of the boot clock.
@@ -168,7 +168,7 @@
             sent_usage: Vec::new(),
             started_ms: now_ms,
             store_unreachable: Vec::new(),
-            suspects: Vec::new(),
+            suspect_feeds: SuspectFeeds::default(),
             suspected: Vec::new(),
             ticked_ms: now_ms,
             stopping: false,
--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -28,4 +28,5 @@
 pub mod receiving;
 pub mod reporting;
 pub mod roster;
+pub mod suspect_feed;
 pub mod usage_book;
--- a/src/gateway/fleet/receiving.rs
+++ b/src/gateway/fleet/receiving.rs
@@ -11,14 +11,24 @@
 };
 use crate::gateway::fleet::origin_message::OriginAnswer;
 use crate::gateway::fleet::roster::proved_ms;
+use crate::gateway::fleet::suspect_feed::SuspectFeeds;
 use crate::gateway::fleet::usage_book::UsageUpdate;
 use crate::gateway::state::{GatewayState, monotonic_now};
 use crate::name::Name;
 
 /// Time by which a proof must be newer to be passed on at once, in milliseconds.
 const MUCH_NEWER_MS: u64 = 1_500;
-/// Time for which reported suspects are passed on, in milliseconds.
-const SUSPECT_RELAY_MS: u64 = 10_000;
+
+/// The report that brings suspects.
+#[derive(Clone, Copy, Debug)]
+enum ReportKind {
+    /// From a coordinator to its cell.
+    Cell,
+    /// From a member to its coordinators.
+    Member,
+    /// From the coordinator of another cell.
+    Summary,
+}
 
 /// Effect of a datagram that the tasks of the process carry out.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -169,7 +179,7 @@
         self.deduct(now_ms, &gained);
         let suspects =
             ReportedSuspects { instance: name.clone(), suspects: report.suspects.clone() };
-        self.merge_suspects(now_ms, &[suspects]);
+        self.merge_suspects(now_ms, &[suspects], ReportKind::Member);
     }
 
     fn receive_cell(
@@ -181,7 +191,7 @@
     ) {
         self.fleet.roster.merge(now_ms, &report.instances);
         self.mark_leaving(&report.leaving);
-        self.merge_suspects(now_ms, &report.suspects);
+        self.merge_suspects(now_ms, &report.suspects, ReportKind::Cell);
         self.merge_part_evidence(now_ms, &sender.instance, &report.parts);
         if !self.fleet.is_in_own_cell(&sender.instance) {
             return;
@@ -221,7 +231,7 @@
     ) {
         self.fleet.roster.merge(now_ms, &summary.members);
         self.mark_leaving(&summary.leaving);
-        self.merge_suspects(now_ms, &summary.suspects);
+        self.merge_suspects(now_ms, &summary.suspects, ReportKind::Summary);
         self.merge_part_evidence(now_ms, &sender.instance, &summary.parts);
         let cell = summary.cell as usize;
         if cell == self.fleet.layout.own || cell >= self.fleet.layout.count() {
@@ -253,19 +263,28 @@
         }
     }
 
-    fn merge_suspects(&mut self, now_ms: u64, reported: &[ReportedSuspects]) {
+    /// Merges suspects, and passes those that are news on to those that the report does not reach.
+    fn merge_suspects(&mut self, now_ms: u64, reported: &[ReportedSuspects], by: ReportKind) {
         for ReportedSuspects { instance, suspects } in reported {
-            if suspects.is_empty() || *instance == self.fleet.own_name {
+            if *instance == self.fleet.own_name {
                 continue;
             }
-            self.quarantine.merge(monotonic_now(now_ms), instance, suspects);
-            self.fleet.suspects.retain(|(_, known)| known.instance != *instance);
-            let suspects = suspects.clone();
-            let reported = ReportedSuspects { instance: instance.clone(), suspects };
-            self.fleet.suspects.push((now_ms, reported));
+            let news = self.quarantine.merge(monotonic_now(now_ms), instance, suspects);
+            let SuspectFeeds { cell, summary, .. } = &mut self.fleet.suspect_feeds;
+            for suspect in &news {
+                match by {
+                    ReportKind::Cell => {
+                        cell.add_told(now_ms, instance, suspect);
+                        summary.add_told(now_ms, instance, suspect);
+                    }
+                    ReportKind::Member => {
+                        cell.add_news(now_ms, instance, suspect);
+                        summary.add_news(now_ms, instance, suspect);
+                    }
+                    ReportKind::Summary => cell.add_news(now_ms, instance, suspect),
+                }
+            }
         }
-        let since_ms = now_ms.saturating_sub(SUSPECT_RELAY_MS);
-        self.fleet.suspects.retain(|(heard_ms, _)| *heard_ms >= since_ms);
     }
 }
 
--- a/src/gateway/fleet/reporting.rs
+++ b/src/gateway/fleet/reporting.rs
@@ -10,8 +10,8 @@
 use crate::gateway::fleet::leases::Lease;
 use crate::gateway::fleet::membership::{Fleet, Outgoing, SentUsage};
 use crate::gateway::fleet::message::{
-    Body, CellLeader, CellReport, CellSummary, FreePlaces, MemberReport, ROSTER_CHUNK,
-    ReportedSuspects, RosterEntry, RunningPlace, Sender, Spent, StoreStatus, UnitsLeft,
+    Body, CellLeader, CellReport, CellSummary, FreePlaces, MemberReport, ROSTER_CHUNK, RosterEntry,
+    RunningPlace, Sender, Spent, StoreStatus, UnitsLeft,
 };
 use crate::gateway::fleet::roster::LIVE_MS;
 use crate::gateway::state::GatewayState;
@@ -152,13 +152,14 @@
             backend_server: place.backend_server.clone(),
             unread_tokens: place.unread_tokens,
         });
+        let own_suspects = self.fleet.suspect_feeds.member.next_report(now_ms, is_full);
         let report = MemberReport {
             status: self.store_status(now_ms),
             uptime_ms: now_ms.saturating_sub(self.started_ms),
             is_full,
             spent,
             running: running.collect(),
-            suspects: self.quarantine.suspects(),
+            suspects: own_suspects.into_iter().flat_map(|own| own.suspects).collect(),
             parts: self.parts.evidence_for_report(now_ms, is_full),
             leaving: self.backends.announced_leaving(),
         };
@@ -195,7 +196,7 @@
                 .map(|(cell, address)| CellLeader { cell: cell as u32, address })
                 .collect(),
             instances: self.fleet.roster.next_entries(now_ms, LISTED_INSTANCES),
-            suspects: self.all_suspects(),
+            suspects: self.fleet.suspect_feeds.cell.next_report(now_ms, is_full),
             parts: self.parts.evidence_for_report(now_ms, is_full),
             leaving: self.backends.announced_leaving(),
         };
@@ -222,7 +223,7 @@
             spent,
             free: self.free_places(now_ms),
             members: self.fleet.own_cell_entries(now_ms),
-            suspects: self.all_suspects(),
+            suspects: self.fleet.suspect_feeds.summary.next_report(now_ms, is_full),
             parts: self.parts.evidence_for_report(now_ms, is_full),
             leaving: self.backends.announced_leaving(),
         };
@@ -240,16 +241,6 @@
         });
         free.filter(|places| places.count > 0).collect()
     }
-
-    fn all_suspects(&self) -> Vec<ReportedSuspects> {
-        let own = ReportedSuspects {
-            instance: self.fleet.own_name.clone(),
-            suspects: self.quarantine.suspects(),
-        };
-        let others = self.fleet.suspects.iter().map(|(_, suspects)| suspects.clone());
-        let all = std::iter::once(own).chain(others);
-        all.filter(|reported| !reported.suspects.is_empty()).collect()
-    }
 }
 
 impl Fleet {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -242,7 +242,7 @@
             return Err(self.permanent_if_fresh(now_ms, RefusalReason::NoRoute));
         };
         let customer = self.identify_customer(now_ms, &route, arrival)?;
-        if self.quarantine.is_quarantined(monotonic_now(now_ms), arrival.fingerprint) {
+        if self.is_quarantined(now_ms, arrival.fingerprint) {
             return Err(Refusal::retryable(RefusalReason::Quarantined, RETRY_QUARANTINED_MS));
         }
         let Some(service) = weighted_service(&route.services, random).cloned() else {
@@ -296,6 +296,11 @@
         }
     }
 
+    /// Returns whether a request is not sent because it crashed backend servers.
+    pub fn is_quarantined(&mut self, now_ms: u64, fingerprint: u64) -> bool {
+        self.quarantine.is_quarantined(monotonic_now(now_ms), fingerprint)
+    }
+
     /// Takes the units of a request from its customer's limit, unless that is done.
     ///
     /// # Errors
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -73,17 +73,25 @@
         }
     }
 
-    /// Merges the suspects that a peer reports; repeats change nothing.
-    pub fn merge(&mut self, now: Now, from: &Name, suspects: &[Suspect]) {
+    /// Merges the suspects that a peer reports, and returns those with a crash that was not recorded
+    /// from it yet.
+    pub fn merge(&mut self, now: Now, from: &Name, suspects: &[Suspect]) -> Vec<Suspect> {
         self.expire(now);
+        let mut news = Vec::new();
         for suspect in suspects {
-            self.record(suspect.fingerprint).merge_peer_crashes(
-                now,
-                from,
-                &suspect.backend_servers,
-            );
+            let record = self.record(suspect.fingerprint);
+            if record.merge_peer_crashes(now, from, &suspect.backend_servers) {
+                news.push(suspect.clone());
+            }
             self.evict();
         }
+        news
+    }
+
+    /// Returns the crashes that this instance saw itself at which a request was running, if any count.
+    pub fn own_suspect(&self, fingerprint: u64) -> Option<Suspect> {
+        let index = self.find(fingerprint).ok()?;
+        self.records[index].own_suspect().map(|(_, suspect)| suspect)
     }
 
     /// Returns whether a fingerprint is quarantined.
--- a/src/suspect_record.rs
+++ b/src/suspect_record.rs
@@ -102,8 +102,15 @@
         Some((last_ms, Suspect { backend_servers, fingerprint: self.fingerprint }))
     }
 
-    /// Adds the crashes that a peer reports and that were not recorded from it yet.
-    pub(crate) fn merge_peer_crashes(&mut self, now: Now, from: &Name, backend_servers: &[Name]) {
+    /// Adds the crashes that a peer reports and that were not recorded from it yet; returns whether
+    /// there are any.
+    pub(crate) fn merge_peer_crashes(
+        &mut self,
+        now: Now,
+        from: &Name,
+        backend_servers: &[Name],
+    ) -> bool {
+        let before = self.crashes.len();
         for (index, backend_server) in backend_servers.iter().enumerate() {
             let reported =
                 backend_servers[..=index].iter().filter(|name| *name == backend_server).count();
@@ -111,6 +118,7 @@
                 self.add(now, backend_server, Some(from.clone()));
             }
         }
+        self.crashes.len() > before
     }
 
     fn add(&mut self, now: Now, backend_server: &Name, peer: Option<Name>) {
--- a/tests/crash_news_fleet.rs
+++ b/tests/crash_news_fleet.rs
@@ -15,6 +15,11 @@
 const RUNNING: usize = 6;
 /// Bytes that an instance may send for control in a second (docs/CAPACITY.md).
 const CONTROL_BYTES_PER_S: f64 = 22_000.0;
+/// Time after which a request that crashes engines may reach no more than a few (`stable-window-ms` of
+/// the smallest installation).
+const STABLE_WINDOW_MS: u64 = 3_000;
+/// Time in which an instance that starts learns of all requests that crashed engines, in milliseconds.
+const LEARNING_MS: u64 = 30_000;
 /// Time in which a fleet finds itself, in milliseconds.
 const SETTLE_MS: u64 = 6_000;
 
@@ -76,3 +81,53 @@
         assert!(sent_after_a_crash(instances, engines) < CONTROL_BYTES_PER_S);
     }
 }
+
+/// Runs until all instances refuse a request for its crashes; returns how long that took, or the first
+/// instance that does not after `limit_ms`.
+fn run_until_quarantined(
+    fleet: &mut SimulatedFleet,
+    fingerprint: u64,
+    limit_ms: u64,
+) -> Result<u64, usize> {
+    let begun_ms = fleet.now_ms;
+    loop {
+        let now_ms = fleet.now_ms;
+        let mut indices = 0..fleet.states.len();
+        let unaware =
+            indices.find(|index| !fleet.state(*index).is_quarantined(now_ms, fingerprint));
+        match unaware {
+            None => return Ok(now_ms - begun_ms),
+            Some(index) if now_ms >= begun_ms + limit_ms => return Err(index),
+            Some(_) => fleet.run(100),
+        }
+    }
+}
+
+#[test]
+fn a_request_that_crashed_two_engines_is_quarantined_everywhere_amid_many_other_crashes() {
+    const BAD: u64 = 77;
+    for (instances, engines) in [(7, 9), (71, 112), (150, 100)] {
+        let mut fleet = started(instances, engines);
+        crash_a_quarter(&mut fleet, instances, engines);
+        // Neither instance sees both crashes.
+        crash_under(&mut fleet, 1, 1, BAD);
+        crash_under(&mut fleet, instances - 1, 2, BAD);
+        let known_ms = run_until_quarantined(&mut fleet, BAD, STABLE_WINDOW_MS);
+        assert!(known_ms.is_ok(), "{instances} instances: {known_ms:?}");
+    }
+}
+
+#[test]
+fn an_instance_that_starts_later_learns_of_a_quarantined_request() {
+    const BAD: u64 = 77;
+    let mut fleet = started(40, 40);
+    crash_a_quarter(&mut fleet, 40, 40);
+    crash_under(&mut fleet, 1, 1, BAD);
+    crash_under(&mut fleet, 2, 2, BAD);
+    fleet.run(20_000);
+    fleet.kill(30);
+    fleet.run(500);
+    fleet.start_instance(30);
+    let known_ms = run_until_quarantined(&mut fleet, BAD, LEARNING_MS);
+    assert!(known_ms.is_ok(), "{known_ms:?}");
+}
