--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -2,13 +2,13 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use futures_util::future::{Either, select};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -33,6 +33,8 @@
 const MIN_HEAD_BYTES: usize = 8_192;
 /// Time between two checks of a connection's timeouts, in milliseconds.
 const TIMEOUT_CHECK_INTERVAL_MS: u64 = 500;
+/// Time between two checks whether the caller has left while bytes of it are unread, in milliseconds.
+const DEPARTURE_CHECK_INTERVAL_MS: u64 = 50;
 
 /// State of a connection that its timeout check reads.
 struct ConnectionState {
@@ -81,6 +83,22 @@
         self.shared.in_progress.set(self.shared.in_progress.get().saturating_sub(1));
     }
 
+    /// Waits until the caller has closed its connection before the end of its answer. The HTTP
+    /// connection notices that itself only if it has read nothing beyond the request.
+    async fn departure(&self) {
+        loop {
+            poll_fn(|context| match self.phase.get() {
+                CallerPhase::Answering => self.observer.poll_readable(context),
+                _ => Poll::Pending,
+            })
+            .await;
+            if self.observer.is_closed() {
+                return;
+            }
+            sleep(Duration::from_millis(DEPARTURE_CHECK_INTERVAL_MS)).await;
+        }
+    }
+
     /// Returns the timeout that the connection has exceeded; none while it holds bytes that were not
     /// read yet, which may be a whole request.
     fn overdue(&self) -> Overdue {
@@ -131,18 +149,20 @@
     let http_connection =
         http1::Builder::new().max_buf_size(head_bytes).serve_connection(io, service);
     let mut http_connection = pin!(http_connection);
+    let mut departure = pin!(connection.departure());
     loop {
-        let timeout_check = pin!(sleep(Duration::from_millis(TIMEOUT_CHECK_INTERVAL_MS)));
-        let close = pin!(connection.close.notified());
-        match select(http_connection.as_mut(), select(timeout_check, close)).await {
+        let timeout_check = sleep(Duration::from_millis(TIMEOUT_CHECK_INTERVAL_MS));
+        tokio::select! {
+            biased;
             // Callers may disconnect at any time.
-            Either::Left(_) => return,
-            Either::Right((Either::Left(_), _)) => match connection.overdue() {
+            _ = http_connection.as_mut() => return,
+            () = &mut departure => return,
+            () = connection.close.notified() => http_connection.as_mut().graceful_shutdown(),
+            () = timeout_check => match connection.overdue() {
                 Overdue::No => {}
                 Overdue::Idle => http_connection.as_mut().graceful_shutdown(),
                 Overdue::Head => return,
             },
-            Either::Right((Either::Right(_), _)) => http_connection.as_mut().graceful_shutdown(),
         }
     }
 }
--- a/src/gateway/shared_socket.rs
+++ b/src/gateway/shared_socket.rs
@@ -7,8 +7,9 @@
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
 
+use futures_util::FutureExt;
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 /// A socket that closes when its one owner is dropped.
@@ -37,6 +38,22 @@
         let peeked = SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]);
         peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
     }
+
+    /// Returns once the socket can be read or is closed; an owner in the same task is woken as before.
+    pub(crate) fn poll_readable(&self, context: &mut Context<'_>) -> Poll<()> {
+        match self.0.upgrade() {
+            Some(stream) => stream.borrow().poll_read_ready(context).map(|_| ()),
+            None => Poll::Ready(()),
+        }
+    }
+
+    /// Returns whether the other end has closed the socket, also while bytes before its end are unread.
+    pub(crate) fn is_closed(&self) -> bool {
+        let Some(stream) = self.0.upgrade() else { return true };
+        let stream = stream.borrow();
+        let ready = stream.ready(Interest::READABLE).now_or_never();
+        ready.is_some_and(|ready| ready.map_or(true, |ready| ready.is_read_closed()))
+    }
 }
 
 impl AsyncRead for SharedSocket {
