Keep the limit on requests that a backend server states, over all instances (LIMIT)

What users saw: a server that stated 2.2 requests a second got 25 in 4 s; 18 are allowed. Its answers took up to 4.8 s.

Cause: nothing read the limit. It is a property of one server that concerns all instances together, and answers had only been read for what concerns the request itself.

Change: the limit is read from each answer (src/gateway/rate_limit.rs) and told to the coordinator at once. The coordinator, which grants every place at a server, grants no more than the limit allows; a queued request waits for an allowance or goes elsewhere, a plain one is refused with the time until the next. While no coordinator is known each instance has its part, and one that hears few of the known instances leaves room for another. A later statement wins whichever arrives first; an answer without a limit ends it only if its request was sent after the limit was stated. Reports carry limits behind the message, where the build before passes over them.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -4,6 +4,7 @@
 
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::fleet::message::{EngineReport, Speeds};
+use crate::gateway::rate_limit::RateLimit;
 use crate::gateway::request_metadata::PromptShape;
 use crate::name::Name;
 
@@ -91,6 +92,8 @@
     pub(crate) held_until_ms: u64,
     failure_share: f64,
     failures_in_a_row: u32,
+    /// The limit on requests that it states.
+    pub limit: RateLimit,
     last_received_ms: u64,
     paused_until_ms: u64,
     cached_parts: Vec<(u64, u64)>,
@@ -149,6 +152,7 @@
             held_until_ms: 0,
             failure_share: 0.0,
             failures_in_a_row: 0,
+            limit: RateLimit::default(),
             last_received_ms: 0,
             paused_until_ms: 0,
             cached_parts: Vec::new(),
@@ -178,6 +182,12 @@
         }
     }
 
+    /// Returns the number of slots that can be in use; at a limit, those that it fills.
+    pub fn usable_slots(&self) -> usize {
+        let Some(rate) = self.limit.millirequests_per_s() else { return self.record.slots };
+        (rate.div_ceil(1_000) as usize).clamp(1, self.record.slots.max(1))
+    }
+
     /// Returns the number of free slots.
     pub fn free_slots(&self) -> usize {
         self.record.slots.saturating_sub(self.load().running as usize)
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -5,6 +5,7 @@
 use crate::gateway::engine_query::{EngineQuery, VersionNeed, expected_loss};
 use crate::gateway::fleet::cells::{CellLayout, cell_of};
 use crate::gateway::fleet::message::{EngineReport, LeavingServer};
+use crate::gateway::rate_limit::LimitStatement;
 use crate::gateway::request_metadata::PromptShape;
 use crate::gateway::software_versions::{PresentVersion, SoftwareVersions};
 use crate::gateway::store_item::StoreItem;
@@ -23,6 +24,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Backends {
     layout: CellLayout,
+    /// Share of the limits of backend servers that this instance may use, in thousandths.
+    limit_share_permille: u64,
     list: Vec<Backend>,
     /// Pools by service, sorted by its name.
     pools: Vec<Pool>,
@@ -217,15 +220,78 @@
 
     /// Returns a backend server for a plain request; one in back-off only if there is no other.
     pub fn choose_plain(&self, now_ms: u64, service: &str, except: &[Name]) -> Option<Name> {
-        let available =
-            self.of_service(service, except).filter(|backend| backend.may_serve(now_ms));
-        let in_backoff = || {
-            let of_service = self.of_service(service, except);
-            of_service.filter(|backend| now_ms >= backend.paused_until_ms())
-        };
+        let admitting =
+            || self.of_service(service, except).filter(|backend| self.admits(now_ms, backend));
+        let available = admitting().filter(|backend| backend.may_serve(now_ms));
+        let in_backoff = || admitting().filter(|backend| now_ms >= backend.paused_until_ms());
         least_wait(available).or_else(|| least_wait(in_backoff()))
     }
 
+    /// Returns whether the limit of a backend server allows this instance to send or grant a request.
+    fn admits(&self, now_ms: u64, backend: &Backend) -> bool {
+        self.limit_wait_ms(now_ms, backend) == Some(0)
+    }
+
+    fn limit_wait_ms(&self, now_ms: u64, backend: &Backend) -> Option<u64> {
+        backend
+            .limit
+            .millirequests_per_s()
+            .map_or(Some(0), |_| backend.limit.wait_ms(now_ms, self.limit_share_at(backend)))
+    }
+
+    /// Returns the share of the limit of a backend server that this instance may use, in thousandths: 0
+    /// if the coordinator of another cell grants its places.
+    fn limit_share_at(&self, backend: &Backend) -> u64 {
+        let is_own = self.pool(&backend.record.service).is_some_and(|pool| {
+            pool.coordinating_cell == self.layout.own
+                && pool.cell.iter().any(|index| self.list[*index].id == backend.id)
+        });
+        if is_own { self.limit_share_permille } else { 0 }
+    }
+
+    /// Sets the share of the limits of backend servers that this instance may use, in thousandths.
+    pub fn set_limit_share(&mut self, now_ms: u64, permille: u64) {
+        let before_permille = std::mem::replace(&mut self.limit_share_permille, permille);
+        if before_permille != permille {
+            for backend in &mut self.list {
+                backend.limit.change_share(now_ms, before_permille, permille);
+            }
+        }
+    }
+
+    /// Takes a request from the limit of a backend server.
+    pub fn take_allowance(&mut self, now_ms: u64, id: &str) {
+        let Ok(index) = self.find(id) else { return };
+        let share = self.limit_share_at(&self.list[index]);
+        self.list[index].limit.take(now_ms, share);
+    }
+
+    /// Returns the time until the limits of a service's backend servers allow a request, in
+    /// milliseconds; `None` if none of them states a limit, or this instance may not use it.
+    pub fn limited_for_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
+        let limited = self.of_service(service, &[]);
+        let limited = limited.filter(|backend| backend.limit.millirequests_per_s().is_some());
+        limited.filter_map(|backend| self.limit_wait_ms(now_ms, backend)).min()
+    }
+
+    /// Merges what is stated of the limit of a run of a backend server; returns whether it changed.
+    pub fn merge_limit(
+        &mut self,
+        now_ms: u64,
+        id: &str,
+        born_ms: Option<u64>,
+        statement: LimitStatement,
+    ) -> bool {
+        let Some(backend) = self.get_mut(id) else { return false };
+        backend.record.born_ms == born_ms && backend.limit.merge(now_ms, statement)
+    }
+
+    /// Returns the backend servers of which a limit is told to other instances.
+    pub fn told_limits(&self, now_ms: u64) -> impl Iterator<Item = (&Backend, LimitStatement)> {
+        let told = self.list.iter();
+        told.filter_map(move |backend| Some((backend, backend.limit.told(now_ms)?)))
+    }
+
     /// Sets the cells.
     pub fn set_layout(&mut self, layout: &CellLayout) {
         if self.layout != *layout {
@@ -279,7 +345,7 @@
         }
         let best = candidates
             .into_iter()
-            .filter(|backend| backend.free_slots() > 0)
+            .filter(|backend| backend.free_slots() > 0 && self.admits(now_ms, backend))
             .map(|backend| (expected_loss(now_ms, backend, query), backend))
             .min_by(|(left, _), (right, _)| left.total_cmp(right));
         match best {
@@ -319,7 +385,9 @@
     ) -> (usize, usize) {
         let candidates = self.candidates(now_ms, service, &[], version_need).into_iter();
         candidates.fold((0, 0), |(all, free), backend| {
-            (all + backend.record.slots, free + backend.free_slots())
+            let admitted = self.admits(now_ms, backend);
+            let own_free = if admitted { backend.free_slots() } else { 0 };
+            (all + backend.usable_slots(), free + own_free.min(backend.usable_slots()))
         })
     }
 
--- a/src/gateway/dispatching.rs
+++ b/src/gateway/dispatching.rs
@@ -163,7 +163,11 @@
         if !query.is_model {
             return match self.backends.choose_plain(now_ms, &plan.service, tried) {
                 Some(chosen) => DispatchDecision::Send(self.start_own_place(now_ms, &chosen, None)),
-                None => DispatchDecision::Reject(RETRY_SOON_MS),
+                None => DispatchDecision::Reject(self.retry_within_limits_ms(
+                    now_ms,
+                    &plan.service,
+                    RETRY_SOON_MS,
+                )),
             };
         }
         if let Err(refusal) = self.check_parts(now_ms, &query.engine.prompt) {
--- a/src/gateway/fleet/granting.rs
+++ b/src/gateway/fleet/granting.rs
@@ -77,7 +77,10 @@
             let chosen = self.backends.choose_plain(now_ms, &ask.service, &ask.tried);
             return match chosen {
                 Some(chosen) => self.grant(now_ms, holder, ask.number, &chosen, None),
-                None => PlaceVerdict::Refused(RETRY_SOON_MS),
+                None => {
+                    let wait_ms = self.retry_within_limits_ms(now_ms, &ask.service, RETRY_SOON_MS);
+                    PlaceVerdict::Refused(wait_ms)
+                }
             };
         }
         if let Err(refusal) = self.check_parts(now_ms, &query.engine.prompt) {
@@ -169,6 +172,7 @@
             unread_tokens,
             unstarted_parts: prompt.as_deref().map(PromptShape::shared_parts).unwrap_or_default(),
         };
+        self.backends.take_allowance(now_ms, backend_server);
         self.fleet.leases.add(lease.clone(), &mut self.backends);
         PlaceVerdict::Granted(self.granted(&lease))
     }
--- a/src/gateway/fleet/message.rs
+++ b/src/gateway/fleet/message.rs
@@ -41,12 +41,40 @@
 }
 
 /// Part of a datagram that is the same for all receivers.
-#[derive(Clone, Debug, Deserialize_tuple, PartialEq, Serialize_tuple)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Message {
     /// Who sent it.
     pub sender: Sender,
     /// What it says.
     pub body: Body,
+    /// What builds before the first additions do not read.
+    pub additions: Additions,
+}
+
+/// Follows the sender and the body of a message. A build passes over fields that it does not know, and
+/// those of version 5 without additions pass over all of it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Additions {
+    /// Limits that backend servers state.
+    #[serde(default, rename = "l", skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<ToldLimit>,
+}
+
+/// The limit that a backend server states.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ToldLimit {
+    /// Time since the statement, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// Id of the backend server.
+    #[serde(rename = "s")]
+    pub backend_server: Name,
+    /// Start of the run that states it, in Unix milliseconds, if it is published.
+    #[serde(default, rename = "b")]
+    pub born_ms: Option<u64>,
+    /// The limit, in thousandths of a request a second; `None` if it has ended.
+    #[serde(default, rename = "r")]
+    pub millirequests_per_s: Option<u64>,
 }
 
 /// The instance that sent a datagram.
@@ -454,7 +482,11 @@
 ///
 /// Returns [`Error::Io`] if it can't be encoded.
 pub fn encode_message(message: &Message) -> Result<Vec<u8>, Error> {
-    encode(message, "Encoding a message failed")
+    let mut bytes = encode(&(&message.sender, &message.body), "Encoding a message failed")?;
+    if message.additions != Additions::default() {
+        bytes.extend(encode(&message.additions, "Encoding additions to a message failed")?);
+    }
+    Ok(bytes)
 }
 
 /// Encodes a datagram for one receiver.
@@ -480,8 +512,11 @@
     if envelope.version != MESSAGE_VERSION {
         return Err(unreadable(format!("version {} is not known", envelope.version)));
     }
-    let message = ciborium::from_reader(bytes).map_err(|error| unreadable(error.to_string()))?;
-    Ok((envelope, message))
+    let (sender, body) =
+        ciborium::from_reader(&mut bytes).map_err(|error| unreadable(error.to_string()))?;
+    // What a later build adds in another form is passed over.
+    let additions = ciborium::from_reader(bytes).unwrap_or_default();
+    Ok((envelope, Message { sender, body, additions }))
 }
 
 fn encode<T>(value: &T, action: &str) -> Result<Vec<u8>, Error>
--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -28,5 +28,6 @@
 pub mod receiving;
 pub mod reporting;
 pub mod roster;
+pub mod server_limits;
 pub mod suspect_feed;
 pub mod usage_book;
--- a/src/gateway/fleet/placing.rs
+++ b/src/gateway/fleet/placing.rs
@@ -164,6 +164,7 @@
         };
         let unread_tokens =
             prompt.map(|prompt| backend.uncached_tokens(prompt)).unwrap_or_default();
+        self.backends.take_allowance(now_ms, backend_server);
         self.count_own_send(now_ms, backend_server, prompt, unread_tokens);
         let number = self.fleet.new_place_number();
         self.fleet.own_places.push(OwnPlace {
--- a/src/gateway/fleet/receiving.rs
+++ b/src/gateway/fleet/receiving.rs
@@ -56,7 +56,7 @@
         envelope: &Envelope,
         message: Message,
     ) -> Received {
-        let Message { sender, body } = message;
+        let Message { sender, body, additions } = message;
         if sender.instance == self.fleet.own_name {
             return Received::default();
         }
@@ -65,6 +65,7 @@
             self.fleet.needs_arranging = true;
         }
         let mut received = Received { is_new: contact.is_new, ..Received::default() };
+        self.merge_limits(now_ms, &additions.limits);
         match body {
             Body::Answer(answer) => received.answer = Some(answer),
             Body::Ask(ask) => self.receive_ask(now_ms, from, &sender.instance, &ask),
--- a/src/gateway/fleet/reporting.rs
+++ b/src/gateway/fleet/reporting.rs
@@ -10,8 +10,8 @@
 use crate::gateway::fleet::leases::Lease;
 use crate::gateway::fleet::membership::{Fleet, Outgoing, SentUsage};
 use crate::gateway::fleet::message::{
-    Body, CellLeader, CellReport, CellSummary, FreePlaces, MemberReport, ROSTER_CHUNK, RosterEntry,
-    RunningPlace, Sender, Spent, StoreStatus, UnitsLeft,
+    Additions, Body, CellLeader, CellReport, CellSummary, FreePlaces, MemberReport, Message,
+    ROSTER_CHUNK, RosterEntry, RunningPlace, Sender, Spent, StoreStatus, UnitsLeft,
 };
 use crate::gateway::fleet::roster::LIVE_MS;
 use crate::gateway::state::GatewayState;
@@ -53,6 +53,13 @@
         }
     }
 
+    /// Returns a message with this body, and what is added to it.
+    pub fn message(&self, now_ms: u64, body: Body) -> Message {
+        let is_report = matches!(body, Body::Cell(_) | Body::Member(_) | Body::Summary(_));
+        let limits = if is_report { self.limits_for_report(now_ms) } else { Vec::new() };
+        Message { sender: self.sender(now_ms), body, additions: Additions { limits } }
+    }
+
     /// Updates cells and roles, drops what silent instances held, and adds the reports that are due
     /// to the outbox.
     pub fn tick(&mut self, now_ms: u64) {
@@ -62,6 +69,7 @@
             self.backends.set_layout(&self.fleet.layout);
         }
         self.update_role(now_ms);
+        self.update_limit_share(now_ms);
         self.drop_silent(now_ms);
         self.expire_parts(now_ms);
         let live = self.fleet.live_count(now_ms);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 mod place_finder;
 mod plain_relay;
 mod planned_stop;
+pub mod rate_limit;
 mod readiness;
 pub mod recent_parts;
 mod relay;
--- a/src/gateway/peer_socket.rs
+++ b/src/gateway/peer_socket.rs
@@ -13,7 +13,7 @@
 use crate::gateway::fleet::coordinators::Decider;
 use crate::gateway::fleet::membership::Outgoing;
 use crate::gateway::fleet::message::{
-    Message, PlaceAnswer, PlaceVerdict, decode_datagram, encode_datagram, encode_message,
+    PlaceAnswer, PlaceVerdict, decode_datagram, encode_datagram, encode_message,
 };
 use crate::gateway::fleet::reporting::TICK_MS;
 use crate::gateway::peer_update;
@@ -142,7 +142,7 @@
     let state = shared.state.borrow();
     let now_ms = boot_ms();
     let kind = outgoing.body.kind();
-    let message = Message { sender: state.sender(now_ms), body: outgoing.body };
+    let message = state.message(now_ms, outgoing.body);
     let message = encode_message(&message)?;
     shared.counters.record_peer_message(kind, message.len(), outgoing.to.len());
     for to in outgoing.to {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,6 +17,7 @@
 use crate::gateway::fleet::message::LeavingServer;
 use crate::gateway::fleet_dialer::refuses_connections;
 use crate::gateway::forward::rejection;
+use crate::gateway::rate_limit::StatedLimit;
 use crate::gateway::reply::{ReplyBody, failure_response};
 use crate::gateway::send_guard::SendGuard;
 use crate::gateway::send_progress::SendProgress;
@@ -189,6 +190,7 @@
 
     fn note_announcements(&self, guard: &mut SendGuard, reply: &ReplyMetadata) {
         guard.record_pause(reply.pause_ms);
+        self.note_limit(guard, reply.limit);
         if !reply.is_leaving {
             return;
         }
@@ -202,6 +204,24 @@
         self.shared.report_soon.notify_one();
     }
 
+    fn note_limit(&self, guard: &SendGuard, stated: StatedLimit) {
+        let backend_server = &guard.started_send().backend_server;
+        let mut state = self.shared.state.borrow_mut();
+        if !state.record_stated_limit(boot_ms(), guard.sent_ms(), backend_server, stated) {
+            return;
+        }
+        let limit = state.backends().get(backend_server).map(|known| known.limit);
+        let requests_per_s = limit.and_then(|limit| limit.millirequests_per_s());
+        let requests_per_s = requests_per_s.map(|rate| rate as f64 / 1_000.0);
+        info!(
+            target: "limits",
+            backend_server = &**backend_server,
+            requests_per_s;
+            "Limit stated by a backend server changed."
+        );
+        self.shared.report_soon.notify_one();
+    }
+
     /// Returns whether the route and the retry budget allow a retry, and takes it from the budget.
     pub(crate) fn may_retry(&mut self) -> bool {
         self.sends < self.plan.route.attempts
--- a/src/gateway/wire.rs
+++ b/src/gateway/wire.rs
@@ -5,6 +5,7 @@
 
 use crate::error::Error;
 use crate::gateway::gateway_settings::GatewaySettings;
+use crate::gateway::rate_limit::StatedLimit;
 use crate::gateway::request_metadata::RequestMetadata;
 use crate::gateway::store_item::{StoreChanges, StorePage};
 use crate::name::Name;
@@ -87,6 +88,8 @@
     pub idle_timeout_ms: Option<u64>,
     /// Whether the backend server announces that it leaves.
     pub is_leaving: bool,
+    /// The limit on requests that the backend server states.
+    pub limit: StatedLimit,
     /// Time for which the backend server asks to be left alone, in milliseconds.
     pub pause_ms: Option<u64>,
     /// Whether the backend server reports that it did not run the request.
--- a/tests/gateway_fleet_schedules.rs
+++ b/tests/gateway_fleet_schedules.rs
@@ -206,7 +206,9 @@
     holder: &str,
     ask: &bergamotspan::gateway::fleet::pending_ask::PendingAsk,
 ) -> u64 {
-    use bergamotspan::gateway::fleet::message::{Body, Envelope, Message, PlaceVerdict, Sender};
+    use bergamotspan::gateway::fleet::message::{
+        Additions, Body, Envelope, Message, PlaceVerdict, Sender,
+    };
     let sender = Sender {
         instance: named(holder),
         incarnation: 1,
@@ -214,7 +216,11 @@
         capacity: 250,
         stopping: false,
     };
-    let message = Message { sender, body: Body::Ask(Box::new(ask.ask.clone())) };
+    let message = Message {
+        sender,
+        body: Body::Ask(Box::new(ask.ask.clone())),
+        additions: Additions::default(),
+    };
     let index: usize = holder.trim_start_matches("front-").parse().expect("a number");
     coordinator.receive_message(now_ms, address(index), &Envelope::default(), message);
     let outbox = coordinator.fleet_mut().take_outbox();
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -10,10 +10,10 @@
 use bergamotspan::gateway::engine_query::VersionNeed;
 use bergamotspan::gateway::fleet::counter_feed::{CounterFeed, SourceId};
 use bergamotspan::gateway::fleet::message::{
-    Body, CellReport, CellSummary, EndedPlace, EngineReport, Envelope, GrantedPlace, MemberReport,
-    Message, PlaceAnswer, PlaceAsk, PlaceProgress, PlaceStep, PlaceVerdict, RosterEntry,
-    RunningPlace, Sender, Speeds, Spent, StoreStatus, UnitsLeft, decode_datagram, encode_datagram,
-    encode_message,
+    Additions, Body, CellReport, CellSummary, EndedPlace, EngineReport, Envelope, GrantedPlace,
+    MemberReport, Message, PlaceAnswer, PlaceAsk, PlaceProgress, PlaceStep, PlaceVerdict,
+    RosterEntry, RunningPlace, Sender, Speeds, Spent, StoreStatus, UnitsLeft, decode_datagram,
+    encode_datagram, encode_message,
 };
 use bergamotspan::gateway::fleet::pending_ask::{AskStep, PendingAsk};
 use bergamotspan::gateway::fleet::roster::{Roster, proved_ms};
@@ -57,7 +57,8 @@
     envelope: Envelope,
     body: Body,
 ) -> Vec<Body> {
-    let message = Message { sender: sender("front-2", sent_ms), body };
+    let message =
+        Message { sender: sender("front-2", sent_ms), body, additions: Additions::default() };
     state.receive_message(now_ms, peer(2), &envelope, message);
     let outbox = state.fleet_mut().take_outbox();
     outbox.into_iter().map(|outgoing| outgoing.body).collect()
@@ -78,7 +79,8 @@
     };
     let report = CellReport { instances: vec![entry], ..CellReport::default() };
     for body in [Body::Cell(Box::new(report)), member_report(vec![running(1, "m-1")])] {
-        let written = Message { sender: sender("front-2", 5), body };
+        let written =
+            Message { sender: sender("front-2", 5), body, additions: Additions::default() };
         let bytes = encode_message(&written).expect("a message");
         let bytes = encode_datagram(&envelope(Some(4), 9), &bytes).expect("a datagram");
         let read = decode_datagram(&bytes, peer(2)).expect("readable");
@@ -189,7 +191,8 @@
         let now_ms = START_MS + step * 10;
         let report = CellReport { is_ready: true, ..CellReport::default() };
         let sender = Sender { sent_ms: now_ms, ..sender.clone() };
-        let message = Message { sender, body: Body::Cell(Box::new(report)) };
+        let message =
+            Message { sender, body: Body::Cell(Box::new(report)), additions: Additions::default() };
         state.receive_message(now_ms, peer(2), &envelope(None, 0), message);
         state.record_proof(now_ms);
         let mut plan = admitted(&mut state, now_ms, "/draft/a", &draft("r", 100, 10));
@@ -550,7 +553,8 @@
         Body::Hello(largest(7)),
     ];
     let encode = |body| {
-        let message = Message { sender: sender("front-2", 5), body };
+        let message =
+            Message { sender: sender("front-2", 5), body, additions: Additions::default() };
         let message = encode_message(&message).expect("a message");
         let echo = envelope(Some(largest(START_MS)), largest(5));
         encode_datagram(&echo, &message).expect("a datagram")
--- a/tests/gateway_store_read.rs
+++ b/tests/gateway_store_read.rs
@@ -6,7 +6,7 @@
 
 use bergamotspan::gateway::backends::RecordChange;
 use bergamotspan::gateway::fleet::message::{
-    Body, CellReport, Envelope, MemberReport, Message, Sender, StoreStatus,
+    Additions, Body, CellReport, Envelope, MemberReport, Message, Sender, StoreStatus,
 };
 use bergamotspan::gateway::fleet::receiving::Received;
 use bergamotspan::gateway::gateway_settings::GatewaySettings;
@@ -50,7 +50,12 @@
         capacity,
         stopping: false,
     };
-    let received = state.receive_message(now_ms, from, &envelope, Message { sender, body });
+    let received = state.receive_message(
+        now_ms,
+        from,
+        &envelope,
+        Message { sender, body, additions: Additions::default() },
+    );
     state.tick(now_ms);
     received
 }
--- a/tests/gateway_support/fleet.rs
+++ b/tests/gateway_support/fleet.rs
@@ -199,7 +199,7 @@
     pub fn send(&mut self, from: usize, to: &[SocketAddr], body: Body) {
         let now_ms = self.now_ms;
         let Some(state) = &self.states[from] else { return };
-        let message = Message { sender: state.sender(now_ms), body };
+        let message = state.message(now_ms, body);
         if self.counts_bytes {
             let bytes = bergamotspan::gateway::fleet::message::encode_message(&message)
                 .expect("encodable")
