--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -271,7 +271,8 @@
     pub fn limited_for_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
         let limited = self.of_service(service, &[]);
         let limited = limited.filter(|backend| backend.limit.millirequests_per_s().is_some());
-        limited.filter_map(|backend| self.limit_wait_ms(now_ms, backend)).min()
+        let wait_ms = |known: &Backend| known.limit.wait_ms(now_ms, self.limit_share_at(known));
+        limited.filter_map(wait_ms).min()
     }
 
     /// Merges what is stated of the limit of a run of a backend server; returns whether it changed.
--- a/src/gateway/fleet/message.rs
+++ b/src/gateway/fleet/message.rs
@@ -9,6 +9,7 @@
 use crate::gateway::admission::Rank;
 use crate::gateway::backend::SendOutcome;
 use crate::gateway::engine_query::VersionNeed;
+use crate::gateway::fleet::additions::Additions;
 use crate::gateway::fleet::origin_message::{OriginAnswer, OriginAsk, ToldOrigin};
 use crate::gateway::fleet::part_evidence::{PartEvidence, PartRefusal};
 use crate::gateway::request_metadata::PromptShape;
@@ -51,32 +52,6 @@
     pub additions: Additions,
 }
 
-/// Follows the sender and the body of a message. A build passes over fields that it does not know, and
-/// those of version 5 without additions pass over all of it.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct Additions {
-    /// Limits that backend servers state.
-    #[serde(default, rename = "l", skip_serializing_if = "Vec::is_empty")]
-    pub limits: Vec<ToldLimit>,
-}
-
-/// The limit that a backend server states.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ToldLimit {
-    /// Time since the statement, in milliseconds.
-    #[serde(rename = "a")]
-    pub age_ms: u64,
-    /// Id of the backend server.
-    #[serde(rename = "s")]
-    pub backend_server: Name,
-    /// Start of the run that states it, in Unix milliseconds, if it is published.
-    #[serde(default, rename = "b")]
-    pub born_ms: Option<u64>,
-    /// The limit, in thousandths of a request a second; `None` if it has ended.
-    #[serde(default, rename = "r")]
-    pub millirequests_per_s: Option<u64>,
-}
-
 /// The instance that sent a datagram.
 #[derive(Clone, Debug, Deserialize_tuple, PartialEq, Serialize_tuple)]
 pub struct Sender {
--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -11,6 +11,7 @@
 //! which software version a stream was begun. All of it is without sockets and clocks; `peer_socket`
 //! moves the datagrams.
 
+pub mod additions;
 pub mod cells;
 pub mod coordinators;
 pub mod counter_feed;
--- a/src/gateway/fleet/reporting.rs
+++ b/src/gateway/fleet/reporting.rs
@@ -5,13 +5,14 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::gateway::fleet::additions::Additions;
 use crate::gateway::fleet::cells::cell_of;
 use crate::gateway::fleet::counter_feed::Counters;
 use crate::gateway::fleet::leases::Lease;
 use crate::gateway::fleet::membership::{Fleet, Outgoing, SentUsage};
 use crate::gateway::fleet::message::{
-    Additions, Body, CellLeader, CellReport, CellSummary, FreePlaces, MemberReport, Message,
-    ROSTER_CHUNK, RosterEntry, RunningPlace, Sender, Spent, StoreStatus, UnitsLeft,
+    Body, CellLeader, CellReport, CellSummary, FreePlaces, MemberReport, Message, ROSTER_CHUNK,
+    RosterEntry, RunningPlace, Sender, Spent, StoreStatus, UnitsLeft,
 };
 use crate::gateway::fleet::roster::LIVE_MS;
 use crate::gateway::state::GatewayState;
--- a/src/gateway/fleet/server_limits.rs
+++ b/src/gateway/fleet/server_limits.rs
@@ -3,8 +3,8 @@
 //! The coordinator that grants the places at a backend server grants no more of them than its limit
 //! allows. While none is known, each instance uses its part of the limit.
 
+use crate::gateway::fleet::additions::ToldLimit;
 use crate::gateway::fleet::coordinators::Decider;
-use crate::gateway::fleet::message::ToldLimit;
 use crate::gateway::rate_limit::{LimitStatement, StatedLimit};
 use crate::gateway::state::GatewayState;
 use crate::name::Name;
--- a/tests/datagram_additions.rs
+++ b/tests/datagram_additions.rs
@@ -4,9 +4,9 @@
 
 use std::net::SocketAddr;
 
+use bergamotspan::gateway::fleet::additions::{Additions, ToldLimit};
 use bergamotspan::gateway::fleet::message::{
-    Additions, Body, Envelope, Message, Sender, ToldLimit, decode_datagram, encode_datagram,
-    encode_message,
+    Body, Envelope, Message, Sender, decode_datagram, encode_datagram, encode_message,
 };
 use serde::{Deserialize, Serialize};
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
--- a/tests/gateway_fleet_schedules.rs
+++ b/tests/gateway_fleet_schedules.rs
@@ -206,9 +206,8 @@
     holder: &str,
     ask: &bergamotspan::gateway::fleet::pending_ask::PendingAsk,
 ) -> u64 {
-    use bergamotspan::gateway::fleet::message::{
-        Additions, Body, Envelope, Message, PlaceVerdict, Sender,
-    };
+    use bergamotspan::gateway::fleet::additions::Additions;
+    use bergamotspan::gateway::fleet::message::{Body, Envelope, Message, PlaceVerdict, Sender};
     let sender = Sender {
         instance: named(holder),
         incarnation: 1,
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -8,12 +8,13 @@
 use bergamotspan::gateway::backend::SendOutcome;
 use bergamotspan::gateway::dispatching::{DispatchDecision, WaitResult};
 use bergamotspan::gateway::engine_query::VersionNeed;
+use bergamotspan::gateway::fleet::additions::Additions;
 use bergamotspan::gateway::fleet::counter_feed::{CounterFeed, SourceId};
 use bergamotspan::gateway::fleet::message::{
-    Additions, Body, CellReport, CellSummary, EndedPlace, EngineReport, Envelope, GrantedPlace,
-    MemberReport, Message, PlaceAnswer, PlaceAsk, PlaceProgress, PlaceStep, PlaceVerdict,
-    RosterEntry, RunningPlace, Sender, Speeds, Spent, StoreStatus, UnitsLeft, decode_datagram,
-    encode_datagram, encode_message,
+    Body, CellReport, CellSummary, EndedPlace, EngineReport, Envelope, GrantedPlace, MemberReport,
+    Message, PlaceAnswer, PlaceAsk, PlaceProgress, PlaceStep, PlaceVerdict, RosterEntry,
+    RunningPlace, Sender, Speeds, Spent, StoreStatus, UnitsLeft, decode_datagram, encode_datagram,
+    encode_message,
 };
 use bergamotspan::gateway::fleet::pending_ask::{AskStep, PendingAsk};
 use bergamotspan::gateway::fleet::roster::{Roster, proved_ms};
--- a/tests/gateway_store_read.rs
+++ b/tests/gateway_store_read.rs
@@ -5,8 +5,9 @@
 use std::net::SocketAddr;
 
 use bergamotspan::gateway::backends::RecordChange;
+use bergamotspan::gateway::fleet::additions::Additions;
 use bergamotspan::gateway::fleet::message::{
-    Additions, Body, CellReport, Envelope, MemberReport, Message, Sender, StoreStatus,
+    Body, CellReport, Envelope, MemberReport, Message, Sender, StoreStatus,
 };
 use bergamotspan::gateway::fleet::receiving::Received;
 use bergamotspan::gateway::gateway_settings::GatewaySettings;
