Eject backend servers that fail far more often than the others

Callers lost thousands of plain requests to one server that breaks each connection: it has always the fewest running requests, and a choice by load sends it nearly all. The moving share of failures as a factor of the wait did not outweigh that.

The coordinator of a service keeps the last outcomes of each backend server, from all instances, and ejects one that fails five times in a row or most of its requests, while the others answer. An ejected server gets trials alone, of requests that may run more than once. Ejections are told to the cell as an addition to its reports; an ask says as an addition whether its request is repeatable.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -4,6 +4,7 @@
 
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::fleet::message::{EngineReport, Speeds};
+use crate::gateway::outliers::record::OutcomeRecord;
 use crate::gateway::rate_limit::RateLimit;
 use crate::gateway::request_metadata::PromptShape;
 use crate::name::Name;
@@ -95,6 +96,8 @@
     /// The limit on requests that it states.
     pub limit: RateLimit,
     last_received_ms: u64,
+    /// How requests of all instances ended there, and whether it is ejected for that.
+    pub outcomes: OutcomeRecord,
     paused_until_ms: u64,
     cached_parts: Vec<(u64, u64)>,
     prefill_ms: MovingAverage,
@@ -154,6 +157,7 @@
             failures_in_a_row: 0,
             limit: RateLimit::default(),
             last_received_ms: 0,
+            outcomes: OutcomeRecord::default(),
             paused_until_ms: 0,
             cached_parts: Vec::new(),
             prefill_ms: MovingAverage::default(),
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -5,6 +5,8 @@
 use crate::gateway::engine_query::{EngineQuery, VersionNeed, expected_loss};
 use crate::gateway::fleet::cells::{CellLayout, cell_of};
 use crate::gateway::fleet::message::{EngineReport, LeavingServer};
+use crate::gateway::outliers::judge::Others;
+use crate::gateway::outliers::record::Ejection;
 use crate::gateway::rate_limit::LimitStatement;
 use crate::gateway::request_metadata::PromptShape;
 use crate::gateway::software_versions::{PresentVersion, SoftwareVersions};
@@ -218,13 +220,43 @@
         divided.map(|pool| pool.service.clone()).collect()
     }
 
-    /// Returns a backend server for a plain request; one in back-off only if there is no other.
-    pub fn choose_plain(&self, now_ms: u64, service: &str, except: &[Name]) -> Option<Name> {
+    /// Returns a backend server for a plain request; an ejected one or one in back-off only if there
+    /// is no other.
+    ///
+    /// A request that is repeatable may be a trial of an ejected one.
+    pub fn choose_plain(
+        &self,
+        now_ms: u64,
+        service: &str,
+        except: &[Name],
+        is_repeatable: bool,
+    ) -> Option<Name> {
         let admitting =
             || self.of_service(service, except).filter(|backend| self.admits(now_ms, backend));
-        let available = admitting().filter(|backend| backend.may_serve(now_ms));
+        let available = || admitting().filter(|backend| backend.may_serve(now_ms));
+        let mut trials = available().filter(|backend| backend.outcomes.is_trial_due(now_ms));
+        if is_repeatable && let Some(trial) = trials.next() {
+            return Some(trial.id.clone());
+        }
+        let trusted = available().filter(|backend| backend.outcomes.ejection().is_none());
         let in_backoff = || admitting().filter(|backend| now_ms >= backend.paused_until_ms());
-        least_wait(available).or_else(|| least_wait(in_backoff()))
+        least_wait(trusted).or_else(|| least_wait(available())).or_else(|| least_wait(in_backoff()))
+    }
+
+    /// Returns the ejected backend servers that are usable.
+    pub fn ejected(&self) -> impl Iterator<Item = (&Backend, &Ejection)> {
+        self.usable().filter_map(|backend| Some((backend, backend.outcomes.ejection()?)))
+    }
+
+    /// Returns how the other backend servers of a service that this cell uses fare.
+    pub fn others_of(&self, now_ms: u64, service: &str, id: &str) -> Others {
+        let indices = self.pool(service).map(|pool| &pool.cell[..]).unwrap_or_default();
+        let others = indices.iter().map(|index| &self.list[*index]);
+        let others = others.filter(|other| *other.id != *id && other.may_serve(now_ms));
+        others.fold(Others::default(), |mut sum, other| {
+            sum.add(&other.outcomes);
+            sum
+        })
     }
 
     /// Returns whether the limit of a backend server allows this instance to send or grant a request.
@@ -259,11 +291,13 @@
         }
     }
 
-    /// Takes a request from the limit of a backend server.
+    /// Takes a request that is sent from the limit of a backend server; it is a trial of one that is
+    /// ejected.
     pub fn take_allowance(&mut self, now_ms: u64, id: &str) {
         let Ok(index) = self.find(id) else { return };
         let share = self.limit_share_at(&self.list[index]);
         self.list[index].limit.take(now_ms, share);
+        self.list[index].outcomes.begin_send(now_ms);
     }
 
     /// Returns the time until the limits of a service's backend servers allow a request, in
@@ -344,9 +378,15 @@
         if candidates.is_empty() {
             return EngineChoice::NoneUsable;
         }
-        let best = candidates
+        let open = candidates
+            .into_iter()
+            .filter(|backend| backend.free_slots() > 0 && self.admits(now_ms, backend));
+        let open: Vec<_> = open.collect();
+        if let Some(trial) = open.iter().find(|backend| backend.outcomes.is_trial_due(now_ms)) {
+            return EngineChoice::Chosen(trial.id.clone());
+        }
+        let best = open
             .into_iter()
-            .filter(|backend| backend.free_slots() > 0 && self.admits(now_ms, backend))
             .map(|backend| (expected_loss(now_ms, backend, query), backend))
             .min_by(|(left, _), (right, _)| left.total_cmp(right));
         match best {
@@ -465,6 +505,8 @@
             among.filter(|known| !except.contains(&known.id)).collect()
         };
         let mut candidates = among(&pool.cell);
+        let is_repeatable = *version_need != VersionNeed::Any;
+        retain_trusted(now_ms, &mut candidates, is_repeatable);
         match version_need {
             VersionNeed::Any => {}
             VersionNeed::Only(version) => {
@@ -489,6 +531,16 @@
     }
 }
 
+/// Removes ejected backend servers unless there are no others; those that are due for a trial stay
+/// for a request that is repeatable.
+fn retain_trusted(now_ms: u64, candidates: &mut Vec<&Backend>, is_repeatable: bool) {
+    let is_trusted = |known: &Backend| known.outcomes.ejection().is_none();
+    if candidates.iter().any(|known| is_trusted(known)) {
+        let is_trial = |known: &Backend| is_repeatable && known.outcomes.is_trial_due(now_ms);
+        candidates.retain(|known| is_trusted(known) || is_trial(known));
+    }
+}
+
 /// Returns the backend server with the least expected wait, weighted by its share of failures.
 fn least_wait<'a, I>(backends: I) -> Option<Name>
 where
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -32,6 +32,7 @@
     relayed_connections: RefCell<Vec<(&'static str, u64)>>,
     request: RefCell<Histogram>,
     resumptions: RefCell<Vec<(&'static str, u64)>>,
+    standing_changes: RefCell<Vec<(&'static str, u64)>>,
     store_calls: Cell<u64>,
     store_failures: Cell<u64>,
 }
@@ -100,6 +101,12 @@
         increment(&mut self.part_changes.borrow_mut(), stage.name());
     }
 
+    /// Counts an ejection of a backend server, or its end.
+    pub fn record_standing_change(&self, is_ejected: bool) {
+        let name = if is_ejected { "ejected" } else { "trusted" };
+        increment(&mut self.standing_changes.borrow_mut(), name);
+    }
+
     /// Counts a stream that its caller takes up, by the source of its origin.
     pub fn record_resumption(&self, source: Option<OriginSource>) {
         let name = source.map(OriginSource::name).unwrap_or("unknown");
@@ -156,6 +163,14 @@
                 ),
             );
         }
+        for (standing, number) in self.standing_changes.borrow().iter() {
+            write_line(
+                &mut text,
+                format_args!(
+                    "bergamotspan_standing_changes_total{{standing=\"{standing}\"}} {number}"
+                ),
+            );
+        }
         for (source, number) in self.resumptions.borrow().iter() {
             write_line(
                 &mut text,
--- a/src/gateway/dispatching.rs
+++ b/src/gateway/dispatching.rs
@@ -161,7 +161,9 @@
     ) -> DispatchDecision {
         let query = PlaceQuery::new(plan, tried);
         if !query.is_model {
-            return match self.backends.choose_plain(now_ms, &plan.service, tried) {
+            let is_repeatable = plan.route.is_repeatable();
+            let chosen = self.backends.choose_plain(now_ms, &plan.service, tried, is_repeatable);
+            return match chosen {
                 Some(chosen) => DispatchDecision::Send(self.start_own_place(now_ms, &chosen, None)),
                 None => DispatchDecision::Reject(self.retry_within_limits_ms(
                     now_ms,
--- a/src/gateway/fleet/additions.rs
+++ b/src/gateway/fleet/additions.rs
@@ -11,6 +11,29 @@
     /// Limits that backend servers state.
     #[serde(default, rename = "l", skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<ToldLimit>,
+    /// Backend servers that are ejected, from a coordinator to its cell.
+    #[serde(default, rename = "o", skip_serializing_if = "Vec::is_empty")]
+    pub outliers: Vec<ToldOutlier>,
+    /// Whether the request that a place is asked for may run more than once.
+    #[serde(default, rename = "i", skip_serializing_if = "is_false")]
+    pub is_repeatable: bool,
+}
+
+/// A backend server that is ejected, since it fails far more often than the others.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ToldOutlier {
+    /// Id of the backend server.
+    #[serde(rename = "s")]
+    pub backend_server: Name,
+    /// Start of the run that is ejected, in Unix milliseconds, if it is published.
+    #[serde(default, rename = "b")]
+    pub born_ms: Option<u64>,
+    /// Time since the ejection, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// Trials in a row that failed.
+    #[serde(default, rename = "f")]
+    pub failed_trials: u32,
 }
 
 /// The limit that a backend server states.
@@ -29,3 +52,7 @@
     #[serde(default, rename = "r")]
     pub millirequests_per_s: Option<u64>,
 }
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
--- a/src/gateway/fleet/granting.rs
+++ b/src/gateway/fleet/granting.rs
@@ -74,7 +74,8 @@
     ) -> PlaceVerdict {
         let query = PlaceQuery::from_ask(now_ms, ask);
         if !query.is_model {
-            let chosen = self.backends.choose_plain(now_ms, &ask.service, &ask.tried);
+            let chosen =
+                self.backends.choose_plain(now_ms, &ask.service, &ask.tried, ask.is_repeatable);
             return match chosen {
                 Some(chosen) => self.grant(now_ms, holder, ask.number, &chosen, None),
                 None => {
--- a/src/gateway/fleet/message.rs
+++ b/src/gateway/fleet/message.rs
@@ -349,6 +349,9 @@
     pub may_redirect: bool,
     /// Whether it may wait for a place.
     pub may_wait: bool,
+    /// Whether it may run more than once; among the additions of the message.
+    #[serde(skip)]
+    pub is_repeatable: bool,
 }
 
 /// Units to be taken from a customer's limit.
--- a/src/gateway/fleet/placing.rs
+++ b/src/gateway/fleet/placing.rs
@@ -280,6 +280,7 @@
         if end.outcome == SendOutcome::Unreachable {
             return self.record_failed_path(now_ms, path);
         }
+        self.record_standing(now_ms, path, end.outcome);
         let SendPath { backend_server, instance, .. } = path;
         if matches!(end.outcome, SendOutcome::Answered | SendOutcome::Refused) {
             self.record_contact(now_ms, instance, backend_server);
@@ -339,6 +340,7 @@
             usage: self.asked_usage(plan),
             may_redirect: true,
             may_wait: true,
+            is_repeatable: plan.route.is_repeatable(),
         }
     }
 
--- a/src/gateway/fleet/receiving.rs
+++ b/src/gateway/fleet/receiving.rs
@@ -30,6 +30,15 @@
     Summary,
 }
 
+/// The sender of a report to a cell.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CellSource {
+    /// The coordinator whose decisions count here.
+    Followed,
+    /// Another one.
+    Other,
+}
+
 /// Effect of a datagram that the tasks of the process carry out.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Received {
@@ -68,7 +77,10 @@
         self.merge_limits(now_ms, &additions.limits);
         match body {
             Body::Answer(answer) => received.answer = Some(answer),
-            Body::Ask(ask) => self.receive_ask(now_ms, from, &sender.instance, &ask),
+            Body::Ask(mut ask) => {
+                ask.is_repeatable = additions.is_repeatable;
+                self.receive_ask(now_ms, from, &sender.instance, &ask);
+            }
             Body::Hello(checksum) => self.answer_hello(now_ms, from, checksum),
             Body::Origin(answer) => received.origin = Some(answer),
             Body::OriginAsk(ask) => self.answer_origin_ask(now_ms, from, &ask),
@@ -97,7 +109,9 @@
             Body::Cell(_) | Body::Member(_) | Body::Summary(_) if !contact.in_order => {}
             Body::Cell(report) => {
                 self.receive_status(now_ms, &sender, envelope, &report.status, &mut received);
-                self.receive_cell(now_ms, &sender, envelope, *report);
+                if self.receive_cell(now_ms, &sender, envelope, *report) == CellSource::Followed {
+                    self.adopt_outliers(now_ms, &additions.outliers);
+                }
             }
             Body::Member(report) => {
                 self.receive_status(now_ms, &sender, envelope, &report.status, &mut received);
@@ -189,13 +203,13 @@
         sender: &Sender,
         envelope: &Envelope,
         report: CellReport,
-    ) {
+    ) -> CellSource {
         self.fleet.roster.merge(now_ms, &report.instances);
         self.mark_leaving(&report.leaving);
         self.merge_suspects(now_ms, &report.suspects, ReportKind::Cell);
         self.merge_part_evidence(now_ms, &sender.instance, &report.parts);
         if !self.fleet.is_in_own_cell(&sender.instance) {
-            return;
+            return CellSource::Other;
         }
         self.fleet.set_store_reachable(&sender.instance, report.status.is_reachable);
         self.fleet.see_coordinator(SeenCoordinator {
@@ -209,7 +223,7 @@
         let is_followed =
             self.fleet.followed(now_ms).is_some_and(|seen| seen.name == sender.instance);
         if !is_followed || self.fleet.decider(now_ms) == Decider::Own {
-            return;
+            return CellSource::Other;
         }
         self.fleet.leaders =
             report.leaders.iter().map(|leader| (leader.cell as usize, leader.address)).collect();
@@ -221,6 +235,7 @@
         for engine in &report.engines {
             self.backends.adopt_report(engine, !self.fleet.is_coordinating());
         }
+        CellSource::Followed
     }
 
     fn receive_summary(
--- a/src/gateway/fleet/reporting.rs
+++ b/src/gateway/fleet/reporting.rs
@@ -58,7 +58,13 @@
     pub fn message(&self, now_ms: u64, body: Body) -> Message {
         let is_report = matches!(body, Body::Cell(_) | Body::Member(_) | Body::Summary(_));
         let limits = if is_report { self.limits_for_report(now_ms) } else { Vec::new() };
-        Message { sender: self.sender(now_ms), body, additions: Additions { limits } }
+        let outliers = match body {
+            Body::Cell(_) => self.outliers_for_report(now_ms),
+            _ => Vec::new(),
+        };
+        let is_repeatable = matches!(&body, Body::Ask(ask) if ask.is_repeatable);
+        let additions = Additions { limits, outliers, is_repeatable };
+        Message { sender: self.sender(now_ms), body, additions }
     }
 
     /// Updates cells and roles, drops what silent instances held, and adds the reports that are due
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 pub mod freshness;
 pub mod gateway_settings;
 mod origin_finder;
+pub mod outliers;
 mod part_gate;
 pub mod part_quarantine;
 pub mod part_stage;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -174,6 +174,24 @@
         }
         self.flush();
         self.log_crashes();
+        self.log_standing_changes();
+    }
+
+    fn log_standing_changes(&self) {
+        let changes = self.state.borrow_mut().take_standing_changes();
+        for change in changes {
+            self.report_soon.notify_one();
+            self.counters.record_standing_change(change.is_ejected);
+            info!(
+                target: "outliers",
+                backend_server = &*change.backend_server,
+                ejected = change.is_ejected,
+                failures = change.failures,
+                outcomes = change.outcomes,
+                ejected_for_ms = change.ejected_for_ms;
+                "Backend server ejected or trusted again."
+            );
+        }
     }
 
     fn log_crashes(&self) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use crate::gateway::fleet::message::LeavingServer;
 use crate::gateway::freshness::Freshness;
 use crate::gateway::gateway_settings::GatewaySettings;
+use crate::gateway::outliers::fleet::StandingChange;
 use crate::gateway::part_quarantine::PartQuarantine;
 use crate::gateway::planned_stop::PlannedStop;
 use crate::gateway::request_metadata::PromptShape;
@@ -80,6 +81,8 @@
     /// When the store is listed again after it came back from an older copy, in milliseconds of the
     /// boot clock.
     pub(crate) relist_at_ms: Option<u64>,
+    /// Changes of backend servers' standings that are not logged yet.
+    pub(crate) standing_changes: Vec<StandingChange>,
     pub(crate) started_ms: u64,
     pub(crate) stop: Option<PlannedStop>,
     /// Whether the store answered the last call.
@@ -119,6 +122,7 @@
             relist_at_ms: None,
             services_moved_ms: None,
             settings,
+            standing_changes: Vec::new(),
             started_ms: now_ms,
             stop: None,
             store_reachable: true,
--- a/tests/gateway_backends.rs
+++ b/tests/gateway_backends.rs
@@ -223,8 +223,8 @@
     let early = START_MS + 2_999;
     assert_eq!(backends.choose_engine(early, "model", &query(100, 10)), EngineChoice::NoneUsable);
     // The choice for plain requests ignores a back-off if there is no other, but not a pause.
-    assert_eq!(backends.choose_plain(early, "model", &[]), None);
-    assert!(backends.choose_plain(START_MS + 3_000, "model", &[]).is_some());
+    assert_eq!(backends.choose_plain(early, "model", &[], false), None);
+    assert!(backends.choose_plain(START_MS + 3_000, "model", &[], false).is_some());
 }
 
 #[test]
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -261,6 +261,7 @@
         usage: None,
         may_redirect: true,
         may_wait: true,
+        is_repeatable: false,
     }
 }
 
