Limit what cold backend servers get from all instances together

Cause: the record's remaining cold time and the service's bound were read past, and an idle engine is preferred by every decision.

Change: a limit on a backend server has several reasons (src/gateway/rate_limit), of which the smallest holds: the stated one as before, and that it is cold. What cold servers bear comes from the document; how long one stays cold from its record, from X-Cold-Ms, and from reports of others for what records do not say. A server that was out of reach counts as cold until its record or the time says otherwise. Coordinators grant within the limit; instances that decide alone, or whose coordinator is of an earlier build, use their part.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -4,7 +4,7 @@
 
 use crate::gateway::backend_record::BackendRecord;
 use crate::gateway::fleet::message::{EngineReport, Speeds};
-use crate::gateway::rate_limit::RateLimit;
+use crate::gateway::rate_limit::ServerLimits;
 use crate::gateway::request_metadata::PromptShape;
 use crate::name::Name;
 
@@ -88,12 +88,16 @@
     /// Whether it announced in an answer that it leaves; its record may not say so yet.
     pub announced_leaving: bool,
     backoff_until_ms: u64,
+    /// Whether it was logged that its record says something untrue of how long it stays cold.
+    pub(crate) cold_was_unreadable: bool,
     /// Until when it takes no streams that may be resumed, in milliseconds of the boot clock.
     pub(crate) held_until_ms: u64,
     failure_share: f64,
     failures_in_a_row: u32,
-    /// The limit on requests that it states.
-    pub limit: RateLimit,
+    /// Whether this instance's cell chooses it and grants its places.
+    pub(crate) is_own: bool,
+    /// The limits on requests that it bears.
+    pub limits: ServerLimits,
     last_received_ms: u64,
     paused_until_ms: u64,
     cached_parts: Vec<(u64, u64)>,
@@ -149,10 +153,12 @@
             others_load: BackendLoad::default(),
             announced_leaving: false,
             backoff_until_ms: 0,
+            cold_was_unreadable: false,
             held_until_ms: 0,
             failure_share: 0.0,
             failures_in_a_row: 0,
-            limit: RateLimit::default(),
+            is_own: false,
+            limits: ServerLimits::default(),
             last_received_ms: 0,
             paused_until_ms: 0,
             cached_parts: Vec::new(),
@@ -183,8 +189,8 @@
     }
 
     /// Returns the number of slots that can be in use; at a limit, those that it fills.
-    pub fn usable_slots(&self) -> usize {
-        let Some(rate) = self.limit.millirequests_per_s() else { return self.record.slots };
+    pub fn usable_slots(&self, now_ms: u64) -> usize {
+        let Some(rate) = self.limits.millirequests_per_s(now_ms) else { return self.record.slots };
         (rate.div_ceil(1_000) as usize).clamp(1, self.record.slots.max(1))
     }
 
@@ -308,6 +314,7 @@
             SendOutcome::Failed => self.record_outcome(1.0),
             SendOutcome::Unreachable => {
                 self.record_outcome(1.0);
+                self.limits.cold.record_out_of_reach(now_ms);
                 // During a back-off only sends fail that were begun before it.
                 if now_ms >= self.unreachable_until_ms {
                     self.unreachable_until_ms = self.next_backoff_until_ms(now_ms);
@@ -318,8 +325,9 @@
     }
 
     /// Records that an instance reaches it.
-    pub fn record_contact(&mut self) {
+    pub fn record_contact(&mut self, now_ms: u64) {
         self.unreachable_until_ms = 0;
+        self.limits.cold.record_contact(now_ms, self.record.sequence);
     }
 
     /// Sends nothing for this time, in milliseconds, since the backend server asked for it.
@@ -335,8 +343,11 @@
 
     /// Replaces the record after a restart and resets everything but the loads.
     pub fn restart(&mut self, record: BackendRecord) {
-        let (own_load, others_load) = (self.own_load, self.others_load);
-        *self = Self { own_load, others_load, ..Self::new(self.id.clone(), record) };
+        let (own_load, others_load, is_own) = (self.own_load, self.others_load, self.is_own);
+        let cold_was_unreadable = self.cold_was_unreadable;
+        let limits = ServerLimits { cold: self.limits.cold.restarted(), ..Default::default() };
+        let new = Self::new(self.id.clone(), record);
+        *self = Self { own_load, others_load, cold_was_unreadable, is_own, limits, ..new };
     }
 
     /// Returns load and speeds for the members of a cell.
--- a/src/gateway/backend_record.rs
+++ b/src/gateway/backend_record.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::rate_limit::cold::ColdLeft;
 use crate::name::Name;
 
 /// Published record of a backend server.
@@ -13,6 +14,9 @@
     pub address: SocketAddr,
     /// Start of the backend server, in Unix milliseconds, if it is published.
     pub born_ms: Option<u64>,
+    /// How long it stays cold.
+    #[serde(default)]
+    pub cold_left: ColdLeft,
     /// Data centre of the backend server.
     pub data_centre: Name,
     /// Whether it accepts no new requests because it is about to leave.
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -5,7 +5,8 @@
 use crate::gateway::engine_query::{EngineQuery, VersionNeed, expected_loss};
 use crate::gateway::fleet::cells::{CellLayout, cell_of};
 use crate::gateway::fleet::message::{EngineReport, LeavingServer};
-use crate::gateway::rate_limit::LimitStatement;
+use crate::gateway::rate_limit::cold::{ColdBounds, ColdLeft, ColdNews};
+use crate::gateway::rate_limit::{LimitShares, LimitStatement};
 use crate::gateway::request_metadata::PromptShape;
 use crate::gateway::software_versions::{PresentVersion, SoftwareVersions};
 use crate::gateway::store_item::StoreItem;
@@ -24,8 +25,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Backends {
     layout: CellLayout,
-    /// Share of the limits of backend servers that this instance may use, in thousandths.
-    limit_share_permille: u64,
+    /// What cold servers bear, by service, sorted by its name.
+    cold_bounds: Vec<(Name, ColdBounds)>,
+    /// Part of a request with which an allowance for a cold server begins, in thousandths.
+    cold_part_permille: u64,
+    /// Shares of the limits of backend servers that this instance may use.
+    limit_shares: LimitShares,
     list: Vec<Backend>,
     /// Pools by service, sorted by its name.
     pools: Vec<Pool>,
@@ -72,19 +77,23 @@
 
 impl Backends {
     /// Inserts or updates a backend server from its record.
-    pub fn upsert(&mut self, id: &Name, record: BackendRecord) -> RecordChange {
-        let change = self.apply_record(id, record);
+    pub fn upsert(&mut self, now_ms: u64, id: &Name, record: BackendRecord) -> RecordChange {
+        let change = self.apply_record(now_ms, id, record);
         if change != RecordChange::Unchanged {
             self.arrange_pools();
         }
         change
     }
 
-    fn apply_record(&mut self, id: &Name, record: BackendRecord) -> RecordChange {
+    fn apply_record(&mut self, now_ms: u64, id: &Name, record: BackendRecord) -> RecordChange {
         let index = match self.find(id) {
             Err(index) => {
                 let leaving = record.leaving;
+                let cold_bounds = self.cold_bounds_of(&record.service);
+                let (sequence, cold_left) = (record.sequence, record.cold_left);
                 let mut backend = Backend::new(id.clone(), record);
+                backend.limits.cold.set_bounds(cold_bounds, self.cold_part_permille);
+                backend.limits.cold.merge_record(now_ms, sequence, cold_left);
                 if leaving {
                     backend.status = BackendStatus::Leaving;
                 }
@@ -93,6 +102,7 @@
             }
             Ok(index) => index,
         };
+        let cold_bounds = self.cold_bounds_of(&record.service);
         let backend = &mut self.list[index];
         if record.is_older_than(&backend.record) {
             return RecordChange::Outdated;
@@ -103,11 +113,18 @@
         let announced_leaving = backend.announced_leaving && !restarted && !record.leaving;
         let leaving = record.leaving || announced_leaving;
         let status = if leaving { BackendStatus::Leaving } else { BackendStatus::Usable };
+        let (sequence, cold_left) = (record.sequence, record.cold_left);
+        // The same record may be read again, and says no more than before.
+        let is_news = restarted || sequence != backend.record.sequence;
         if restarted {
             backend.restart(record);
+            backend.limits.cold.set_bounds(cold_bounds, self.cold_part_permille);
         } else {
             backend.record = record;
         }
+        if is_news {
+            backend.limits.cold.merge_record(now_ms, sequence, cold_left);
+        }
         backend.announced_leaving = announced_leaving;
         backend.status = status;
         match (was_usable, status) {
@@ -227,52 +244,122 @@
         least_wait(available).or_else(|| least_wait(in_backoff()))
     }
 
-    /// Returns whether the limit of a backend server allows this instance to send or grant a request.
+    /// Returns whether the limits of a backend server allow this instance to send or grant a request.
     fn admits(&self, now_ms: u64, backend: &Backend) -> bool {
         self.limit_wait_ms(now_ms, backend) == Some(0)
     }
 
     fn limit_wait_ms(&self, now_ms: u64, backend: &Backend) -> Option<u64> {
-        backend
-            .limit
-            .millirequests_per_s()
-            .map_or(Some(0), |_| backend.limit.wait_ms(now_ms, self.limit_share_at(backend)))
-    }
-
-    /// Returns the share of the limit of a backend server that this instance may use, in thousandths: 0
-    /// if the coordinator of another cell grants its places.
-    fn limit_share_at(&self, backend: &Backend) -> u64 {
-        let is_own = self.pool(&backend.record.service).is_some_and(|pool| {
-            pool.coordinating_cell == self.layout.own
-                && pool.cell.iter().any(|index| self.list[*index].id == backend.id)
-        });
-        if is_own { self.limit_share_permille } else { 0 }
+        backend.limits.wait_ms(now_ms, self.limit_shares_at(backend))
+    }
+
+    /// Returns the shares of the limits of a backend server that this instance may use: none if the
+    /// coordinator of another cell grants its places.
+    fn limit_shares_at(&self, backend: &Backend) -> LimitShares {
+        if backend.is_own { self.limit_shares } else { LimitShares::default() }
     }
 
-    /// Sets the share of the limits of backend servers that this instance may use, in thousandths.
-    pub fn set_limit_share(&mut self, now_ms: u64, permille: u64) {
-        let before_permille = std::mem::replace(&mut self.limit_share_permille, permille);
-        if before_permille != permille {
+    /// Sets the shares of the limits of backend servers that this instance may use.
+    pub fn set_limit_shares(&mut self, now_ms: u64, shares: LimitShares) {
+        let before = std::mem::replace(&mut self.limit_shares, shares);
+        if before != shares {
             for backend in &mut self.list {
-                backend.limit.change_share(now_ms, before_permille, permille);
+                backend.limits.change_shares(now_ms, before, shares);
             }
         }
     }
 
-    /// Takes a request from the limit of a backend server.
+    /// Takes a request from the limits of a backend server.
     pub fn take_allowance(&mut self, now_ms: u64, id: &str) {
         let Ok(index) = self.find(id) else { return };
-        let share = self.limit_share_at(&self.list[index]);
-        self.list[index].limit.take(now_ms, share);
+        let shares = self.limit_shares_at(&self.list[index]);
+        self.list[index].limits.take(now_ms, shares);
+    }
+
+    /// Takes a request from what a backend server bears while it is cold; returns whether this
+    /// instance may send it.
+    pub fn take_cold(&mut self, now_ms: u64, id: &str) -> bool {
+        let Ok(index) = self.find(id) else { return true };
+        let permille = self.limit_shares_at(&self.list[index]).cold_permille;
+        let cold = &mut self.list[index].limits.cold;
+        let may_send = cold.wait_ms(now_ms, permille) == Some(0);
+        if may_send {
+            cold.take(now_ms, permille);
+        }
+        may_send
     }
 
     /// Returns the time until the limits of a service's backend servers allow a request, in
-    /// milliseconds; `None` if none of them states a limit, or this instance may not use it.
+    /// milliseconds; `None` if none of them has a limit, or this instance may not use it.
     pub fn limited_for_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
         let limited = self.of_service(service, &[]);
-        let limited = limited.filter(|backend| backend.limit.millirequests_per_s().is_some());
-        let wait_ms = |known: &Backend| known.limit.wait_ms(now_ms, self.limit_share_at(known));
-        limited.filter_map(wait_ms).min()
+        let limited = limited.filter(|known| known.limits.millirequests_per_s(now_ms).is_some());
+        limited.filter_map(|known| self.limit_wait_ms(now_ms, known)).min()
+    }
+
+    /// Sets what the cold servers of services bear, and the part of a request with which an allowance
+    /// begins, in thousandths.
+    pub fn set_cold_bounds(&mut self, mut bounds: Vec<(Name, ColdBounds)>, part_permille: u64) {
+        bounds.sort_by(|(left, _), (right, _)| left.cmp(right));
+        self.cold_bounds = bounds;
+        self.cold_part_permille = part_permille;
+        let mut list = std::mem::take(&mut self.list);
+        for backend in &mut list {
+            let bounds = self.cold_bounds_of(&backend.record.service);
+            backend.limits.cold.set_bounds(bounds, part_permille);
+        }
+        self.list = list;
+    }
+
+    fn cold_bounds_of(&self, service: &str) -> ColdBounds {
+        let index = self.cold_bounds.binary_search_by(|(known, _)| (**known).cmp(service));
+        index.map(|index| self.cold_bounds[index].1).unwrap_or_default()
+    }
+
+    /// Merges news of how long a run of a backend server stays cold; returns whether they are later
+    /// than those known.
+    pub fn merge_cold(
+        &mut self,
+        now_ms: u64,
+        id: &str,
+        born_ms: Option<u64>,
+        news: ColdNews,
+    ) -> bool {
+        let Some(backend) = self.get_mut(id) else { return false };
+        backend.record.born_ms == born_ms && backend.limits.cold.merge(now_ms, news)
+    }
+
+    /// Returns the backend servers that have turned cold or warm since the last call.
+    pub fn take_cold_changes(&mut self, now_ms: u64) -> Vec<Name> {
+        let changed = self.list.iter_mut();
+        let changed = changed.filter_map(|backend| {
+            backend.limits.cold.take_change(now_ms).map(|_| backend.id.clone())
+        });
+        changed.collect()
+    }
+
+    /// Returns the number of usable backend servers that are cold.
+    pub fn cold_count(&self, now_ms: u64) -> usize {
+        self.usable().filter(|known| known.limits.cold.is_cold(now_ms)).count()
+    }
+
+    /// Returns the backend servers that are cold for another reason than their records.
+    pub fn told_cold(&self, now_ms: u64) -> impl Iterator<Item = &Backend> {
+        self.list.iter().filter(move |backend| backend.limits.cold.is_told(now_ms))
+    }
+
+    /// Sets how long backend servers stay cold in records that are passed on.
+    pub fn update_cold_left(&self, now_ms: u64, items: &mut [StoreItem]) {
+        for item in items {
+            let StoreItem::Backend { id, record: Ok(record) } = item else { continue };
+            let known = self.get(id).filter(|known| known.record.is_same_run(record));
+            let known = known.filter(|known| known.record.sequence == record.sequence);
+            if let (Some(known), ColdLeft::Ms(_)) = (known, record.cold_left) {
+                let left_ms = known.limits.cold.latest().map(|news| news.until_ms);
+                let left_ms = left_ms.unwrap_or_default().saturating_sub(now_ms);
+                record.cold_left = ColdLeft::Ms(left_ms);
+            }
+        }
     }
 
     /// Merges what is stated of the limit of a run of a backend server; returns whether it changed.
@@ -284,13 +371,13 @@
         statement: LimitStatement,
     ) -> bool {
         let Some(backend) = self.get_mut(id) else { return false };
-        backend.record.born_ms == born_ms && backend.limit.merge(now_ms, statement)
+        backend.record.born_ms == born_ms && backend.limits.stated.merge(now_ms, statement)
     }
 
     /// Returns the backend servers of which a limit is told to other instances.
     pub fn told_limits(&self, now_ms: u64) -> impl Iterator<Item = (&Backend, LimitStatement)> {
         let told = self.list.iter();
-        told.filter_map(move |backend| Some((backend, backend.limit.told(now_ms)?)))
+        told.filter_map(move |backend| Some((backend, backend.limits.stated.told(now_ms)?)))
     }
 
     /// Sets the cells.
@@ -334,6 +421,13 @@
                 pool.coordinating_cell = cell_of(&pool.service, cells);
             }
         }
+        for backend in &mut self.list {
+            backend.is_own = false;
+        }
+        let own = pools.iter().filter(|pool| pool.coordinating_cell == self.layout.own);
+        for index in own.flat_map(|pool| &pool.cell) {
+            self.list[*index].is_own = true;
+        }
         self.pools = pools;
     }
 
@@ -386,12 +480,21 @@
     ) -> (usize, usize) {
         let candidates = self.candidates(now_ms, service, &[], version_need).into_iter();
         candidates.fold((0, 0), |(all, free), backend| {
-            let admitted = self.admits(now_ms, backend);
-            let own_free = if admitted { backend.free_slots() } else { 0 };
-            (all + backend.usable_slots(), free + own_free.min(backend.usable_slots()))
+            let usable = backend.usable_slots(now_ms);
+            (all + usable, free + self.free_places(now_ms, backend).min(usable))
         })
     }
 
+    /// Returns the requests that a backend server can be sent now.
+    fn free_places(&self, now_ms: u64, backend: &Backend) -> usize {
+        if !self.admits(now_ms, backend) {
+            return 0;
+        }
+        let permille = self.limit_shares_at(backend).cold_permille;
+        let requests = backend.limits.cold.requests(now_ms, permille);
+        backend.free_slots().min(requests.unwrap_or(usize::MAX))
+    }
+
     /// Returns the versions of the backend servers that are not gone, sorted.
     pub fn present_versions(&self) -> Vec<PresentVersion> {
         let mut versions: Vec<PresentVersion> = Vec::new();
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -24,6 +24,7 @@
 #[derive(Debug, Default)]
 pub struct Counters {
     answers: RefCell<Vec<(u16, u64)>>,
+    cold_changes: RefCell<Vec<(&'static str, u64)>>,
     first_event: RefCell<Histogram>,
     part_changes: RefCell<Vec<(&'static str, u64)>>,
     peer_bytes: RefCell<Vec<(&'static str, u64)>>,
@@ -41,6 +42,8 @@
 pub struct Gauges {
     /// Backend servers that accept requests.
     pub backend_servers: usize,
+    /// Backend servers that are cold.
+    pub cold_servers: usize,
     /// Whether the instance counts as cut off from backend servers.
     pub cut_off: bool,
     /// Version of the document in force.
@@ -90,6 +93,12 @@
         self.first_event.borrow_mut().record(elapsed_ms);
     }
 
+    /// Counts a backend server that turned cold or warm.
+    pub fn record_cold_change(&self, is_cold: bool) {
+        let state = if is_cold { "cold" } else { "warm" };
+        increment(&mut self.cold_changes.borrow_mut(), state);
+    }
+
     /// Counts a refusal.
     pub fn record_refusal(&self, reason: RefusalReason) {
         increment(&mut self.refusals.borrow_mut(), reason.name());
@@ -156,6 +165,12 @@
                 ),
             );
         }
+        for (state, number) in self.cold_changes.borrow().iter() {
+            write_line(
+                &mut text,
+                format_args!("bergamotspan_cold_changes_total{{state=\"{state}\"}} {number}"),
+            );
+        }
         for (source, number) in self.resumptions.borrow().iter() {
             write_line(
                 &mut text,
@@ -189,6 +204,7 @@
             ("store_calls_total", self.store_calls.get() as i64),
             ("store_failures_total", self.store_failures.get() as i64),
             ("backend_servers", gauges.backend_servers as i64),
+            ("cold_servers", gauges.cold_servers as i64),
             ("cut_off", i64::from(gauges.cut_off)),
             ("document_version", gauges.document_version as i64),
             ("requests_in_progress", gauges.in_progress as i64),
--- a/src/gateway/fleet/additions.rs
+++ b/src/gateway/fleet/additions.rs
@@ -8,6 +8,9 @@
 /// those of version 5 without additions pass over all of it.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Additions {
+    /// Cold backend servers, from builds that limit what these get: in reports, and empty in answers.
+    #[serde(default, rename = "c", skip_serializing_if = "Option::is_none")]
+    pub cold: Option<Vec<ToldCold>>,
     /// Limits that backend servers state.
     #[serde(default, rename = "l", skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<ToldLimit>,
@@ -29,3 +32,23 @@
     #[serde(default, rename = "r")]
     pub millirequests_per_s: Option<u64>,
 }
+
+/// How long a backend server stays cold.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ToldCold {
+    /// Time since this was stated, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// Id of the backend server.
+    #[serde(rename = "s")]
+    pub backend_server: Name,
+    /// Start of its run, in Unix milliseconds, if it is published.
+    #[serde(default, rename = "b")]
+    pub born_ms: Option<u64>,
+    /// Time for which it stays cold, in milliseconds.
+    #[serde(rename = "l")]
+    pub left_ms: u64,
+    /// Number of its record at that time.
+    #[serde(rename = "q")]
+    pub sequence: u64,
+}
--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -13,6 +13,7 @@
 
 pub mod additions;
 pub mod cells;
+pub mod cold_servers;
 pub mod coordinators;
 pub mod counter_feed;
 pub mod failed_paths;
--- a/src/gateway/fleet/placing.rs
+++ b/src/gateway/fleet/placing.rs
@@ -111,6 +111,8 @@
             plan.charge = PlanCharge::Settled;
         }
         let GrantedPlace { backend_server, running, tokens_ahead, unread_tokens } = place;
+        let is_admitted =
+            self.fleet.limits_cold(ask.to) || self.backends.take_cold(now_ms, &backend_server);
         let prompt = plan.prompt.as_deref();
         self.count_own_send(now_ms, &backend_server, prompt, unread_tokens);
         self.fleet.own_places.push(OwnPlace {
@@ -129,6 +131,8 @@
             VersionNeed::Only(version) => known.record.software_version == *version,
             VersionNeed::Any | VersionNeed::Settled => true,
         });
+        // A coordinator of an earlier build does not know what a cold one bears.
+        let fitting = fitting.filter(|_| is_admitted);
         StartedSend {
             address: fitting.map(|known| known.record.address),
             backend_server,
@@ -310,7 +314,7 @@
     /// Records that an instance reached a backend server.
     pub(crate) fn record_contact(&mut self, now_ms: u64, instance: &Name, backend_server: &Name) {
         if let Some(backend) = self.backends.get_mut(backend_server) {
-            backend.record_contact();
+            backend.record_contact(now_ms);
         }
         let out_of_reach = self.fleet.failed_paths.record_contact(now_ms, instance, backend_server);
         out_of_reach.iter().for_each(|backend_server| self.hold_back(now_ms, backend_server));
--- a/src/gateway/fleet/reporting.rs
+++ b/src/gateway/fleet/reporting.rs
@@ -58,7 +58,11 @@
     pub fn message(&self, now_ms: u64, body: Body) -> Message {
         let is_report = matches!(body, Body::Cell(_) | Body::Member(_) | Body::Summary(_));
         let limits = if is_report { self.limits_for_report(now_ms) } else { Vec::new() };
-        Message { sender: self.sender(now_ms), body, additions: Additions { limits } }
+        let cold = match body {
+            Body::Answer(_) => Some(Vec::new()),
+            _ => is_report.then(|| self.cold_for_report(now_ms)),
+        };
+        Message { sender: self.sender(now_ms), body, additions: Additions { cold, limits } }
     }
 
     /// Updates cells and roles, drops what silent instances held, and adds the reports that are due
@@ -70,7 +74,8 @@
             self.backends.set_layout(&self.fleet.layout);
         }
         self.update_role(now_ms);
-        self.update_limit_share(now_ms);
+        self.update_limit_shares(now_ms);
+        self.note_cold_changes(now_ms);
         self.drop_silent(now_ms);
         self.expire_parts(now_ms);
         let live = self.fleet.live_count(now_ms);
--- a/src/gateway/fleet/roster.rs
+++ b/src/gateway/fleet/roster.rs
@@ -38,6 +38,8 @@
     pub heard_ms: u64,
     /// When it became known here, in milliseconds of the boot clock.
     pub known_ms: u64,
+    /// Whether it limits what cold backend servers get.
+    pub limits_cold: bool,
     /// Whether it is stopping.
     pub stopping: bool,
     /// Its last datagram to this instance.
@@ -132,6 +134,7 @@
                     capacity: sender.capacity,
                     heard_ms: now_ms,
                     known_ms: now_ms,
+                    limits_cold: false,
                     stopping: sender.stopping,
                     direct: None,
                 };
@@ -179,6 +182,7 @@
                         capacity: entry.capacity,
                         heard_ms,
                         known_ms: now_ms,
+                        limits_cold: false,
                         stopping: entry.stopping,
                         direct: None,
                     };
@@ -206,6 +210,13 @@
         self.known.get(index)
     }
 
+    /// Records whether an instance limits what cold backend servers get.
+    pub fn set_limits_cold(&mut self, name: &str, limits_cold: bool) {
+        if let Ok(index) = self.known.binary_search_by(|known| (*known.name).cmp(name)) {
+            self.known[index].limits_cold = limits_cold;
+        }
+    }
+
     /// Returns the instance at an address.
     pub fn at_address(&self, address: SocketAddr) -> Option<&KnownInstance> {
         let index = self.addresses.binary_search_by_key(&address, |(known, _)| *known).ok()?;
--- a/src/gateway/fleet/server_limits.rs
+++ b/src/gateway/fleet/server_limits.rs
@@ -5,7 +5,7 @@
 
 use crate::gateway::fleet::additions::ToldLimit;
 use crate::gateway::fleet::coordinators::Decider;
-use crate::gateway::rate_limit::{LimitStatement, StatedLimit};
+use crate::gateway::rate_limit::{LimitShares, LimitStatement, StatedLimit};
 use crate::gateway::state::GatewayState;
 use crate::name::Name;
 
@@ -35,7 +35,7 @@
             return false;
         };
         let Some(backend) = self.backends.get_mut(backend_server) else { return false };
-        let changed = backend.limit.merge(now_ms, statement);
+        let changed = backend.limits.stated.merge(now_ms, statement);
         self.fleet.is_urgent |= changed;
         changed
     }
@@ -61,7 +61,7 @@
                 born_ms: backend.record.born_ms,
                 millirequests_per_s: statement.millirequests_per_s,
             };
-            let is_news = now_ms < backend.limit.changed_ms() + REPEAT_MS;
+            let is_news = now_ms < backend.limits.stated.changed_ms() + REPEAT_MS;
             if is_news { news.push(told) } else { others.push(told) }
         }
         news.truncate(REPORTED_LIMIT);
@@ -75,11 +75,11 @@
         news
     }
 
-    /// Updates the share of limits that this instance may use: a coordinator that hears few of the known
-    /// instances leaves room for another one that may hear the rest.
-    pub(crate) fn update_limit_share(&mut self, now_ms: u64) {
+    /// Updates the shares of limits that this instance may use: a coordinator that hears few of the
+    /// known instances leaves room for another one that may hear the rest.
+    pub(crate) fn update_limit_shares(&mut self, now_ms: u64) {
         let known = (self.fleet.known_count(now_ms) as u64).max(1);
-        let permille = match self.fleet.decider(now_ms) {
+        let stated_permille = match self.fleet.decider(now_ms) {
             Decider::Own => {
                 let live = self.fleet.live_count(now_ms) as u64;
                 (live * LIVE_SHARE_PERMILLE / known).clamp(1, 1_000)
@@ -87,7 +87,8 @@
             Decider::Other(_) => 0,
             Decider::None => (1_000 / known).max(1),
         };
-        self.backends.set_limit_share(now_ms, permille);
+        let cold_permille = self.cold_share_permille(now_ms, known, stated_permille);
+        self.backends.set_limit_shares(now_ms, LimitShares { cold_permille, stated_permille });
     }
 
     /// Returns the time after which the caller of a request that finds no backend server may retry, in
--- a/src/gateway/gateway_settings.rs
+++ b/src/gateway/gateway_settings.rs
@@ -4,6 +4,9 @@
 
 use crate::name::Name;
 
+/// Share of what a cold backend server may get in one second that is planned for.
+const COLD_SHARE: f64 = 0.6;
+
 /// Settings of the process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -32,6 +35,10 @@
 /// Time bounds and budgets for all instances together.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
+    /// Share of what a cold backend server bears that all instances together may send it in a second.
+    pub cold_over: f64,
+    /// Further requests that it may get in a second.
+    pub cold_slack: f64,
     /// Time from a backend server's announcement that it leaves until no request is sent to it, in
     /// milliseconds.
     pub drain_ms: u64,
@@ -53,6 +60,8 @@
 impl Default for Bounds {
     fn default() -> Self {
         Self {
+            cold_over: 1.5,
+            cold_slack: 5.0,
             drain_ms: 2_000,
             grace_ms: 8_000,
             publish_ms: 2_000,
@@ -65,6 +74,14 @@
 }
 
 impl Bounds {
+    /// Returns the rate at which a cold backend server that bears `millirequests_per_s` gets requests,
+    /// in thousandths of a request a second: what it bears, and so little of what it may get in one
+    /// second that sends which arrive together, or from two coordinators for a while, fit in.
+    pub fn cold_millirequests_per_s(&self, millirequests_per_s: u64) -> u64 {
+        let most = millirequests_per_s as f64 * self.cold_over + self.cold_slack * 1_000.0;
+        millirequests_per_s.min((most * COLD_SHARE).max(0.0) as u64)
+    }
+
     /// Returns the shortest time in which changes of the store must be in force, in milliseconds.
     pub fn shortest_update_ms(&self) -> u64 {
         self.drain_ms.min(self.publish_ms)
--- a/src/gateway/peer_update.rs
+++ b/src/gateway/peer_update.rs
@@ -41,7 +41,8 @@
     let after = parse_field("after")
         .map(|revision| StorePosition { era: parse_field("era").unwrap_or_default(), revision });
     let version = parse_field("version").unwrap_or_default();
-    let Some(update) = state.store_update_since(after, version) else { return Ok(None) };
+    let Some(mut update) = state.store_update_since(after, version) else { return Ok(None) };
+    state.backends().update_cold_left(boot_ms(), &mut update.items);
     let mut bytes = Vec::new();
     ciborium::into_writer(&update, &mut bytes).map_err(|error| {
         Error::io("Encoding a store update failed", std::io::Error::other(error.to_string()))
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -125,6 +125,7 @@
     let state = shared.state.borrow();
     Gauges {
         backend_servers: state.backends().usable().count(),
+        cold_servers: state.backends().cold_count(now_ms),
         cut_off: shared.paths.borrow().is_cut_off(),
         document_version: state.table().version(),
         in_progress: shared.in_progress.get(),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -191,6 +191,10 @@
     fn note_announcements(&self, guard: &mut SendGuard, reply: &ReplyMetadata) {
         guard.record_pause(reply.pause_ms);
         self.note_limit(guard, reply.limit);
+        if let Some(cold_ms) = reply.cold_ms {
+            let backend_server = &guard.started_send().backend_server;
+            self.shared.state.borrow_mut().record_stated_cold(boot_ms(), backend_server, cold_ms);
+        }
         if !reply.is_leaving {
             return;
         }
@@ -210,7 +214,7 @@
         if !state.record_stated_limit(boot_ms(), guard.sent_ms(), backend_server, stated) {
             return;
         }
-        let limit = state.backends().get(backend_server).map(|known| known.limit);
+        let limit = state.backends().get(backend_server).map(|known| known.limits.stated);
         let requests_per_s = limit.and_then(|limit| limit.millirequests_per_s());
         let requests_per_s = requests_per_s.map(|rate| rate as f64 / 1_000.0);
         info!(
--- a/src/gateway/routing_document.rs
+++ b/src/gateway/routing_document.rs
@@ -78,12 +78,24 @@
 /// A group of interchangeable backend servers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ServiceSpec {
+    /// What its servers bear while they are cold, if that is less than later.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdSpec>,
     /// Properties of its engines, if they serve a model.
     pub engine: Option<EngineSpec>,
     /// Name of the service.
     pub name: Name,
 }
 
+/// What the servers of a service bear while they are cold.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ColdSpec {
+    /// Time for which a server is cold after its start, in milliseconds.
+    pub cold_ms: u64,
+    /// Requests that a cold server bears, in thousandths of a request a second.
+    pub millirequests_per_s: u64,
+}
+
 /// Properties that the engines of a service have in common.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EngineSpec {
--- a/src/gateway/routing_table.rs
+++ b/src/gateway/routing_table.rs
@@ -105,6 +105,11 @@
         None
     }
 
+    /// Returns all services, sorted by name.
+    pub fn services(&self) -> &[ServiceSpec] {
+        &self.services
+    }
+
     /// Returns a service.
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
         let index = self.services.binary_search_by(|service| (*service.name).cmp(name)).ok()?;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 
-use log::info;
+use log::{info, warn};
 use rand::random;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot};
@@ -16,6 +16,7 @@
 use crate::gateway::crash_records::CrashNotice;
 use crate::gateway::dispatching::{SendEnd, WaitOutcome, WaitResult};
 use crate::gateway::engine_paths::EnginePaths;
+use crate::gateway::fleet::cold_servers::ColdNotice;
 use crate::gateway::fleet::message::PlaceVerdict;
 use crate::gateway::fleet::origin_message::OriginAnswer;
 use crate::gateway::fleet::pending_origin::OriginSource;
@@ -174,6 +175,31 @@
         }
         self.flush();
         self.log_crashes();
+        self.log_cold_changes();
+    }
+
+    fn log_cold_changes(&self) {
+        let notices = self.state.borrow_mut().take_cold_notices();
+        for notice in notices {
+            match notice {
+                ColdNotice::Turned { backend_server, is_from_record, left_ms, requests_per_s } => {
+                    self.counters.record_cold_change(left_ms.is_some());
+                    info!(
+                        target: "limits",
+                        backend_server = &*backend_server,
+                        is_from_record,
+                        left_ms,
+                        requests_per_s;
+                        "Backend server turned cold or warm."
+                    );
+                }
+                ColdNotice::Unreadable { backend_server } => warn!(
+                    target: "limits",
+                    backend_server = &*backend_server;
+                    "How long a backend server stays cold can't be read; the rest of its record holds."
+                ),
+            }
+        }
     }
 
     fn log_crashes(&self) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use crate::gateway::broken_sends::BrokenSends;
 use crate::gateway::crash_records::CrashNotice;
 use crate::gateway::engine_query::VersionNeed;
+use crate::gateway::fleet::cold_servers::ColdNotice;
 use crate::gateway::fleet::coordinators::Decider;
 use crate::gateway::fleet::membership::Fleet;
 use crate::gateway::fleet::message::LeavingServer;
@@ -55,6 +56,8 @@
     pub(crate) broken_sends: BrokenSends,
     /// What was found out about crashes and is not logged yet.
     pub(crate) crash_notices: Vec<CrashNotice>,
+    /// What is known of cold backend servers and is not logged yet.
+    pub(crate) cold_notices: Vec<ColdNotice>,
     pub(crate) document: Arc<RoutingDocument>,
     pub(crate) fleet: Fleet,
     pub(crate) freshness: Freshness,
@@ -102,6 +105,7 @@
             retry_budgets: Vec::new(),
             broken_sends: BrokenSends::default(),
             crash_notices: Vec::new(),
+            cold_notices: Vec::new(),
             document: Arc::default(),
             fleet: Fleet::new(&settings, now_ms, incarnation),
             freshness: Freshness::default(),
@@ -199,6 +203,7 @@
     pub fn reload(&mut self, settings: GatewaySettings) {
         self.fleet.roster.set_seeds(&settings.seeds);
         self.settings.bounds = settings.bounds;
+        self.update_cold_bounds();
         self.settings.seeds = settings.seeds;
         self.settings.store_address = settings.store_address;
     }
--- a/src/gateway/store_updates.rs
+++ b/src/gateway/store_updates.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::gateway::backends::RecordChange;
+use crate::gateway::rate_limit::cold::ColdLeft;
 use crate::gateway::routing_document::RoutingDocument;
 use crate::gateway::routing_table::RoutingTable;
 use crate::gateway::state::GatewayState;
@@ -134,6 +135,7 @@
         }
         self.origins.set_resumable_ms(table.longest_resumable_ms());
         self.table = table;
+        self.update_cold_bounds();
         self.document = Arc::new(document);
         self.limits.set_customers(now_ms, self.table.customers());
         Some(StateChange::Document { version: self.table.version(), before })
@@ -210,7 +212,11 @@
     fn apply_item(&mut self, now_ms: u64, item: StoreItem) -> Option<StateChange> {
         match item {
             StoreItem::Backend { id, record: Ok(record) } => {
-                let change = self.backends.upsert(&id, record);
+                let is_unreadable = record.cold_left == ColdLeft::Unreadable;
+                let change = self.backends.upsert(now_ms, &id, record);
+                if is_unreadable {
+                    self.note_unreadable_cold(&id);
+                }
                 if change == RecordChange::Restarted {
                     self.record_crash(now_ms, &id);
                 }
--- a/src/gateway/wire.rs
+++ b/src/gateway/wire.rs
@@ -84,6 +84,8 @@
 /// Metadata of a backend server's answer.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ReplyMetadata {
+    /// Time for which the backend server stays cold, in milliseconds, if it says so.
+    pub cold_ms: Option<u64>,
     /// Time for which the backend server keeps an idle connection, in milliseconds.
     pub idle_timeout_ms: Option<u64>,
     /// Whether the backend server announces that it leaves.
--- a/tests/gateway_backends.rs
+++ b/tests/gateway_backends.rs
@@ -24,8 +24,8 @@
 
 fn two_engines() -> Backends {
     let mut backends = Backends::default();
-    backends.upsert(&name("m-1"), record("model", 1));
-    backends.upsert(&name("m-2"), record("model", 2));
+    backends.upsert(0, &name("m-1"), record("model", 1));
+    backends.upsert(0, &name("m-2"), record("model", 2));
     backends
 }
 
@@ -42,8 +42,8 @@
     let mut leaving = record("model", 1);
     leaving.leaving = true;
     leaving.sequence = 5;
-    assert_eq!(backends.upsert(&name("m-1"), leaving), RecordChange::Left);
-    assert_eq!(backends.upsert(&name("m-1"), record("model", 1)), RecordChange::Outdated);
+    assert_eq!(backends.upsert(0, &name("m-1"), leaving), RecordChange::Left);
+    assert_eq!(backends.upsert(0, &name("m-1"), record("model", 1)), RecordChange::Outdated);
     assert_eq!(chosen(&backends, &query(100, 10)), name("m-2"));
 }
 
@@ -52,10 +52,10 @@
     let mut backends = two_engines();
     let mut older = record("model", 1);
     (older.born_ms, older.sequence) = (Some(4_000), 99);
-    assert_eq!(backends.upsert(&name("m-1"), older), RecordChange::Outdated);
+    assert_eq!(backends.upsert(0, &name("m-1"), older), RecordChange::Outdated);
     let mut newer = record("model", 1);
     (newer.born_ms, newer.sequence) = (Some(6_000), 0);
-    assert_eq!(backends.upsert(&name("m-1"), newer), RecordChange::Restarted);
+    assert_eq!(backends.upsert(0, &name("m-1"), newer), RecordChange::Restarted);
 }
 
 #[test]
@@ -63,12 +63,12 @@
     let mut backends = two_engines();
     let mut known = record("model", 1);
     known.sequence = 5;
-    backends.upsert(&name("m-1"), known.clone());
+    backends.upsert(0, &name("m-1"), known.clone());
     assert_eq!(backends.remove(START_MS, "m-1"), RecordChange::Left);
     known.sequence = 4;
-    assert_eq!(backends.upsert(&name("m-1"), known.clone()), RecordChange::Outdated);
+    assert_eq!(backends.upsert(0, &name("m-1"), known.clone()), RecordChange::Outdated);
     known.sequence = 6;
-    assert_eq!(backends.upsert(&name("m-1"), known), RecordChange::Arrived);
+    assert_eq!(backends.upsert(0, &name("m-1"), known), RecordChange::Arrived);
 }
 
 #[test]
@@ -139,7 +139,7 @@
     for index in 0..cells {
         let mut backends = Backends::default();
         for number in 0..40_u16 {
-            backends.upsert(&name(&format!("m-{number:02}")), record("model", number));
+            backends.upsert(0, &name(&format!("m-{number:02}")), record("model", number));
         }
         backends.set_layout(&CellLayout { own: index, sizes: vec![20; cells] });
         let mut own = 0;
@@ -183,7 +183,7 @@
     assert_eq!(chosen(&backends, &query(100, 10)), name("m-2"));
     let mut newer = record("model", 1);
     newer.sequence = 9;
-    backends.upsert(&name("m-1"), newer);
+    backends.upsert(0, &name("m-1"), newer);
     assert_eq!(chosen(&backends, &query(100, 10)), name("m-2"));
     assert_eq!(backends.announced_leaving(), [leaving("m-1")]);
 }
@@ -194,7 +194,7 @@
     backends.mark_leaving(&leaving("m-1"));
     let mut restarted = record("model", 1);
     (restarted.born_ms, restarted.sequence) = (Some(6_000), 0);
-    backends.upsert(&name("m-1"), restarted);
+    backends.upsert(0, &name("m-1"), restarted);
     assert_eq!(backends.usable().count(), 2);
     // What was said of the start before does not hold for this one.
     assert!(!backends.mark_leaving(&leaving("m-1")));
@@ -206,11 +206,11 @@
     backends.mark_leaving(&leaving("m-1"));
     let mut said = record("model", 1);
     (said.leaving, said.sequence) = (true, 2);
-    backends.upsert(&name("m-1"), said);
+    backends.upsert(0, &name("m-1"), said);
     assert_eq!(backends.usable().count(), 1);
     let mut taken_back = record("model", 1);
     taken_back.sequence = 3;
-    backends.upsert(&name("m-1"), taken_back);
+    backends.upsert(0, &name("m-1"), taken_back);
     assert_eq!(backends.usable().count(), 2);
 }
 
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -9,6 +9,7 @@
 use bergamotspan::gateway::broken_sends::BrokenSend;
 use bergamotspan::gateway::dispatching::{SendEnd, StartedSend};
 use bergamotspan::gateway::gateway_settings::{Bounds, GatewaySettings};
+use bergamotspan::gateway::rate_limit::cold::ColdLeft;
 use bergamotspan::gateway::request_metadata::{PromptPart, PromptShape, RequestMetadata};
 use bergamotspan::gateway::routing_document::{
     CallerLimits, Customer, EngineSpec, Route, RouteKind, RoutingDocument, ServiceSpec,
@@ -73,8 +74,8 @@
             route("status", RouteKind::Idempotent, "desk"),
         ],
         services: vec![
-            ServiceSpec { engine: Some(engine), name: "model".into() },
-            ServiceSpec { engine: None, name: "desk".into() },
+            ServiceSpec { cold: None, engine: Some(engine), name: "model".into() },
+            ServiceSpec { cold: None, engine: None, name: "desk".into() },
         ],
         version,
     }
@@ -96,6 +97,7 @@
     BackendRecord {
         address: SocketAddr::from(([10, 0, 0, 9], port)),
         born_ms: Some(5_000),
+        cold_left: ColdLeft::Ms(0),
         data_centre: "umea-a".into(),
         leaving: false,
         sequence: 1,
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -185,7 +185,7 @@
     let mut backends = Backends::default();
     for (software_version, port) in engines {
         if let StoreItem::Backend { id, record: Ok(record) } = engine(software_version, *port) {
-            backends.upsert(&id, record);
+            backends.upsert(0, &id, record);
         }
     }
     backends
