Leave room at cold servers for a second coordinator

Two instances that each take themselves for the coordinator granted twice what a cold server bears: 25 requests in a second where 23 are allowed, in simulated fleets of 7, after a split and with two coordinators that do not hear each other.

--- a/src/gateway/fleet/cold_servers.rs
+++ b/src/gateway/fleet/cold_servers.rs
@@ -20,6 +20,13 @@
 /// Time after its start for which an instance uses no part of what cold servers bear unless it is
 /// granted, in milliseconds.
 const JOIN_MS: u64 = 1_500;
+/// Time for which a coordinator that takes over leaves half to the one before it, in milliseconds.
+const TAKE_OVER_MS: u64 = 3_000;
+/// Time from the last datagram of an instance to a later sign of life that others received from it,
+/// from which it counts as cut off from this instance alone, in milliseconds.
+const UNHEARD_MS: u64 = 800;
+/// Age at which such a sign of life no longer counts, in milliseconds.
+const SIGN_EXPIRY_MS: u64 = 4_000;
 /// Time for which reports repeat news, in milliseconds.
 const REPEAT_MS: u64 = 1_500;
 /// Maximum number of cold servers in one report.
@@ -108,10 +115,17 @@
     }
 
     /// Returns the share of what cold servers bear that this instance may use, in thousandths.
-    pub(crate) fn cold_share_permille(&self, now_ms: u64, known: u64, granting: u64) -> u64 {
+    pub(crate) fn cold_share_permille(&mut self, now_ms: u64, known: u64, granting: u64) -> u64 {
+        let decider = self.fleet.decider(now_ms);
+        let since_ms = self.fleet.deciding_since_ms.filter(|_| decider == Decider::Own);
+        let since_ms = since_ms.unwrap_or(now_ms);
+        self.fleet.deciding_since_ms = (decider == Decider::Own).then_some(since_ms);
+        let is_shared = now_ms < since_ms + TAKE_OVER_MS || self.fleet.has_unheard(now_ms);
         let has_joined = self.fleet.roster.has_heard_seeds() && now_ms >= self.started_ms + JOIN_MS;
-        match self.fleet.decider(now_ms) {
+        match decider {
             _ if !has_joined => 0,
+            // The one before may not have noticed, or some may still ask it.
+            Decider::Own if is_shared => granting / 2,
             Decider::Own => granting,
             Decider::Other(address) if self.fleet.limits_cold(address) => 0,
             Decider::Other(_) | Decider::None => (1_000 / known).max(1),
@@ -165,6 +179,17 @@
 }
 
 impl Fleet {
+    /// Returns whether others hear an instance of the cell that this one does not, so that both may
+    /// coordinate.
+    fn has_unheard(&self, now_ms: u64) -> bool {
+        let members = self.ranked.iter().filter_map(|name| self.roster.get(name));
+        let mut unheard = members.filter(|known| {
+            let heard_ms = known.direct.map_or(known.known_ms, |direct| direct.received_ms);
+            known.heard_ms >= heard_ms + UNHEARD_MS && now_ms < known.heard_ms + SIGN_EXPIRY_MS
+        });
+        unheard.next().is_some()
+    }
+
     /// Returns whether the coordinator at an address limits what cold servers get.
     pub(crate) fn limits_cold(&self, address: std::net::SocketAddr) -> bool {
         self.roster.at_address(address).is_some_and(|known| known.limits_cold)
--- a/src/gateway/fleet/membership.rs
+++ b/src/gateway/fleet/membership.rs
@@ -94,6 +94,8 @@
     /// Addresses of the other members of the own cell, including those that are stopping.
     pub(crate) cell_addresses: Vec<SocketAddr>,
     pub(crate) coordinating_since_ms: Option<u64>,
+    /// Since when this instance decides on the places of its cell, in milliseconds of the boot clock.
+    pub(crate) deciding_since_ms: Option<u64>,
     /// Paths of this instance, and of those to which it grants places, that failed lately.
     pub(crate) failed_paths: FailedPaths,
     /// Whether something changed that is sent at once.
@@ -148,6 +150,7 @@
             capacity: settings.capacity,
             cell_addresses: Vec::new(),
             coordinating_since_ms: None,
+            deciding_since_ms: None,
             failed_paths: FailedPaths::default(),
             is_urgent: false,
             layout: CellLayout::default(),
--- a/tests/gateway_support/fleet.rs
+++ b/tests/gateway_support/fleet.rs
@@ -40,6 +40,8 @@
     pub states: Vec<Option<GatewayState>>,
     /// Side of each instance; datagrams do not cross between sides.
     pub sides: Vec<u8>,
+    /// Pairs of a sender and a receiver whose datagrams are lost.
+    pub unheard: Vec<(usize, usize)>,
     /// Share of datagrams that are lost.
     pub loss: f64,
     /// Answers to requests for places, with the instances that asked and that answered.
@@ -66,6 +68,7 @@
             largest_bytes: 0,
             states: (0..instances).map(|_| None).collect(),
             sides: vec![0; instances],
+            unheard: Vec::new(),
             loss: 0.0,
             answers: Vec::new(),
             origins: Vec::new(),
@@ -209,7 +212,7 @@
         }
         for to_address in to.iter().copied() {
             let Some(to) = index_of(to_address) else { continue };
-            let crosses = self.sides[from] != self.sides[to];
+            let crosses = self.sides[from] != self.sides[to] || self.unheard.contains(&(from, to));
             if crosses || self.random.random_bool(self.loss) {
                 continue;
             }
