--- a/src/gateway/fleet/reporting.rs
+++ b/src/gateway/fleet/reporting.rs
@@ -56,15 +56,23 @@
 
     /// Returns a message with this body, and what is added to it.
     pub fn message(&self, now_ms: u64, body: Body) -> Message {
+        let additions = self.additions(now_ms, &body);
+        Message { sender: self.sender(now_ms), body, additions }
+    }
+
+    fn additions(&self, now_ms: u64, body: &Body) -> Additions {
         let is_report = matches!(body, Body::Cell(_) | Body::Member(_) | Body::Summary(_));
-        let limits = if is_report { self.limits_for_report(now_ms) } else { Vec::new() };
+        let cold = match body {
+            Body::Answer(_) => Some(Vec::new()),
+            _ => is_report.then(|| self.cold_for_report(now_ms)),
+        };
         let outliers = match body {
             Body::Cell(_) => self.outliers_for_report(now_ms),
             _ => Vec::new(),
         };
-        let is_repeatable = matches!(&body, Body::Ask(ask) if ask.is_repeatable);
-        let additions = Additions { limits, outliers, is_repeatable };
-        Message { sender: self.sender(now_ms), body, additions }
+        let is_repeatable = matches!(body, Body::Ask(ask) if ask.is_repeatable);
+        let limits = if is_report { self.limits_for_report(now_ms) } else { Vec::new() };
+        Additions { cold, limits, outliers, is_repeatable }
     }
 
     /// Updates cells and roles, drops what silent instances held, and adds the reports that are due
@@ -76,7 +84,8 @@
             self.backends.set_layout(&self.fleet.layout);
         }
         self.update_role(now_ms);
-        self.update_limit_share(now_ms);
+        self.update_limit_shares(now_ms);
+        self.note_cold_changes(now_ms);
         self.drop_silent(now_ms);
         self.expire_parts(now_ms);
         let live = self.fleet.live_count(now_ms);
