Keep new work away from evacuated data centres

The store's items become two new kinds; the set of evacuated data centres with the position up to which it is known is one state machine, fed by the store, by store updates and by reports. The servers of the set are left out of the pools from which every choice is made, and a place is checked again when it is accepted and right before the send. Builds before this one read updates and reports as before; an instance that was passed on changes without the evacuations reads these itself. A service all of whose servers are evacuated refuses at once.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -100,6 +100,8 @@
 pub enum RefusalReason {
     /// The body is longer than permitted.
     BodyTooLong,
+    /// All backend servers of its service are evacuated.
+    Evacuated,
     /// It did not arrive completely in time.
     Incomplete,
     /// The instance does not know yet what the fleet has used of the customers' limits.
@@ -179,6 +181,7 @@
     pub fn describe(self) -> (u16, &'static str) {
         match self {
             Self::BodyTooLong => (413, "The body is longer than permitted."),
+            Self::Evacuated => (503, "The backend servers of the service are being emptied."),
             Self::Incomplete => (408, "The request did not arrive whole in time."),
             Self::Joining => (503, "The usage of limits is not known yet."),
             Self::NoDocument => (503, "No routes are known yet."),
@@ -204,6 +207,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::BodyTooLong => "body_too_long",
+            Self::Evacuated => "evacuated",
             Self::Incomplete => "incomplete",
             Self::Joining => "joining",
             Self::NoDocument => "no_document",
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -23,6 +23,10 @@
 /// All known backend servers, sorted by id.
 #[derive(Clone, Debug, Default)]
 pub struct Backends {
+    /// Services all of whose usable backend servers are evacuated, sorted.
+    pub(crate) closed_services: Vec<Name>,
+    /// Evacuated data centres, sorted.
+    pub(crate) evacuated: Vec<Name>,
     layout: CellLayout,
     /// Share of the limits of backend servers that this instance may use, in thousandths.
     limit_share_permille: u64,
@@ -31,7 +35,7 @@
     pools: Vec<Pool>,
 }
 
-/// The usable backend servers of one service, as indices into the list.
+/// The backend servers of one service that take new work, as indices into the list.
 #[derive(Clone, Debug, Default)]
 struct Pool {
     all: Vec<usize>,
@@ -73,8 +77,10 @@
 impl Backends {
     /// Inserts or updates a backend server from its record.
     pub fn upsert(&mut self, id: &Name, record: BackendRecord) -> RecordChange {
+        let before = self.get(id).map(|known| known.record.data_centre.clone());
+        let moves = before.is_some_and(|data_centre| data_centre != record.data_centre);
         let change = self.apply_record(id, record);
-        if change != RecordChange::Unchanged {
+        if change != RecordChange::Unchanged || moves {
             self.arrange_pools();
         }
         change
@@ -302,10 +308,10 @@
     }
 
     /// Recalculates the pools; those of large services are divided among the cells.
-    fn arrange_pools(&mut self) {
+    pub(crate) fn arrange_pools(&mut self) {
         let mut pools: Vec<Pool> = Vec::new();
         for (index, backend) in self.list.iter().enumerate() {
-            if backend.status != BackendStatus::Usable {
+            if !self.takes_new_work(backend) {
                 continue;
             }
             let service = &backend.record.service;
@@ -335,6 +341,7 @@
             }
         }
         self.pools = pools;
+        self.closed_services = self.find_closed_services();
     }
 
     /// Returns the backend server with the least expected loss for a model request.
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -25,6 +25,7 @@
 pub struct Counters {
     answers: RefCell<Vec<(u16, u64)>>,
     first_event: RefCell<Histogram>,
+    held_back: Cell<u64>,
     part_changes: RefCell<Vec<(&'static str, u64)>>,
     peer_bytes: RefCell<Vec<(&'static str, u64)>>,
     peer_largest_bytes: RefCell<Vec<(&'static str, u64)>>,
@@ -43,6 +44,8 @@
     pub backend_servers: usize,
     /// Whether the instance counts as cut off from backend servers.
     pub cut_off: bool,
+    /// Data centres that are evacuated.
+    pub evacuated_data_centres: usize,
     /// Version of the document in force.
     pub document_version: u64,
     /// Requests whose answer is not complete yet.
@@ -90,6 +93,11 @@
         self.first_event.borrow_mut().record(elapsed_ms);
     }
 
+    /// Counts a place that was not used because its backend server had been evacuated.
+    pub fn record_held_back(&self) {
+        self.held_back.set(self.held_back.get() + 1);
+    }
+
     /// Counts a refusal.
     pub fn record_refusal(&self, reason: RefusalReason) {
         increment(&mut self.refusals.borrow_mut(), reason.name());
@@ -190,6 +198,8 @@
             ("store_failures_total", self.store_failures.get() as i64),
             ("backend_servers", gauges.backend_servers as i64),
             ("cut_off", i64::from(gauges.cut_off)),
+            ("evacuated_data_centres", gauges.evacuated_data_centres as i64),
+            ("evacuated_places_total", self.held_back.get() as i64),
             ("document_version", gauges.document_version as i64),
             ("requests_in_progress", gauges.in_progress as i64),
             ("requests_waiting", gauges.waiting as i64),
--- a/src/gateway/dispatching.rs
+++ b/src/gateway/dispatching.rs
@@ -208,6 +208,9 @@
     /// Returns the time after which the caller may retry, in milliseconds, if the wait would be too
     /// long.
     pub(crate) fn enqueue(&mut self, now_ms: u64, query: &PlaceQuery) -> Result<u64, u64> {
+        if self.backends.is_closed(&query.service) {
+            return Err(self.retry_after_ms(now_ms, query.engine.deadline_ms));
+        }
         if !self.backends.has_untried(&query.service, &query.engine) {
             return Err(RETRY_SOON_MS);
         }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -70,7 +70,8 @@
     /// The connection broke after some or all of the request was sent.
     #[error("the connection broke: {0}")]
     ConnectionBroken(String),
-    /// Its time or its customer's key ended before any byte was sent.
+    /// Its time or its customer's key ended before any byte was sent, or its backend server was
+    /// evacuated.
     #[error("nothing was sent: the request may no longer be sent")]
     NoLongerAllowed,
     /// No connection was opened.
@@ -121,6 +122,10 @@
         if left_ms == 0 || shared.state.borrow().recheck(now_ms, plan).is_err() {
             return Err(SendFailure::NoLongerAllowed);
         }
+        if !shared.state.borrow().may_send_to(backend_server) {
+            shared.counters.record_held_back();
+            return Err(SendFailure::NoLongerAllowed);
+        }
         let mut message =
             build_request(shared, plan, request, backend_server, left_ms, resume_after)?;
         let too_many = limit_interim_answers(&mut message);
--- a/src/gateway/fleet/additions.rs
+++ b/src/gateway/fleet/additions.rs
@@ -2,12 +2,16 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::store_item::StorePosition;
 use crate::name::Name;
 
 /// Follows the sender and the body of a message. A build passes over fields that it does not know, and
 /// those of version 5 without additions pass over all of it.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Additions {
+    /// The evacuated data centres.
+    #[serde(default, rename = "e", skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<ToldEvacuations>,
     /// Limits that backend servers state.
     #[serde(default, rename = "l", skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<ToldLimit>,
@@ -29,3 +33,20 @@
     #[serde(default, rename = "r")]
     pub millirequests_per_s: Option<u64>,
 }
+
+/// The evacuated data centres, as far as an instance knows them.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ToldEvacuations {
+    /// Time since the set last changed, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// All data centres that are evacuated.
+    #[serde(rename = "n")]
+    pub data_centres: Vec<Name>,
+    /// Whether it holds nothing of an earlier era that the store may have lost.
+    #[serde(rename = "s")]
+    pub is_settled: bool,
+    /// Position of the store up to which the set is complete.
+    #[serde(rename = "p")]
+    pub position: StorePosition,
+}
--- a/src/gateway/fleet/placing.rs
+++ b/src/gateway/fleet/placing.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 use crate::gateway::admission::{PlanCharge, Refusal, RequestPlan};
-use crate::gateway::backend::{BackendStatus, SendOutcome};
+use crate::gateway::backend::SendOutcome;
 use crate::gateway::dispatching::{DispatchDecision, PlaceQuery, SendEnd, StartedSend};
 use crate::gateway::engine_query::{EngineQuery, VersionNeed};
 use crate::gateway::fleet::coordinators::Decider;
@@ -121,9 +121,9 @@
             unread_tokens,
             unstarted_parts: prompt.map(PromptShape::shared_parts).unwrap_or_default(),
         });
-        // The coordinator may not know yet that this one leaves.
+        // The coordinator may not know yet that this one leaves, or is evacuated.
         let known = self.backends.get(&backend_server);
-        let usable = known.filter(|known| known.status == BackendStatus::Usable);
+        let usable = known.filter(|known| self.backends.takes_new_work(known));
         // It may know another version of it.
         let fitting = usable.filter(|known| match &ask.ask.version_need {
             VersionNeed::Only(version) => known.record.software_version == *version,
--- a/src/gateway/fleet/receiving.rs
+++ b/src/gateway/fleet/receiving.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::gateway::evacuation::following::HeardFrom;
 use crate::gateway::fleet::coordinators::Decider;
 use crate::gateway::fleet::counter_feed::SourceId;
 use crate::gateway::fleet::membership::{Fleet, OtherCoordinator, SeenCoordinator};
@@ -14,6 +15,7 @@
 use crate::gateway::fleet::suspect_feed::SuspectFeeds;
 use crate::gateway::fleet::usage_book::UsageUpdate;
 use crate::gateway::state::{GatewayState, monotonic_now};
+use crate::gateway::store_updates::StateChange;
 use crate::name::Name;
 
 /// Time by which a proof must be newer to be passed on at once, in milliseconds.
@@ -45,6 +47,8 @@
     pub is_urgent: bool,
     /// Whether the store should be read, since the sender knows more.
     pub reads_store: bool,
+    /// Changes that are logged.
+    pub state_changes: Vec<StateChange>,
 }
 
 impl GatewayState {
@@ -66,6 +70,11 @@
         }
         let mut received = Received { is_new: contact.is_new, ..Received::default() };
         self.merge_limits(now_ms, &additions.limits);
+        if let Some(told) = &additions.evacuations {
+            let from = HeardFrom::Instance(sender.instance.clone());
+            received.state_changes = self.apply_told_evacuations(now_ms, told, from);
+            received.is_urgent |= !received.state_changes.is_empty();
+        }
         match body {
             Body::Answer(answer) => received.answer = Some(answer),
             Body::Ask(ask) => self.receive_ask(now_ms, from, &sender.instance, &ask),
@@ -91,8 +100,9 @@
                 }
             }
             Body::Roster(entries) => {
-                received.is_urgent = self.fleet.roster.merge(now_ms, &entries);
-                self.fleet.needs_arranging |= received.is_urgent;
+                let changed = self.fleet.roster.merge(now_ms, &entries);
+                received.is_urgent |= changed;
+                self.fleet.needs_arranging |= changed;
             }
             Body::Cell(_) | Body::Member(_) | Body::Summary(_) if !contact.in_order => {}
             Body::Cell(report) => {
--- a/src/gateway/fleet/reporting.rs
+++ b/src/gateway/fleet/reporting.rs
@@ -58,7 +58,9 @@
     pub fn message(&self, now_ms: u64, body: Body) -> Message {
         let is_report = matches!(body, Body::Cell(_) | Body::Member(_) | Body::Summary(_));
         let limits = if is_report { self.limits_for_report(now_ms) } else { Vec::new() };
-        Message { sender: self.sender(now_ms), body, additions: Additions { limits } }
+        let evacuations = self.evacuations_for_report(now_ms).filter(|_| is_report);
+        let additions = Additions { evacuations, limits };
+        Message { sender: self.sender(now_ms), body, additions }
     }
 
     /// Updates cells and roles, drops what silent instances held, and adds the reports that are due
--- a/src/gateway/fleet_dialer.rs
+++ b/src/gateway/fleet_dialer.rs
@@ -105,7 +105,10 @@
 async fn reaches_another(shared: &Rc<Shared>, instance: SocketAddr, backend_server: &Name) -> bool {
     let others: Vec<Name> = {
         let state = shared.state.borrow();
-        let others = state.backends().usable().filter(|known| known.id != *backend_server);
+        let others = state
+            .backends()
+            .usable()
+            .filter(|known| known.id != *backend_server && state.may_send_to(&known.id));
         others.map(|known| known.id.clone()).collect()
     };
     let Some(other) = others.choose(&mut rand::rng()) else { return false };
--- a/src/gateway/gateway_settings.rs
+++ b/src/gateway/gateway_settings.rs
@@ -35,6 +35,9 @@
     /// Time from a backend server's announcement that it leaves until no request is sent to it, in
     /// milliseconds.
     pub drain_ms: u64,
+    /// Time from the request to evacuate a data centre until no request is sent to its backend
+    /// servers, in milliseconds.
+    pub evacuation_ms: u64,
     /// Time from SIGTERM to SIGKILL, in milliseconds.
     pub grace_ms: u64,
     /// Time from the publication of a document until it is in force, in milliseconds.
@@ -54,6 +57,7 @@
     fn default() -> Self {
         Self {
             drain_ms: 2_000,
+            evacuation_ms: 5_000,
             grace_ms: 8_000,
             publish_ms: 2_000,
             retry_allowance: 50,
@@ -67,6 +71,6 @@
 impl Bounds {
     /// Returns the shortest time in which changes of the store must be in force, in milliseconds.
     pub fn shortest_update_ms(&self) -> u64 {
-        self.drain_ms.min(self.publish_ms)
+        self.drain_ms.min(self.publish_ms).min(self.evacuation_ms)
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub mod dispatching;
 pub mod engine_paths;
 pub mod engine_query;
+pub mod evacuation;
 pub mod event_splitter;
 mod exchange;
 pub mod fleet;
--- a/src/gateway/peer_socket.rs
+++ b/src/gateway/peer_socket.rs
@@ -18,6 +18,7 @@
 use crate::gateway::fleet::reporting::TICK_MS;
 use crate::gateway::peer_update;
 use crate::gateway::shared::Shared;
+use crate::gateway::store_watch::log_change;
 
 /// Longest datagram, in bytes.
 const DATAGRAM_LIMIT_BYTES: usize = 60_000;
@@ -59,6 +60,9 @@
             "Instance discovered or restarted."
         );
     }
+    for state_change in &received.state_changes {
+        log_change(shared, state_change);
+    }
     if received.is_new || received.is_urgent {
         shared.report_soon.notify_one();
     }
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -126,6 +126,7 @@
     Gauges {
         backend_servers: state.backends().usable().count(),
         cut_off: shared.paths.borrow().is_cut_off(),
+        evacuated_data_centres: state.evacuated().len(),
         document_version: state.table().version(),
         in_progress: shared.in_progress.get(),
         instances: state.fleet().live_count(now_ms),
--- a/src/gateway/relay_server.rs
+++ b/src/gateway/relay_server.rs
@@ -98,7 +98,11 @@
         Ok(stream) => {
             shared.paths.borrow_mut().record_direct(boot_ms(), &target.backend_server);
             apply_notices(shared);
-            Ok((guard, stream))
+            // One that asks now does not know yet.
+            match shared.state.borrow().may_send_to(&target.backend_server) {
+                true => Ok((guard, stream)),
+                false => Err(StatusCode::NOT_FOUND),
+            }
         }
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Err(REFUSED_STATUS),
         Err(_) => Err(UNREACHABLE_STATUS),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use crate::gateway::broken_sends::BrokenSends;
 use crate::gateway::crash_records::CrashNotice;
 use crate::gateway::engine_query::VersionNeed;
+use crate::gateway::evacuation::evacuated_set::EvacuatedSet;
 use crate::gateway::fleet::coordinators::Decider;
 use crate::gateway::fleet::membership::Fleet;
 use crate::gateway::fleet::message::LeavingServer;
@@ -56,6 +57,9 @@
     /// What was found out about crashes and is not logged yet.
     pub(crate) crash_notices: Vec<CrashNotice>,
     pub(crate) document: Arc<RoutingDocument>,
+    pub(crate) evacuated: EvacuatedSet,
+    /// Since when a part of the evacuations is lacking, in milliseconds of the boot clock.
+    pub(crate) evacuated_lack_since_ms: Option<u64>,
     pub(crate) fleet: Fleet,
     pub(crate) freshness: Freshness,
     /// Position after which the store can no longer list changes.
@@ -103,6 +107,8 @@
             broken_sends: BrokenSends::default(),
             crash_notices: Vec::new(),
             document: Arc::default(),
+            evacuated: EvacuatedSet::default(),
+            evacuated_lack_since_ms: None,
             fleet: Fleet::new(&settings, now_ms, incarnation),
             freshness: Freshness::default(),
             history_lost: None,
@@ -252,6 +258,10 @@
             return Err(Refusal::retryable(RefusalReason::Stopping, RETRY_ELSEWHERE_MS));
         }
         let time_left_ms = arrival.metadata.time_left_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+        let deadline_ms = arrival.arrived_ms.saturating_add(time_left_ms);
+        if let Some(refusal) = self.refusal_if_closed(now_ms, &service, deadline_ms) {
+            return Err(refusal);
+        }
         let prompt = arrival.metadata.prompt.clone().map(Arc::new);
         let units = customer.as_ref().map(|customer| units(customer, prompt.as_deref()));
         let rank = customer.as_ref().and_then(|customer| customer.priority);
@@ -260,7 +270,7 @@
         Ok(RequestPlan {
             arrived_ms: arrival.arrived_ms,
             charge: PlanCharge::Pending,
-            deadline_ms: arrival.arrived_ms.saturating_add(time_left_ms),
+            deadline_ms,
             fingerprint: arrival.fingerprint,
             key: arrival.metadata.key.clone().filter(|_| customer.is_some()),
             prompt: prompt.filter(|_| route.kind == RouteKind::Stream),
@@ -401,8 +411,8 @@
         let silent =
             self.backends.get(backend).is_none_or(|known| known.is_silent(now_ms, silence_ms));
         let free_slots = self.backends.slots_for(now_ms, &plan.service, &plan.version_need).1;
-        let own_free_slots =
-            self.backends.get(backend).map(Backend::free_slots).unwrap_or_default();
+        let own = self.backends.get(backend).filter(|own| self.backends.takes_new_work(own));
+        let own_free_slots = own.map(Backend::free_slots).unwrap_or_default();
         silent && free_slots > own_free_slots
     }
 
--- a/src/gateway/store_item.rs
+++ b/src/gateway/store_item.rs
@@ -36,6 +36,16 @@
         /// Id of the backend server.
         id: Name,
     },
+    /// New work must keep away from a data centre; not sent to builds that do not know it.
+    Evacuated {
+        /// Name of the data centre.
+        data_centre: Name,
+    },
+    /// A data centre is no longer evacuated; not sent to builds that do not know it.
+    EvacuationEnded {
+        /// Name of the data centre.
+        data_centre: Name,
+    },
     /// A routing document, or why it can't be read.
     Document(Result<Box<RoutingDocument>, String>),
     /// An item that is irrelevant to the gateway.
--- a/src/gateway/store_log.rs
+++ b/src/gateway/store_log.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::fleet::additions::ToldEvacuations;
 use crate::gateway::routing_document::RoutingDocument;
 use crate::gateway::store_item::{StoreItem, StorePosition};
 
@@ -34,7 +35,10 @@
     /// Changes of backend servers, in order.
     #[serde(rename = "facts")]
     pub items: Vec<StoreItem>,
-    /// Position of the store up to which the update is complete.
+    /// The evacuated data centres; `None` from a build that does not know them.
+    #[serde(default)]
+    pub evacuations: Option<ToldEvacuations>,
+    /// Position of the store up to which the rest of the update is complete.
     pub position: StorePosition,
     /// Whether the items list all backend servers rather than changes.
     pub whole: bool,
--- a/src/gateway/store_read.rs
+++ b/src/gateway/store_read.rs
@@ -35,6 +35,11 @@
     },
     /// Read a full listing.
     List,
+    /// Read the changes after a position again, for the evacuations among them.
+    Missed {
+        /// The position.
+        after: StorePosition,
+    },
     /// Read nothing for this time, in milliseconds.
     Nothing(u64),
 }
@@ -48,6 +53,10 @@
         {
             return StoreRead::List;
         }
+        let lacking_ms = match self.read_for_evacuations(now_ms) {
+            Ok(read) => return read,
+            Err(wait_ms) => wait_ms,
+        };
         let bound_ms = self.settings.bounds.shortest_update_ms() as f64;
         if self.fleet.is_reader(now_ms, self.store_reachable) {
             return StoreRead::Changes { after, wait_ms: (bound_ms * WATCH_SHARE) as u64 };
@@ -62,7 +71,7 @@
             .unwrap_or(u64::MAX);
         match proof_left_ms.min(behind_left_ms) {
             0 => StoreRead::Changes { after, wait_ms: 1 },
-            left_ms => StoreRead::Nothing(left_ms),
+            left_ms => StoreRead::Nothing(left_ms.min(lacking_ms)),
         }
     }
 
--- a/src/gateway/store_updates.rs
+++ b/src/gateway/store_updates.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 
 use crate::gateway::backends::RecordChange;
+use crate::gateway::evacuation::evacuated_set::SetChange;
+use crate::gateway::evacuation::following::{HeardFrom, fault_of};
 use crate::gateway::routing_document::RoutingDocument;
 use crate::gateway::routing_table::RoutingTable;
 use crate::gateway::state::GatewayState;
@@ -28,6 +30,15 @@
         /// Version of the previous document.
         before: u64,
     },
+    /// Evacuations of data centres began or ended.
+    Evacuations {
+        /// Time since the first instance learned of it, as far as that is known, in milliseconds.
+        age_ms: u64,
+        /// What changed.
+        change: SetChange,
+        /// Where this instance has it from.
+        from: HeardFrom,
+    },
     /// An item of the store can't be read.
     Unreadable {
         /// Id of the backend server, or `document`.
@@ -54,7 +65,8 @@
         if self.is_of_earlier_era(changes.position) {
             return Vec::new();
         }
-        let state_changes = self.merge_changes(now_ms, changes);
+        let mut state_changes = self.merge_evacuations(now_ms, &changes);
+        state_changes.extend(self.merge_changes(now_ms, changes));
         self.record_proof(proved_ms);
         state_changes
     }
@@ -80,7 +92,8 @@
         } else if self.relist_at_ms.is_some_and(|relist_ms| now_ms >= relist_ms) {
             self.relist_at_ms = None;
         }
-        let state_changes = self.merge_listing(now_ms, listing, is_repeated);
+        let mut state_changes = self.merge_listed_evacuations(now_ms, &listing);
+        state_changes.extend(self.merge_listing(now_ms, listing, is_repeated));
         self.history_lost = None;
         self.record_proof(requested_ms);
         state_changes
@@ -88,15 +101,19 @@
 
     /// Applies an update from a peer, which is no proof that the document is the newest.
     pub fn apply_store_update(&mut self, now_ms: u64, update: StoreUpdate) -> Vec<StateChange> {
-        let StoreUpdate { document, items, position, whole } = update;
+        let StoreUpdate { document, evacuations, items, position, whole } = update;
         let document = document.map(|document| StoreItem::Document(Ok(Box::new(document))));
         let items = items.into_iter().chain(document).collect();
         let changes = StoreChanges { items, position };
-        if whole {
-            self.merge_listing(now_ms, changes, false)
-        } else {
-            self.merge_changes(now_ms, changes)
-        }
+        let mut state_changes = match evacuations {
+            Some(told) => self.apply_told_evacuations(now_ms, &told, HeardFrom::Update),
+            None => Vec::new(),
+        };
+        state_changes.extend(match whole {
+            true => self.merge_listing(now_ms, changes, false),
+            false => self.merge_changes(now_ms, changes),
+        });
+        state_changes
     }
 
     /// Returns the update for an instance that has the store's changes up to `after` and a document
@@ -112,7 +129,8 @@
         let items = changed.unwrap_or_else(|| self.backends.items());
         let is_newer = self.table.version() > version;
         let document = is_newer.then(|| (*self.document).clone());
-        Some(StoreUpdate { document, items, position, whole })
+        let evacuations = self.evacuations_for_update();
+        Some(StoreUpdate { document, evacuations, items, position, whole })
     }
 
     /// Records that the store can no longer list the changes after the known revision, so that a
@@ -194,6 +212,7 @@
     }
 
     fn apply_items(&mut self, now_ms: u64, items: Vec<StoreItem>) -> Vec<StateChange> {
+        self.note_lacking_evacuations(now_ms);
         let state_changes: Vec<_> =
             items.into_iter().filter_map(|item| self.apply_item(now_ms, item)).collect();
         let is_of_backend = |change: &StateChange| matches!(change, StateChange::Backend { .. });
@@ -229,7 +248,8 @@
             StoreItem::Document(Err(detail)) => {
                 Some(StateChange::Unreadable { item: "document".into(), detail })
             }
-            StoreItem::Unrelated => None,
+            StoreItem::Evacuated { .. } => fault_of(&item),
+            StoreItem::EvacuationEnded { .. } | StoreItem::Unrelated => None,
         }
     }
 }
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -19,6 +19,7 @@
 use crate::gateway::backends::RecordChange;
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::connections::{limit_interim_answers, open_http};
+use crate::gateway::evacuation::event_log;
 use crate::gateway::shared::Shared;
 use crate::gateway::store_item::{StoreChanges, StorePage, StorePosition};
 use crate::gateway::store_read::StoreRead;
@@ -75,6 +76,7 @@
                 watch.read_changes(after, wait_ms).await
             }
             StoreRead::List => watch.read_listing().await,
+            StoreRead::Missed { after } => watch.read_missed(after).await,
             StoreRead::Nothing(pause_ms) => {
                 watch.wait_for_update(pause_ms).await;
                 continue;
@@ -151,6 +153,22 @@
         Ok(())
     }
 
+    async fn read_missed(&mut self, after: StorePosition) -> Result<(), CallError> {
+        let wait_ms = 1;
+        let path = self.shared.wire.watch_path(after.revision, wait_ms);
+        let answer = self.call(&path, wait_ms + WATCH_SLACK_MS).await?;
+        let changes =
+            self.shared.wire.store_changes(answer.era, &answer.body).map_err(CallError::Failed)?;
+        if changes.position.era > after.era {
+            return Err(CallError::HistoryGone);
+        }
+        let mut state = self.shared.state.borrow_mut();
+        let state_changes = state.apply_missed_changes(boot_ms(), after, &changes);
+        drop(state);
+        self.announce_changes(state_changes);
+        Ok(())
+    }
+
     /// Logs changes that the state has applied, triggers a report to peers and dispatches waiting
     /// requests.
     fn announce_changes(&self, state_changes: Vec<StateChange>) {
@@ -287,6 +305,10 @@
         StateChange::Document { version, before } => {
             info!(target: "beliefs", version, before; "Routing document adopted.");
         }
+        StateChange::Evacuations { age_ms, change, from } => {
+            let count = shared.state.borrow().evacuated().len();
+            event_log::log_change(change, from, *age_ms, count);
+        }
         StateChange::Unreadable { item, detail } => {
             warn!(
                 target: "beliefs",
