--- a/src/gateway/fleet/reporting.rs
+++ b/src/gateway/fleet/reporting.rs
@@ -72,7 +72,8 @@
         };
         let is_repeatable = matches!(body, Body::Ask(ask) if ask.is_repeatable);
         let limits = if is_report { self.limits_for_report(now_ms) } else { Vec::new() };
-        Additions { cold, limits, outliers, is_repeatable }
+        let evacuations = self.evacuations_for_report(now_ms).filter(|_| is_report);
+        Additions { cold, evacuations, limits, outliers, is_repeatable }
     }
 
     /// Updates cells and roles, drops what silent instances held, and adds the reports that are due
