Hand keys over at each change of the list, with a proof of what was granted

Callers saw 409 key_unknown for bookings that were refused as not_run while the list changed, and sent again under their key: the new home could not know what the former one had granted. A former home now seals the list that it has left, and hands over its records with a floor above which it knows every grant.

--- a/schedules/src/cores/mod.rs
+++ b/schedules/src/cores/mod.rs
@@ -270,7 +270,7 @@
     fn send_link_event(&mut self, at: usize, peer: usize, up: bool) {
         let (peer, incarnation) = (self.nodes[peer].name.clone(), self.nodes[peer].incarnation);
         let event = match up {
-            true => Event::PeerUp { peer, incarnation },
+            true => Event::PeerUp { peer, incarnation, key_seals: true },
             false => Event::PeerDown { peer },
         };
         self.decide_if_running(at, event);
--- a/schedules/src/key_homes/faults.rs
+++ b/schedules/src/key_homes/faults.rs
@@ -165,7 +165,15 @@
     /// Stops a process after it handed its keys over to the successors.
     fn stop(&mut self, name: &Name) {
         let Some(mut process) = self.processes.remove(name) else { return };
-        for record in process.home.hand_over() {
+        let now = process.now(self.now_ms);
+        process.handover.observe(&process.membership.eligibility(now));
+        let records = process.home.hand_over();
+        let retired_version = process.membership.retired_version();
+        // Some successors are of a version that takes no seals.
+        let takes_seals = self.rng.random_bool(0.9);
+        let seals = process.handover.stop_seals(retired_version, &process.home, |_| takes_seals);
+        self.send_parts(name, seals);
+        for record in records {
             let Some(to) = process.membership.view().successor(&record.key, name) else { return };
             self.send(name, &to, Packet::Peer(PeerMessage::KeyHandover(vec![record])));
         }
--- a/schedules/src/key_homes/mod.rs
+++ b/schedules/src/key_homes/mod.rs
@@ -214,6 +214,7 @@
             self.read_platform(&name);
             let event = MembershipEvent::Tick { summary: Default::default() };
             self.decide(&name, event);
+            self.send_seals(&name);
         }
     }
 
@@ -228,6 +229,14 @@
 
     fn adopt(&mut self, name: &Name, version: u64) {
         let view = self.view(name, version);
+        let now_ms = self.now_ms;
+        if let Some(process) = self.processes.get_mut(name)
+            && process.paused_until_ms <= now_ms
+        {
+            let now = process.now(now_ms);
+            process.handover.observe(&process.membership.eligibility(now));
+            process.handover.adopt(view.clone());
+        }
         self.decide(name, MembershipEvent::ListAdopted { view });
     }
 
--- a/schedules/src/key_homes/process.rs
+++ b/schedules/src/key_homes/process.rs
@@ -1,6 +1,7 @@
 //! One process of the fleet, and how the fleet applies its effects and delivers its packets.
 
 use bergamotspan::home_rules::HomeRules;
+use bergamotspan::key_handover::{HandoverSettings, KeyHandover, KeySeal};
 use bergamotspan::key_home::KeyHome;
 use bergamotspan::key_home_builder::KeyHomeBuilder;
 use bergamotspan::membership::Membership;
@@ -21,6 +22,7 @@
 pub struct Process {
     /// Claims without a verdict, with the time at which they were sent, in milliseconds.
     pub pending_claims: Vec<(RequestId, u64)>,
+    pub handover: KeyHandover,
     pub home: KeyHome,
     pub incarnation: u64,
     pub membership: Membership,
@@ -41,6 +43,14 @@
         rules: HomeRules,
     ) -> Self {
         let now = Now { monotonic_ms: 0, wall_clock_ms: now_ms + wall_clock_offset_ms };
+        let settings = HandoverSettings {
+            clock_margin_ms: CLOCK_MARGIN_MS,
+            confirmation_window_ms: WINDOW_MS,
+            incarnation,
+            part_limit_records: 1,
+            rules,
+        };
+        let handover = KeyHandover::start(settings, now, view.clone());
         let membership = MembershipBuilder::new(incarnation)
             .clock_margin_ms(CLOCK_MARGIN_MS)
             .confirmation_window_ms(WINDOW_MS)
@@ -57,6 +67,7 @@
         let (paused_until_ms, sequence, started_ms) = (0, 0, now_ms);
         Self {
             pending_claims,
+            handover,
             home,
             incarnation,
             membership,
@@ -86,7 +97,9 @@
         let eligibility = self.membership.eligibility(now);
         let view = self.membership.view();
         let is_home = view.home(&claim.key) == self.name;
-        self.home.claim(now, claim, &eligibility, is_home, view.list_version())
+        let covered_from_ms = self.handover.covered_from_ms(&claim.key);
+        let list_version = view.list_version();
+        self.home.claim_covered(now, claim, &eligibility, is_home, list_version, covered_from_ms)
     }
 }
 
@@ -119,6 +132,8 @@
                 self.decide(to, MembershipEvent::Confirmation { confirmation, from });
             }
             Packet::Peer(PeerMessage::Heartbeat(heartbeat)) => {
+                let process = self.processes.get_mut(to).unwrap();
+                process.handover.hear(&from, heartbeat.incarnation);
                 self.decide(to, MembershipEvent::Heartbeat { from, heartbeat });
             }
             Packet::Peer(PeerMessage::KeyClaim(claim)) => self.receive_claim(&from, to, &claim),
@@ -127,15 +142,52 @@
                 process.home.accept_handover(process.now(self.now_ms), records);
             }
             Packet::Peer(PeerMessage::KeyRelease { key, request }) => {
-                self.processes.get_mut(to).unwrap().home.release(&key, &request);
+                self.receive_release(to, key, request);
             }
             Packet::Peer(PeerMessage::KeyVerdict { key, request, verdict }) => {
                 self.receive_verdict(&from, to, key, request, &verdict);
             }
+            Packet::Peer(PeerMessage::KeySeal(seal)) => {
+                let process = self.processes.get_mut(to).unwrap();
+                let now = process.now(self.now_ms);
+                process.handover.receive(now, &from, seal, &mut process.home);
+            }
             Packet::Peer(_) => {}
         }
     }
 
+    /// Sends the seals that are due; now and then a link counts as new, so that they are repeated.
+    pub fn send_seals(&mut self, name: &Name) {
+        let renewed = self.random_running().filter(|_| self.rng.random_bool(0.05));
+        let Some(process) = self.processes.get_mut(name) else { return };
+        if process.paused_until_ms > self.now_ms {
+            return;
+        }
+        if let Some(peer) = renewed {
+            process.handover.link_up(&peer);
+        }
+        let now = process.now(self.now_ms);
+        process.handover.observe(&process.membership.eligibility(now));
+        let retired_version = process.membership.retired_version();
+        let seals = process.handover.due_seals(retired_version, &process.home, |_| true);
+        self.send_parts(name, seals);
+    }
+
+    pub fn send_parts(&mut self, name: &Name, seals: Vec<(Name, KeySeal)>) {
+        for (to, seal) in seals {
+            self.send(name, &to, Packet::Peer(PeerMessage::KeySeal(seal)));
+        }
+    }
+
+    fn receive_release(&mut self, to: &Name, key: Name, request: RequestId) {
+        let process = self.processes.get_mut(to).unwrap();
+        let was_held = process.home.release(&key, &request);
+        let home = process.membership.view().home(&key);
+        if was_held && home != *to {
+            self.send(to, &home, Packet::Peer(PeerMessage::KeyRelease { key, request }));
+        }
+    }
+
     fn receive_claim(&mut self, from: &Name, to: &Name, claim: &KeyClaim) {
         let verdict = self.processes.get_mut(to).unwrap().answer(self.now_ms, claim);
         let (key, request) = (claim.key.clone(), claim.request.clone());
--- a/schedules/src/key_homes/script.rs
+++ b/schedules/src/key_homes/script.rs
@@ -1,7 +1,6 @@
 //! Schedules written step by step, for faults that random schedules rarely produce.
 
 use bergamotspan::home_rules::HomeRules;
-use bergamotspan::membership_event::MembershipEvent;
 use bergamotspan::name::Name;
 
 use super::{Fleet, Outcome, Plan, STEP_MS, instance_name};
@@ -38,8 +37,7 @@
         let version = self.fleet.lists.len() as u64;
         for number in numbers {
             let name = instance_name(*number);
-            let view = self.fleet.view(&name, version);
-            self.fleet.decide(&name, MembershipEvent::ListAdopted { view });
+            self.fleet.adopt(&name, version);
         }
         self
     }
--- a/src/admit.rs
+++ b/src/admit.rs
@@ -55,7 +55,15 @@
         let eligibility = self.membership.eligibility(now);
         let is_home = self.view.home(&claim.key) == self.own_name() && self.stop.is_none();
         let list_version = self.view.list_version();
-        self.key_home.claim(now, claim, &eligibility, is_home, list_version)
+        let covered_from_ms = self.key_handover.covered_from_ms(&claim.key);
+        self.key_home.claim_covered(
+            now,
+            claim,
+            &eligibility,
+            is_home,
+            list_version,
+            covered_from_ms,
+        )
     }
 
     pub(crate) fn receive_verdict(
--- a/src/adopt.rs
+++ b/src/adopt.rs
@@ -117,6 +117,8 @@
         self.link_members();
         self.effects.push(Effect::WatchAfter { version: self.inventory.version });
         let view = self.view.clone();
+        self.key_handover.observe(&self.membership.eligibility(now));
+        self.key_handover.adopt(view.clone());
         match is_first {
             true => {
                 self.key_home = build_key_home(&self.settings, &self.inventory);
--- a/src/build_core.rs
+++ b/src/build_core.rs
@@ -5,7 +5,10 @@
 
 use crate::config_adoption::ConfigAdoption;
 use crate::core::Core;
+use crate::hand_over_keys::HANDOVER_LIMIT_RECORDS;
+use crate::home_rules::HomeRules;
 use crate::inventory::Inventory;
+use crate::key_handover::{HandoverSettings, KeyHandover};
 use crate::key_home::KeyHome;
 use crate::key_home_builder::KeyHomeBuilder;
 use crate::membership::Membership;
@@ -28,6 +31,7 @@
         effects: Vec::new(),
         incarnation,
         inventory,
+        key_handover: build_key_handover(&settings, incarnation, now, view.clone()),
         key_home,
         key_lookups: BTreeMap::new(),
         leaving: Vec::new(),
@@ -39,6 +43,7 @@
         refused_document: None,
         renewed_links: Vec::new(),
         requests: Requests::default(),
+        seal_takers: Vec::new(),
         schedulers: Vec::new(),
         settings,
         stop: None,
@@ -49,6 +54,17 @@
     }
 }
 
+fn build_key_handover(settings: &Settings, incarnation: u64, now: Now, view: View) -> KeyHandover {
+    let settings = HandoverSettings {
+        clock_margin_ms: settings.keys.clock_margin_ms,
+        confirmation_window_ms: settings.peer.confirmation_window_ms,
+        incarnation,
+        part_limit_records: HANDOVER_LIMIT_RECORDS,
+        rules: HomeRules::default(),
+    };
+    KeyHandover::start(settings, now, view)
+}
+
 /// Builds an empty key home for the tiers of an inventory.
 pub fn build_key_home(settings: &Settings, inventory: &Inventory) -> KeyHome {
     let keys = &settings.keys;
--- a/src/control.rs
+++ b/src/control.rs
@@ -53,7 +53,9 @@
             PeerEvent::Message { incarnation, message, peer } => {
                 Event::PeerMessage { incarnation, message, peer }
             }
-            PeerEvent::Up { incarnation, peer } => Event::PeerUp { incarnation, peer },
+            PeerEvent::Up { incarnation, key_seals, peer } => {
+                Event::PeerUp { incarnation, key_seals, peer }
+            }
         };
         // The control thread only ends with the process.
         let _ = self.control.send(ControlInput::Event(event));
--- a/src/core.rs
+++ b/src/core.rs
@@ -12,6 +12,7 @@
 use crate::effect::Effect;
 use crate::event::Event;
 use crate::inventory::Inventory;
+use crate::key_handover::KeyHandover;
 use crate::key_home::KeyHome;
 use crate::key_lookup::KeyLookup;
 use crate::membership::Membership;
@@ -38,6 +39,7 @@
     pub(crate) effects: Vec<Effect>,
     pub(crate) incarnation: u64,
     pub(crate) inventory: Arc<Inventory>,
+    pub(crate) key_handover: KeyHandover,
     pub(crate) key_home: KeyHome,
     pub(crate) key_lookups: BTreeMap<u64, KeyLookup>,
     pub(crate) leaving: Vec<Name>,
@@ -49,6 +51,8 @@
     pub(crate) refused_document: Option<RefusedDocument>,
     pub(crate) renewed_links: Vec<Name>,
     pub(crate) requests: Requests,
+    /// Linked peers that take seals of key homes, sorted.
+    pub(crate) seal_takers: Vec<Name>,
     pub(crate) schedulers: Vec<(Name, Box<dyn Scheduler>)>,
     pub(crate) settings: Arc<Settings>,
     pub(crate) stop: Option<StopState>,
@@ -98,7 +102,7 @@
             Event::PeerDown { peer } => self.link_down(now, peer),
             Event::PeerMessage { peer, .. } if self.is_outdated(&peer) => {}
             Event::PeerMessage { peer, message, .. } => self.receive_message(now, peer, message),
-            Event::PeerUp { peer, .. } => self.link_up(now, &peer),
+            Event::PeerUp { key_seals, peer, .. } => self.link_up(now, &peer, key_seals),
             Event::PlatformUnreachable => {
                 self.apply_config_event(now, ConfigEvent::PlatformUnreachable)
             }
@@ -172,6 +176,7 @@
         self.tick_schedulers(now);
         self.sweep_requests(now);
         self.key_home.expire(now);
+        self.send_seals(now);
         self.expire_lookups(now);
         self.unlink_former_members();
         self.continue_stop(now);
--- a/src/event.rs
+++ b/src/event.rs
@@ -97,6 +97,8 @@
         peer: Name,
         /// Its incarnation.
         incarnation: u64,
+        /// Whether it takes seals of key homes.
+        key_seals: bool,
     },
     /// The platform did not answer.
     PlatformUnreachable,
--- a/src/key_home.rs
+++ b/src/key_home.rs
@@ -2,14 +2,15 @@
 //!
 //! A key is granted only by its eligible home, only if claimant and home use the same list
 //! version, and only if it was minted later than the time at which the home became eligible plus
-//! twice the clock margin: once for the skew between this clock and the predecessor's, once for a
+//! twice the clock margin, or later than a floor that the former homes proved by their seals
+//! ([`crate::key_handover`]). The margin counts twice: once for the skew between this clock and the predecessor's, once for a
 //! key that the predecessor granted although it was minted in the future by up to the margin. A
 //! key without a minting time counts as minted before until the home has been eligible for one key
 //! lifetime plus the clock margin.
 //!
-//! Records handed over by a stopping home answer claims of their own keys with the request that
-//! holds them. They never make a key grantable to another request: a key without a record may
-//! still have been granted by a home before the one that handed over.
+//! Records handed over without a seal answer claims of their own keys with the request that holds
+//! them. They never make a key grantable to another request: a key without a record may still have
+//! been granted by a home before the one that handed over.
 
 use std::collections::BTreeMap;
 
@@ -44,6 +45,8 @@
 #[derive(Clone, Debug)]
 struct StoredRecord {
     expires_wall_clock_ms: u64,
+    /// List under which the key was granted here, or which its former home has left.
+    list_version: u64,
     record: KeyRecord,
 }
 
@@ -72,12 +75,33 @@
         for record in records {
             let has_room = (self.records.len() as u64) < u64::from(self.settings.capacity);
             if has_room && !self.records.contains_key(&record.key) {
-                self.store(record);
+                self.store(record, 0);
             }
         }
         self.expire(now);
     }
 
+    /// Stores the records of keys that a former home handed over when it left a list, in place of
+    /// records of that list and earlier ones. Returns whether all of them had room.
+    pub fn accept_sealed(&mut self, now: Now, list_version: u64, records: Vec<KeyRecord>) -> bool {
+        self.expire(now);
+        let mut has_room = true;
+        for record in records {
+            let known = self.records.get(&record.key);
+            if known.is_some_and(|known| known.list_version > list_version) {
+                continue;
+            }
+            self.remove(&record.key);
+            if (self.records.len() as u64) < u64::from(self.settings.capacity) {
+                self.store(record, list_version);
+            } else {
+                has_room = false;
+            }
+        }
+        self.expire(now);
+        has_room
+    }
+
     /// Answers a claim.
     ///
     /// A claim repeated by the request that holds the key is granted again.
@@ -88,6 +112,20 @@
         eligibility: &HomeEligibility,
         is_home: bool,
         list_version: u64,
+    ) -> KeyVerdict {
+        self.claim_covered(now, claim, eligibility, is_home, list_version, None)
+    }
+
+    /// Answers a claim as [`KeyHome::claim`] does; all grants of this key by any home are known
+    /// here if it was minted later than the wall-clock time `covered_from_ms`.
+    pub fn claim_covered(
+        &mut self,
+        now: Now,
+        claim: &KeyClaim,
+        eligibility: &HomeEligibility,
+        is_home: bool,
+        list_version: u64,
+        covered_from_ms: Option<u64>,
     ) -> KeyVerdict {
         self.expire(now);
         let since = match self.check_home(claim, eligibility, is_home, list_version) {
@@ -97,18 +135,21 @@
         if let CheckResult::Answer(verdict) = self.check_record(claim) {
             return verdict;
         }
-        if let CheckResult::Answer(verdict) = self.check_minting(now, &claim.key, since) {
+        if let CheckResult::Answer(verdict) =
+            self.check_minting(now, &claim.key, since, covered_from_ms)
+        {
             return verdict;
         }
         if let CheckResult::Answer(verdict) = self.check_capacity(claim.tier_rank) {
             return verdict;
         }
-        self.store(KeyRecord {
+        let record = KeyRecord {
             fingerprint: claim.fingerprint,
             granted_wall_clock_ms: self.wall_clock_ms,
             key: claim.key.clone(),
             request: claim.request.clone(),
-        });
+        };
+        self.store(record, list_version);
         KeyVerdict::Granted
     }
 
@@ -150,12 +191,27 @@
         self.records.len()
     }
 
-    /// Releases a key if the request holds it.
-    pub fn release(&mut self, key: &Name, request: &RequestId) {
-        let held = self.records.get(key).filter(|held| held.record.request == *request);
-        if let Some(held) = held {
+    /// Returns the records that meet a condition on their keys.
+    pub fn records_where<F>(&self, condition: F) -> Vec<KeyRecord>
+    where
+        F: Fn(&Name) -> bool,
+    {
+        let chosen = self.records.iter().filter(|(key, _)| condition(key));
+        chosen.map(|(_, stored)| stored.record.clone()).collect()
+    }
+
+    /// Releases a key if the request holds it, and returns whether it did.
+    pub fn release(&mut self, key: &Name, request: &RequestId) -> bool {
+        let is_held = self.records.get(key).is_some_and(|held| held.record.request == *request);
+        if is_held {
+            self.remove(key);
+        }
+        is_held
+    }
+
+    fn remove(&mut self, key: &Name) {
+        if let Some(held) = self.records.remove(key) {
             self.by_expiry.remove(&(held.expires_wall_clock_ms, key.clone()));
-            self.records.remove(key);
         }
     }
 
@@ -175,7 +231,13 @@
         }
     }
 
-    fn check_minting(&self, now: Now, key: &str, since: Now) -> CheckResult {
+    fn check_minting(
+        &self,
+        now: Now,
+        key: &str,
+        since: Now,
+        covered_from_ms: Option<u64>,
+    ) -> CheckResult {
         let Some(minted_ms) = minted_ms(key) else {
             return self.check_untimed(now, since);
         };
@@ -188,7 +250,8 @@
             return CheckResult::Answer(refused(KeyRefusal::MintedInFuture, early_ms));
         }
         let margin_ms = SKEW_MARGINS * settings.clock_margin_ms;
-        let is_after = minted_ms > since.wall_clock_ms + margin_ms;
+        let floor_ms = since.wall_clock_ms + margin_ms;
+        let is_after = minted_ms > covered_from_ms.map_or(floor_ms, |ms| ms.min(floor_ms));
         answer_unknown_unless(is_after || !settings.rules.minted_after)
     }
 
@@ -224,11 +287,12 @@
         answer_unknown_unless(eligible_ms > wait_ms || !self.settings.rules.minted_after)
     }
 
-    fn store(&mut self, record: KeyRecord) {
+    fn store(&mut self, record: KeyRecord, list_version: u64) {
         let begin_ms = minted_ms(&record.key).unwrap_or(0).max(record.granted_wall_clock_ms);
         let expires_wall_clock_ms = begin_ms + self.settings.lifetime_ms;
         self.by_expiry.insert((expires_wall_clock_ms, record.key.clone()), ());
-        self.records.insert(record.key.clone(), StoredRecord { expires_wall_clock_ms, record });
+        let stored = StoredRecord { expires_wall_clock_ms, list_version, record };
+        self.records.insert(stored.record.key.clone(), stored);
     }
 
     fn next_expiry_delay_ms(&self) -> u64 {
--- a/src/peer_event.rs
+++ b/src/peer_event.rs
@@ -24,6 +24,8 @@
     Up {
         /// Incarnation of the peer.
         incarnation: u64,
+        /// Whether it takes seals of key homes.
+        key_seals: bool,
         /// The peer.
         peer: Name,
     },
--- a/src/peer_hello.rs
+++ b/src/peer_hello.rs
@@ -9,6 +9,9 @@
 pub struct Hello {
     /// Incarnation of the sender.
     pub incarnation: u64,
+    /// Whether the sender takes seals of key homes; versions before that don't know the message.
+    #[serde(default)]
+    pub key_seals: bool,
     /// Number of the link, which rises with each link of the opener; the acceptor echoes it.
     pub link_sequence: u64,
     /// Name of the sender.
--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
+use crate::key_handover::KeySeal;
 use crate::name::Name;
 use crate::request_id::RequestId;
 use crate::scheduling::{Grant, GrantRequest, Progress, Refusal, RunningRequest};
@@ -92,6 +93,11 @@
         #[serde(rename = "v")]
         verdict: KeyVerdict,
     },
+    /// Says what the sender granted under a list that it has left or stopped under, and hands the
+    /// keys over that have their home at the receiver from now on. Only sent on links whose hello
+    /// says that the receiver knows it.
+    #[serde(rename = "ks")]
+    KeySeal(KeySeal),
     /// Reports the progress of a granted request to the coordinator.
     #[serde(rename = "p")]
     Progress {
--- a/src/peer_registry.rs
+++ b/src/peer_registry.rs
@@ -143,8 +143,9 @@
         let outbox = self.outboxes.open(&hello.name, link_id, self.settings.queue_limit_messages);
         self.set_current(OpenLink { hello: hello.clone(), link_id });
         info!(target: PEER, "Link to '{}' opened.", hello.name);
-        let (peer, incarnation) = (hello.name.clone(), hello.incarnation);
-        self.sink.deliver(PeerEvent::Up { incarnation, peer });
+        let (peer, incarnation, key_seals) =
+            (hello.name.clone(), hello.incarnation, hello.key_seals);
+        self.sink.deliver(PeerEvent::Up { incarnation, key_seals, peer });
         Registration::Current { outbox, link_id }
     }
 
--- a/src/peer_supervisor.rs
+++ b/src/peer_supervisor.rs
@@ -194,5 +194,10 @@
 
 fn own_hello(registry: &PeerRegistry, link_sequence: u64) -> Hello {
     let settings = &registry.settings;
-    Hello { incarnation: settings.incarnation, link_sequence, name: settings.name.clone() }
+    Hello {
+        incarnation: settings.incarnation,
+        key_seals: true,
+        link_sequence,
+        name: settings.name.clone(),
+    }
 }
--- a/src/receive_message.rs
+++ b/src/receive_message.rs
@@ -5,12 +5,9 @@
 use crate::membership_event::{MembershipEffect, MembershipEvent};
 use crate::name::Name;
 use crate::now::Now;
-use crate::peer_message::{Heartbeat, KeyRecord, PeerMessage};
+use crate::peer_message::{Heartbeat, PeerMessage};
 use crate::scheduler::SchedulerEvent;
 
-/// Maximum number of records in one message, so that it fits the message size limit of a link.
-const HANDOVER_LIMIT_RECORDS: usize = 2_000;
-
 impl Core {
     /// Applies a message of another instance.
     pub(crate) fn receive_message(&mut self, now: Now, peer: Name, message: PeerMessage) {
@@ -46,7 +43,10 @@
                 let holder = self.key_home.holder(&key);
                 self.send(&peer, PeerMessage::KeyHolder { holder, key, sequence });
             }
-            PeerMessage::KeyRelease { key, request } => self.key_home.release(&key, &request),
+            PeerMessage::KeyRelease { key, request } => self.receive_release(key, request),
+            PeerMessage::KeySeal(seal) => {
+                self.key_handover.receive(now, &peer, seal, &mut self.key_home);
+            }
             PeerMessage::KeyVerdict { key, request, verdict } => {
                 if request == self.request_id(request.sequence) {
                     self.receive_verdict(now, &peer, &key, request.sequence, verdict);
@@ -93,32 +93,15 @@
         }
     }
 
-    pub(crate) fn hand_over_keys(&mut self) {
-        let records = self.key_home.hand_over();
-        let own_name = self.own_name();
-        let mut handovers: Vec<(Name, Vec<KeyRecord>)> = Vec::new();
-        for record in records {
-            let Some(successor) = self.view.successor(&record.key, &own_name) else { continue };
-            match handovers.binary_search_by(|(name, _)| name.cmp(&successor)) {
-                Ok(index) => handovers[index].1.push(record),
-                Err(index) => handovers.insert(index, (successor, vec![record])),
-            }
-        }
-        for (successor, records) in handovers {
-            for chunk in records.chunks(HANDOVER_LIMIT_RECORDS) {
-                self.send(&successor, PeerMessage::KeyHandover(chunk.to_vec()));
-            }
-        }
-    }
-
     pub(crate) fn link_down(&mut self, now: Now, peer: Name) {
         self.apply_config_event(now, ConfigEvent::PeerDown { peer: peer.clone() });
         self.apply_membership_event(now, MembershipEvent::LinkLost { peer });
     }
 
     /// Sends grant requests again on a new link, since those sent before may be lost.
-    pub(crate) fn link_up(&mut self, now: Now, peer: &Name) {
+    pub(crate) fn link_up(&mut self, now: Now, peer: &Name, key_seals: bool) {
         self.accept_new_link(peer);
+        self.set_seal_taker(peer, key_seals);
         self.move_grant_requests(now, Some(peer));
     }
 
@@ -151,6 +134,7 @@
         let stopping = heartbeat.stopping;
         let version = heartbeat.config_version;
         self.record_peer_versions(&peer, version, heartbeat.incarnation);
+        self.key_handover.hear(&peer, heartbeat.incarnation);
         self.apply_config_event(now, ConfigEvent::PeerVersion { peer: peer.clone(), version });
         if !heartbeat.suspects.is_empty() {
             self.quarantine.merge(now, &peer, &heartbeat.suspects);
--- a/src/release_key.rs
+++ b/src/release_key.rs
@@ -15,7 +15,7 @@
     pub(crate) fn release_key_at(&mut self, home: &Name, key: &Name, sequence: u64) {
         let request = self.request_id(sequence);
         if *home == self.own_name() {
-            self.key_home.release(key, &request);
+            self.receive_release(key.clone(), request);
             return;
         }
         self.send(home, PeerMessage::KeyRelease { key: key.clone(), request });
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -15,7 +15,7 @@
         let earliest_ms = now.monotonic_ms + self.settings.shutdown.notice_ms;
         self.stop = Some(StopState { earliest_ms, limit_ms, reported: false });
         self.log("stop", "Stopping: new requests are refused.");
-        self.hand_over_keys();
+        self.hand_over_keys(now);
         self.move_grant_requests(now, None);
     }
 
--- a/src/view.rs
+++ b/src/view.rs
@@ -114,6 +114,20 @@
     names.chunks(cell_size).map(|cell| sorted(cell.iter().cloned())).collect()
 }
 
+/// Returns the home of a key among the members of one cell.
+pub(crate) fn home_among<'a>(key: &str, members: &'a [Name]) -> Option<&'a Name> {
+    highest_weight(key, members.iter())
+}
+
+/// Returns the home of a key among the members of one cell when an instance is excluded.
+pub(crate) fn successor_among<'a>(
+    key: &str,
+    members: &'a [Name],
+    excluded: &Name,
+) -> Option<&'a Name> {
+    highest_weight(key, members.iter().filter(|name| *name != excluded))
+}
+
 fn highest_weight<'a, I>(key: &str, names: I) -> Option<&'a Name>
 where
     I: Iterator<Item = &'a Name>,
