Share a rank's room between customers, and refuse by the turn that a request would get

What callers saw: where a service had too little room, requests of one rank were served by due time alone. A customer that sent six times its usual took the places of the others until its limit was reached, and requests with a goal of 1,500 ms were refused after 10 ms, since a wait could take no more than a fixed share of the goal. A refusal line told the queue of the instance that refused, which is always empty, and nobody could tell what the places were held for.

Cause: the coordinator did not know the customers of requests for places (only where a charge was pending), kept one list by rank and due time, and estimated waits from all places and the mean time of a place, ranks not regarded.

Change: within a rank, start-time fair queueing by expected use of an engine (src/gateway/sharing). Asks carry their customer, refusals the coordinator's queue, as additions that builds before pass over; of such builds each instance counts as one customer. A request is refused at arrival if its turn comes too late for its first event, by the places that come free for its rank and those that its customer got lately. One of the customer with the longest queue is taken out when others come ahead of it. Metrics tell places by use, free places beside a queue, time from an end to the next grant, and places, use, wait and refusals of up to 32 customers of a service.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -6,6 +6,7 @@
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 use crate::gateway::engine_query::VersionNeed;
+use crate::gateway::fleet::additions::ToldQueue;
 use crate::gateway::fleet::part_evidence::PartRefusal;
 use crate::gateway::request_metadata::{PromptShape, RequestMetadata, Resumption};
 use crate::gateway::routing_document::{Customer, Route};
@@ -142,6 +143,8 @@
     pub reason: RefusalReason,
     /// Time after which the caller may retry, in milliseconds; `None` if a retry is useless.
     pub retry_after_ms: Option<u64>,
+    /// Queue of the coordinator that refused it, if it told that.
+    pub queue: Option<ToldQueue>,
     /// Shortage of units, if a limit was the reason.
     pub shortage: Option<UsageShortage>,
 }
@@ -149,7 +152,7 @@
 impl Refusal {
     /// Returns a refusal without retry.
     pub fn permanent(reason: RefusalReason) -> Self {
-        Self { reason, retry_after_ms: None, shortage: None }
+        Self { reason, retry_after_ms: None, queue: None, shortage: None }
     }
 
     /// Returns a refusal for a limit that is used up, until there should be enough units.
@@ -170,7 +173,7 @@
 
     /// Returns a refusal that permits a retry after `retry_after_ms`.
     pub fn retryable(reason: RefusalReason, retry_after_ms: u64) -> Self {
-        Self { reason, retry_after_ms: Some(retry_after_ms), shortage: None }
+        Self { reason, retry_after_ms: Some(retry_after_ms), queue: None, shortage: None }
     }
 }
 
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -226,6 +226,13 @@
         self.prefill_ms.value_or(DEFAULT_PREFILL_MS)
     }
 
+    /// Returns how long a request is expected to keep one slot, in microseconds.
+    pub fn expected_use_us(&self, prompt: &PromptShape) -> u64 {
+        let read_ms = self.expected_prefill_ms() * self.uncached_tokens(prompt) as f64;
+        let write_ms = self.expected_token_ms() * prompt.expected_output_tokens() as f64;
+        ((FIRST_TOKEN_BASE_MS + read_ms + write_ms) * 1_000.0) as u64
+    }
+
     /// Records a request that this instance sends.
     pub fn record_send(&mut self, now_ms: u64, prompt: Option<&PromptShape>, unread_tokens: u64) {
         self.own_load.running += 1;
--- a/src/gateway/dispatching.rs
+++ b/src/gateway/dispatching.rs
@@ -10,15 +10,11 @@
 use crate::gateway::fleet::message::EndedPlace;
 use crate::gateway::fleet::part_evidence::PartRefusal;
 use crate::gateway::request_metadata::PromptShape;
-use crate::gateway::request_queue::{QueueDecision, RequestQueue, WaitingRequest};
+use crate::gateway::request_queue::{QueueDecision, QueueStanding, RequestQueue, WaitingRequest};
+use crate::gateway::sharing::sharer::Sharer;
 use crate::gateway::state::{GatewayState, RETRY_SOON_MS, entry_or_default};
 use crate::name::Name;
 
-/// Longest time that a request waits, as a share of its goal.
-const MAX_WAIT_SHARE: f64 = 0.4;
-/// Longest time that a request waits where all requests of its rank expire, as a share of its
-/// goal.
-const MAX_OVERLOAD_WAIT_SHARE: f64 = 0.12;
 /// Longest time that a stream waits to go on, as a share of its goal.
 const MAX_RESUME_WAIT_SHARE: f64 = 1.0;
 /// Longest time until the retry of a rejected request, as a share of the time left to its
@@ -42,6 +38,17 @@
     pub rank: Rank,
     /// Its service.
     pub service: Name,
+    /// Who sends it, as far as the room is shared.
+    pub sharer: Sharer,
+}
+
+/// A request that would wait for too long.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct RefusedWait {
+    /// Time after which the caller may retry, in milliseconds.
+    pub(crate) retry_after_ms: u64,
+    /// What it would have waited for.
+    pub(crate) standing: Option<QueueStanding>,
 }
 
 /// Decision on a request.
@@ -174,15 +181,24 @@
             return DispatchDecision::Suspect(refusal);
         }
         if let Some(chosen) = self.free_engine(now_ms, &query) {
+            self.charge_share(now_ms, &query, &chosen);
             let prompt = Some(&*query.engine.prompt);
             return DispatchDecision::Send(self.start_own_place(now_ms, &chosen, prompt));
         }
         match self.enqueue(now_ms, &query) {
             Ok(number) => DispatchDecision::Wait(number),
-            Err(wait_ms) => DispatchDecision::Reject(wait_ms),
+            Err(refused) => DispatchDecision::Reject(refused.retry_after_ms),
         }
     }
 
+    /// Charges a place that is granted at once to the customer of its request.
+    pub(crate) fn charge_share(&mut self, now_ms: u64, query: &PlaceQuery, backend_server: &str) {
+        let known = self.backends.get(backend_server);
+        let cost_us = known.map(|known| known.expected_use_us(&query.engine.prompt));
+        let queue = entry_or_default(&mut self.queues, &query.service);
+        queue.charge(now_ms, query.rank, &query.sharer, cost_us.unwrap_or_default());
+    }
+
     /// Returns the engine to which a model request can be sent at once.
     pub(crate) fn free_engine(&mut self, now_ms: u64, query: &PlaceQuery) -> Option<Name> {
         let ahead = self.queue(&query.service).ahead_of(query.rank);
@@ -205,36 +221,42 @@
     ///
     /// # Errors
     ///
-    /// Returns the time after which the caller may retry, in milliseconds, if the wait would be too
-    /// long.
-    pub(crate) fn enqueue(&mut self, now_ms: u64, query: &PlaceQuery) -> Result<u64, u64> {
+    /// Returns the refusal if its first event would come too late.
+    pub(crate) fn enqueue(&mut self, now_ms: u64, query: &PlaceQuery) -> Result<u64, RefusedWait> {
         if !self.backends.has_untried(&query.service, &query.engine) {
-            return Err(RETRY_SOON_MS);
+            return Err(RefusedWait { retry_after_ms: RETRY_SOON_MS, standing: None });
         }
-        let ahead = self.queue(&query.service).ahead_of(query.rank);
         let (slots, _) =
             self.backends.slots_for(now_ms, &query.service, &query.engine.version_need);
-        let expired_share = self.queue(&query.service).expired_share(query.rank);
-        let max_wait_share =
-            MAX_WAIT_SHARE - (MAX_WAIT_SHARE - MAX_OVERLOAD_WAIT_SHARE) * expired_share;
-        let wait_ms = (ahead + 1) as f64 * self.mean_slot_ms / slots.max(1) as f64;
+        let modelled_per_ms = slots as f64 / self.mean_slot_ms.max(1.0);
+        let PlaceQuery { engine, rank, sharer, .. } = query;
         // Those ahead of a stream that goes on can use other servers as well.
-        let goes_on = matches!(query.engine.version_need, VersionNeed::Only(_));
-        let max_wait_share = if goes_on { MAX_RESUME_WAIT_SHARE } else { max_wait_share };
-        let max_wait_ms = query.goal_ms as f64 * max_wait_share;
-        let is_too_long = if goes_on { slots == 0 } else { wait_ms > max_wait_ms };
+        let goes_on = matches!(engine.version_need, VersionNeed::Only(_));
+        let queue = entry_or_default(&mut self.queues, &query.service);
+        let standing = queue.standing(now_ms, *rank, sharer, modelled_per_ms);
+        let latest_ms = if goes_on {
+            let max_wait_ms = query.goal_ms as f64 * MAX_RESUME_WAIT_SHARE;
+            query.arrived_ms.saturating_add(max_wait_ms as u64)
+        } else {
+            engine.due_ms.saturating_sub(queue.start_ms(&engine.prompt))
+        };
+        let expires_ms = latest_ms.min(engine.deadline_ms);
+        let left_ms = expires_ms.saturating_sub(now_ms) as f64 * queue.trust(*rank, sharer);
+        let is_too_long = if goes_on { slots == 0 } else { standing.wait_ms as f64 >= left_ms };
         if is_too_long {
-            return Err(self.retry_after_ms(now_ms, query.engine.deadline_ms));
+            queue.record_refusal(*rank, sharer);
+            let retry_after_ms = self.retry_after_ms(now_ms, engine.deadline_ms);
+            return Err(RefusedWait { retry_after_ms, standing: Some(standing) });
         }
         self.last_number += 1;
         let number = self.last_number;
-        let expires_ms =
-            query.engine.deadline_ms.min(query.arrived_ms.saturating_add(max_wait_ms as u64));
         self.queue(&query.service).insert(WaitingRequest {
-            query: query.engine.clone(),
+            begun_ms: now_ms,
+            query: engine.clone(),
             expires_ms,
             number,
-            rank: query.rank,
+            rank: *rank,
+            sharer: sharer.clone(),
         });
         Ok(number)
     }
@@ -265,6 +287,14 @@
             while let Some(decision) = queue.next_decision(now_ms, service, &self.backends) {
                 outcomes.extend(self.apply_decision(now_ms, decision));
             }
+            if queue.take_growth() {
+                let (slots, _) = self.backends.slots(now_ms, service);
+                let modelled_per_ms = slots as f64 / self.mean_slot_ms.max(1.0);
+                while let Some(number) = queue.displace(now_ms, modelled_per_ms) {
+                    let decision = QueueDecision::Expire { number };
+                    outcomes.extend(self.apply_decision(now_ms, decision));
+                }
+            }
         }
         self.queues = queues;
         outcomes
--- a/src/gateway/fleet/granting.rs
+++ b/src/gateway/fleet/granting.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::gateway::dispatching::{PlaceQuery, WaitDecision};
+use crate::gateway::dispatching::{PlaceQuery, RefusedWait, WaitDecision};
+use crate::gateway::fleet::additions::{PlaceNote, ToldAsker, ToldQueue};
 use crate::gateway::fleet::failed_paths::SendPath;
 use crate::gateway::fleet::leases::Lease;
 use crate::gateway::fleet::membership::RemoteWaiting;
@@ -11,9 +12,32 @@
     AskedUsage, Body, EndedPlace, GrantedPlace, PlaceAnswer, PlaceAsk, PlaceVerdict,
 };
 use crate::gateway::request_metadata::PromptShape;
+use crate::gateway::request_queue::QueueStanding;
+use crate::gateway::sharing::sharer::Sharer;
 use crate::gateway::state::{GatewayState, RETRY_SOON_MS};
 use crate::name::Name;
 
+/// What is answered to a request for a place.
+struct AskDecision {
+    /// The queue that it would have waited in.
+    queue: Option<ToldQueue>,
+    verdict: PlaceVerdict,
+}
+
+impl From<PlaceVerdict> for AskDecision {
+    fn from(verdict: PlaceVerdict) -> Self {
+        Self { queue: None, verdict }
+    }
+}
+
+impl From<QueueStanding> for ToldQueue {
+    fn from(standing: QueueStanding) -> Self {
+        let QueueStanding { ahead, wait_ms, waiting } = standing;
+        let count = |number| u32::try_from(number).unwrap_or(u32::MAX);
+        Self { ahead: count(ahead), wait_ms, waiting: count(waiting) }
+    }
+}
+
 impl GatewayState {
     pub(crate) fn receive_ask(
         &mut self,
@@ -21,10 +45,13 @@
         from: SocketAddr,
         holder: &Name,
         ask: &PlaceAsk,
+        asker: Option<&ToldAsker>,
     ) {
-        let verdict = self.decide_ask(now_ms, from, holder, ask);
+        let sharer = Sharer::of_ask(holder, ask, asker);
+        let AskDecision { queue, verdict } = self.decide_ask(now_ms, from, holder, ask, &sharer);
         let answer = PlaceAnswer { number: ask.number, verdict };
-        self.fleet.send(from, Body::Answer(answer));
+        let note = PlaceNote { queue, ..PlaceNote::default() };
+        self.fleet.send_with_note(from, Body::Answer(answer), note);
     }
 
     fn decide_ask(
@@ -33,36 +60,37 @@
         from: SocketAddr,
         holder: &Name,
         ask: &PlaceAsk,
-    ) -> PlaceVerdict {
+        sharer: &Sharer,
+    ) -> AskDecision {
         if !self.fleet.is_ready(now_ms) || self.stop.is_some() {
-            return PlaceVerdict::NotCoordinating;
+            return PlaceVerdict::NotCoordinating.into();
         }
         if let Some(lease) = self.fleet.leases.get(holder, ask.number) {
-            return PlaceVerdict::Granted(self.granted(lease));
+            return PlaceVerdict::Granted(self.granted(lease)).into();
         }
         let waiting = self.fleet.remote_waiting.iter_mut();
         let mut same = waiting.filter(|known| known.place == ask.number && known.holder == *holder);
         if let Some(known) = same.next() {
             known.asked_ms = now_ms;
-            return PlaceVerdict::Waiting;
+            return PlaceVerdict::Waiting.into();
         }
         if let Some(usage) = &ask.usage
             && let Err(refusal) = self.charge_units(now_ms, &usage.customer, usage.usage())
         {
             return match refusal.shortage {
-                Some(shortage) => PlaceVerdict::OverLimit(shortage),
-                None => PlaceVerdict::NotCoordinating,
+                Some(shortage) => PlaceVerdict::OverLimit(shortage).into(),
+                None => PlaceVerdict::NotCoordinating.into(),
             };
         }
-        let verdict = self.decide_charged(now_ms, from, holder, ask);
+        let decision = self.decide_charged(now_ms, from, holder, ask, sharer);
         if let Some(AskedUsage { customer, units, .. }) = &ask.usage {
-            match &verdict {
+            match &decision.verdict {
                 PlaceVerdict::Granted(_) => self.settle_units(now_ms, customer, *units),
                 PlaceVerdict::Waiting => {}
                 _ => self.limits.refund(customer, *units),
             }
         }
-        verdict
+        decision
     }
 
     fn decide_charged(
@@ -71,32 +99,36 @@
         from: SocketAddr,
         holder: &Name,
         ask: &PlaceAsk,
-    ) -> PlaceVerdict {
-        let query = PlaceQuery::from_ask(now_ms, ask);
+        sharer: &Sharer,
+    ) -> AskDecision {
+        let query = PlaceQuery::from_ask(now_ms, ask, sharer);
         if !query.is_model {
             let chosen = self.backends.choose_plain(now_ms, &ask.service, &ask.tried);
-            return match chosen {
+            let verdict = match chosen {
                 Some(chosen) => self.grant(now_ms, holder, ask.number, &chosen, None),
                 None => {
                     let wait_ms = self.retry_within_limits_ms(now_ms, &ask.service, RETRY_SOON_MS);
                     PlaceVerdict::Refused(wait_ms)
                 }
             };
+            return verdict.into();
         }
         if let Err(refusal) = self.check_parts(now_ms, &query.engine.prompt) {
-            return PlaceVerdict::Suspect(refusal);
+            return PlaceVerdict::Suspect(refusal).into();
         }
         if let Some(chosen) = self.free_engine(now_ms, &query) {
+            self.charge_share(now_ms, &query, &chosen);
             let prompt = Some(query.engine.prompt.clone());
-            return self.grant(now_ms, holder, ask.number, &chosen, prompt);
+            return self.grant(now_ms, holder, ask.number, &chosen, prompt).into();
         }
         if ask.may_redirect
             && let Some(address) = self.take_place_elsewhere(now_ms, &ask.service)
         {
-            return PlaceVerdict::Elsewhere(address);
+            return PlaceVerdict::Elsewhere(address).into();
         }
         if !ask.may_wait {
-            return PlaceVerdict::Refused(self.retry_after_ms(now_ms, query.engine.deadline_ms));
+            let wait_ms = self.retry_after_ms(now_ms, query.engine.deadline_ms);
+            return PlaceVerdict::Refused(wait_ms).into();
         }
         match self.enqueue(now_ms, &query) {
             Ok(number) => {
@@ -110,9 +142,12 @@
                     service: ask.service.clone(),
                     usage: ask.usage.clone(),
                 });
-                PlaceVerdict::Waiting
+                PlaceVerdict::Waiting.into()
             }
-            Err(wait_ms) => PlaceVerdict::Refused(wait_ms),
+            Err(RefusedWait { retry_after_ms, standing }) => AskDecision {
+                queue: standing.map(ToldQueue::from),
+                verdict: PlaceVerdict::Refused(retry_after_ms),
+            },
         }
     }
 
@@ -168,6 +203,7 @@
             granted_ms: now_ms,
             holder: holder.clone(),
             is_model: prompt.is_some(),
+            is_reported: false,
             number,
             unread_tokens,
             unstarted_parts: prompt.as_deref().map(PromptShape::shared_parts).unwrap_or_default(),
@@ -202,6 +238,7 @@
         if let Some(backend) = self.backends.get_mut(&lease.backend_server) {
             backend.record_prefill(tokens_ahead, elapsed_ms as f64);
         }
+        self.record_start(&lease.backend_server, tokens_ahead, elapsed_ms);
         self.record_contact(now_ms, holder, &lease.backend_server);
     }
 
--- a/src/gateway/fleet/leases.rs
+++ b/src/gateway/fleet/leases.rs
@@ -19,6 +19,8 @@
     pub holder: Name,
     /// Whether a model request holds it.
     pub is_model: bool,
+    /// Whether its holder has told that it is in use.
+    pub is_reported: bool,
     /// Number of the place at its holder.
     pub number: u64,
     /// Uncached prompt tokens, before the first event.
@@ -103,10 +105,12 @@
         }
         for place in running {
             match self.find(holder, place.number) {
-                Ok(index) if place.unread_tokens == 0 && self.list[index].unread_tokens > 0 => {
-                    self.read_prompt(holder, place.number, backends);
+                Ok(index) => {
+                    self.list[index].is_reported = true;
+                    if place.unread_tokens == 0 && self.list[index].unread_tokens > 0 {
+                        self.read_prompt(holder, place.number, backends);
+                    }
                 }
-                Ok(_) => {}
                 Err(_) => {
                     let lease = Lease {
                         backend_server: place.backend_server.clone(),
@@ -114,6 +118,7 @@
                         granted_ms: 0,
                         holder: holder.clone(),
                         is_model: place.unread_tokens > 0,
+                        is_reported: true,
                         number: place.number,
                         unread_tokens: place.unread_tokens,
                         unstarted_parts: Vec::new(),
--- a/src/gateway/fleet/membership.rs
+++ b/src/gateway/fleet/membership.rs
@@ -4,6 +4,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::gateway::fleet::additions::PlaceNote;
 use crate::gateway::fleet::cells::{CellLayout, cell_count, cell_of};
 use crate::gateway::fleet::failed_paths::FailedPaths;
 use crate::gateway::fleet::leases::Leases;
@@ -21,6 +22,8 @@
     pub to: Vec<SocketAddr>,
     /// The body.
     pub body: Body,
+    /// What is added to it.
+    pub note: PlaceNote,
 }
 
 /// A request that this instance has sent to a backend server and that has not ended.
@@ -196,7 +199,15 @@
     }
 
     pub(crate) fn send(&mut self, to: SocketAddr, body: Body) {
-        self.outbox.push(Outgoing { to: vec![to], body });
+        self.send_with_note(to, body, PlaceNote::default());
+    }
+
+    pub(crate) fn send_with_note(&mut self, to: SocketAddr, body: Body, note: PlaceNote) {
+        self.outbox.push(Outgoing { to: vec![to], body, note });
+    }
+
+    pub(crate) fn send_to_all(&mut self, to: Vec<SocketAddr>, body: Body) {
+        self.outbox.push(Outgoing { to, body, note: PlaceNote::default() });
     }
 
     pub(crate) fn new_place_number(&mut self) -> u64 {
--- a/src/gateway/fleet/origin_homes.rs
+++ b/src/gateway/fleet/origin_homes.rs
@@ -12,7 +12,7 @@
 use crate::gateway::admission::{Refusal, RefusalReason, RequestPlan};
 use crate::gateway::dispatching::StartedSend;
 use crate::gateway::engine_query::VersionNeed;
-use crate::gateway::fleet::membership::{Fleet, Outgoing};
+use crate::gateway::fleet::membership::Fleet;
 use crate::gateway::fleet::message::Body;
 use crate::gateway::fleet::origin_message::{OriginAnswer, OriginAsk, ToldOrigin};
 use crate::gateway::fleet::pending_origin::{OriginSource, PendingOrigin};
@@ -177,7 +177,7 @@
         for (home, told) in by_home {
             for chunk in told.chunks(TOLD_CHUNK) {
                 let body = Body::Origins(chunk.to_vec());
-                self.fleet.outbox.push(Outgoing { to: vec![home], body });
+                self.fleet.send(home, body);
             }
         }
     }
--- a/src/gateway/fleet/pending_ask.rs
+++ b/src/gateway/fleet/pending_ask.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 
+use crate::gateway::fleet::additions::{PlaceNote, ToldAsker};
 use crate::gateway::fleet::message::{GrantedPlace, PlaceAsk, PlaceVerdict};
 use crate::gateway::fleet::part_evidence::PartRefusal;
 use crate::gateway::usage_limits::UsageShortage;
@@ -24,6 +25,8 @@
 /// A request for a place that has not been decided.
 #[derive(Clone, Debug)]
 pub struct PendingAsk {
+    /// For whom it is.
+    pub asker: ToldAsker,
     /// The request for a place.
     pub ask: PlaceAsk,
     /// Whom it is sent to.
@@ -65,14 +68,26 @@
 impl PendingAsk {
     /// Returns a request for a place to the coordinator of the own cell.
     pub fn at_home(ask: PlaceAsk, home: SocketAddr) -> Self {
-        Self { ask, to: home, home: Some(home), phase: Phase::Asking, unanswered: 0 }
+        let asker = ToldAsker::default();
+        Self { asker, ask, to: home, home: Some(home), phase: Phase::Asking, unanswered: 0 }
     }
 
     /// Returns a request to the coordinator of another cell; `home` is asked if that one has no
     /// place, or this instance decides itself.
     pub fn elsewhere(ask: PlaceAsk, to: SocketAddr, home: Option<SocketAddr>) -> Self {
         let ask = PlaceAsk { may_redirect: false, may_wait: false, ..ask };
-        Self { ask, to, home, phase: Phase::Redirected, unanswered: 0 }
+        let asker = ToldAsker::default();
+        Self { asker, ask, to, home, phase: Phase::Redirected, unanswered: 0 }
+    }
+
+    /// Returns the same request, made for a customer.
+    pub fn asked_for(self, asker: ToldAsker) -> Self {
+        Self { asker, ..self }
+    }
+
+    /// Returns what is told beside the request.
+    pub fn note(&self) -> PlaceNote {
+        PlaceNote { asker: Some(self.asker.clone()), ..PlaceNote::default() }
     }
 
     /// Returns how long the next answer is awaited, in milliseconds.
@@ -96,7 +111,8 @@
                 AskStep::Wait
             }
             (PlaceVerdict::Elsewhere(address), Phase::Asking) => {
-                *self = Self::elsewhere(self.ask.clone(), address, self.home);
+                let asker = self.asker.clone();
+                *self = Self::elsewhere(self.ask.clone(), address, self.home).asked_for(asker);
                 AskStep::Send
             }
             (PlaceVerdict::Elsewhere(_), _) => AskStep::Wait,
--- a/src/gateway/fleet/placing.rs
+++ b/src/gateway/fleet/placing.rs
@@ -12,9 +12,10 @@
 use crate::gateway::backend::{BackendStatus, SendOutcome};
 use crate::gateway::dispatching::{DispatchDecision, PlaceQuery, SendEnd, StartedSend};
 use crate::gateway::engine_query::{EngineQuery, VersionNeed};
+use crate::gateway::fleet::additions::ToldAsker;
 use crate::gateway::fleet::coordinators::Decider;
 use crate::gateway::fleet::failed_paths::SendPath;
-use crate::gateway::fleet::membership::{Fleet, Outgoing, OwnPlace};
+use crate::gateway::fleet::membership::{Fleet, OwnPlace};
 use crate::gateway::fleet::message::{
     AskedUsage, Body, EndedPlace, GrantedPlace, PlaceAsk, PlaceProgress, PlaceStep,
 };
@@ -22,6 +23,7 @@
 use crate::gateway::fleet::roster::LIVE_MS;
 use crate::gateway::request_metadata::PromptShape;
 use crate::gateway::routing_document::RouteKind;
+use crate::gateway::sharing::sharer::Sharer;
 use crate::gateway::state::GatewayState;
 use crate::gateway::usage_limits::Usage;
 use crate::name::Name;
@@ -56,7 +58,8 @@
             Decider::None => self.decide_alone(now_ms, plan, tried).map(Placement::Decided),
             Decider::Other(address) => {
                 let ask = self.place_ask(now_ms, plan, tried);
-                Ok(Placement::Ask(Box::new(PendingAsk::at_home(ask, address))))
+                let ask = PendingAsk::at_home(ask, address).asked_for(asker(plan));
+                Ok(Placement::Ask(Box::new(ask)))
             }
             Decider::Own => {
                 let query = PlaceQuery::new(plan, tried);
@@ -64,7 +67,8 @@
                     && let Some(address) = self.take_place_elsewhere(now_ms, &plan.service)
                 {
                     let ask = self.place_ask(now_ms, plan, tried);
-                    return Ok(Placement::Ask(Box::new(PendingAsk::elsewhere(ask, address, None))));
+                    let ask = PendingAsk::elsewhere(ask, address, None).asked_for(asker(plan));
+                    return Ok(Placement::Ask(Box::new(ask)));
                 }
                 self.decide_alone(now_ms, plan, tried).map(Placement::Decided)
             }
@@ -211,6 +215,7 @@
         if let Some(backend) = self.backends.get_mut(&started_send.backend_server) {
             backend.record_first_event(unread_tokens, tokens_ahead, elapsed_ms as f64);
         }
+        self.record_start(&started_send.backend_server, tokens_ahead, elapsed_ms);
         let own_name = self.fleet.own_name.clone();
         self.record_contact(now_ms, &own_name, &started_send.backend_server);
         let own = self.fleet.own_places.iter_mut().find(|own| own.number == place);
@@ -238,7 +243,7 @@
         let present = present.filter(|address| granted_by != Some(*address));
         let to: Vec<_> = granted_by.into_iter().chain(present).collect();
         if !to.is_empty() {
-            self.fleet.outbox.push(Outgoing { to, body: Body::Progress(vec![progress]) });
+            self.fleet.send_to_all(to, Body::Progress(vec![progress]));
         }
     }
 
@@ -277,6 +282,9 @@
         end: &EndedPlace,
         is_model: bool,
     ) {
+        if is_model {
+            self.record_room_end(now_ms, path.backend_server, end.outcome);
+        }
         if end.outcome == SendOutcome::Unreachable {
             return self.record_failed_path(now_ms, path);
         }
@@ -373,6 +381,10 @@
     }
 }
 
+fn asker(plan: &RequestPlan) -> ToldAsker {
+    ToldAsker { customer: plan.customer.as_ref().map(|customer| customer.name.clone()) }
+}
+
 fn is_model(plan: &RequestPlan) -> bool {
     plan.route.kind == RouteKind::Stream
 }
@@ -400,11 +412,12 @@
             is_model: is_model(plan),
             rank: plan.rank,
             service: plan.service.clone(),
+            sharer: Sharer::of(plan.customer.as_ref().map(|customer| &customer.name)),
         }
     }
 
-    /// Returns the requirements of another instance's request.
-    pub fn from_ask(now_ms: u64, ask: &PlaceAsk) -> Self {
+    /// Returns the requirements of another instance's request, made for `sharer`.
+    pub fn from_ask(now_ms: u64, ask: &PlaceAsk, sharer: &Sharer) -> Self {
         let due_ms = now_ms.saturating_add(ask.due_left_ms);
         Self {
             arrived_ms: due_ms.saturating_sub(ask.goal_ms),
@@ -420,6 +433,7 @@
             is_model: ask.prompt.is_some(),
             rank: ask.rank,
             service: ask.service.clone(),
+            sharer: sharer.clone(),
         }
     }
 }
--- a/src/gateway/fleet/receiving.rs
+++ b/src/gateway/fleet/receiving.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::gateway::fleet::additions::ToldQueue;
 use crate::gateway::fleet::coordinators::Decider;
 use crate::gateway::fleet::counter_feed::SourceId;
 use crate::gateway::fleet::membership::{Fleet, OtherCoordinator, SeenCoordinator};
@@ -39,6 +40,8 @@
     pub origin: Option<OriginAnswer>,
     /// Whether this instance lacks something that the sender has.
     pub fetches_update: bool,
+    /// The queue at which the request for a place was refused.
+    pub queue: Option<ToldQueue>,
     /// Whether the sender is new or was restarted.
     pub is_new: bool,
     /// Whether reports should be sent soon.
@@ -67,8 +70,14 @@
         let mut received = Received { is_new: contact.is_new, ..Received::default() };
         self.merge_limits(now_ms, &additions.limits);
         match body {
-            Body::Answer(answer) => received.answer = Some(answer),
-            Body::Ask(ask) => self.receive_ask(now_ms, from, &sender.instance, &ask),
+            Body::Answer(answer) => {
+                received.answer = Some(answer);
+                received.queue = additions.queue;
+            }
+            Body::Ask(ask) => {
+                let asker = additions.asker.as_ref();
+                self.receive_ask(now_ms, from, &sender.instance, &ask, asker);
+            }
             Body::Hello(checksum) => self.answer_hello(now_ms, from, checksum),
             Body::Origin(answer) => received.origin = Some(answer),
             Body::OriginAsk(ask) => self.answer_origin_ask(now_ms, from, &ask),
--- a/src/gateway/fleet/reporting.rs
+++ b/src/gateway/fleet/reporting.rs
@@ -5,11 +5,11 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::gateway::fleet::additions::Additions;
+use crate::gateway::fleet::additions::{Additions, PlaceNote};
 use crate::gateway::fleet::cells::cell_of;
 use crate::gateway::fleet::counter_feed::Counters;
 use crate::gateway::fleet::leases::Lease;
-use crate::gateway::fleet::membership::{Fleet, Outgoing, SentUsage};
+use crate::gateway::fleet::membership::{Fleet, SentUsage};
 use crate::gateway::fleet::message::{
     Body, CellLeader, CellReport, CellSummary, FreePlaces, MemberReport, Message, ROSTER_CHUNK,
     RosterEntry, RunningPlace, Sender, Spent, StoreStatus, UnitsLeft,
@@ -56,9 +56,15 @@
 
     /// Returns a message with this body, and what is added to it.
     pub fn message(&self, now_ms: u64, body: Body) -> Message {
+        self.message_with_note(now_ms, body, PlaceNote::default())
+    }
+
+    /// Returns a message with this body, and with what is told about one place.
+    pub fn message_with_note(&self, now_ms: u64, body: Body, note: PlaceNote) -> Message {
+        let PlaceNote { asker, queue } = note;
         let is_report = matches!(body, Body::Cell(_) | Body::Member(_) | Body::Summary(_));
         let limits = if is_report { self.limits_for_report(now_ms) } else { Vec::new() };
-        Message { sender: self.sender(now_ms), body, additions: Additions { limits } }
+        Message { sender: self.sender(now_ms), body, additions: Additions { asker, limits, queue } }
     }
 
     /// Updates cells and roles, drops what silent instances held, and adds the reports that are due
@@ -72,6 +78,7 @@
         self.update_role(now_ms);
         self.update_limit_share(now_ms);
         self.drop_silent(now_ms);
+        self.sample_room(now_ms);
         self.expire_parts(now_ms);
         let live = self.fleet.live_count(now_ms);
         let known = self.fleet.known_count(now_ms);
@@ -80,7 +87,7 @@
         to.extend(self.fleet.roster.comparison_partner(now_ms));
         if !to.is_empty() {
             let body = Body::Hello(self.fleet.roster.checksum());
-            self.fleet.outbox.push(Outgoing { to, body });
+            self.fleet.send_to_all(to, body);
         }
         let is_urgent = std::mem::take(&mut self.fleet.is_urgent);
         self.report_to_coordinators(now_ms, is_urgent);
@@ -173,7 +180,7 @@
             leaving: self.backends.announced_leaving(),
         };
         let body = Body::Member(Box::new(report));
-        self.fleet.outbox.push(Outgoing { to: targets, body });
+        self.fleet.send_to_all(targets, body);
     }
 
     fn report_to_cell(&mut self, now_ms: u64, is_urgent: bool) {
@@ -210,7 +217,7 @@
             leaving: self.backends.announced_leaving(),
         };
         let body = Body::Cell(Box::new(report));
-        self.fleet.outbox.push(Outgoing { to: targets, body });
+        self.fleet.send_to_all(targets, body);
     }
 
     fn report_to_other_cells(&mut self, now_ms: u64) {
@@ -237,7 +244,7 @@
             leaving: self.backends.announced_leaving(),
         };
         let to = self.fleet.other_cell_targets(now_ms);
-        self.fleet.outbox.push(Outgoing { to, body: Body::Summary(Box::new(summary)) });
+        self.fleet.send_to_all(to, Body::Summary(Box::new(summary)));
     }
 
     fn free_places(&self, now_ms: u64) -> Vec<FreePlaces> {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -136,7 +136,11 @@
         route = &*plan.route.name,
         reason = refusal.reason.name(),
         held_ms = now_ms.saturating_sub(plan.arrived_ms),
+        customer = plan.customer.as_ref().map(|customer| &*customer.name),
         waiting = shared.state.borrow().waiting_count(),
+        coordinator_waiting = refusal.queue.map(|queue| queue.waiting),
+        coordinator_ahead = refusal.queue.map(|queue| queue.ahead),
+        expected_wait_ms = refusal.queue.map(|queue| queue.wait_ms),
         retry_after_ms = refusal.retry_after_ms;
         "Request refused after admission; it did not run."
     );
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -59,6 +59,7 @@
 pub mod service_retry_budget;
 mod shared;
 mod shared_socket;
+pub mod sharing;
 mod silent_race;
 pub mod software_versions;
 pub mod state;
--- a/src/gateway/origin_finder.rs
+++ b/src/gateway/origin_finder.rs
@@ -8,7 +8,6 @@
 
 use crate::gateway::admission::{Refusal, RefusalReason, RequestPlan};
 use crate::gateway::boot_clock::boot_ms;
-use crate::gateway::fleet::membership::Outgoing;
 use crate::gateway::fleet::message::Body;
 use crate::gateway::fleet::origin_homes::OriginLookup;
 use crate::gateway::fleet::origin_message::OriginAsk;
@@ -76,7 +75,7 @@
         match step {
             OriginStep::Ask(to) => {
                 let body = Body::OriginAsk(ask.clone());
-                shared.state.borrow_mut().fleet_mut().outbox.push(Outgoing { to, body });
+                shared.state.borrow_mut().fleet_mut().send_to_all(to, body);
                 shared.flush();
             }
             OriginStep::Found(origin, source) => return Some((origin, source)),
--- a/src/gateway/peer_socket.rs
+++ b/src/gateway/peer_socket.rs
@@ -72,7 +72,8 @@
         shared.deliver_origin(from, answer);
     }
     if let Some(PlaceAnswer { number, verdict }) = received.answer
-        && let Some(PlaceVerdict::Granted(_)) = shared.deliver_answer(number, verdict)
+        && let Some(PlaceVerdict::Granted(_)) =
+            shared.deliver_answer(number, verdict, received.queue)
     {
         // Nobody waits for this place any more.
         shared.state.borrow_mut().abandon_place(from, number);
@@ -142,7 +143,7 @@
     let state = shared.state.borrow();
     let now_ms = boot_ms();
     let kind = outgoing.body.kind();
-    let message = state.message(now_ms, outgoing.body);
+    let message = state.message_with_note(now_ms, outgoing.body, outgoing.note);
     let message = encode_message(&message)?;
     shared.counters.record_peer_message(kind, message.len(), outgoing.to.len());
     for to in outgoing.to {
--- a/src/gateway/place_finder.rs
+++ b/src/gateway/place_finder.rs
@@ -10,6 +10,7 @@
 use crate::gateway::admission::{Refusal, RefusalReason, RequestPlan};
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::dispatching::{DispatchDecision, SendEnd, StartedSend, WaitResult};
+use crate::gateway::fleet::additions::ToldQueue;
 use crate::gateway::fleet::message::{Body, PlaceVerdict};
 use crate::gateway::fleet::pending_ask::{AskStep, PendingAsk};
 use crate::gateway::fleet::placing::Placement;
@@ -79,6 +80,7 @@
     let answers = shared.add_asker(number);
     let mut guard = AskGuard { number, shared, to: vec![ask.to] };
     let mut step = AskStep::Send;
+    let mut queue = None;
     loop {
         match step {
             AskStep::Send => {
@@ -100,7 +102,7 @@
             }
             AskStep::Refused(wait_ms) => {
                 guard.to.clear();
-                return Asked::Decided(Err(not_in_time(wait_ms)));
+                return Asked::Decided(Err(Refusal { queue, ..not_in_time(wait_ms) }));
             }
             AskStep::Suspect(refusal) => {
                 guard.to.clear();
@@ -114,7 +116,10 @@
         }
         let limit = Duration::from_millis(ask.patience_ms());
         step = match timeout(limit, answers.recv_async()).await {
-            Ok(Ok(verdict)) => ask.on_answer(verdict),
+            Ok(Ok((verdict, told))) => {
+                queue = told;
+                ask.on_answer(verdict)
+            }
             Ok(Err(_)) | Err(_) => ask.on_silence(),
         };
     }
@@ -126,7 +131,7 @@
     ask.ask.due_left_ms = due_ms.saturating_sub(now_ms);
     ask.ask.deadline_left_ms = plan.deadline_ms.saturating_sub(now_ms);
     let body = Body::Ask(Box::new(ask.ask.clone()));
-    shared.state.borrow_mut().fleet_mut().send(ask.to, body);
+    shared.state.borrow_mut().fleet_mut().send_with_note(ask.to, body, ask.note());
     shared.flush();
 }
 
@@ -177,4 +182,4 @@
 }
 
 /// Delivers the answers to requests for places.
-pub(crate) type Asker = flume::Sender<PlaceVerdict>;
+pub(crate) type Asker = flume::Sender<(PlaceVerdict, Option<ToldQueue>)>;
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -21,6 +21,7 @@
 use crate::gateway::relay_request::RELAY_PATH;
 use crate::gateway::relay_server;
 use crate::gateway::shared::Shared;
+use crate::gateway::sharing::share_metrics;
 
 /// Path at which metrics are served.
 const METRICS_PATH: &str = "/metrics";
@@ -96,9 +97,7 @@
             let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             text_response(status, String::new())
         }
-        METRICS_PATH | STATUS_PATH => {
-            text_response(StatusCode::OK, shared.counters.render(&current_gauges(shared)))
-        }
+        METRICS_PATH | STATUS_PATH => text_response(StatusCode::OK, metrics(shared)),
         UPDATE_PATH if audience == Audience::Fleet => store_update(shared, request.uri().query()),
         _ => text_response(StatusCode::NOT_FOUND, "There is no such page.\n".to_owned()),
     }
@@ -120,6 +119,12 @@
     }
 }
 
+fn metrics(shared: &Shared) -> String {
+    let mut text = shared.counters.render(&current_gauges(shared));
+    text.push_str(&share_metrics::render(shared.state.borrow().queues()));
+    text
+}
+
 fn current_gauges(shared: &Shared) -> Gauges {
     let now_ms = boot_ms();
     let state = shared.state.borrow();
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -16,6 +16,7 @@
 use crate::gateway::crash_records::CrashNotice;
 use crate::gateway::dispatching::{SendEnd, WaitOutcome, WaitResult};
 use crate::gateway::engine_paths::EnginePaths;
+use crate::gateway::fleet::additions::ToldQueue;
 use crate::gateway::fleet::message::PlaceVerdict;
 use crate::gateway::fleet::origin_message::OriginAnswer;
 use crate::gateway::fleet::pending_origin::OriginSource;
@@ -107,7 +108,10 @@
     }
 
     /// Returns the channel that receives the answers to a request for a place.
-    pub(crate) fn add_asker(&self, number: u64) -> flume::Receiver<PlaceVerdict> {
+    pub(crate) fn add_asker(
+        &self,
+        number: u64,
+    ) -> flume::Receiver<(PlaceVerdict, Option<ToldQueue>)> {
         let (sender, receiver) = flume::unbounded();
         self.askers.borrow_mut().push((number, sender));
         receiver
@@ -123,10 +127,13 @@
         &self,
         number: u64,
         verdict: PlaceVerdict,
+        queue: Option<ToldQueue>,
     ) -> Option<PlaceVerdict> {
         let askers = self.askers.borrow();
         match askers.iter().find(|(known, _)| *known == number) {
-            Some((_, asker)) => asker.send(verdict).err().map(flume::SendError::into_inner),
+            Some((_, asker)) => {
+                asker.send((verdict, queue)).err().map(|undelivered| undelivered.into_inner().0)
+            }
             None => Some(verdict),
         }
     }
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -8,6 +8,7 @@
 use bergamotspan::gateway::backends::{Backends, EngineChoice};
 use bergamotspan::gateway::engine_query::{EngineQuery, VersionNeed};
 use bergamotspan::gateway::request_queue::{QueueDecision, RequestQueue, WaitingRequest};
+use bergamotspan::gateway::sharing::sharer::Sharer;
 use bergamotspan::gateway::software_versions::{
     HOLD_MS, PROOF_LIMIT_MS, PresentVersion, SoftwareVersions,
 };
@@ -267,10 +268,12 @@
 
 fn waiting(number: u64, route_rank: u32, version_need: VersionNeed) -> WaitingRequest {
     WaitingRequest {
+        begun_ms: START_MS,
         query: query(version_need),
         expires_ms: START_MS + 1_000,
         number,
         rank: Rank { customer: 0, route: route_rank },
+        sharer: Sharer::Anonymous,
     }
 }
 
