Let large prompts wait as long as half of their goal

Callers with the largest prompts were refused at once though their turn was 5 ms away: the time kept for their first event was longer than their goal. At most half of the goal is kept now; the factor on the estimate is 1.25.

--- a/src/gateway/dispatching.rs
+++ b/src/gateway/dispatching.rs
@@ -15,6 +15,8 @@
 use crate::gateway::state::{GatewayState, RETRY_SOON_MS, entry_or_default};
 use crate::name::Name;
 
+/// Longest time that is kept for the start of an answer, as a share of its goal.
+const MAX_START_SHARE: f64 = 0.5;
 /// Longest time that a stream waits to go on, as a share of its goal.
 const MAX_RESUME_WAIT_SHARE: f64 = 1.0;
 /// Longest time until the retry of a rejected request, as a share of the time left to its
@@ -238,7 +240,9 @@
             let max_wait_ms = query.goal_ms as f64 * MAX_RESUME_WAIT_SHARE;
             query.arrived_ms.saturating_add(max_wait_ms as u64)
         } else {
-            engine.due_ms.saturating_sub(queue.start_ms(&engine.prompt))
+            // A large prompt may wait as well, though its start is expected to take all of its goal.
+            let longest_ms = (query.goal_ms as f64 * MAX_START_SHARE) as u64;
+            engine.due_ms.saturating_sub(queue.start_ms(&engine.prompt).min(longest_ms))
         };
         let expires_ms = latest_ms.min(engine.deadline_ms);
         let left_ms = expires_ms.saturating_sub(now_ms) as f64 * queue.trust(*rank, sharer);
--- a/src/gateway/sharing/start_time.rs
+++ b/src/gateway/sharing/start_time.rs
@@ -7,7 +7,7 @@
 /// Time for a prompt token before the first sample, in milliseconds.
 const DEFAULT_TOKEN_MS: f64 = 0.02;
 /// Factor by which an estimate is raised, since the times spread.
-const MARGIN: f64 = 1.5;
+const MARGIN: f64 = 1.25;
 
 /// Mean time to the first event by prompt tokens, over all engines of a service.
 #[derive(Clone, Debug)]
