--- a/src/gateway/sharing/rank_lane.rs
+++ b/src/gateway/sharing/rank_lane.rs
@@ -13,7 +13,9 @@
 const OUTCOME_WEIGHT: f64 = 0.05;
 /// Part of the time left that a wait may take where all of them wait in vain.
 const LEAST_TRUST: f64 = 0.1;
-/// Shortest time with a queue after which the places of a sharer tell its rate, in milliseconds.
+/// Fewest places that tell the rate of a sharer.
+const MIN_COUNTED: f64 = 5.0;
+/// Shortest time with a queue after which they do, in milliseconds.
 const MIN_COUNTED_MS: u64 = 200;
 /// Time after which older places count half, in milliseconds.
 const COUNTED_MS: u64 = 1_000;
@@ -135,8 +137,8 @@
     pub fn own_wait_ms(&self, now_ms: u64, sharer: &Sharer, before: usize) -> Option<f64> {
         let queue = self.queues.get(sharer)?;
         let elapsed_ms = now_ms.saturating_sub(queue.counted_since_ms);
-        let for_each_ms = elapsed_ms as f64 / queue.granted.max(1.0);
-        (elapsed_ms >= MIN_COUNTED_MS).then_some((before + 1) as f64 * for_each_ms)
+        let is_known = elapsed_ms >= MIN_COUNTED_MS && queue.granted >= MIN_COUNTED;
+        is_known.then(|| (before + 1) as f64 * elapsed_ms as f64 / queue.granted)
     }
 
     /// Returns the sharers with waiting requests, in the order of their turns.
