--- a/examples/decision_slopes/main.rs
+++ b/examples/decision_slopes/main.rs
@@ -9,6 +9,7 @@
 mod keys;
 mod memory_case;
 mod messages;
+mod sharing;
 
 use std::io;
 use std::path::PathBuf;
@@ -48,6 +49,7 @@
     report.add(keys::measure(divisor));
     report.add(coordinators::measure(divisor));
     report.add(messages::measure(divisor));
+    report.add(sharing::measure(divisor));
     report.add(documents::measure(divisor));
     report.record_load_average();
     options.out.as_deref().map_or(Ok(()), |out| report.write(out))
--- a/tests/datagram_additions.rs
+++ b/tests/datagram_additions.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 
-use bergamotspan::gateway::fleet::additions::{Additions, ToldLimit};
+use bergamotspan::gateway::fleet::additions::{Additions, ToldAsker, ToldLimit, ToldQueue};
 use bergamotspan::gateway::fleet::message::{
     Body, Envelope, Message, Sender, decode_datagram, encode_datagram, encode_message,
 };
@@ -80,6 +80,18 @@
     assert_eq!((message.sender, message.body), (sender(), Body::Hello(7)));
 }
 
+#[test]
+fn a_place_is_asked_for_a_customer_or_for_none_and_a_refusal_tells_the_queue() {
+    let customer = Some("clinic".into());
+    for asker in [None, Some(ToldAsker { customer: None }), Some(ToldAsker { customer })] {
+        let queue = Some(ToldQueue { ahead: 3, wait_ms: 210, waiting: 8 });
+        let additions = Additions { asker, queue, ..Additions::default() };
+        let bytes = written(additions.clone());
+        let (_, message) = decode_datagram(&bytes, from()).expect("a message");
+        assert_eq!(message.additions, additions);
+    }
+}
+
 #[test]
 fn a_message_of_a_build_without_additions_is_read() {
     let mut bytes = Vec::new();
