--- a/src/gateway/fleet/receiving.rs
+++ b/src/gateway/fleet/receiving.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::gateway::evacuation::following::HeardFrom;
+use crate::gateway::fleet::additions::ToldQueue;
 use crate::gateway::fleet::coordinators::Decider;
 use crate::gateway::fleet::counter_feed::SourceId;
 use crate::gateway::fleet::membership::{Fleet, OtherCoordinator, SeenCoordinator};
@@ -50,6 +51,8 @@
     pub origin: Option<OriginAnswer>,
     /// Whether this instance lacks something that the sender has.
     pub fetches_update: bool,
+    /// The queue at which the request for a place was refused.
+    pub queue: Option<ToldQueue>,
     /// Whether the sender is new or was restarted.
     pub is_new: bool,
     /// Whether reports should be sent soon.
@@ -86,10 +89,14 @@
             received.is_urgent |= !received.state_changes.is_empty();
         }
         match body {
-            Body::Answer(answer) => received.answer = Some(answer),
+            Body::Answer(answer) => {
+                received.answer = Some(answer);
+                received.queue = additions.queue;
+            }
             Body::Ask(mut ask) => {
                 ask.is_repeatable = additions.is_repeatable;
-                self.receive_ask(now_ms, from, &sender.instance, &ask);
+                let asker = additions.asker.as_ref();
+                self.receive_ask(now_ms, from, &sender.instance, &ask, asker);
             }
             Body::Hello(checksum) => self.answer_hello(now_ms, from, checksum),
             Body::Origin(answer) => received.origin = Some(answer),
