Let no report put off the read of evacuations that an instance lacks

It now starts anew only when what is lacking changes. A place that a coordinator without the evacuation grants is given back, and the request is decided where it arrived.

--- a/src/gateway/evacuation/effect.rs
+++ b/src/gateway/evacuation/effect.rs
@@ -1,9 +1,10 @@
 //! Keeps backend servers of evacuated data centres out of every choice, and checks a place again
 //! before it is used.
 
-use crate::gateway::admission::{Refusal, RefusalReason};
+use crate::gateway::admission::{PlanCharge, Refusal, RefusalReason, RequestPlan};
 use crate::gateway::backend::{Backend, BackendStatus};
 use crate::gateway::backends::Backends;
+use crate::gateway::fleet::message::GrantedPlace;
 use crate::gateway::state::GatewayState;
 use crate::name::Name;
 
@@ -67,6 +68,19 @@
         is_closed.then(|| Refusal::retryable(RefusalReason::Evacuated, retry_after_ms()))
     }
 
+    /// Returns whether a place that a coordinator granted may be used. One that lacks an evacuation, or
+    /// is of a build that does not know them, may grant others: such a place is given back, and the
+    /// request, whose units that coordinator has taken, is decided here.
+    pub fn may_accept(&self, plan: &mut RequestPlan, place: &GrantedPlace) -> bool {
+        if self.may_send_to(&place.backend_server) {
+            return true;
+        }
+        if plan.charge == PlanCharge::Pending {
+            plan.charge = PlanCharge::Settled;
+        }
+        false
+    }
+
     /// Returns whether a request may still be sent to a backend server that was chosen before.
     pub fn may_send_to(&self, backend_server: &str) -> bool {
         !self.backends.stands_evacuated(backend_server)
--- a/src/gateway/evacuation/following.rs
+++ b/src/gateway/evacuation/following.rs
@@ -114,7 +114,7 @@
         let Some(lack) = self.evacuated.lack(position) else { return Err(u64::MAX) };
         let is_reader = self.fleet.is_reader(now_ms, self.store_reachable);
         let wait_ms = (self.settings.bounds.evacuation_ms as f64 * LACK_SHARE) as u64;
-        let due_ms = self.evacuated_lack_since_ms.unwrap_or(now_ms) + wait_ms;
+        let due_ms = self.evacuated_lack.map_or(now_ms, |(_, since_ms)| since_ms) + wait_ms;
         match lack {
             Lack::All => Ok(StoreRead::List),
             _ if now_ms < due_ms && !is_reader => Err(due_ms - now_ms),
@@ -122,13 +122,14 @@
         }
     }
 
-    /// Records since when a part of the set is lacking.
+    /// Records what of the set is lacking, and since when; as parts arrive, the time starts anew.
     pub(crate) fn note_lacking_evacuations(&mut self, now_ms: u64) {
         let lack = self.store_position.and_then(|position| self.evacuated.lack(position));
-        match lack {
-            Some(_) => drop(self.evacuated_lack_since_ms.get_or_insert(now_ms)),
-            None => self.evacuated_lack_since_ms = None,
-        }
+        let since_ms = match self.evacuated_lack {
+            Some((known, since_ms)) if Some(known) == lack => since_ms,
+            _ => now_ms,
+        };
+        self.evacuated_lack = lack.map(|lack| (lack, since_ms));
     }
 
     fn evacuations_changed(
@@ -137,8 +138,6 @@
         change: SetChange,
         from: HeardFrom,
     ) -> Vec<StateChange> {
-        // A part that came late leaves a shorter lack, of which others may tell again.
-        self.evacuated_lack_since_ms = None;
         self.note_lacking_evacuations(now_ms);
         if change.is_empty() {
             return Vec::new();
--- a/src/gateway/place_finder.rs
+++ b/src/gateway/place_finder.rs
@@ -7,10 +7,10 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::gateway::admission::{PlanCharge, Refusal, RefusalReason, RequestPlan};
+use crate::gateway::admission::{Refusal, RefusalReason, RequestPlan};
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::dispatching::{DispatchDecision, SendEnd, StartedSend, WaitResult};
-use crate::gateway::fleet::message::{Body, GrantedPlace, PlaceVerdict};
+use crate::gateway::fleet::message::{Body, PlaceVerdict};
 use crate::gateway::fleet::pending_ask::{AskStep, PendingAsk};
 use crate::gateway::fleet::placing::Placement;
 use crate::gateway::shared::Shared;
@@ -88,10 +88,13 @@
                 }
             }
             AskStep::Wait => {}
-            AskStep::Granted(place) if !is_allowed(shared, plan, &place) => return Asked::Alone,
             AskStep::Granted(place) => {
-                guard.to.retain(|to| *to != ask.to);
                 let mut state = shared.state.borrow_mut();
+                if !state.may_accept(plan, &place) {
+                    shared.counters.record_held_back();
+                    return Asked::Alone;
+                }
+                guard.to.retain(|to| *to != ask.to);
                 let started_send = state.accept_place(boot_ms(), plan, &ask, place);
                 return Asked::Decided(Ok(started_send));
             }
@@ -121,20 +124,6 @@
     }
 }
 
-/// Returns whether a granted place may be used: a coordinator that lacks an evacuation, or is of a
-/// build that does not know them, may grant one that this instance must not use. It is given back, and
-/// has taken the units.
-fn is_allowed(shared: &Shared, plan: &mut RequestPlan, place: &GrantedPlace) -> bool {
-    if shared.state.borrow().may_send_to(&place.backend_server) {
-        return true;
-    }
-    if plan.charge == PlanCharge::Pending {
-        plan.charge = PlanCharge::Settled;
-    }
-    shared.counters.record_held_back();
-    false
-}
-
 fn send_ask(shared: &Shared, plan: &RequestPlan, ask: &mut PendingAsk) {
     let now_ms = boot_ms();
     let due_ms = plan.wanted_ms + plan.route.goal_ms;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,7 +10,7 @@
 use crate::gateway::broken_sends::BrokenSends;
 use crate::gateway::crash_records::CrashNotice;
 use crate::gateway::engine_query::VersionNeed;
-use crate::gateway::evacuation::evacuated_set::EvacuatedSet;
+use crate::gateway::evacuation::evacuated_set::{EvacuatedSet, Lack};
 use crate::gateway::fleet::coordinators::Decider;
 use crate::gateway::fleet::membership::Fleet;
 use crate::gateway::fleet::message::LeavingServer;
@@ -58,8 +58,8 @@
     pub(crate) crash_notices: Vec<CrashNotice>,
     pub(crate) document: Arc<RoutingDocument>,
     pub(crate) evacuated: EvacuatedSet,
-    /// Since when a part of the evacuations is lacking, in milliseconds of the boot clock.
-    pub(crate) evacuated_lack_since_ms: Option<u64>,
+    /// What is lacking of the evacuations, and since when, in milliseconds of the boot clock.
+    pub(crate) evacuated_lack: Option<(Lack, u64)>,
     pub(crate) fleet: Fleet,
     pub(crate) freshness: Freshness,
     /// Position after which the store can no longer list changes.
@@ -108,7 +108,7 @@
             crash_notices: Vec::new(),
             document: Arc::default(),
             evacuated: EvacuatedSet::default(),
-            evacuated_lack_since_ms: None,
+            evacuated_lack: None,
             fleet: Fleet::new(&settings, now_ms, incarnation),
             freshness: Freshness::default(),
             history_lost: None,
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -6,6 +6,7 @@
 use bergamotspan::gateway::dispatching::DispatchDecision;
 use bergamotspan::gateway::evacuation::evacuated_set::{EvacuatedSet, Lack};
 use bergamotspan::gateway::fleet::additions::ToldEvacuations;
+use bergamotspan::gateway::fleet::message::{Body, Envelope};
 use bergamotspan::gateway::state::GatewayState;
 use bergamotspan::gateway::store_item::{StoreChanges, StoreItem, StorePosition};
 use bergamotspan::gateway::store_log::StoreUpdate;
@@ -236,6 +237,14 @@
     assert!(receiver.may_send_to("m-1"));
     let known = position(1);
     let later_ms = START_MS + 1_250;
+    // A report that brings nothing new does not put the read off.
+    let body = Body::Member(Box::default());
+    let mut message = sender.message(START_MS, body);
+    message.sender.instance = name("front-9");
+    let nothing_new = told(position(1), true, &[]);
+    message.additions.evacuations = Some(nothing_new);
+    let from = gateway_support::address("10.0.0.9:7600");
+    receiver.receive_message(START_MS + 1_000, from, &Envelope::default(), message);
     receiver.record_proof(later_ms);
     assert_eq!(receiver.next_store_read(later_ms), StoreRead::Missed { after: known });
     let items = vec![evacuated("umea-a")];
@@ -261,7 +270,7 @@
     assert_eq!(state.evacuated().len(), 5_002);
     assert_eq!(changes.len(), 2, "{} changes", changes.len());
     assert_eq!(sent_to(&mut state, "/draft/a", &[]).as_deref(), Some("m-3"));
-    let report = bergamotspan::gateway::fleet::message::Body::Member(Box::default());
+    let report = Body::Member(Box::default());
     let message = state.message(START_MS, report);
     assert_eq!(message.additions.evacuations, None, "it is left to store updates");
 }
--- a/tests/gateway_support/fleet.rs
+++ b/tests/gateway_support/fleet.rs
@@ -40,6 +40,8 @@
     pub states: Vec<Option<GatewayState>>,
     /// Side of each instance; datagrams do not cross between sides.
     pub sides: Vec<u8>,
+    /// Whether an instance is of a build that knows no evacuations.
+    pub is_earlier: Vec<bool>,
     /// Share of datagrams that are lost.
     pub loss: f64,
     /// Answers to requests for places, with the instances that asked and that answered.
@@ -66,6 +68,7 @@
             largest_bytes: 0,
             states: (0..instances).map(|_| None).collect(),
             sides: vec![0; instances],
+            is_earlier: vec![false; instances],
             loss: 0.0,
             answers: Vec::new(),
             origins: Vec::new(),
@@ -213,11 +216,15 @@
             if crosses || self.random.random_bool(self.loss) {
                 continue;
             }
+            let mut message = message.clone();
+            if self.is_earlier[from] || self.is_earlier[to] {
+                message.additions.evacuations = None;
+            }
             self.flights.push(Flight {
                 arrives_ms: now_ms + self.random.random_range(1..4),
                 envelope: state.fleet().roster().envelope(now_ms, to_address),
                 from,
-                message: message.clone(),
+                message,
                 to,
             });
         }
--- a/tests/gateway_support/placer.rs
+++ b/tests/gateway_support/placer.rs
@@ -163,6 +163,11 @@
                 self.await_answer(fleet, number, ask);
             }
             AskStep::Wait => self.await_answer(fleet, number, ask),
+            AskStep::Granted(place) if !state.may_accept(&mut search.plan, &place) => {
+                search.asked = MAX_COORDINATORS;
+                self.abandon_places(fleet, number, ask.ask.number);
+                self.find_place(fleet, number);
+            }
             AskStep::Granted(place) => {
                 search.asked_to.retain(|to| *to != ask.to);
                 let started_send = state.accept_place(now_ms, &mut search.plan, &ask, place);
