--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -14,6 +14,12 @@
 /// Time after the revocation of a key, in milliseconds; a request that is sent with the key later
 /// than that must not run.
 pub const REVOKE_MS: u64 = 5_000;
+/// Time after the evacuation of a data centre, in milliseconds; a request that reaches it later than
+/// that must come from an instance that was disturbed itself or had no store.
+pub const EVACUATE_MS: u64 = 5_000;
+/// Time for which an instance must be undisturbed so that its runs in an evacuated data centre count, in
+/// milliseconds.
+pub const UNDISTURBED_MS: u64 = 4_000;
 /// Time before a request, in milliseconds; a fault that ended within it still excuses a lost
 /// answer.
 pub const FAULT_MARGIN_MS: u64 = 3_000;
@@ -59,6 +65,8 @@
     pub after: u64,
     /// When it began, in milliseconds from the start.
     pub at_ms: u64,
+    /// Name of the backend server's data centre.
+    pub data_centre: Name,
     /// Whether the backend server was to break off its answer.
     pub breaks_off: bool,
     /// Name of the customer, as the instance reported it.
@@ -92,6 +100,11 @@
 pub struct Checker {
     /// Limits of customers.
     pub limits: BTreeMap<String, Limit>,
+    /// Instances that were disturbed, or all of them, and from when until when, in milliseconds from the
+    /// start.
+    pub disturbances: Vec<(Option<usize>, u64, u64)>,
+    /// When data centres were evacuated and taken back, in milliseconds from the start.
+    pub evacuations: Vec<(Name, u64, Option<u64>)>,
     /// Runs, by id of the request.
     pub runs: BTreeMap<String, Vec<Run>>,
     /// When keys were revoked and restored, in milliseconds from the start.
@@ -135,6 +148,7 @@
         }
         let unsent = self.runs.keys().filter(|id| !self.sent.contains_key(*id));
         findings.extend(unsent.map(|id| format!("{id} ran and nobody sent it")));
+        findings.extend(self.evacuation_findings());
         findings.extend(self.stream_findings());
         findings
             .extend(self.limits.iter().filter_map(|(name, limit)| self.limit_excess(name, limit)));
@@ -167,6 +181,34 @@
         })
     }
 
+    fn evacuation_findings(&self) -> Vec<String> {
+        let all = self.runs.iter().flat_map(|(id, runs)| runs.iter().map(move |run| (id, run)));
+        let late = all.filter(|(id, run)| {
+            let sent = self.sent.get(*id);
+            let is_in_touch = |sent: &Sent| !self.is_disturbed(sent.instance.0, run.at_ms);
+            self.is_evacuated(run) && sent.is_some_and(is_in_touch)
+        });
+        late.map(|(id, run)| format!("{id} ran in an evacuated data centre: {run:?}")).collect()
+    }
+
+    fn is_evacuated(&self, run: &Run) -> bool {
+        self.evacuations.iter().any(|(data_centre, from_ms, until_ms)| {
+            *data_centre == run.data_centre
+                && run.at_ms > from_ms + EVACUATE_MS
+                && until_ms.is_none_or(|until_ms| run.at_ms < until_ms)
+        })
+    }
+
+    /// Returns whether an instance, or the store for it, was disturbed at a time or shortly before.
+    fn is_disturbed(&self, instance: usize, at_ms: u64) -> bool {
+        let since_ms = at_ms.saturating_sub(UNDISTURBED_MS);
+        self.disturbances.iter().any(|(disturbed, from_ms, until_ms)| {
+            disturbed.is_none_or(|disturbed| disturbed == instance)
+                && *from_ms <= at_ms
+                && *until_ms >= since_ms
+        })
+    }
+
     /// Returns whether a planned stop of its instance is the only possible cause of a lost answer.
     fn is_lost_only_to_stop(&self, sent: &Sent) -> bool {
         let from_ms = sent.at_ms.saturating_sub(FAULT_MARGIN_MS);
--- a/soak/src/engine.rs
+++ b/soak/src/engine.rs
@@ -42,6 +42,7 @@
     /// Address of its listener.
     pub address: SocketAddr,
     breaks_streams: Rc<Cell<bool>>,
+    data_centre: Name,
     id: Rc<RefCell<String>>,
     is_down: Rc<Cell<bool>>,
     /// Until when it writes nothing.
@@ -91,6 +92,7 @@
     pub async fn start(
         id: &str,
         version: &Name,
+        data_centre: &str,
         breaks_streams: Rc<Cell<bool>>,
         checker: Rc<RefCell<Checker>>,
         started: Instant,
@@ -99,6 +101,7 @@
         let server = Self {
             address: listener.local_addr()?,
             breaks_streams,
+            data_centre: data_centre.into(),
             id: Rc::new(RefCell::new(id.to_owned())),
             is_down: Rc::default(),
             silent_until: Rc::new(Cell::new(started)),
@@ -188,7 +191,8 @@
         let at_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
         let mut checker = self.checker.borrow_mut();
         let runs = checker.runs.entry(id.to_owned()).or_default();
-        runs.push(Run { after, at_ms, breaks_off, customer, version: self.version.clone() });
+        let (data_centre, version) = (self.data_centre.clone(), self.version.clone());
+        runs.push(Run { after, at_ms, breaks_off, customer, data_centre, version });
     }
 
     /// Returns the number of bytes after which the stream of the next run of a request breaks off,
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -120,8 +120,15 @@
         let (born, id) = self.next_backend(number);
         let version = version.into();
         let (breaks_streams, checker) = (self.breaks_streams.clone(), self.checker.clone());
-        let server =
-            EngineServer::start(&id, &version, breaks_streams, checker, self.started).await?;
+        let server = EngineServer::start(
+            &id,
+            &version,
+            data_centre(number / 2),
+            breaks_streams,
+            checker,
+            self.started,
+        )
+        .await?;
         let proxy = Proxy::start(server.address).await?;
         let (born, id, is_replaced) = (Cell::new(born), RefCell::new(id), Cell::new(false));
         let backend = Backend { born, id, is_replaced, number, proxy, server, version };
@@ -161,7 +168,7 @@
     pub(crate) fn publish(&self, backend: &Backend, state: &str) {
         let service = if backend.number.is_multiple_of(2) { "model" } else { "desk" };
         let record = json!({"service": service, "address": backend.proxy.address.to_string(),
-            "zone": "zone-0", "version": &*backend.version, "slots": 32, "state": state,
+            "zone": data_centre(backend.number / 2), "version": &*backend.version, "slots": 32, "state": state,
             "cold-left-ms": 0, "seq": if state == "ready" { 1 } else { 2 },
             "born": 1_000 + backend.born.get()});
         self.store.write(&format!("servers/{}", backend.id.borrow()), Some(&record));
@@ -226,6 +233,11 @@
     }
 }
 
+/// Returns one of the two data centres; each has backend servers of both services.
+pub(crate) fn data_centre(number: usize) -> &'static str {
+    ["zone-0", "zone-1"][number % 2]
+}
+
 fn version_route(version: u64) -> String {
     format!("version-{version}")
 }
--- a/soak/src/injection.rs
+++ b/soak/src/injection.rs
@@ -6,10 +6,13 @@
 use std::time::Duration;
 
 use rustix::process::Signal;
+use serde_json::json;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::Name;
 use crate::caller::elapsed_ms;
-use crate::fleet::{Backend, Fleet, LIMITED_KEYS, POLL_INTERVAL_MS};
+use crate::checker::EVACUATE_MS;
+use crate::fleet::{Backend, Fleet, LIMITED_KEYS, POLL_INTERVAL_MS, data_centre};
 use crate::instance::Instance;
 use crate::proxy::Proxy;
 use crate::schedule::{ConnectionFault, Fault, TimedFault};
@@ -57,6 +60,11 @@
             fleet.backend(number).server.fall_silent(duration);
             return Ok(());
         }
+        // It excuses no lost answer.
+        Fault::Evacuate(number) => {
+            evacuate(&fleet, number, duration).await;
+            return Ok(());
+        }
         Fault::Drain(number) => drain_backend(&fleet, &fleet.backend(number)).await,
         Fault::EngineCrash(number) => {
             let backend = fleet.backend(number);
@@ -98,9 +106,25 @@
         }
     }
     fleet.record_fault_period(from_ms, stopped_instance);
+    if let Some(instance) = disturbed_by(fault) {
+        let until_ms = elapsed_ms(fleet.started);
+        fleet.checker.borrow_mut().disturbances.push((instance, from_ms, until_ms));
+    }
     Ok(())
 }
 
+/// Returns the instance that a fault disturbs, or keeps from the store; `None` within if these are all.
+fn disturbed_by(fault: Fault) -> Option<Option<usize>> {
+    match fault {
+        Fault::Kill(number)
+        | Fault::Pause(number)
+        | Fault::Stop(number)
+        | Fault::StoreConnections(number, _) => Some(Some(number)),
+        Fault::AllStoreConnections(_) | Fault::Compact => Some(None),
+        _ => None,
+    }
+}
+
 async fn inject_connection_fault(proxy: &Proxy, fault: ConnectionFault, duration: Duration) {
     proxy.set_fault(Some(fault));
     sleep(duration).await;
@@ -132,6 +156,25 @@
     fleet.write_document();
 }
 
+/// Evacuates a data centre for longer than it takes to empty it, unless one is evacuated.
+async fn evacuate(fleet: &Fleet, number: usize, duration: Duration) {
+    let data_centre: Name = data_centre(number).into();
+    let key = format!("op/evacuate/{data_centre}");
+    let is_open = |known: &(Name, u64, Option<u64>)| known.2.is_none();
+    if fleet.checker.borrow().evacuations.iter().any(is_open) {
+        return;
+    }
+    fleet.store.write(&key, Some(&json!(1)));
+    let at_ms = elapsed_ms(fleet.started);
+    fleet.checker.borrow_mut().evacuations.push((data_centre, at_ms, None));
+    sleep(Duration::from_millis(EVACUATE_MS) + duration).await;
+    let at_ms = elapsed_ms(fleet.started);
+    if let Some(span) = fleet.checker.borrow_mut().evacuations.last_mut() {
+        span.2 = Some(at_ms);
+    }
+    fleet.store.write(&key, None);
+}
+
 async fn drain_backend(fleet: &Fleet, backend: &Backend) {
     fleet.publish(backend, "draining");
     sleep(Duration::from_millis(DRAIN_MS)).await;
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -34,6 +34,8 @@
     EngineConnections(usize, ConnectionFault),
     /// A backend server writes nothing for a while and goes on.
     EngineSilence(usize),
+    /// One of two data centres is evacuated and taken back.
+    Evacuate(usize),
     /// An instance is killed and started again.
     Kill(usize),
     /// An instance is paused by SIGSTOP.
@@ -121,7 +123,7 @@
         ConnectionFault::OneWay,
         ConnectionFault::Slow,
     ][random.random_range(0..4)];
-    match random.random_range(0..16) {
+    match random.random_range(0..18) {
         0 => Fault::Compact,
         1 | 2 => Fault::Document,
         3 => Fault::Drain(engine),
@@ -133,6 +135,7 @@
         9 => Fault::StoreConnections(instance, connection_fault),
         10 | 11 => Fault::BrokenStreams,
         12..15 => Fault::Replace(engine),
+        15 | 16 => Fault::Evacuate(engine % 2),
         _ if random.random_bool(0.5) => Fault::AllStoreConnections(connection_fault),
         _ => Fault::Reload(instance),
     }
--- a/soak/tests/streams.rs
+++ b/soak/tests/streams.rs
@@ -71,6 +71,7 @@
     };
     checker.sent.insert("r-1.2".to_owned(), sent);
     let run = |after, version: &str| Run {
+        data_centre: "zone-0".into(),
         after,
         at_ms: 10,
         breaks_off: true,
