Have the reader of a cell read what is new between two reads of missed evacuations

Beside instances of the build before, which move its position, it could have read only what it had missed, time after time, and proved nothing. The tests with an earlier build pass (evacuation, evacuation_fleet).

--- a/src/gateway/evacuation/following.rs
+++ b/src/gateway/evacuation/following.rs
@@ -21,6 +21,9 @@
 const REPORTED_BYTES: usize = 256;
 /// Time for which an instance that lacks a part of the set waits to be told, as a share of the bound.
 const LACK_SHARE: f64 = 0.25;
+/// The same for the instance that reads the store for others, in milliseconds; between two reads of what
+/// it lacks it reads what is new.
+const READER_LACK_MS: u64 = 250;
 
 /// Where an instance has an evacuation, or its end, from.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -113,11 +116,12 @@
         }
         let Some(lack) = self.evacuated.lack(position) else { return Err(u64::MAX) };
         let is_reader = self.fleet.is_reader(now_ms, self.store_reachable);
-        let wait_ms = (self.settings.bounds.evacuation_ms as f64 * LACK_SHARE) as u64;
+        let told_ms = (self.settings.bounds.evacuation_ms as f64 * LACK_SHARE) as u64;
+        let wait_ms = if is_reader { READER_LACK_MS } else { told_ms };
         let due_ms = self.evacuated_lack.map_or(now_ms, |(_, since_ms)| since_ms) + wait_ms;
         match lack {
             Lack::All => Ok(StoreRead::List),
-            _ if now_ms < due_ms && !is_reader => Err(due_ms - now_ms),
+            _ if now_ms < due_ms => Err(due_ms - now_ms),
             Lack::ChangesAfter(after) => Ok(StoreRead::Missed { after }),
         }
     }
