--- a/src/gateway/evacuation/following.rs
+++ b/src/gateway/evacuation/following.rs
@@ -21,6 +21,9 @@
 const REPORTED_BYTES: usize = 256;
 /// Time for which an instance that lacks a part of the set waits to be told, as a share of the bound.
 const LACK_SHARE: f64 = 0.25;
+/// The same for the instance that reads the store for others, in milliseconds; between two reads of what
+/// it lacks it reads what is new.
+const READER_LACK_MS: u64 = 250;
 
 /// Where an instance has an evacuation, or its end, from.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -113,22 +116,24 @@
         }
         let Some(lack) = self.evacuated.lack(position) else { return Err(u64::MAX) };
         let is_reader = self.fleet.is_reader(now_ms, self.store_reachable);
-        let wait_ms = (self.settings.bounds.evacuation_ms as f64 * LACK_SHARE) as u64;
-        let due_ms = self.evacuated_lack_since_ms.unwrap_or(now_ms) + wait_ms;
+        let told_ms = (self.settings.bounds.evacuation_ms as f64 * LACK_SHARE) as u64;
+        let wait_ms = if is_reader { READER_LACK_MS } else { told_ms };
+        let due_ms = self.evacuated_lack.map_or(now_ms, |(_, since_ms)| since_ms) + wait_ms;
         match lack {
             Lack::All => Ok(StoreRead::List),
-            _ if now_ms < due_ms && !is_reader => Err(due_ms - now_ms),
+            _ if now_ms < due_ms => Err(due_ms - now_ms),
             Lack::ChangesAfter(after) => Ok(StoreRead::Missed { after }),
         }
     }
 
-    /// Records since when a part of the set is lacking.
+    /// Records what of the set is lacking, and since when; as parts arrive, the time starts anew.
     pub(crate) fn note_lacking_evacuations(&mut self, now_ms: u64) {
         let lack = self.store_position.and_then(|position| self.evacuated.lack(position));
-        match lack {
-            Some(_) => drop(self.evacuated_lack_since_ms.get_or_insert(now_ms)),
-            None => self.evacuated_lack_since_ms = None,
-        }
+        let since_ms = match self.evacuated_lack {
+            Some((known, since_ms)) if Some(known) == lack => since_ms,
+            _ => now_ms,
+        };
+        self.evacuated_lack = lack.map(|lack| (lack, since_ms));
     }
 
     fn evacuations_changed(
@@ -137,8 +142,6 @@
         change: SetChange,
         from: HeardFrom,
     ) -> Vec<StateChange> {
-        // A part that came late leaves a shorter lack, of which others may tell again.
-        self.evacuated_lack_since_ms = None;
         self.note_lacking_evacuations(now_ms);
         if change.is_empty() {
             return Vec::new();
--- a/tests/gateway_support/fleet.rs
+++ b/tests/gateway_support/fleet.rs
@@ -43,10 +43,10 @@
     pub sides: Vec<u8>,
     /// Pairs of a sender and a receiver whose datagrams are lost.
     pub unheard: Vec<(usize, usize)>,
+    /// Whether an instance is of a build that neither adds to its datagrams nor reads additions.
+    pub is_earlier: Vec<bool>,
     /// Share of datagrams that are lost.
     pub loss: f64,
-    /// Instances whose build adds nothing to its datagrams.
-    pub old_builds: Vec<bool>,
     /// Answers to requests for places, with the instances that asked and that answered.
     pub answers: Vec<(usize, SocketAddr, PlaceAnswer)>,
     /// Answers to questions for origins, with the instances that asked and that answered.
@@ -72,8 +72,8 @@
             states: (0..instances).map(|_| None).collect(),
             sides: vec![0; instances],
             unheard: Vec::new(),
+            is_earlier: vec![false; instances],
             loss: 0.0,
-            old_builds: vec![false; instances],
             answers: Vec::new(),
             origins: Vec::new(),
             fetches: Vec::new(),
@@ -211,7 +211,6 @@
     pub fn send_with_note(&mut self, from: usize, to: &[SocketAddr], body: Body, note: PlaceNote) {
         let now_ms = self.now_ms;
         let Some(state) = &self.states[from] else { return };
-        let note = if self.old_builds[from] { PlaceNote::default() } else { note };
         let message = state.message_with_note(now_ms, body, note);
         if self.counts_bytes {
             let bytes = bergamotspan::gateway::fleet::message::encode_message(&message)
@@ -226,11 +225,15 @@
             if crosses || self.random.random_bool(self.loss) {
                 continue;
             }
+            let mut message = message.clone();
+            if self.is_earlier[from] || self.is_earlier[to] {
+                message.additions.evacuations = None;
+            }
             self.flights.push(Flight {
                 arrives_ms: now_ms + self.random.random_range(1..4),
                 envelope: state.fleet().roster().envelope(now_ms, to_address),
                 from,
-                message: message.clone(),
+                message,
                 to,
             });
         }
--- a/tests/sharing_fleet.rs
+++ b/tests/sharing_fleet.rs
@@ -271,7 +271,7 @@
         let mut play = Play::start(seed);
         let coordinator = play.coordinator();
         let old = (0..INSTANCES).filter(|at| *at != coordinator && at % 2 == 0);
-        old.for_each(|at| play.fleet.old_builds[at] = true);
+        old.for_each(|at| play.fleet.is_earlier[at] = true);
         play.run(6_000, true);
         let (first, others) = play.take_shares(&format!("seed {seed}"));
         // Mixed requests of such an instance wait together; none is worse off than all together.
