Give places at cold servers to requests that lose least there

Of the requests of one rank at the head of a queue, the one that loses least by slow steps takes the place at a cold server while others are warm, and the slots that a cold server fills in the wait estimate are those that its rate fills at the measured slot time. Existing tests of queues, limits and fleets pass.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -188,10 +188,12 @@
         }
     }
 
-    /// Returns the number of slots that can be in use; at a limit, those that it fills.
-    pub fn usable_slots(&self, now_ms: u64) -> usize {
+    /// Returns the number of slots that can be in use; at a limit, those that it fills with requests
+    /// that occupy one for `slot_ms`, or a second if that is 0.
+    pub fn usable_slots(&self, now_ms: u64, slot_ms: f64) -> usize {
         let Some(rate) = self.limits.millirequests_per_s(now_ms) else { return self.record.slots };
-        (rate.div_ceil(1_000) as usize).clamp(1, self.record.slots.max(1))
+        let slot_s = if slot_ms > 0.0 { slot_ms / 1_000.0 } else { 1.0 };
+        ((rate as f64 / 1_000.0 * slot_s).ceil() as usize).clamp(1, self.record.slots.max(1))
     }
 
     /// Returns the number of free slots.
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -32,6 +32,8 @@
     /// Shares of the limits of backend servers that this instance may use.
     limit_shares: LimitShares,
     list: Vec<Backend>,
+    /// Mean time that a model request occupies a slot, in milliseconds; 0 before the first sample.
+    slot_ms: f64,
     /// Pools by service, sorted by its name.
     pools: Vec<Pool>,
 }
@@ -338,6 +340,28 @@
         changed.collect()
     }
 
+    /// Returns whether a backend server is cold.
+    pub fn is_cold(&self, now_ms: u64, id: &str) -> bool {
+        self.get(id).is_some_and(|known| known.limits.cold.is_cold(now_ms))
+    }
+
+    /// Returns whether a service has a backend server in this cell that is not cold.
+    pub fn has_warm(&self, now_ms: u64, service: &str) -> bool {
+        let Some(pool) = self.pool(service) else { return false };
+        let mut known = pool.cell.iter().map(|index| &self.list[*index]);
+        known.any(|known| known.may_serve(now_ms) && !known.limits.cold.is_cold(now_ms))
+    }
+
+    /// Returns the expected loss of a model request at a backend server, in units of its value.
+    pub fn expected_loss(&self, now_ms: u64, id: &str, query: &EngineQuery) -> f64 {
+        self.get(id).map_or(f64::MAX, |known| expected_loss(now_ms, known, query))
+    }
+
+    /// Sets the mean time that a model request occupies a slot, in milliseconds.
+    pub fn set_slot_time(&mut self, slot_ms: f64) {
+        self.slot_ms = slot_ms;
+    }
+
     /// Returns the number of usable backend servers that are cold.
     pub fn cold_count(&self, now_ms: u64) -> usize {
         self.usable().filter(|known| known.limits.cold.is_cold(now_ms)).count()
@@ -480,7 +504,7 @@
     ) -> (usize, usize) {
         let candidates = self.candidates(now_ms, service, &[], version_need).into_iter();
         candidates.fold((0, 0), |(all, free), backend| {
-            let usable = backend.usable_slots(now_ms);
+            let usable = backend.usable_slots(now_ms, self.slot_ms);
             (all + usable, free + self.free_places(now_ms, backend).min(usable))
         })
     }
--- a/src/gateway/engine_query.rs
+++ b/src/gateway/engine_query.rs
@@ -20,6 +20,8 @@
 const CHUNK_TOKENS: f64 = 2_048.0;
 /// Tokens generated from one event to the next; pauses are measured between events.
 const PAUSE_TOKENS: f64 = 5.0;
+/// Factor by which a cold engine is expected to be slower than measured.
+const COLD_SLOWNESS: f64 = 2.0;
 /// Loss of a failed request, in units of its value.
 const FAILURE_LOSS: f64 = 1.5;
 /// Loss for each second that a slot is occupied.
@@ -69,9 +71,10 @@
 /// Returns the expected loss if a request is sent to this engine, in units of the request's value.
 pub fn expected_loss(now_ms: u64, backend: &Backend, query: &EngineQuery) -> f64 {
     let uncached_tokens = backend.uncached_tokens(&query.prompt);
-    let first_event_ms = backend.expected_first_event_ms(uncached_tokens);
+    let slowness = if backend.limits.cold.is_cold(now_ms) { COLD_SLOWNESS } else { 1.0 };
+    let first_event_ms = slowness * backend.expected_first_event_ms(uncached_tokens);
     let output_tokens = query.prompt.expected_output_tokens() as f64;
-    let token_ms = backend.expected_token_ms();
+    let token_ms = slowness * backend.expected_token_ms();
     let running = f64::from(backend.load().running);
     let occupancy = running / backend.record.slots.max(1) as f64;
     let slot_s = (first_event_ms + output_tokens * token_ms) / 1_000.0;
--- a/src/gateway/request_queue.rs
+++ b/src/gateway/request_queue.rs
@@ -1,4 +1,8 @@
 //! Queue of the model requests of one service that wait for a slot, and the decision on the next.
+//!
+//! The load it answers: more requests than slots, and servers of which some are cold, so slow. Rank and
+//! due time decide, except that the place at a cold server goes to the next of its rank that loses
+//! least there, as long as others are warm.
 
 use std::sync::Arc;
 
@@ -11,6 +15,11 @@
 /// Weight of a new outcome in the share of requests that expired.
 const OUTCOME_WEIGHT: f64 = 0.05;
 
+/// Number of waiting requests among which one is chosen for a cold server.
+const COLD_CHOICES: usize = 8;
+/// Time left to wait below which a request takes the place at a cold server, in milliseconds.
+const LATE_MS: u64 = 200;
+
 /// A waiting request.
 #[derive(Clone, Debug)]
 pub struct WaitingRequest {
@@ -120,6 +129,7 @@
             let query = &self.waiting[index].query;
             match backends.choose_engine(now_ms, service, query) {
                 EngineChoice::Chosen(backend_server) => {
+                    let index = self.choose_for(now_ms, service, backends, index, &backend_server);
                     let WaitingRequest { number, query, rank, .. } = self.waiting.remove(index);
                     self.record_outcome(rank, 0.0);
                     let prompt = query.prompt;
@@ -132,4 +142,34 @@
         }
         None
     }
+
+    /// Returns which request takes the place that a server has for the one at this index.
+    fn choose_for(
+        &self,
+        now_ms: u64,
+        service: &str,
+        backends: &Backends,
+        index: usize,
+        backend_server: &str,
+    ) -> usize {
+        let first = &self.waiting[index];
+        if first.query.is_limited()
+            || first.expires_ms <= now_ms + LATE_MS
+            || !backends.is_cold(now_ms, backend_server)
+            || !backends.has_warm(now_ms, service)
+        {
+            return index;
+        }
+        let loss = |waiting: &WaitingRequest| {
+            backends.expected_loss(now_ms, backend_server, &waiting.query)
+        };
+        let choices = self.waiting.iter().enumerate().skip(index).take(COLD_CHOICES);
+        let choices = choices.filter(|(_, waiting)| {
+            waiting.rank == first.rank
+                && !waiting.query.is_limited()
+                && waiting.query.version_need == first.query.version_need
+        });
+        let least = choices.min_by(|(_, left), (_, right)| loss(left).total_cmp(&loss(right)));
+        least.map_or(index, |(least, _)| least)
+    }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -424,6 +424,7 @@
     /// Records how long a model request occupied its slot, in milliseconds.
     pub fn record_slot_time(&mut self, slot_ms: f64) {
         self.mean_slot_ms += SLOT_SAMPLE_WEIGHT * (slot_ms - self.mean_slot_ms);
+        self.backends.set_slot_time(self.mean_slot_ms);
     }
 
     /// Returns the mean time between tokens for a mean time between events of a stream, both in
