Count who follows a coordinator in its share at cold servers

Two coordinators of a fleet of 7 that did not hear each other, each heard by all members, sent 24 requests in a second where 23 are allowed, and 15 a second for as long as it lasted: reports of members don't say whom they follow. They now do, in a field behind the message, and a coordinator's share counts those.

--- a/src/gateway/fleet/additions.rs
+++ b/src/gateway/fleet/additions.rs
@@ -11,6 +11,10 @@
     /// Cold backend servers, from builds that limit what these get: in reports, and empty in answers.
     #[serde(default, rename = "c", skip_serializing_if = "Option::is_none")]
     pub cold: Option<Vec<ToldCold>>,
+    /// How many better ranked members of its cell a member passes over for the coordinator that it
+    /// follows.
+    #[serde(default, rename = "f", skip_serializing_if = "is_zero")]
+    pub passed_over: u32,
     /// Limits that backend servers state.
     #[serde(default, rename = "l", skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<ToldLimit>,
@@ -52,3 +56,7 @@
     #[serde(rename = "q")]
     pub sequence: u64,
 }
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
--- a/src/gateway/fleet/cold_servers.rs
+++ b/src/gateway/fleet/cold_servers.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::backend::Backend;
-use crate::gateway::fleet::additions::ToldCold;
+use crate::gateway::fleet::additions::{Additions, ToldCold};
 use crate::gateway::fleet::coordinators::Decider;
 use crate::gateway::fleet::membership::Fleet;
 use crate::gateway::fleet::message::Body;
@@ -20,13 +20,8 @@
 /// Time after its start for which an instance uses no part of what cold servers bear unless it is
 /// granted, in milliseconds.
 const JOIN_MS: u64 = 1_500;
-/// Time for which a coordinator that takes over leaves half to the one before it, in milliseconds.
-const TAKE_OVER_MS: u64 = 3_000;
-/// Time from the last datagram of an instance to a later sign of life that others received from it,
-/// from which it counts as cut off from this instance alone, in milliseconds.
-const UNHEARD_MS: u64 = 800;
-/// Age at which such a sign of life no longer counts, in milliseconds.
-const SIGN_EXPIRY_MS: u64 = 4_000;
+/// Time for which a coordinator that takes over uses a third, since the one before it may go on, in milliseconds.
+const TAKE_OVER_MS: u64 = 2_000;
 /// Time for which reports repeat news, in milliseconds.
 const REPEAT_MS: u64 = 1_500;
 /// Maximum number of cold servers in one report.
@@ -120,13 +115,15 @@
         let since_ms = self.fleet.deciding_since_ms.filter(|_| decider == Decider::Own);
         let since_ms = since_ms.unwrap_or(now_ms);
         self.fleet.deciding_since_ms = (decider == Decider::Own).then_some(since_ms);
-        let is_shared = now_ms < since_ms + TAKE_OVER_MS || self.fleet.has_unheard(now_ms);
         let has_joined = self.fleet.roster.has_heard_seeds() && now_ms >= self.started_ms + JOIN_MS;
+        // Two that do not hear each other may both take themselves for the one that decides; each
+        // member follows one of them.
+        let followers = self.fleet.followers(now_ms);
+        let followed = granting * followers / (self.fleet.own_cell_live(now_ms) as u64).max(1);
         match decider {
             _ if !has_joined => 0,
-            // The one before may not have noticed, or some may still ask it.
-            Decider::Own if is_shared => granting / 2,
-            Decider::Own => granting,
+            Decider::Own if now_ms < since_ms + TAKE_OVER_MS => followed / 3,
+            Decider::Own => followed,
             Decider::Other(address) if self.fleet.limits_cold(address) => 0,
             Decider::Other(_) | Decider::None => (1_000 / known).max(1),
         }
@@ -137,11 +134,15 @@
         now_ms: u64,
         from: &Name,
         body: &Body,
-        told: Option<&[ToldCold]>,
+        additions: &Additions,
     ) {
+        let told = additions.cold.as_deref();
         if matches!(body, Body::Answer(_) | Body::Cell(_) | Body::Member(_) | Body::Summary(_)) {
             self.fleet.roster.set_limits_cold(from, told.is_some());
         }
+        if matches!(body, Body::Member(_)) {
+            self.fleet.roster.set_passed_over(from, additions.passed_over);
+        }
         for cold in told.unwrap_or_default() {
             let stated_ms = now_ms.saturating_sub(cold.age_ms);
             let news = ColdNews {
@@ -179,15 +180,27 @@
 }
 
 impl Fleet {
-    /// Returns whether others hear an instance of the cell that this one does not, so that both may
-    /// coordinate.
-    fn has_unheard(&self, now_ms: u64) -> bool {
+    /// Returns how many better ranked members of the cell this instance passes over for the one that
+    /// decides on its places.
+    pub(crate) fn passed_over(&self, now_ms: u64) -> u32 {
+        let name = match self.decider(now_ms) {
+            Decider::None => None,
+            Decider::Other(address) => self.roster.at_address(address).map(|known| &known.name),
+            Decider::Own => Some(&self.own_name),
+        };
+        let rank = name.and_then(|name| self.ranked.iter().position(|known| known == name));
+        rank.unwrap_or(self.ranked.len()) as u32
+    }
+
+    /// Returns the number of live members of the cell whose places this instance decides on, itself
+    /// included; those of an earlier build don't tell and count.
+    fn followers(&self, now_ms: u64) -> u64 {
+        let own_rank = self.ranked.iter().position(|name| *name == self.own_name);
+        let own_rank = own_rank.unwrap_or_default() as u32;
         let members = self.ranked.iter().filter_map(|name| self.roster.get(name));
-        let mut unheard = members.filter(|known| {
-            let heard_ms = known.direct.map_or(known.known_ms, |direct| direct.received_ms);
-            known.heard_ms >= heard_ms + UNHEARD_MS && now_ms < known.heard_ms + SIGN_EXPIRY_MS
-        });
-        unheard.next().is_some()
+        let members = members.filter(|known| known.is_live(now_ms));
+        let followers = members.filter(|known| !known.limits_cold || known.passed_over == own_rank);
+        followers.count() as u64 + 1
     }
 
     /// Returns whether the coordinator at an address limits what cold servers get.
--- a/src/gateway/fleet/receiving.rs
+++ b/src/gateway/fleet/receiving.rs
@@ -66,7 +66,7 @@
         }
         let mut received = Received { is_new: contact.is_new, ..Received::default() };
         self.merge_limits(now_ms, &additions.limits);
-        self.receive_cold(now_ms, &sender.instance, &body, additions.cold.as_deref());
+        self.receive_cold(now_ms, &sender.instance, &body, &additions);
         match body {
             Body::Answer(answer) => received.answer = Some(answer),
             Body::Ask(ask) => self.receive_ask(now_ms, from, &sender.instance, &ask),
--- a/src/gateway/fleet/reporting.rs
+++ b/src/gateway/fleet/reporting.rs
@@ -62,7 +62,12 @@
             Body::Answer(_) => Some(Vec::new()),
             _ => is_report.then(|| self.cold_for_report(now_ms)),
         };
-        Message { sender: self.sender(now_ms), body, additions: Additions { cold, limits } }
+        let passed_over = match body {
+            Body::Member(_) => self.fleet.passed_over(now_ms),
+            _ => 0,
+        };
+        let additions = Additions { cold, limits, passed_over };
+        Message { sender: self.sender(now_ms), body, additions }
     }
 
     /// Updates cells and roles, drops what silent instances held, and adds the reports that are due
--- a/src/gateway/fleet/roster.rs
+++ b/src/gateway/fleet/roster.rs
@@ -40,6 +40,8 @@
     pub known_ms: u64,
     /// Whether it limits what cold backend servers get.
     pub limits_cold: bool,
+    /// How many better ranked members it passes over for the coordinator that it follows.
+    pub passed_over: u32,
     /// Whether it is stopping.
     pub stopping: bool,
     /// Its last datagram to this instance.
@@ -135,6 +137,7 @@
                     heard_ms: now_ms,
                     known_ms: now_ms,
                     limits_cold: false,
+                    passed_over: 0,
                     stopping: sender.stopping,
                     direct: None,
                 };
@@ -183,6 +186,7 @@
                         heard_ms,
                         known_ms: now_ms,
                         limits_cold: false,
+                        passed_over: 0,
                         stopping: entry.stopping,
                         direct: None,
                     };
@@ -217,6 +221,13 @@
         }
     }
 
+    /// Records how many better ranked members an instance passes over for its coordinator.
+    pub fn set_passed_over(&mut self, name: &str, passed_over: u32) {
+        if let Ok(index) = self.known.binary_search_by(|known| (*known.name).cmp(name)) {
+            self.known[index].passed_over = passed_over;
+        }
+    }
+
     /// Returns the instance at an address.
     pub fn at_address(&self, address: SocketAddr) -> Option<&KnownInstance> {
         let index = self.addresses.binary_search_by_key(&address, |(known, _)| *known).ok()?;
--- a/src/gateway/gateway_settings.rs
+++ b/src/gateway/gateway_settings.rs
@@ -79,7 +79,8 @@
     /// second that sends which arrive together, or from two coordinators for a while, fit in.
     pub fn cold_millirequests_per_s(&self, millirequests_per_s: u64) -> u64 {
         let most = millirequests_per_s as f64 * self.cold_over + self.cold_slack * 1_000.0;
-        millirequests_per_s.min((most * COLD_SHARE).max(0.0) as u64)
+        let planned = (most * COLD_SHARE).max(1.0) as u64;
+        millirequests_per_s.min(planned)
     }
 
     /// Returns the shortest time in which changes of the store must be in force, in milliseconds.
