--- a/src/gateway/fleet/additions.rs
+++ b/src/gateway/fleet/additions.rs
@@ -15,6 +15,10 @@
     /// The evacuated data centres.
     #[serde(default, rename = "e", skip_serializing_if = "Option::is_none")]
     pub evacuations: Option<ToldEvacuations>,
+    /// How many better ranked members of its cell a member passes over for the coordinator that it
+    /// follows.
+    #[serde(default, rename = "f", skip_serializing_if = "is_zero")]
+    pub passed_over: u32,
     /// Limits that backend servers state.
     #[serde(default, rename = "l", skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<ToldLimit>,
@@ -137,3 +141,7 @@
 fn is_false(value: &bool) -> bool {
     !value
 }
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
--- a/src/gateway/fleet/receiving.rs
+++ b/src/gateway/fleet/receiving.rs
@@ -82,7 +82,7 @@
         }
         let mut received = Received { is_new: contact.is_new, ..Received::default() };
         self.merge_limits(now_ms, &additions.limits);
-        self.receive_cold(now_ms, &sender.instance, &body, additions.cold.as_deref());
+        self.receive_cold(now_ms, &sender.instance, &body, &additions);
         if let Some(told) = &additions.evacuations {
             let from = HeardFrom::Instance(sender.instance.clone());
             received.state_changes = self.apply_told_evacuations(now_ms, told, from);
--- a/src/gateway/fleet/reporting.rs
+++ b/src/gateway/fleet/reporting.rs
@@ -72,6 +72,10 @@
             Body::Answer(_) => Some(Vec::new()),
             _ => is_report.then(|| self.cold_for_report(now_ms)),
         };
+        let passed_over = match body {
+            Body::Member(_) => self.fleet.passed_over(now_ms),
+            _ => 0,
+        };
         let outliers = match body {
             Body::Cell(_) => self.outliers_for_report(now_ms),
             _ => Vec::new(),
@@ -79,7 +83,7 @@
         let is_repeatable = matches!(body, Body::Ask(ask) if ask.is_repeatable);
         let limits = if is_report { self.limits_for_report(now_ms) } else { Vec::new() };
         let evacuations = self.evacuations_for_report(now_ms).filter(|_| is_report);
-        Additions { asker, cold, evacuations, is_repeatable, limits, outliers, queue }
+        Additions { asker, cold, evacuations, is_repeatable, limits, outliers, passed_over, queue }
     }
 
     /// Updates cells and roles, drops what silent instances held, and adds the reports that are due
--- a/src/gateway/request_queue.rs
+++ b/src/gateway/request_queue.rs
@@ -1,4 +1,8 @@
 //! Queue of the model requests of one service that wait for a slot, and the decision on the next.
+//!
+//! The load it answers: more requests than slots, and servers of which some are cold, so slow. Rank,
+//! then the customers' turns decide, except that the place at a cold server goes to the next of the
+//! same customer that loses least there, as long as others are warm.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -8,7 +12,7 @@
 use crate::gateway::engine_query::EngineQuery;
 use crate::gateway::request_metadata::PromptShape;
 use crate::gateway::sharing::drain_rate::DrainRate;
-use crate::gateway::sharing::rank_lane::{RankLane, TurnKey};
+use crate::gateway::sharing::rank_lane::{RankLane, SharerQueue, TurnKey};
 use crate::gateway::sharing::room_use::RoomUse;
 use crate::gateway::sharing::share_tally::ShareTally;
 use crate::gateway::sharing::sharer::Sharer;
@@ -18,6 +22,11 @@
 /// Factor by which a wait must exceed the time left for the request to leave the queue.
 const DISPLACING_EXCESS: f64 = 1.25;
 
+/// Number of waiting requests among which one is chosen for a cold server.
+const COLD_CHOICES: usize = 8;
+/// Time left to wait below which a request takes the place at a cold server, in milliseconds.
+const LATE_MS: u64 = 200;
+
 /// A waiting request.
 #[derive(Clone, Debug)]
 pub struct WaitingRequest {
@@ -295,7 +304,11 @@
                 let Some((_, number)) = queue.open.first() else { continue };
                 let query = &self.waiting.get(number)?.query;
                 return match backends.choose_engine(now_ms, service, query) {
-                    EngineChoice::Chosen(backend_server) => Some((*number, backend_server)),
+                    EngineChoice::Chosen(backend_server) => {
+                        let number =
+                            self.choose_for(now_ms, service, backends, queue, &backend_server)?;
+                        Some((number, backend_server))
+                    }
                     EngineChoice::AllBusy | EngineChoice::NoneUsable => None,
                 };
             }
@@ -318,4 +331,31 @@
         };
         &mut self.lanes[index].1
     }
+
+    /// Returns which request of a sharer takes the place that a server has for the first of them.
+    fn choose_for(
+        &self,
+        now_ms: u64,
+        service: &str,
+        backends: &Backends,
+        queue: &SharerQueue,
+        backend_server: &str,
+    ) -> Option<u64> {
+        let waiting = |key: &TurnKey| self.waiting.get(&key.1);
+        let first = queue.open.first().and_then(waiting)?;
+        if first.expires_ms <= now_ms + LATE_MS
+            || !backends.is_cold(now_ms, backend_server)
+            || !backends.has_warm(now_ms, service)
+        {
+            return Some(first.number);
+        }
+        let loss = |waiting: &WaitingRequest| {
+            backends.expected_loss(now_ms, backend_server, &waiting.query)
+        };
+        let choices = queue.open.iter().take(COLD_CHOICES).filter_map(waiting);
+        let choices =
+            choices.filter(|waiting| waiting.query.version_need == first.query.version_need);
+        let least = choices.min_by(|left, right| loss(left).total_cmp(&loss(right)));
+        least.map(|waiting| waiting.number)
+    }
 }
--- a/tests/gateway_support/fleet.rs
+++ b/tests/gateway_support/fleet.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use bergamotspan::gateway::dispatching::WaitOutcome;
-use bergamotspan::gateway::fleet::additions::PlaceNote;
+use bergamotspan::gateway::fleet::additions::{Additions, PlaceNote};
 use bergamotspan::gateway::fleet::message::{Body, Envelope, Message, PlaceAnswer};
 use bergamotspan::gateway::fleet::origin_message::OriginAnswer;
 use bergamotspan::gateway::gateway_settings::GatewaySettings;
@@ -227,7 +227,7 @@
             }
             let mut message = message.clone();
             if self.is_earlier[from] || self.is_earlier[to] {
-                message.additions.evacuations = None;
+                message.additions = Additions::default();
             }
             self.flights.push(Flight {
                 arrives_ms: now_ms + self.random.random_range(1..4),
