Keep the lead of a cell where it is until its coordinator stops

Causes: an instance of high rank that started took over within 300 ms, with empty buckets; a coordinator that stopped granted nothing although no other was ready; a new coordinator counted only the instances that had reported to it as live and cut all buckets to their share; the cells were counted without the instances that stop, so a rolling stop moved engines between cells.

A leader that stops goes on until another is ready, then sends its waiting requests there. A new coordinator is ready once all members have reported, keeps the count of live instances until it can count, and members report to it at once and in full. Instances that stop stay in the count of cells. An instance that has just started waits a part of the goal for a coordinator before it refuses.

--- a/src/gateway/dispatching.rs
+++ b/src/gateway/dispatching.rs
@@ -136,6 +136,8 @@
 pub enum WaitResult {
     /// It expired.
     Expired,
+    /// Another instance decides now, and is to be asked.
+    Moved,
     /// A part of its prompt may have crashed engines.
     Suspect(PartRefusal),
     /// Its send was started.
@@ -267,6 +269,8 @@
             }
         }
         self.queues = queues;
+        let moved = self.fleet.handover.take_moved().into_iter();
+        outcomes.extend(moved.map(|number| WaitOutcome { number, result: WaitResult::Moved }));
         outcomes
     }
 
--- a/src/gateway/fleet/coordinators.rs
+++ b/src/gateway/fleet/coordinators.rs
@@ -8,14 +8,13 @@
 
 /// Number of coordinators of a cell: one that grants, and one that takes over.
 const COORDINATORS: usize = 2;
-/// Time for which a new coordinator learns what its members run before it grants, in milliseconds.
-const SETTLE_MS: u64 = 300;
-/// Time after its start for which an instance that has not heard all seeds grants nothing, since
-/// the others may be about to start as well, in milliseconds.
-const LONELY_SETTLE_MS: u64 = 1_500;
 /// Time for which a coordinator that left requests unanswered is passed over, in milliseconds.
 const SUSPICION_MS: u64 = 2_000;
 
+/// Time for which a new coordinator counts instances as before while it has not heard those of
+/// other cells, in milliseconds: that of two of their reports.
+const HEARING_MS: u64 = 700;
+
 /// Who decides on the places of a cell.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Decider {
@@ -28,12 +27,15 @@
 }
 
 impl Fleet {
-    /// Returns the coordinators of the own cell: the first two by rank that are not silent.
+    /// Returns the coordinators of the own cell: the one that leads it, and the first others by rank
+    /// that are neither silent nor stopping.
     ///
     /// An instance that has only just become known is not silent.
     pub fn coordinators(&self, now_ms: u64) -> Vec<Name> {
-        let candidates = self.ranked.iter().filter(|name| self.may_coordinate(now_ms, name));
-        candidates.take(COORDINATORS).cloned().collect()
+        let leader = self.leader(now_ms);
+        let others = self.ranked.iter().filter(|name| Some(*name) != leader);
+        let others = others.filter(|name| self.may_coordinate(now_ms, name));
+        leader.into_iter().chain(others).take(COORDINATORS).cloned().collect()
     }
 
     /// Returns whether this instance coordinates its cell.
@@ -41,29 +43,20 @@
         self.coordinating_since_ms.is_some()
     }
 
-    /// Returns whether this instance coordinates its cell and knows what its members run.
-    pub fn is_ready(&self, now_ms: u64) -> bool {
-        let knows_fleet =
-            self.roster.has_heard_seeds() || now_ms >= self.started_ms + LONELY_SETTLE_MS;
-        knows_fleet
-            && self.coordinating_since_ms.is_some_and(|since_ms| now_ms >= since_ms + SETTLE_MS)
-    }
-
-    /// Returns who decides on the places of the own cell.
+    /// Returns who decides on the places of the own cell: the first by rank that is ready, or else
+    /// one that stops, or that stands by.
     pub fn decider(&self, now_ms: u64) -> Decider {
-        for name in &self.ranked {
-            if *name == self.own_name {
-                if self.is_ready(now_ms) {
-                    return Decider::Own;
-                }
-            } else if self.ready_coordinator(now_ms, name).is_some()
-                && !self.suspected.iter().any(|(suspected, _)| suspected == name)
-                && let Some(known) = self.roster.get(name)
-            {
-                return Decider::Other(known.address);
-            }
-        }
-        Decider::None
+        let is_suspected = |name: &Name| self.suspected.iter().any(|(known, _)| known == name);
+        let own = self.standing(now_ms, &self.own_name);
+        let own = own.map(|standing| (standing, self.place_by_rank(&self.own_name), Decider::Own));
+        let others = self.seen.iter().filter(|seen| !is_suspected(&seen.name));
+        let others = others.filter_map(|seen| {
+            let known = self.roster.get(&seen.name)?;
+            let place = self.place_by_rank(&seen.name);
+            Some((seen.standing(now_ms)?, place, Decider::Other(known.address)))
+        });
+        let first = others.chain(own).min_by_key(|(standing, place, _)| (*standing, *place));
+        first.map(|(_, _, decider)| decider).unwrap_or(Decider::None)
     }
 
     /// Returns who decides on the places of a cell.
@@ -98,15 +91,25 @@
         if !self.is_coordinating() {
             return self.followed(now_ms).map(|seen| seen.live).unwrap_or(1);
         }
+        if !self.is_able(now_ms) {
+            // Its members have not reported to it yet, and it grants nothing until they have.
+            let followed = self.followed(now_ms).map(|seen| seen.live);
+            return followed.unwrap_or(self.succession.last_live());
+        }
         let others = (0..self.layout.count()).filter(|cell| *cell != self.layout.own);
         let of_cell = |cell| {
             let heard = self
                 .other_coordinators
                 .iter()
                 .filter(|other| other.cell == cell && now_ms < other.heard_ms + LIVE_MS);
-            heard.map(|other| other.live).max().unwrap_or_default()
+            heard.map(|other| other.live).max()
         };
-        self.own_cell_live(now_ms) + others.map(of_cell).sum::<usize>()
+        let since_ms = self.coordinating_since_ms.unwrap_or_default();
+        let others: Vec<_> = others.map(of_cell).collect();
+        if others.contains(&None) && now_ms < since_ms + HEARING_MS {
+            return self.succession.last_live();
+        }
+        self.own_cell_live(now_ms) + others.into_iter().flatten().sum::<usize>()
     }
 
     /// Returns the number of instances that may be running, this one included.
@@ -123,12 +126,15 @@
 
     /// Returns whether the usage of the whole fleet is known here.
     pub fn knows_usage(&self, now_ms: u64) -> bool {
-        self.is_ready(now_ms) || self.seen.iter().any(|seen| seen.is_ready)
+        self.is_able(now_ms) || self.seen.iter().any(|seen| seen.is_ready || seen.stands_by)
     }
 
-    /// Returns the coordinator whose reports count: the first that is ready.
+    /// Returns the coordinator whose reports count: the first that is ready, or else one that stops,
+    /// or that stands by.
     pub(crate) fn followed(&self, now_ms: u64) -> Option<&SeenCoordinator> {
-        self.ranked.iter().find_map(|name| self.ready_coordinator(now_ms, name))
+        let able = self.seen.iter().filter_map(|seen| Some((seen.standing(now_ms)?, seen)));
+        let first = able.min_by_key(|(standing, seen)| (*standing, self.place_by_rank(&seen.name)));
+        first.map(|(_, seen)| seen)
     }
 
     /// Returns the instance of the own cell that reads the store: the first by rank that is live
@@ -160,21 +166,21 @@
         heard.min_by_key(|seen| self.ranked.iter().position(|name| *name == seen.name))
     }
 
-    fn ready_coordinator(&self, now_ms: u64, name: &Name) -> Option<&SeenCoordinator> {
-        let seen = self.seen.iter().find(|seen| seen.name == *name)?;
-        (seen.is_ready && now_ms < seen.heard_ms + LIVE_MS).then_some(seen)
-    }
-
     fn leader_of(&self, now_ms: u64, cell: usize) -> Option<SocketAddr> {
+        let told = self.leaders.iter().find(|(known, _)| *known == cell);
+        let told = told.map(|(_, address)| *address);
         if !self.is_coordinating() {
-            let leader = self.leaders.iter().find(|(known, _)| *known == cell);
-            return leader.map(|(_, address)| *address);
+            return told;
         }
         let heard = self
             .other_coordinators
             .iter()
             .filter(|other| other.cell == cell && now_ms < other.heard_ms + LIVE_MS);
-        heard.max_by_key(|other| other.is_first).map(|other| other.address)
+        let first = heard.max_by_key(|other| other.is_first).map(|other| other.address);
+        // A new coordinator has been told of it when it was a member.
+        first.or(told.filter(|address| {
+            self.roster.at_address(*address).is_some_and(|known| !known.stopping)
+        }))
     }
 
     fn may_coordinate(&self, now_ms: u64, name: &Name) -> bool {
@@ -182,6 +188,7 @@
             return !self.stopping;
         }
         self.roster.get(name).is_some_and(|known| match known.direct {
+            _ if known.stopping => false,
             Some(_) => known.is_live(now_ms),
             None => now_ms < known.known_ms + LIVE_MS,
         })
--- a/src/gateway/fleet/granting.rs
+++ b/src/gateway/fleet/granting.rs
@@ -34,7 +34,7 @@
         holder: &Name,
         ask: &PlaceAsk,
     ) -> PlaceVerdict {
-        if !self.fleet.is_ready(now_ms) || self.stop.is_some() {
+        if !self.fleet.is_able(now_ms) {
             return PlaceVerdict::NotCoordinating;
         }
         if let Some(lease) = self.fleet.leases.get(holder, ask.number) {
--- a/src/gateway/fleet/membership.rs
+++ b/src/gateway/fleet/membership.rs
@@ -6,9 +6,11 @@
 
 use crate::gateway::fleet::cells::{CellLayout, cell_count, cell_of};
 use crate::gateway::fleet::failed_paths::FailedPaths;
+use crate::gateway::fleet::handover::Handover;
 use crate::gateway::fleet::leases::Leases;
 use crate::gateway::fleet::message::{AskedUsage, Body, FreePlaces};
 use crate::gateway::fleet::roster::Roster;
+use crate::gateway::fleet::succession::Succession;
 use crate::gateway::fleet::suspect_feed::SuspectFeeds;
 use crate::gateway::fleet::usage_book::UsageBook;
 use crate::gateway::gateway_settings::GatewaySettings;
@@ -63,6 +65,9 @@
     pub(crate) live: usize,
     pub(crate) name: Name,
     pub(crate) reader: Option<Name>,
+    /// Whether it could lead and lets another one do so.
+    pub(crate) stands_by: bool,
+    pub(crate) stopping: bool,
 }
 
 /// What a coordinator of another cell reported last.
@@ -96,6 +101,7 @@
     pub(crate) coordinating_since_ms: Option<u64>,
     /// Paths of this instance, and of those to which it grants places, that failed lately.
     pub(crate) failed_paths: FailedPaths,
+    pub(crate) handover: Handover,
     /// Whether something changed that is sent at once.
     pub(crate) is_urgent: bool,
     pub(crate) layout: CellLayout,
@@ -112,6 +118,8 @@
     /// Members of the own cell by rank, this instance included.
     pub(crate) ranked: Vec<Name>,
     pub(crate) remote_waiting: Vec<RemoteWaiting>,
+    /// Receivers of the last report of this instance as a member.
+    pub(crate) report_targets: Vec<SocketAddr>,
     pub(crate) roster: Roster,
     pub(crate) schedule: Schedule,
     pub(crate) seen: Vec<SeenCoordinator>,
@@ -119,6 +127,7 @@
     pub(crate) started_ms: u64,
     /// Members of the cell that the store does not answer, sorted.
     pub(crate) store_unreachable: Vec<Name>,
+    pub(crate) succession: Succession,
     pub(crate) suspect_feeds: SuspectFeeds,
     /// Coordinators that left requests unanswered, and until when they are passed over.
     pub(crate) suspected: Vec<(Name, u64)>,
@@ -149,6 +158,7 @@
             cell_addresses: Vec::new(),
             coordinating_since_ms: None,
             failed_paths: FailedPaths::default(),
+            handover: Handover::default(),
             is_urgent: false,
             layout: CellLayout::default(),
             leaders: Vec::new(),
@@ -161,6 +171,7 @@
             own_places: Vec::new(),
             ranked: vec![own_name.clone()],
             remote_waiting: Vec::new(),
+            report_targets: Vec::new(),
             roster: Roster::new(own_name.clone(), settings.peer_address, &settings.seeds),
             own_name,
             schedule: Schedule::default(),
@@ -168,6 +179,7 @@
             sent_usage: Vec::new(),
             started_ms: now_ms,
             store_unreachable: Vec::new(),
+            succession: Succession::default(),
             suspect_feeds: SuspectFeeds::default(),
             suspected: Vec::new(),
             ticked_ms: now_ms,
@@ -214,7 +226,9 @@
         self.needs_arranging = false;
         self.arranged_ms = now_ms;
         self.roster.expire(now_ms);
-        let cells = cell_count(self.roster.count());
+        // Instances that stop count until they expire, so that a rolling replacement, in which they
+        // start again, moves no other instance and no backend server to another cell.
+        let cells = cell_count(self.roster.iter().count() + 1);
         let own = cell_of(&self.own_name, cells);
         let mut sizes = vec![0; cells];
         sizes[own] += 1;
@@ -225,11 +239,8 @@
             if cell == own {
                 self.cell_addresses.push(known.address);
             }
-            if known.stopping {
-                continue;
-            }
             sizes[cell] += 1;
-            if cell == own {
+            if cell == own && !known.stopping {
                 members.push((known.capacity, known.name.clone()));
             }
         }
--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -1,8 +1,9 @@
 //! What instances know of each other, and how they share engines, usage limits and the store.
 //!
 //! Instances are grouped into cells by a stable hash of their names. In each cell the first two by
-//! rank coordinate: every member reports to both what it runs and spends, and asks the first one for
-//! a place at a backend server; the second takes over when the first falls silent. Coordinators
+//! rank coordinate: every member reports to both what it runs and spends, and asks the one that leads
+//! for a place at a backend server; the other takes over when that one stops or falls silent, and
+//! `succession` keeps the lead from changing more often. Coordinators
 //! exchange sums of their cells, so that no message goes from each instance to each other one.
 //!
 //! A datagram is decoded in [`message`], recorded in [`roster`] and merged into the state in
@@ -17,6 +18,7 @@
 pub mod counter_feed;
 pub mod failed_paths;
 mod granting;
+pub mod handover;
 pub mod leases;
 pub mod membership;
 pub mod message;
@@ -30,5 +32,6 @@
 pub mod reporting;
 pub mod roster;
 pub mod server_limits;
+mod succession;
 pub mod suspect_feed;
 pub mod usage_book;
--- a/src/gateway/fleet/placing.rs
+++ b/src/gateway/fleet/placing.rs
@@ -22,13 +22,18 @@
 use crate::gateway::fleet::roster::LIVE_MS;
 use crate::gateway::request_metadata::PromptShape;
 use crate::gateway::routing_document::RouteKind;
-use crate::gateway::state::GatewayState;
+use crate::gateway::state::{GatewayState, RETRY_SOON_MS};
 use crate::gateway::usage_limits::Usage;
 use crate::name::Name;
 
 /// Free places that a cell must have announced to be named to others.
 const MIN_FREE_ELSEWHERE: u32 = 2;
 
+/// Time between two looks for a coordinator, in milliseconds.
+const AWAIT_MS: u64 = 20;
+/// Part of the goal that may pass until a coordinator is known.
+const AWAIT_DIVISOR: u64 = 3;
+
 /// How the place of a request is found.
 #[derive(Clone, Debug)]
 pub enum Placement {
@@ -36,6 +41,9 @@
     Decided(DispatchDecision),
     /// A coordinator is asked.
     Ask(Box<PendingAsk>),
+    /// No coordinator is known yet that knows the usage of the customer; it is tried again after
+    /// this time, in milliseconds.
+    Await(u64),
 }
 
 impl GatewayState {
@@ -53,6 +61,9 @@
         let cell = self.backends.coordinating_cell(&plan.service);
         let tried = &self.with_left_out(now_ms, plan, tried);
         match self.fleet.decider_of(now_ms, cell) {
+            Decider::None if self.awaits_coordinator(now_ms, plan) => {
+                Ok(Placement::Await(AWAIT_MS))
+            }
             Decider::None => self.decide_alone(now_ms, plan, tried).map(Placement::Decided),
             Decider::Other(address) => {
                 let ask = self.place_ask(now_ms, plan, tried);
@@ -71,6 +82,15 @@
         }
     }
 
+    /// Returns whether a request waits until a coordinator knows the usage of its customer: no
+    /// longer than its caller would be told to, and for a part of its goal.
+    fn awaits_coordinator(&self, now_ms: u64, plan: &RequestPlan) -> bool {
+        let limit_ms = (plan.route.goal_ms / AWAIT_DIVISOR).min(RETRY_SOON_MS);
+        let until_ms = plan.deadline_ms.min(plan.wanted_ms.saturating_add(limit_ms));
+        let knows_usage = self.fleet.knows_usage(now_ms);
+        now_ms < until_ms && !knows_usage && self.asked_usage(plan).is_some()
+    }
+
     /// Decides on a request without asking another instance.
     ///
     /// # Errors
--- a/src/gateway/fleet/receiving.rs
+++ b/src/gateway/fleet/receiving.rs
@@ -62,10 +62,20 @@
         }
         let contact = self.fleet.roster.receive(now_ms, from, &sender);
         if contact.is_new {
-            self.fleet.needs_arranging = true;
+            // What an earlier start reported holds no longer.
+            self.fleet.seen.retain(|seen| seen.name != sender.instance);
+            // A new member learns at once who coordinates and what is left of the limits.
+            let is_member = self.fleet.is_in_own_cell(&sender.instance);
+            self.fleet.is_urgent |= is_member && self.fleet.is_able(now_ms);
         }
-        let mut received = Received { is_new: contact.is_new, ..Received::default() };
+        self.fleet.needs_arranging |= contact.is_new || contact.has_begun_to_stop;
+        let mut received = Received {
+            is_new: contact.is_new,
+            is_urgent: contact.has_begun_to_stop,
+            ..Received::default()
+        };
         self.merge_limits(now_ms, &additions.limits);
+        self.receive_handover(now_ms, from, &sender, envelope, &additions);
         match body {
             Body::Answer(answer) => received.answer = Some(answer),
             Body::Ask(ask) => self.receive_ask(now_ms, from, &sender.instance, &ask),
@@ -97,7 +107,8 @@
             Body::Cell(_) | Body::Member(_) | Body::Summary(_) if !contact.in_order => {}
             Body::Cell(report) => {
                 self.receive_status(now_ms, &sender, envelope, &report.status, &mut received);
-                self.receive_cell(now_ms, &sender, envelope, *report);
+                let stands_by = additions.handover.is_some_and(|note| note.stands_by);
+                self.receive_cell(now_ms, &sender, envelope, *report, stands_by);
             }
             Body::Member(report) => {
                 self.receive_status(now_ms, &sender, envelope, &report.status, &mut received);
@@ -169,9 +180,10 @@
         }
         if is_new {
             self.fleet.send_roster(now_ms, from);
-            // The new member learns at once who coordinates and what is left of the limits.
             self.fleet.is_urgent = true;
         }
+        let own_uptime_ms = now_ms.saturating_sub(self.fleet.started_ms);
+        self.fleet.succession.record_member(name, report.uptime_ms, own_uptime_ms);
         self.fleet.set_store_reachable(name, report.status.is_reachable);
         let id: SourceId = (name.clone(), sender.incarnation);
         let MemberReport { is_full, uptime_ms, .. } = *report;
@@ -189,6 +201,7 @@
         sender: &Sender,
         envelope: &Envelope,
         report: CellReport,
+        stands_by: bool,
     ) {
         self.fleet.roster.merge(now_ms, &report.instances);
         self.mark_leaving(&report.leaving);
@@ -200,11 +213,13 @@
         self.fleet.set_store_reachable(&sender.instance, report.status.is_reachable);
         self.fleet.see_coordinator(SeenCoordinator {
             heard_ms: now_ms,
-            is_ready: report.is_ready && !sender.stopping,
+            is_ready: report.is_ready,
             known: report.known as usize,
             live: report.live as usize,
             name: sender.instance.clone(),
             reader: report.reader.clone(),
+            stands_by,
+            stopping: sender.stopping,
         });
         let is_followed =
             self.fleet.followed(now_ms).is_some_and(|seen| seen.name == sender.instance);
@@ -213,11 +228,7 @@
         }
         self.fleet.leaders =
             report.leaders.iter().map(|leader| (leader.cell as usize, leader.address)).collect();
-        let acknowledged = self.fleet.acknowledged_usage(envelope.echoed_sent_ms);
-        for left in &report.left {
-            let spent = acknowledged.as_ref().map(|usage| usage.get(&left.customer));
-            self.limits.adopt(now_ms, &left.customer, left.units, spent);
-        }
+        self.adopt_balances(now_ms, envelope, &report.left);
         for engine in &report.engines {
             self.backends.adopt_report(engine, !self.fleet.is_coordinating());
         }
@@ -292,7 +303,8 @@
 impl Fleet {
     fn see_coordinator(&mut self, seen: SeenCoordinator) {
         self.seen.retain(|known| known.name != seen.name);
-        self.suspected.retain(|(name, _)| *name != seen.name || !seen.is_ready);
+        let is_able = seen.is_ready || seen.stands_by;
+        self.suspected.retain(|(name, _)| *name != seen.name || !is_able);
         self.seen.push(seen);
     }
 
--- a/src/gateway/fleet/reporting.rs
+++ b/src/gateway/fleet/reporting.rs
@@ -56,9 +56,15 @@
 
     /// Returns a message with this body, and what is added to it.
     pub fn message(&self, now_ms: u64, body: Body) -> Message {
-        let is_report = matches!(body, Body::Cell(_) | Body::Member(_) | Body::Summary(_));
-        let limits = if is_report { self.limits_for_report(now_ms) } else { Vec::new() };
-        Message { sender: self.sender(now_ms), body, additions: Additions { limits } }
+        let additions = match body {
+            Body::Cell(_) | Body::Member(_) | Body::Summary(_) => Additions {
+                handover: self.handover_note(now_ms),
+                limits: self.limits_for_report(now_ms),
+                usage: None,
+            },
+            _ => Additions::default(),
+        };
+        Message { sender: self.sender(now_ms), body, additions }
     }
 
     /// Updates cells and roles, drops what silent instances held, and adds the reports that are due
@@ -74,6 +80,7 @@
         self.drop_silent(now_ms);
         self.expire_parts(now_ms);
         let live = self.fleet.live_count(now_ms);
+        self.fleet.succession.record_live(live);
         let known = self.fleet.known_count(now_ms);
         self.limits.set_instances(now_ms, live, known);
         let mut to = self.fleet.roster.due_seeds(now_ms);
@@ -96,24 +103,27 @@
         if was_suspended && self.fleet.is_coordinating() {
             // Another instance has coordinated meanwhile; what members run has to be learned anew.
             self.fleet.coordinating_since_ms = Some(now_ms);
+            self.fleet.succession.resume();
         }
-        let coordinates = self.fleet.coordinators(now_ms).contains(&self.fleet.own_name);
-        match (coordinates, self.fleet.coordinating_since_ms) {
+        match (self.fleet.coordinates(now_ms), self.fleet.coordinating_since_ms) {
             (true, None) => {
                 self.fleet.coordinating_since_ms = Some(now_ms);
+                self.fleet.succession.change_role();
                 self.backends.clear_others();
             }
             (false, Some(_)) => {
                 self.fleet.coordinating_since_ms = None;
+                self.fleet.succession.change_role();
                 self.fleet.leases.retain_holders(|_| false, &mut self.backends);
                 // Members need not find out by themselves.
                 self.report_to_cell(now_ms, true);
-                for waiting in std::mem::take(&mut self.fleet.remote_waiting) {
-                    self.drop_remote_waiting(waiting);
-                }
+                self.hand_over_queue();
             }
             _ => {}
         }
+        if self.fleet.record_lead(now_ms) {
+            self.hand_over_queue();
+        }
     }
 
     fn drop_silent(&mut self, now_ms: u64) {
@@ -143,16 +153,16 @@
         let schedule = self.fleet.schedule;
         let spends = self.limits.changed_ms() >= schedule.member_sent_ms;
         let pause_ms = if spends { SPENDING_MEMBER_MS } else { MEMBER_MS };
-        if !is_urgent && now_ms < schedule.member_sent_ms + pause_ms {
-            return;
-        }
         let targets = self.fleet.report_targets(now_ms);
-        if targets.is_empty() {
+        // A new coordinator learns at once what is run and spent here.
+        let has_new_target = self.fleet.remember_targets(&targets);
+        let is_due = is_urgent || has_new_target || now_ms >= schedule.member_sent_ms + pause_ms;
+        if targets.is_empty() || !is_due {
             return;
         }
         self.fleet.schedule.member_sent_ms = now_ms;
         self.fleet.schedule.member_number += 1;
-        let is_full = self.fleet.schedule.member_number % FULL_INTERVAL == 1;
+        let is_full = has_new_target || self.fleet.schedule.member_number % FULL_INTERVAL == 1;
         let since_ms = if is_full { 0 } else { now_ms.saturating_sub(REPEAT_MS) };
         let spent = self.limits.spent_since(since_ms);
         self.fleet.remember_usage(now_ms, self.limits.spent_since(0));
@@ -195,7 +205,7 @@
         let leaders = self.fleet.other_leaders(now_ms).into_iter();
         let report = CellReport {
             status: self.store_status(now_ms),
-            is_ready: self.fleet.is_ready(now_ms) && self.stop.is_none(),
+            is_ready: self.fleet.is_ready(now_ms),
             live: self.fleet.live_count(now_ms) as u32,
             known: self.fleet.known_count(now_ms) as u32,
             reader: self.fleet.reader(now_ms, self.store_reachable),
@@ -215,7 +225,8 @@
 
     fn report_to_other_cells(&mut self, now_ms: u64) {
         let is_due = now_ms >= self.fleet.schedule.summary_sent_ms + COORDINATOR_MS;
-        if self.fleet.layout.count() <= 1 || !is_due {
+        // Before it has heard its members, its sums would count most of them as gone.
+        if self.fleet.layout.count() <= 1 || !is_due || !self.fleet.is_able(now_ms) {
             return;
         }
         self.fleet.schedule.summary_sent_ms = now_ms;
@@ -272,6 +283,13 @@
         Some(counters)
     }
 
+    /// Remembers whom this instance reports to, and returns whether a receiver is new.
+    fn remember_targets(&mut self, targets: &[SocketAddr]) -> bool {
+        let has_new_target = targets.iter().any(|to| !self.report_targets.contains(to));
+        self.report_targets = targets.to_vec();
+        has_new_target
+    }
+
     fn remember_usage(&mut self, now_ms: u64, spent: Vec<Spent>) {
         let spent = spent.into_iter().map(|entry| (entry.customer, entry.units)).collect();
         self.sent_usage.push(SentUsage { sent_ms: now_ms, spent });
@@ -311,6 +329,8 @@
             let before = targets.len();
             targets.extend(heard.map(|other| other.address));
             if targets.len() == before {
+                let told = self.leaders.iter().filter(|(known, _)| *known == cell);
+                targets.extend(told.map(|(_, address)| *address));
                 let members = self
                     .roster
                     .iter()
@@ -320,6 +340,7 @@
                     (u32::MAX - known.capacity, xxh3_64(known.name.as_bytes()))
                 });
                 targets.extend(members.iter().take(CONTACTS_PER_CELL).map(|known| known.address));
+                targets.dedup();
             }
         }
         targets
--- a/src/gateway/fleet/roster.rs
+++ b/src/gateway/fleet/roster.rs
@@ -58,6 +58,8 @@
 /// Effect of a datagram on the roster.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Contact {
+    /// Whether it is stopping and was not when it was last heard of.
+    pub has_begun_to_stop: bool,
     /// Whether no earlier datagram of this start arrived.
     pub is_new: bool,
     /// Whether it was sent after the last one that arrived.
@@ -144,6 +146,7 @@
         let in_order = same.is_none_or(|before| before.sent_ms <= sender.sent_ms);
         let known = &mut self.known[index];
         known.heard_ms = now_ms;
+        let has_begun_to_stop = in_order && sender.stopping && !known.stopping;
         if in_order {
             set_address(&mut self.addresses, &known.name, known.address, from);
             known.address = from;
@@ -151,7 +154,7 @@
             known.stopping = sender.stopping;
             known.direct = Some(direct);
         }
-        Contact { is_new: same.is_none(), in_order }
+        Contact { has_begun_to_stop, is_new: same.is_none(), in_order }
     }
 
     /// Merges entries that another instance sent, and returns whether an instance became known.
--- a/src/gateway/peer_socket.rs
+++ b/src/gateway/peer_socket.rs
@@ -1,6 +1,7 @@
 //! Sends the datagrams of this instance to other instances, and receives theirs.
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use crate::gateway::fleet::coordinators::Decider;
 use crate::gateway::fleet::membership::Outgoing;
 use crate::gateway::fleet::message::{
-    PlaceAnswer, PlaceVerdict, decode_datagram, encode_datagram, encode_message,
+    Message, PlaceAnswer, PlaceVerdict, decode_datagram, encode_datagram, encode_message,
 };
 use crate::gateway::fleet::reporting::TICK_MS;
 use crate::gateway::peer_update;
@@ -40,7 +41,7 @@
     }
 }
 
-fn receive_datagram(shared: &Rc<Shared>, from: std::net::SocketAddr, bytes: &[u8]) {
+fn receive_datagram(shared: &Rc<Shared>, from: SocketAddr, bytes: &[u8]) {
     let (envelope, message) = match decode_datagram(bytes, from) {
         Ok(decoded) => decoded,
         Err(error) => {
@@ -130,22 +131,34 @@
 
 /// Sends the datagrams in the outbox.
 pub(crate) fn send_outbox(shared: &Shared, socket: &UdpSocket) {
-    let outbox = shared.state.borrow_mut().fleet_mut().take_outbox();
-    for outgoing in outbox {
-        if let Err(error) = send(shared, socket, outgoing) {
+    let (outbox, parts) = {
+        let mut state = shared.state.borrow_mut();
+        let parts = state.take_usage_parts(boot_ms());
+        (state.fleet_mut().take_outbox(), parts)
+    };
+    let outbox = outbox.into_iter().map(|Outgoing { to, body }| {
+        let message = shared.state.borrow().message(boot_ms(), body);
+        (to, message)
+    });
+    for (to, message) in outbox.chain(parts.into_iter().map(|(to, part)| (vec![to], part))) {
+        if let Err(error) = send(shared, socket, to, &message) {
             warn!(target: "peers", error:%; "A datagram could not be sent to other instances.");
         }
     }
 }
 
-fn send(shared: &Shared, socket: &UdpSocket, outgoing: Outgoing) -> Result<(), Error> {
+fn send(
+    shared: &Shared,
+    socket: &UdpSocket,
+    receivers: Vec<SocketAddr>,
+    message: &Message,
+) -> Result<(), Error> {
     let state = shared.state.borrow();
     let now_ms = boot_ms();
-    let kind = outgoing.body.kind();
-    let message = state.message(now_ms, outgoing.body);
-    let message = encode_message(&message)?;
-    shared.counters.record_peer_message(kind, message.len(), outgoing.to.len());
-    for to in outgoing.to {
+    let kind = message.body.kind();
+    let message = encode_message(message)?;
+    shared.counters.record_peer_message(kind, message.len(), receivers.len());
+    for to in receivers {
         let datagram = encode_datagram(&state.fleet().roster().envelope(now_ms, to), &message)?;
         match socket.try_send_to(&datagram, to) {
             Ok(_) => {}
--- a/src/gateway/place_finder.rs
+++ b/src/gateway/place_finder.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::gateway::admission::{Refusal, RefusalReason, RequestPlan};
 use crate::gateway::boot_clock::boot_ms;
@@ -29,12 +29,24 @@
     plan: &mut RequestPlan,
     tried: &[Name],
 ) -> Result<StartedSend, Refusal> {
-    for _ in 0..MAX_COORDINATORS {
+    let mut asked = 0;
+    while asked < MAX_COORDINATORS {
         let placement = shared.state.borrow_mut().find_place(boot_ms(), plan, tried)?;
         let ask = match placement {
-            Placement::Decided(decision) => return await_decision(shared, plan, decision).await,
+            Placement::Decided(decision) => match await_decision(shared, plan, decision).await {
+                Some(result) => return result,
+                None => {
+                    asked += 1;
+                    continue;
+                }
+            },
             Placement::Ask(ask) => ask,
+            Placement::Await(wait_ms) => {
+                sleep(Duration::from_millis(wait_ms)).await;
+                continue;
+            }
         };
+        asked += 1;
         match ask_coordinator(shared, plan, *ask).await {
             Asked::Decided(result) => return result,
             Asked::Alone => break,
@@ -42,7 +54,8 @@
         }
     }
     let decision = shared.state.borrow_mut().decide_alone(boot_ms(), plan, tried)?;
-    await_decision(shared, plan, decision).await
+    let result = await_decision(shared, plan, decision).await;
+    result.unwrap_or_else(|| Err(expired(shared, plan)))
 }
 
 /// Outcome of asking a coordinator.
@@ -151,25 +164,29 @@
     }
 }
 
+/// Returns what became of a request; `None` if another instance decides on it now.
 async fn await_decision(
     shared: &Rc<Shared>,
     plan: &RequestPlan,
     decision: DispatchDecision,
-) -> Result<StartedSend, Refusal> {
+) -> Option<Result<StartedSend, Refusal>> {
     let number = match decision {
-        DispatchDecision::Send(started_send) => return Ok(started_send),
-        DispatchDecision::Reject(wait_ms) => return Err(not_in_time(wait_ms)),
-        DispatchDecision::Suspect(refusal) => return Err(Refusal::for_parts(refusal)),
+        DispatchDecision::Send(started_send) => return Some(Ok(started_send)),
+        DispatchDecision::Reject(wait_ms) => return Some(Err(not_in_time(wait_ms))),
+        DispatchDecision::Suspect(refusal) => return Some(Err(Refusal::for_parts(refusal))),
         DispatchDecision::Wait(number) => number,
     };
     let mut guard = QueueGuard { number, outcome: shared.add_waiter(number), plan, shared };
-    match (&mut guard.outcome).await {
+    Some(match (&mut guard.outcome).await {
         Ok(WaitResult::Sent(started_send)) => Ok(started_send),
         Ok(WaitResult::Suspect(refusal)) => Err(Refusal::for_parts(refusal)),
-        Ok(WaitResult::Expired) | Err(_) => {
-            Err(not_in_time(shared.state.borrow().retry_after_ms(boot_ms(), plan.deadline_ms)))
-        }
-    }
+        Ok(WaitResult::Moved) => return None,
+        Ok(WaitResult::Expired) | Err(_) => Err(expired(shared, plan)),
+    })
+}
+
+fn expired(shared: &Shared, plan: &RequestPlan) -> Refusal {
+    not_in_time(shared.state.borrow().retry_after_ms(boot_ms(), plan.deadline_ms))
 }
 
 fn not_in_time(wait_ms: u64) -> Refusal {
--- a/src/gateway/request_queue.rs
+++ b/src/gateway/request_queue.rs
@@ -69,6 +69,11 @@
         self.waiting.retain(|waiting| waiting.number != number);
     }
 
+    /// Removes all requests and returns their numbers.
+    pub fn take_numbers(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.waiting).into_iter().map(|waiting| waiting.number).collect()
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -220,8 +220,12 @@
     ) -> Result<RequestPlan, Refusal> {
         let mut plan = self.plan_request(now_ms, arrival, random)?;
         let cell = self.backends.coordinating_cell(&plan.service);
-        let asks = matches!(self.fleet.decider_of(now_ms, cell), Decider::Other(_));
-        if !asks {
+        let charges = match self.fleet.decider_of(now_ms, cell) {
+            Decider::None => self.fleet.knows_usage(now_ms),
+            Decider::Other(_) => false,
+            Decider::Own => true,
+        };
+        if charges {
             self.charge(now_ms, &mut plan)?;
         }
         let budget = entry_or_default(&mut self.retry_budgets, &plan.service);
--- a/tests/gateway_support/placer.rs
+++ b/tests/gateway_support/placer.rs
@@ -32,6 +32,7 @@
 
 enum Phase {
     Asking { ask: Box<PendingAsk>, wake: u64 },
+    Awaiting { until_ms: u64 },
     Deciding,
     Queued(u64),
 }
@@ -86,6 +87,11 @@
     pub fn step(&mut self, fleet: &mut SimulatedFleet) {
         self.take_answers(fleet);
         self.take_outcomes(fleet);
+        let is_due = |search: &PlaceSearch| matches!(search.phase, Phase::Awaiting { until_ms } if until_ms <= fleet.now_ms);
+        let due = self.searches.iter().filter(|(_, search)| is_due(search));
+        for number in due.map(|(number, _)| *number).collect::<Vec<_>>() {
+            self.find_place(fleet, number);
+        }
         while let Some(entry) = self.silences.first_entry()
             && entry.key().0 <= fleet.now_ms
         {
@@ -124,6 +130,9 @@
         match placement {
             Err(refusal) => self.end(number, Err(refusal.reason)),
             Ok(Placement::Decided(decision)) => self.apply_decision(number, decision),
+            Ok(Placement::Await(wait_ms)) => {
+                self.search(fleet, number).0.phase = Phase::Awaiting { until_ms: now_ms + wait_ms };
+            }
             Ok(Placement::Ask(ask)) => self.take_ask_step(fleet, number, ask, AskStep::Send),
         }
     }
@@ -259,6 +268,11 @@
                 (Some(number), WaitResult::Expired) => {
                     self.end(number, Err(RefusalReason::NotInTime));
                 }
+                (Some(number), WaitResult::Moved) => {
+                    let search = self.searches.get_mut(&number).expect("in progress");
+                    search.asked += 1;
+                    self.find_place(fleet, number);
+                }
                 (Some(number), WaitResult::Suspect(refusal)) => {
                     self.end(number, Err(reason(refusal)));
                 }
