--- a/src/gateway/fleet/additions.rs
+++ b/src/gateway/fleet/additions.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::fleet::message::UnitsLeft;
 use crate::gateway::store_item::StorePosition;
 use crate::name::Name;
 
@@ -34,6 +35,40 @@
     /// For whom a place is asked.
     #[serde(default, rename = "s", skip_serializing_if = "Option::is_none")]
     pub asker: Option<ToldAsker>,
+    /// What concerns the lead of a cell.
+    #[serde(default, rename = "h", skip_serializing_if = "Option::is_none")]
+    pub handover: Option<HandoverNote>,
+    /// A part of what is left of the limits, for an instance that asked for it.
+    #[serde(default, rename = "u", skip_serializing_if = "Option::is_none")]
+    pub usage: Option<UsagePart>,
+}
+
+/// What an instance says about the lead of its cell.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HandoverNote {
+    /// Whether it could lead and lets another one do so.
+    #[serde(default, rename = "s")]
+    pub stands_by: bool,
+    /// Whether it should be told what is left of the limits of all customers.
+    #[serde(default, rename = "w")]
+    pub wants_balances: bool,
+}
+
+/// One part of the list of what is left of the limits.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct UsagePart {
+    /// Number of parts of the list.
+    #[serde(rename = "c")]
+    pub count: u32,
+    /// Index of this part, from 0.
+    #[serde(rename = "i")]
+    pub index: u32,
+    /// Units left, by customer.
+    #[serde(rename = "l")]
+    pub left: Vec<UnitsLeft>,
+    /// Number that is the same for all parts of a list.
+    #[serde(rename = "n")]
+    pub number: u64,
 }
 
 /// What is added to one request for a place, or to the answer to one.
--- a/src/gateway/fleet/granting.rs
+++ b/src/gateway/fleet/granting.rs
@@ -62,7 +62,7 @@
         ask: &PlaceAsk,
         sharer: &Sharer,
     ) -> AskDecision {
-        if !self.fleet.is_ready(now_ms) || self.stop.is_some() {
+        if !self.fleet.is_able(now_ms) {
             return PlaceVerdict::NotCoordinating.into();
         }
         if let Some(lease) = self.fleet.leases.get(holder, ask.number) {
--- a/src/gateway/request_queue.rs
+++ b/src/gateway/request_queue.rs
@@ -118,6 +118,13 @@
         Some(waiting)
     }
 
+    /// Removes all requests and returns their numbers.
+    pub fn take_numbers(&mut self) -> Vec<u64> {
+        let numbers: Vec<u64> = self.waiting.keys().copied().collect();
+        numbers.iter().for_each(|number| self.remove(*number));
+        numbers
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/tests/gateway_support/contended_service.rs
+++ b/tests/gateway_support/contended_service.rs
@@ -254,6 +254,7 @@
                 WaitResult::Sent(send) => self.begin(number, send),
                 WaitResult::Expired => self.refuse(number),
                 WaitResult::Suspect(_) => panic!("no part is bad"),
+                WaitResult::Moved => panic!("one instance decides alone"),
             }
         }
     }
