--- a/src/gateway/request_queue.rs
+++ b/src/gateway/request_queue.rs
@@ -19,9 +19,6 @@
 use crate::gateway::sharing::start_time::StartTime;
 use crate::name::Name;
 
-/// Factor by which a wait must exceed the time left for the request to leave the queue.
-const DISPLACING_EXCESS: f64 = 1.25;
-
 /// Number of waiting requests among which one is chosen for a cold server.
 const COLD_CHOICES: usize = 8;
 /// Time left to wait below which a request takes the place at a cold server, in milliseconds.
@@ -45,8 +42,9 @@
 }
 
 impl WaitingRequest {
+    /// A large prompt takes longer to begin, so its turn within its customer's comes sooner.
     fn turn_key(&self) -> TurnKey {
-        (self.query.due_ms, self.number)
+        (self.expires_ms, self.number)
     }
 }
 
@@ -81,7 +79,7 @@
 }
 
 /// Waiting requests of one service: highest rank first, then the customer whose turn it is, then the
-/// earliest due time.
+/// one that can wait the least.
 #[derive(Clone, Debug, Default)]
 pub struct RequestQueue {
     drain: DrainRate,
@@ -208,7 +206,8 @@
         per_ms: f64,
     ) -> QueueStanding {
         let rank_wait_ms = (ahead + 1) as f64 / per_ms.max(f64::MIN_POSITIVE);
-        let own_wait_ms = self.lane(rank).and_then(|lane| lane.own_wait_ms(now_ms, sharer, before));
+        let lane = self.lane(rank);
+        let own_wait_ms = lane.and_then(|lane| lane.own_wait_ms(now_ms, sharer, before, per_ms));
         let wait_ms = rank_wait_ms.max(own_wait_ms.unwrap_or_default()) as u64;
         QueueStanding { ahead, wait_ms, waiting: self.len() }
     }
@@ -245,8 +244,7 @@
             let place = (*lane_rank, sharer, before);
             let standing = self.standing_after(now_ms, place, ahead, per_ms);
             let left_ms = self.waiting.get(&key.1)?.expires_ms.saturating_sub(now_ms);
-            let is_late = standing.wait_ms as f64 > left_ms as f64 * DISPLACING_EXCESS;
-            is_late.then_some(key.1)
+            (standing.wait_ms > left_ms).then_some(key.1)
         });
         let number = last.next()?;
         self.expire(now_ms, number);
@@ -300,15 +298,19 @@
     fn next_send(&self, now_ms: u64, service: &str, backends: &Backends) -> Option<(u64, Name)> {
         for (_, lane) in &self.lanes {
             for (_, queue) in lane.in_turn() {
+                let first_open = queue.open.first();
                 // A request that few servers may serve does not hold up the others.
-                for (_, number) in &queue.limited {
+                let earlier = queue.limited.iter();
+                for (_, number) in
+                    earlier.take_while(|key| first_open.is_none_or(|open| *key < open))
+                {
                     let query = &self.waiting.get(number)?.query;
                     let choice = backends.choose_engine(now_ms, service, query);
                     if let EngineChoice::Chosen(backend_server) = choice {
                         return Some((*number, backend_server));
                     }
                 }
-                let Some((_, number)) = queue.open.first() else { continue };
+                let Some((_, number)) = first_open else { continue };
                 let query = &self.waiting.get(number)?.query;
                 return match backends.choose_engine(now_ms, service, query) {
                     EngineChoice::Chosen(backend_server) => {
