--- a/tests/evacuation_fleet.rs
+++ b/tests/evacuation_fleet.rs
@@ -11,7 +11,12 @@
 
 use std::env;
 
+use bergamotspan::gateway::backend_record::BackendRecord;
+use bergamotspan::gateway::store_item::StoreItem;
+
 use crate::evacuating_fleet::{DATA_CENTRES, EvacuatingFleet};
+use crate::gateway_support::{backend, document, name, record};
+use crate::simulated_fleet::SimulatedFleet;
 
 /// Bound of an evacuation, in milliseconds.
 const EVACUATION_MS: u64 = 5_000;
@@ -22,6 +27,9 @@
 const ENGINES: usize = 36;
 /// Most requests of an engine in a second, as a multiple of the mean of the engines in use.
 const MOST_OF_MEAN: f64 = 3.0;
+/// Instances of a large fleet, and the time in which its bytes are counted, in milliseconds.
+const INSTANCES: usize = 300;
+const COUNTED_MS: u64 = 3_600;
 /// Environment variable with the number of seeds.
 const SEEDS: &str = "EVACUATION_SEEDS";
 
@@ -168,3 +176,30 @@
         }
     }
 }
+
+#[test]
+fn two_evacuations_add_less_than_a_twentieth_to_what_300_instances_send() {
+    let mut fleet = SimulatedFleet::start(INSTANCES, 3, 1);
+    let mut items = vec![StoreItem::Document(Ok(Box::new(document(1))))];
+    items.extend((0..ENGINES as u16).map(|number| {
+        let id = format!("m-{number:04}");
+        // Those of evacuated data centres are not reported.
+        let data_centre = name(DATA_CENTRES[2]);
+        backend(&id, BackendRecord { data_centre, ..record("model", number + 1) })
+    }));
+    fleet.publish_to_all(1, &items);
+    fleet.run(4_000);
+    fleet.count_bytes();
+    fleet.run(COUNTED_MS);
+    let before = fleet.sent_bytes;
+    let evacuated = |text: &str| StoreItem::Evacuated { data_centre: name(text) };
+    fleet.publish_to_all(
+        2,
+        &DATA_CENTRES[..2].iter().map(|text| evacuated(text)).collect::<Vec<_>>(),
+    );
+    fleet.run(2_000);
+    fleet.count_bytes();
+    fleet.run(COUNTED_MS);
+    println!("{before} bytes before, {} after, in {COUNTED_MS} ms", fleet.sent_bytes);
+    assert!((fleet.sent_bytes as f64) < 1.05 * before as f64);
+}
