--- a/tests/datagram_additions.rs
+++ b/tests/datagram_additions.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 
-use bergamotspan::gateway::fleet::additions::{Additions, ToldLimit};
+use bergamotspan::gateway::fleet::additions::{Additions, ToldEvacuations, ToldLimit};
 use bergamotspan::gateway::fleet::message::{
     Body, Envelope, Message, Sender, decode_datagram, encode_datagram, encode_message,
 };
@@ -72,7 +72,15 @@
 
 #[test]
 fn a_build_without_additions_reads_a_message_that_has_some() {
-    let bytes = written(Additions { limits: vec![limit()], ..Additions::default() });
+    let evacuations = ToldEvacuations {
+        age_ms: 5,
+        data_centres: vec!["umea-a".into()],
+        is_settled: true,
+        position: gateway_support::position(7),
+    };
+    let additions = Additions { evacuations: Some(evacuations), limits: vec![limit()] };
+    let bytes = written(additions.clone());
+    assert_eq!(decode_datagram(&bytes, from()).expect("a message").1.additions, additions);
     let mut rest = &bytes[..];
     let envelope: Envelope = ciborium::from_reader(&mut rest).expect("an envelope");
     assert_eq!(envelope, Envelope::default());
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -180,6 +180,17 @@
     assert_eq!(state.dispatch_waiting(START_MS + 20).len(), 1);
 }
 
+#[test]
+fn a_silent_stream_in_an_evacuated_data_centre_moves_to_any_free_slot() {
+    let mut state = state_without(&["umea-a"]);
+    assert_eq!(sent_to(&mut state, "/draft/a", &[]).as_deref(), Some("m-3"));
+    let plan = admitted(&mut state, START_MS, "/draft/a", &draft("r-2", 100, 20));
+    // Its own server has more free slots, but takes no new work.
+    assert!(state.may_move_stream(START_MS, &plan, "m-1", 1_000));
+    assert_eq!(sent_to(&mut state, "/draft/a", &[]).as_deref(), Some("m-3"));
+    assert!(!state.may_move_stream(START_MS, &plan, "m-1", 1_000));
+}
+
 #[test]
 fn a_service_all_of_whose_servers_are_evacuated_refuses_at_once() {
     let mut state = state_without(&["umea-a", "umea-b"]);
--- a/tests/evacuation_fleet.rs
+++ b/tests/evacuation_fleet.rs
@@ -128,6 +128,10 @@
 fn instances_among_some_of_an_earlier_build_empty_it_as_well() {
     check(7, &[0, 2, 4], |_| {});
     check(7, &[0, 1, 2, 3, 4, 5], |_| {});
+    check(7, &[0, 2, 4], |fleet| {
+        fleet.run(500);
+        fleet.restart_all();
+    });
     let earlier: Vec<usize> = (0..71).step_by(2).collect();
     check(71, &earlier, |_| {});
 }
