End the scheduler of a former coordinator once it is idle

Seen: a_resumed_coordinator_asks_its_peers_before_it_dispatches waited 8 s for one coordinator. Cause: an instance that still had work of a service when another one became its coordinator kept its scheduler, and idle schedulers were only ended when an instance came or went. Under load a late heartbeat makes two coordinators, and the former one stayed one for good. Change: idle schedulers of services that others coordinate end within one confirmation window. Evidence: the new test in paused_core fails without the change and passes with it.

--- a/src/build_core.rs
+++ b/src/build_core.rs
@@ -49,6 +49,7 @@
         stop: None,
         stopping_peers: Vec::new(),
         suspected: Vec::new(),
+        next_idle_check_ms: 0,
         next_sweep_ms: 0,
         view,
     }
--- a/src/core.rs
+++ b/src/core.rs
@@ -58,6 +58,7 @@
     pub(crate) stop: Option<StopState>,
     pub(crate) stopping_peers: Vec<Name>,
     pub(crate) suspected: Vec<u64>,
+    pub(crate) next_idle_check_ms: u64,
     pub(crate) next_sweep_ms: u64,
     pub(crate) view: View,
 }
@@ -174,6 +175,7 @@
         self.next_sweep_ms = now.monotonic_ms + SWEEP_INTERVAL_MS;
         self.refresh_quarantine(now);
         self.tick_schedulers(now);
+        self.end_former_coordinators(now);
         self.sweep_requests(now);
         self.key_home.expire(now);
         self.send_seals(now);
--- a/src/run_schedulers.rs
+++ b/src/run_schedulers.rs
@@ -31,6 +31,23 @@
         self.effects.push(Effect::PollLoad(targets));
     }
 
+    /// Ends the schedulers that had work left when another instance became the coordinator.
+    ///
+    /// Once in a confirmation window, so that one which still gets requests from an instance that
+    /// sees fewer live ones is seldom replaced between two of them.
+    pub(crate) fn end_former_coordinators(&mut self, now: Now) {
+        if now.monotonic_ms < self.next_idle_check_ms {
+            return;
+        }
+        self.next_idle_check_ms = now.monotonic_ms + self.settings.peer.confirmation_window_ms;
+        let count = self.schedulers.len();
+        self.end_idle_schedulers(now);
+        if self.schedulers.len() < count {
+            let targets = self.poll_targets();
+            self.effects.push(Effect::PollLoad(targets));
+        }
+    }
+
     /// Sends an event to the scheduler of a service, which is created if this instance has none:
     /// another instance may see fewer live instances and choose this one as the coordinator.
     pub(crate) fn send_to_scheduler(&mut self, now: Now, service: &Name, event: SchedulerEvent) {
--- a/tests/paused_core.rs
+++ b/tests/paused_core.rs
@@ -136,23 +136,27 @@
     fn receive_grant_request_of_peer(&mut self) {
         let peer = self.peers()[0].clone();
         let is_waiting = SERVICES.into_iter().any(|service| {
-            let grant_request = GrantRequest {
-                customer: "home-care-umea".into(),
-                excluded: Vec::new(),
-                fingerprint: 1,
-                max_output_tokens: 10,
-                prefix_hashes: Vec::new(),
-                prompt_tokens: 10,
-                request: RequestId { instance: peer.clone(), incarnation: 2, sequence: 1 },
-                service: service.into(),
-                tier_rank: 1,
-                time_left_ms: 60_000,
-            };
+            let grant_request = self.grant_request_of_peer(service);
             !has_grant(&self.receive(&peer, PeerMessage::GrantRequest(grant_request)))
         });
         assert!(is_waiting);
     }
 
+    fn grant_request_of_peer(&self, service: &str) -> GrantRequest {
+        GrantRequest {
+            customer: "home-care-umea".into(),
+            excluded: Vec::new(),
+            fingerprint: 1,
+            max_output_tokens: 10,
+            prefix_hashes: Vec::new(),
+            prompt_tokens: 10,
+            request: RequestId { instance: self.peers()[0].clone(), incarnation: 2, sequence: 1 },
+            service: service.into(),
+            tier_rank: 1,
+            time_left_ms: 60_000,
+        }
+    }
+
     fn claim(&self) -> KeyClaim {
         let view = bergamotspan::view::View::from_inventory(&self.inventory, OWN_NAME.into());
         let minted_ms = self.now.wall_clock_ms;
@@ -315,3 +319,25 @@
         assert!(matches!(verdict, Some(KeyVerdict::Refused { .. })), "{verdict:?}");
     }
 }
+
+#[test]
+fn a_scheduler_for_a_peer_that_saw_fewer_instances_ends_once_it_is_idle() {
+    let mut given = Given::arrange();
+    let coordinated = |given: &Given| {
+        let page = given.core.status(given.now);
+        page.schedulers.into_iter().map(|scheduler| scheduler.service).collect::<Vec<_>>()
+    };
+    let before = coordinated(&given);
+    let peer = given.peers()[0].clone();
+    let is_foreign = |service: &&str| !before.iter().any(|found| found == *service);
+    let service = SERVICES.into_iter().find(is_foreign).unwrap();
+    let grant_request = given.grant_request_of_peer(service);
+    let request = grant_request.request.clone();
+
+    given.receive(&peer, PeerMessage::GrantRequest(grant_request));
+    assert!(coordinated(&given).len() > before.len());
+    given.receive(&peer, PeerMessage::Withdraw { request, service: service.into() });
+    given.run_rounds(SETTLE_ROUNDS);
+
+    assert_eq!(coordinated(&given), before);
+}
