Keep the port of a killed backend server from other processes

Seen: once, the address of a killed backend server answered 404. Its port was free from its death on, so that any process which asked for any port could get it; each test has servers of its own. Change: the fleet keeps a bound socket that never listens on each backend server's port. Shown with sockets limited to that one port: asked for any port, the system refuses it while the reservation is open, a connection is refused, and without the reservation the system gives the port away.

--- a/standins/src/fleet/running.rs
+++ b/standins/src/fleet/running.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 
 use serde_json::Value;
+use socket2::Socket;
 use tempfile::TempDir;
 
 use super::builder::FleetBuilder;
@@ -53,6 +54,7 @@
     pub process: Process,
     /// Service that it belongs to.
     pub service: String,
+    pub(super) _reservation: Socket,
     pub(super) verb: &'static str,
 }
 
--- a/standins/src/fleet/start.rs
+++ b/standins/src/fleet/start.rs
@@ -1,11 +1,13 @@
 //! Starts and restarts the processes of a fleet.
 
 use std::fs;
+use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Command;
 
 use serde::{Deserialize, Serialize};
+use socket2::{Domain, Socket, Type};
 use tempfile::TempDir;
 
 use super::binaries::{binary, standin};
@@ -19,9 +21,6 @@
 use crate::platform::InstanceList;
 use crate::process::Listening;
 
-/// Address with which a process binds to a free port.
-const ANY_PORT: &str = "127.0.0.1:0";
-
 /// Line that a daemon prints when it listens.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub(super) struct DaemonAddresses {
@@ -110,11 +109,28 @@
     options.extend(own_options.flat_map(|(_, options)| options.iter().cloned()));
     let journal = folder.join(format!("{name}.journal"));
     options.extend(["--journal".to_owned(), journal.display().to_string()]);
+    let (reservation, address) = reserve_port()?;
     let mut command = standin(verb)?;
-    command.args(&options).args(["--listen", ANY_PORT]);
+    command.args(&options).arg("--listen").arg(address.to_string());
     let (process, line): (_, Listening) = Process::start(&name, &mut command, folder)?;
     let service = service.name.clone();
-    Ok(RunningBackend { address: line.listening, name, options, process, service, verb })
+    let address = line.listening;
+    Ok(RunningBackend { address, name, options, process, _reservation: reservation, service, verb })
+}
+
+/// Binds a socket that never listens to a free port: while it is open, the system gives this port
+/// to no one who asks for any port, also after the backend server that listens there has died.
+fn reserve_port() -> Result<(Socket, SocketAddr), FleetError> {
+    let any_address: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 0));
+    let bind = || {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&any_address.into())?;
+        let address = socket.local_addr()?.as_socket().unwrap_or(any_address);
+        Ok((socket, address))
+    };
+    let failed = |source: io::Error| FleetError::Io { action: "reserving a port".into(), source };
+    bind().map_err(failed)
 }
 
 /// Restarts a backend server at the same address.
