Begin with a part of what a window allows after a start of all instances

After all instances were killed their buckets began empty, so that customers below their limits got 429 until enough was refilled. The window of the limit may be exceeded by bounds.quota-over and bounds.quota-slack, which the gateway did not read. A coordinator that becomes ready with all seeds heard, no balance learned and no member older than itself now adds a quarter of that to what is left, up to the burst; the other three quarters are for more such starts in the same window and for what instances learn late. A fleet that anyone has led before goes on with its balances.

--- a/src/gateway/fleet/coordinators.rs
+++ b/src/gateway/fleet/coordinators.rs
@@ -106,10 +106,9 @@
         };
         let since_ms = self.coordinating_since_ms.unwrap_or_default();
         let others: Vec<_> = others.map(of_cell).collect();
-        if others.contains(&None) && now_ms < since_ms + HEARING_MS {
-            return self.succession.last_live();
-        }
-        self.own_cell_live(now_ms) + others.into_iter().flatten().sum::<usize>()
+        let keeps_count = others.contains(&None) && now_ms < since_ms + HEARING_MS;
+        let live = self.own_cell_live(now_ms) + others.into_iter().flatten().sum::<usize>();
+        if keeps_count { live.max(self.succession.last_live()) } else { live }
     }
 
     /// Returns the number of instances that may be running, this one included.
--- a/src/gateway/fleet/mod.rs
+++ b/src/gateway/fleet/mod.rs
@@ -32,6 +32,6 @@
 pub mod reporting;
 pub mod roster;
 pub mod server_limits;
-mod succession;
+pub(crate) mod succession;
 pub mod suspect_feed;
 pub mod usage_book;
--- a/src/gateway/fleet/reporting.rs
+++ b/src/gateway/fleet/reporting.rs
@@ -15,6 +15,7 @@
     RosterEntry, RunningPlace, Sender, Spent, StoreStatus, UnitsLeft,
 };
 use crate::gateway::fleet::roster::LIVE_MS;
+use crate::gateway::fleet::succession::LeadChange;
 use crate::gateway::state::GatewayState;
 
 /// Time between two ticks, in milliseconds.
@@ -75,7 +76,7 @@
             self.fleet.arrange(now_ms);
             self.backends.set_layout(&self.fleet.layout);
         }
-        self.update_role(now_ms);
+        let change = self.update_role(now_ms);
         self.update_limit_share(now_ms);
         self.drop_silent(now_ms);
         self.expire_parts(now_ms);
@@ -83,6 +84,9 @@
         self.fleet.succession.record_live(live);
         let known = self.fleet.known_count(now_ms);
         self.limits.set_instances(now_ms, live, known);
+        if change == LeadChange::Begun {
+            self.limits.begin(now_ms, &self.settings.bounds);
+        }
         let mut to = self.fleet.roster.due_seeds(now_ms);
         to.extend(self.fleet.roster.comparison_partner(now_ms));
         if !to.is_empty() {
@@ -97,7 +101,7 @@
         }
     }
 
-    fn update_role(&mut self, now_ms: u64) {
+    fn update_role(&mut self, now_ms: u64) -> LeadChange {
         let was_suspended = now_ms >= self.fleet.ticked_ms + LIVE_MS;
         self.fleet.ticked_ms = now_ms;
         if was_suspended && self.fleet.is_coordinating() {
@@ -121,9 +125,11 @@
             }
             _ => {}
         }
-        if self.fleet.record_lead(now_ms) {
-            self.hand_over_queue();
+        match self.fleet.record_lead(now_ms) {
+            LeadChange::Left => self.hand_over_queue(),
+            change => return change,
         }
+        LeadChange::None
     }
 
     fn drop_silent(&mut self, now_ms: u64) {
--- a/src/gateway/fleet/succession.rs
+++ b/src/gateway/fleet/succession.rs
@@ -35,6 +35,17 @@
     StandingBy,
 }
 
+/// How the role of this instance changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LeadChange {
+    /// It is ready, and no instance of the fleet has run before.
+    Begun,
+    /// It has left the lead to another one.
+    Left,
+    /// It is as it was, or became ready knowing what others knew.
+    None,
+}
+
 /// What this instance knows of the succession in its cell.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Succession {
@@ -151,9 +162,9 @@
         self.ranked.iter().position(|ranked| ranked == name).unwrap_or(usize::MAX)
     }
 
-    /// Records who leads at a tick; returns whether this instance has just left the lead to
-    /// another one.
-    pub(crate) fn record_lead(&mut self, now_ms: u64) -> bool {
+    /// Records who leads at a tick, and returns how the role of this instance changed.
+    pub(crate) fn record_lead(&mut self, now_ms: u64) -> LeadChange {
+        let knew_seeds = self.roster.has_heard_seeds();
         let is_ready = self.is_ready(now_ms);
         let decider = self.decider(now_ms);
         let follows = self.followed(now_ms).is_some();
@@ -161,13 +172,22 @@
         let since_ms = succession.following_since_ms.take().unwrap_or(now_ms);
         succession.following_since_ms = follows.then_some(since_ms);
         let has_followed = follows && now_ms >= since_ms + FOLLOWED_MS;
+        let has_begun = is_ready
+            && knew_seeds
+            && !succession.has_elders
+            && !succession.knows_balances
+            && !follows;
         succession.knows_balances |= has_followed || is_ready;
         let has_changed = is_ready != std::mem::replace(&mut succession.was_ready, is_ready);
         let decides = decider == Decider::Own;
         let did_decide = std::mem::replace(&mut succession.was_deciding, decides);
         // Members learn at once whom to ask.
         self.is_urgent |= has_changed;
-        did_decide && matches!(decider, Decider::Other(_))
+        match decider {
+            Decider::Other(_) if did_decide => LeadChange::Left,
+            Decider::Own if has_begun => LeadChange::Begun,
+            _ => LeadChange::None,
+        }
     }
 
     /// Returns whether an instance that this one precedes by rank leads the cell.
--- a/src/gateway/gateway_settings.rs
+++ b/src/gateway/gateway_settings.rs
@@ -48,6 +48,12 @@
     /// Time from the revocation of a key until it no longer works, in milliseconds; `None` if it is
     /// not bounded.
     pub revocation_ms: Option<u64>,
+    /// Share by which the limit of a customer may be exceeded in one window, over all instances.
+    pub usage_excess: f64,
+    /// Units by which it may be exceeded besides.
+    pub usage_slack_units: u64,
+    /// Length of the window in which units are counted, in milliseconds.
+    pub usage_window_ms: u64,
 }
 
 impl Default for Bounds {
@@ -60,6 +66,9 @@
             retry_ratio: 0.2,
             retry_window_ms: 10_000,
             revocation_ms: Some(5_000),
+            usage_excess: 0.0,
+            usage_slack_units: 0,
+            usage_window_ms: 8_000,
         }
     }
 }
--- a/src/gateway/usage_limits.rs
+++ b/src/gateway/usage_limits.rs
@@ -9,6 +9,7 @@
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 
 use crate::gateway::fleet::message::Spent;
+use crate::gateway::gateway_settings::Bounds;
 use crate::gateway::routing_document::Customer;
 use crate::name::Name;
 
@@ -22,6 +23,9 @@
 /// Largest request, as a share of the burst, that needs no reserve for other ranks, since it costs
 /// them little.
 const SMALL_REQUEST_SHARE: f64 = 0.01;
+/// Parts of what a window allows beyond the limit, of which a start of all instances uses one; the
+/// others are for more such starts in the same window and for what instances learn late.
+const START_PARTS: f64 = 4.0;
 
 /// Usage of a customer's limit by one request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -58,6 +62,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct UsageLimits {
     buckets: Vec<Bucket>,
+    /// Set if the fleet started as a whole before there was a document.
+    begun: Option<Bounds>,
     /// Whether a document was applied before: customers of the first one may have spent all their
     /// units before this instance started.
     has_document: bool,
@@ -94,6 +100,9 @@
                 Bucket::new(now_ms, customer, known, new_share, self.live_share)
             })
             .collect();
+        if let Some(bounds) = self.begun.take() {
+            self.begin(now_ms, &bounds);
+        }
     }
 
     /// Sets the numbers of live and of known instances, this one included; buckets refill by the
@@ -146,6 +155,25 @@
         bucket.own_changed_ms = now_ms;
     }
 
+    /// Grants what the window allows beyond the limits to a fleet that starts as a whole, of which
+    /// no instance knows what was spent before.
+    pub fn begin(&mut self, now_ms: u64, bounds: &Bounds) {
+        if !self.has_document {
+            self.begun = Some(bounds.clone());
+            return;
+        }
+        let live_share = self.live_share;
+        for bucket in &mut self.buckets {
+            bucket.refill(now_ms, live_share);
+            let window_units =
+                bucket.units_per_ms * bounds.usage_window_ms as f64 + bucket.burst_units;
+            let excess_units = window_units * bounds.usage_excess + bounds.usage_slack_units as f64;
+            let most_units = bucket.burst_units * live_share;
+            let left_units = bucket.left_units + excess_units / START_PARTS;
+            bucket.left_units = left_units.min(most_units).max(bucket.left_units);
+        }
+    }
+
     /// Deducts units that another instance has spent.
     pub fn deduct(&mut self, now_ms: u64, customer: &str, units: u64) {
         let live_share = self.live_share;
--- a/tests/gateway_support/fleet.rs
+++ b/tests/gateway_support/fleet.rs
@@ -7,7 +7,7 @@
 use bergamotspan::gateway::dispatching::WaitOutcome;
 use bergamotspan::gateway::fleet::message::{Body, Envelope, Message, PlaceAnswer};
 use bergamotspan::gateway::fleet::origin_message::OriginAnswer;
-use bergamotspan::gateway::gateway_settings::GatewaySettings;
+use bergamotspan::gateway::gateway_settings::{Bounds, GatewaySettings};
 use bergamotspan::gateway::state::GatewayState;
 use bergamotspan::gateway::store_item::{StoreChanges, StoreItem};
 use rand::rngs::StdRng;
@@ -52,6 +52,8 @@
     pub outcomes: Vec<(usize, WaitOutcome)>,
     /// Whether instances tick soon after a datagram that asks for it, as those with sockets do.
     pub ticks_soon: bool,
+    /// Bounds of instances that start from now on.
+    pub bounds: Bounds,
     counts_bytes: bool,
     flights: Vec<Flight>,
     incarnation: u64,
@@ -74,6 +76,7 @@
             fetches: Vec::new(),
             outcomes: Vec::new(),
             ticks_soon: false,
+            bounds: Bounds::default(),
             counts_bytes: false,
             flights: Vec::new(),
             incarnation: 0,
@@ -94,6 +97,7 @@
         self.incarnation += 1;
         let seeds = (0..self.seeds).map(address).collect();
         let settings = GatewaySettings {
+            bounds: self.bounds.clone(),
             capacity: 120 + (index as u32 % 3) * 130,
             instance: name(index).into(),
             peer_address: address(index),
