--- a/tests/datagram_additions.rs
+++ b/tests/datagram_additions.rs
@@ -80,7 +80,8 @@
         is_settled: true,
         position: gateway_support::position(7),
     };
-    let additions = Additions { evacuations: Some(evacuations), limits: vec![limit()] };
+    let additions =
+        Additions { evacuations: Some(evacuations), limits: vec![limit()], ..Additions::default() };
     let bytes = written(additions.clone());
     assert_eq!(decode_datagram(&bytes, from()).expect("a message").1.additions, additions);
     let mut rest = &bytes[..];
