Keep a failing server ejected while the others turn requests away

Servers in back-off for being busy count as others now, and an ejected server is chosen only if no other one is in reach; a request that finds the others busy is refused as not run.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -181,6 +181,11 @@
             && now_ms >= self.unreachable_until_ms
     }
 
+    /// Returns whether it is usable and not held to be unreachable; it may be busy.
+    pub fn is_in_reach(&self, now_ms: u64) -> bool {
+        self.status == BackendStatus::Usable && now_ms >= self.unreachable_until_ms
+    }
+
     /// Returns the load of all instances.
     pub fn load(&self) -> BackendLoad {
         BackendLoad {
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -245,8 +245,8 @@
         divided.map(|pool| pool.service.clone()).collect()
     }
 
-    /// Returns a backend server for a plain request; an ejected one or one in back-off only if there
-    /// is no other.
+    /// Returns a backend server for a plain request; one in back-off only if there is no other, and an
+    /// ejected one only if all that are in reach are.
     ///
     /// A request that is repeatable may be a trial of an ejected one.
     pub fn choose_plain(
@@ -258,14 +258,17 @@
     ) -> Option<Name> {
         let admitting =
             || self.of_service(service, except).filter(|backend| self.admits(now_ms, backend));
-        let available = || admitting().filter(|backend| backend.may_serve(now_ms));
-        let mut trials = available().filter(|backend| backend.outcomes.is_trial_due(now_ms));
+        let available = admitting().filter(|backend| backend.may_serve(now_ms));
+        let mut trials = available.filter(|backend| backend.outcomes.is_trial_due(now_ms));
         if is_repeatable && let Some(trial) = trials.next() {
             return Some(trial.id.clone());
         }
-        let trusted = available().filter(|backend| backend.outcomes.ejection().is_none());
-        let in_backoff = || admitting().filter(|backend| now_ms >= backend.paused_until_ms());
-        least_wait(trusted).or_else(|| least_wait(available())).or_else(|| least_wait(in_backoff()))
+        let has_trusted = self.of_service(service, &[]).any(|known| is_trusted(now_ms, known));
+        let chosen_from =
+            || admitting().filter(|known| !has_trusted || known.outcomes.ejection().is_none());
+        let available = chosen_from().filter(|backend| backend.may_serve(now_ms));
+        let in_backoff = || chosen_from().filter(|backend| now_ms >= backend.paused_until_ms());
+        least_wait(available).or_else(|| least_wait(in_backoff()))
     }
 
     /// Returns the ejected backend servers that are usable.
@@ -277,7 +280,7 @@
     pub fn others_of(&self, now_ms: u64, service: &str, id: &str) -> Others {
         let indices = self.pool(service).map(|pool| &pool.cell[..]).unwrap_or_default();
         let others = indices.iter().map(|index| &self.list[*index]);
-        let others = others.filter(|other| *other.id != *id && other.may_serve(now_ms));
+        let others = others.filter(|other| *other.id != *id && other.is_in_reach(now_ms));
         others.fold(Others::default(), |mut sum, other| {
             sum.add(&other.outcomes);
             sum
@@ -640,7 +643,10 @@
         };
         let mut candidates = among(&pool.cell);
         let is_repeatable = *version_need != VersionNeed::Any;
-        retain_trusted(now_ms, &mut candidates, is_repeatable);
+        if pool.cell.iter().any(|index| is_trusted(now_ms, &self.list[*index])) {
+            let is_trial = |known: &Backend| is_repeatable && known.outcomes.is_trial_due(now_ms);
+            candidates.retain(|known| known.outcomes.ejection().is_none() || is_trial(known));
+        }
         match version_need {
             VersionNeed::Any => {}
             VersionNeed::Only(version) => {
@@ -665,14 +671,9 @@
     }
 }
 
-/// Removes ejected backend servers unless there are no others; those that are due for a trial stay
-/// for a request that is repeatable.
-fn retain_trusted(now_ms: u64, candidates: &mut Vec<&Backend>, is_repeatable: bool) {
-    let is_trusted = |known: &Backend| known.outcomes.ejection().is_none();
-    if candidates.iter().any(|known| is_trusted(known)) {
-        let is_trial = |known: &Backend| is_repeatable && known.outcomes.is_trial_due(now_ms);
-        candidates.retain(|known| is_trusted(known) || is_trial(known));
-    }
+/// Returns whether a backend server is in reach and not ejected.
+fn is_trusted(now_ms: u64, known: &Backend) -> bool {
+    known.is_in_reach(now_ms) && known.outcomes.ejection().is_none()
 }
 
 /// Returns the backend server with the least expected wait, weighted by its share of failures.
--- a/tests/outliers_fleet.rs
+++ b/tests/outliers_fleet.rs
@@ -40,6 +40,8 @@
 
 struct ServedFleet {
     broken: Vec<&'static str>,
+    /// Servers that turn each second request away.
+    busy: Vec<&'static str>,
     fleet: SimulatedFleet,
     failed: usize,
     next_number: u64,
@@ -61,6 +63,7 @@
         fleet.run(6_000);
         Self {
             broken: Vec::new(),
+            busy: Vec::new(),
             fleet,
             failed: 0,
             next_number: 0,
@@ -116,7 +119,12 @@
         for (_, instance, send) in due {
             let Some(state) = &mut self.fleet.states[instance] else { continue };
             let is_broken = self.broken.contains(&&*send.backend_server);
-            let outcome = if is_broken { SendOutcome::Failed } else { SendOutcome::Answered };
+            let is_busy = self.busy.contains(&&*send.backend_server) && now_ms.is_multiple_of(20);
+            let outcome = match (is_broken, is_busy) {
+                (true, _) => SendOutcome::Failed,
+                (false, true) => SendOutcome::Refused,
+                (false, false) => SendOutcome::Answered,
+            };
             state.end_send(now_ms, &send, &SendEnd::new(outcome));
             if is_broken {
                 self.failed += 1
@@ -219,3 +227,19 @@
     // Two of three servers are at least left, and all requests fit there.
     assert!(served.served - before >= 700, "{}", served.served - before);
 }
+
+#[test]
+fn a_server_that_fails_stays_ejected_while_the_others_turn_requests_away() {
+    for seed in 0..seeds() {
+        let mut served = ServedFleet::start(7, seed);
+        served.busy.extend(["d-1", "d-2"]);
+        served.run(2_000);
+        let broken_ms = served.fleet.now_ms;
+        served.broken.push(BROKEN);
+        served.run(4_000);
+        let first = served.sends_between(broken_ms, broken_ms + 1_000);
+        assert!(first <= FIRST_SECOND_SENDS, "seed {seed}: {first} in the first second");
+        let later = served.sends_between(broken_ms + 1_000, broken_ms + 4_000);
+        assert!(later <= 3, "seed {seed}: {later} in three seconds");
+    }
+}
