--- a/tests/gateway_support/fleet.rs
+++ b/tests/gateway_support/fleet.rs
@@ -188,11 +188,11 @@
                 }
             }
         }
-        for index in 0..self.states.len() {
+        for (index, (state, soon)) in self.states.iter_mut().zip(ticks_soon).enumerate() {
             // Ticks of instances are spread.
             let ticks = (now_ms + index as u64 * STEP_MS).is_multiple_of(TICK_MS);
-            if let Some(state) = &mut self.states[index] {
-                if ticks || self.ticks_soon && ticks_soon[index] {
+            if let Some(state) = state {
+                if ticks || self.ticks_soon && soon {
                     state.tick(now_ms);
                 }
                 let outcomes = state.dispatch_waiting(now_ms);
