Name limits in the line of a refusal, and have the soak check cold servers

A refusal's line has the number of servers of the service that have a limit and the smallest one. The soak's backend servers are cold for 3 s after they are replaced, and its checker counts the requests that reach one in any second.

--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -22,6 +22,17 @@
 /// milliseconds; seven tenths of the time of a request.
 pub const LOSS_TIME_MS: u64 = 1_800;
 
+/// Requests a second that a cold backend server bears; as on the users' sites.
+pub const COLD_PER_S: f64 = 12.0;
+/// Time for which a backend server is cold after its start, in milliseconds; as on the users' sites.
+pub const COLD_MS: u64 = 3_000;
+/// Share of what a cold backend server bears that may reach it in one second.
+pub const COLD_OVER: f64 = 1.5;
+/// Further requests that may reach it in one second.
+pub const COLD_SLACK: f64 = 5.0;
+/// Window in which the requests at a cold backend server are counted, in milliseconds.
+const COLD_WINDOW_MS: u64 = 1_000;
+
 /// Outcome of a request as its caller saw it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReportedOutcome {
@@ -90,6 +101,8 @@
 /// Record of one trial.
 #[derive(Clone, Debug, Default)]
 pub struct Checker {
+    /// When requests reached each backend server while it was cold, in milliseconds from the start.
+    pub cold_arrivals: BTreeMap<String, Vec<u64>>,
     /// Limits of customers.
     pub limits: BTreeMap<String, Limit>,
     /// Runs, by id of the request.
@@ -136,6 +149,7 @@
         let unsent = self.runs.keys().filter(|id| !self.sent.contains_key(*id));
         findings.extend(unsent.map(|id| format!("{id} ran and nobody sent it")));
         findings.extend(self.stream_findings());
+        findings.extend(self.cold_excess());
         findings
             .extend(self.limits.iter().filter_map(|(name, limit)| self.limit_excess(name, limit)));
         findings
@@ -184,6 +198,23 @@
         stopped
     }
 
+    /// Returns a finding for each backend server that got more requests in a second than a cold one may.
+    fn cold_excess(&self) -> Vec<String> {
+        let allowed = COLD_PER_S * COLD_OVER + COLD_SLACK;
+        let most = |times: &Vec<u64>| {
+            let counts = times.iter().map(|begin_ms| {
+                let window = *begin_ms..begin_ms + COLD_WINDOW_MS;
+                times.iter().filter(|at_ms| window.contains(at_ms)).count()
+            });
+            counts.max().unwrap_or_default()
+        };
+        let servers = self.cold_arrivals.iter().map(|(id, times)| (id, most(times)));
+        let excess = servers.filter(|(_, count)| *count as f64 > allowed);
+        excess
+            .map(|(id, count)| format!("{id} got {count} requests in a second while cold"))
+            .collect()
+    }
+
     /// Returns a finding if a customer ran more requests within a window than its limit allows.
     fn limit_excess(&self, customer: &str, limit: &Limit) -> Option<String> {
         let runs = self.runs.values().flatten().filter(|run| run.customer == customer);
--- a/soak/src/engine.rs
+++ b/soak/src/engine.rs
@@ -22,7 +22,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Name;
-use crate::checker::{Checker, Run};
+use crate::checker::{COLD_MS, Checker, Run};
 use crate::streams::ReceivedEvent;
 
 /// Time until a plain answer is sent, in milliseconds.
@@ -42,6 +42,8 @@
     /// Address of its listener.
     pub address: SocketAddr,
     breaks_streams: Rc<Cell<bool>>,
+    /// Until when it is cold, in milliseconds from the start of the trial.
+    cold_until_ms: Rc<Cell<u64>>,
     id: Rc<RefCell<String>>,
     is_down: Rc<Cell<bool>>,
     /// Until when it writes nothing.
@@ -99,6 +101,7 @@
         let server = Self {
             address: listener.local_addr()?,
             breaks_streams,
+            cold_until_ms: Rc::default(),
             id: Rc::new(RefCell::new(id.to_owned())),
             is_down: Rc::default(),
             silent_until: Rc::new(Cell::new(started)),
@@ -125,6 +128,20 @@
         }
     }
 
+    /// Is cold for a while from now on.
+    pub fn turn_cold(&self) {
+        self.cold_until_ms.set(self.elapsed_ms() + COLD_MS);
+    }
+
+    /// Returns how long it stays cold, in milliseconds.
+    pub fn cold_left_ms(&self) -> u64 {
+        self.cold_until_ms.get().saturating_sub(self.elapsed_ms())
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Accepts connections again, under another id.
     pub fn restart(&self, id: &str) {
         *self.id.borrow_mut() = id.to_owned();
@@ -159,6 +176,14 @@
             *refused.status_mut() = StatusCode::MISDIRECTED_REQUEST;
             return Ok(refused);
         }
+        if self.cold_left_ms() > 0 {
+            let mut checker = self.checker.borrow_mut();
+            checker
+                .cold_arrivals
+                .entry(self.id.borrow().clone())
+                .or_default()
+                .push(self.elapsed_ms());
+        }
         if body.collect().await.is_err() {
             // The body did not arrive completely, so the request does not run and nobody
             // receives this answer.
@@ -185,7 +210,7 @@
     }
 
     fn record_run(&self, id: &str, after: u64, breaks_off: bool, customer: String) {
-        let at_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let at_ms = self.elapsed_ms();
         let mut checker = self.checker.borrow_mut();
         let runs = checker.runs.entry(id.to_owned()).or_default();
         runs.push(Run { after, at_ms, breaks_off, customer, version: self.version.clone() });
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -12,7 +12,7 @@
 
 use crate::Name;
 use crate::caller::{self, HOST, ReadyInstances, elapsed_ms};
-use crate::checker::{Checker, FaultPeriod, Limit};
+use crate::checker::{COLD_MS, COLD_PER_S, Checker, FaultPeriod, Limit};
 use crate::engine::EngineServer;
 use crate::instance::{Instance, Ports};
 use crate::proxy::Proxy;
@@ -91,7 +91,7 @@
             version: Cell::new(1),
         };
         for number in 0..setup.engines {
-            let backend = fleet.start_backend(number, VERSIONS[0]).await?;
+            let backend = fleet.start_backend(number, VERSIONS[0], false).await?;
             fleet.backends.borrow_mut().push(backend);
         }
         fleet.write_document();
@@ -116,12 +116,20 @@
         self.backends.borrow()[number].clone()
     }
 
-    async fn start_backend(&self, number: usize, version: &str) -> io::Result<Rc<Backend>> {
+    async fn start_backend(
+        &self,
+        number: usize,
+        version: &str,
+        is_cold: bool,
+    ) -> io::Result<Rc<Backend>> {
         let (born, id) = self.next_backend(number);
         let version = version.into();
         let (breaks_streams, checker) = (self.breaks_streams.clone(), self.checker.clone());
         let server =
             EngineServer::start(&id, &version, breaks_streams, checker, self.started).await?;
+        if is_cold {
+            server.turn_cold();
+        }
         let proxy = Proxy::start(server.address).await?;
         let (born, id, is_replaced) = (Cell::new(born), RefCell::new(id), Cell::new(false));
         let backend = Backend { born, id, is_replaced, number, proxy, server, version };
@@ -139,7 +147,7 @@
     pub(crate) async fn replace_version(&self, backend: &Backend) -> io::Result<()> {
         let version = VERSIONS[usize::from(*backend.version == *VERSIONS[0])];
         backend.is_replaced.set(true);
-        let started = self.start_backend(backend.number, version).await?;
+        let started = self.start_backend(backend.number, version, true).await?;
         self.backends.borrow_mut()[backend.number] = started;
         Ok(())
     }
@@ -150,6 +158,7 @@
         let (born, id) = self.next_backend(backend.number);
         backend.born.set(born);
         backend.server.restart(&id);
+        backend.server.turn_cold();
         *backend.id.borrow_mut() = id;
         self.publish(backend, "ready");
     }
@@ -162,7 +171,7 @@
         let service = if backend.number.is_multiple_of(2) { "model" } else { "desk" };
         let record = json!({"service": service, "address": backend.proxy.address.to_string(),
             "zone": "zone-0", "version": &*backend.version, "slots": 32, "state": state,
-            "cold-left-ms": 0, "seq": if state == "ready" { 1 } else { 2 },
+            "cold-left-ms": backend.server.cold_left_ms(), "seq": if state == "ready" { 1 } else { 2 },
             "born": 1_000 + backend.born.get()});
         self.store.write(&format!("servers/{}", backend.id.borrow()), Some(&record));
     }
@@ -183,7 +192,10 @@
         let config: Value = json!({"version": version,
             "routes": [route("draft", "stream", "model"), route("booking", "unsafe", "desk"),
                 route("status", "safe", "desk"), route(&version_route(version), "safe", "desk")],
-            "services": [{"name": "model", "engine": {"slots": 32, "stride": 1}}, {"name": "desk"}],
+            "services": [
+                {"name": "model", "cold-s": COLD_MS as f64 / 1_000.0, "cold-per-s": COLD_PER_S,
+                    "engine": {"slots": 32, "stride": 1}},
+                {"name": "desk", "cold-s": COLD_MS as f64 / 1_000.0, "cold-per-s": COLD_PER_S}],
             "limits": {"max-header-bytes": 16_384 - 8_000 * shorter,
                 "max-body-bytes": 10_000 - 9_000 * shorter,
                 "header-timeout-ms": 3_000 - 2_000 * shorter,
--- a/soak/src/instance.rs
+++ b/soak/src/instance.rs
@@ -8,6 +8,7 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::checker::{COLD_OVER, COLD_SLACK};
 use crate::trial::Setup;
 
 /// Ports that every instance uses on its own loopback address.
@@ -80,7 +81,8 @@
              listen.ready={ip}:{readiness}\nlisten.control={ip}:{operators}\n\
              port-range={peers},{peers}\nseeds=127.0.0.2:{operators},127.0.0.3:{operators}\n\
              bounds.revoke-strict=true\nbounds.revoke-ms=5000\nbounds.grace-s=8\n\
-             bounds.drain-ms=2000\nbounds.config-apply-ms=2000\nprovider.address={store}\n{}",
+             bounds.drain-ms=2000\nbounds.config-apply-ms=2000\nbounds.cold-over={COLD_OVER}\n\
+             bounds.cold-slack={COLD_SLACK}\nprovider.address={store}\n{}",
             number % 3,
             setup.settings.join("\n")
         );
--- a/soak/tests/checker.rs
+++ b/soak/tests/checker.rs
@@ -1,8 +1,8 @@
 //! Tests that the checker reports each kind of violation, and nothing for a history without one.
 
 use soak::checker::{
-    Checker, FAULT_MARGIN_MS, FaultPeriod, LIMIT_WINDOW_MS, LOSS_TIME_MS, Limit, REVOKE_MS,
-    ReportedOutcome, Run, Sent,
+    COLD_OVER, COLD_PER_S, COLD_SLACK, Checker, FAULT_MARGIN_MS, FaultPeriod, LIMIT_WINDOW_MS,
+    LOSS_TIME_MS, Limit, REVOKE_MS, ReportedOutcome, Run, Sent,
 };
 
 const AT_MS: u64 = 20_000;
@@ -47,6 +47,20 @@
     assert!(checker(repeatable, 2).findings().is_empty());
 }
 
+#[test]
+fn too_many_requests_in_a_second_at_a_cold_server_are_found() {
+    let mut checker = checker(sent(ReportedOutcome::Served), 1);
+    let allowed = (COLD_PER_S * COLD_OVER + COLD_SLACK) as u64;
+    let times: Vec<u64> = (0..allowed).map(|number| AT_MS + number).collect();
+    let later = (0..allowed).map(|number| AT_MS + 1_200 + number);
+    let within = times.iter().copied().chain(later).collect();
+    checker.cold_arrivals.insert("e-1-7".to_owned(), within);
+    assert!(checker.findings().is_empty());
+    let above = times.into_iter().chain([AT_MS + 999]).collect();
+    checker.cold_arrivals.insert("e-1-8".to_owned(), above);
+    assert!(only_finding(&checker).starts_with("e-1-8 got 24 requests"));
+}
+
 #[test]
 fn a_second_run_of_a_request_that_may_run_once_is_found() {
     assert!(
--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -6,7 +6,7 @@
 use crate::gateway::fleet::cells::{CellLayout, cell_of};
 use crate::gateway::fleet::message::{EngineReport, LeavingServer};
 use crate::gateway::rate_limit::cold::{ColdBounds, ColdLeft, ColdNews};
-use crate::gateway::rate_limit::{LimitShares, LimitStatement};
+use crate::gateway::rate_limit::{LimitShares, LimitStatement, LimitedServers};
 use crate::gateway::request_metadata::PromptShape;
 use crate::gateway::software_versions::{PresentVersion, SoftwareVersions};
 use crate::gateway::store_item::StoreItem;
@@ -299,6 +299,16 @@
         limited.filter_map(|known| self.limit_wait_ms(now_ms, known)).min()
     }
 
+    /// Returns how many backend servers of a service have a limit, and the smallest one.
+    pub fn limited_servers(&self, now_ms: u64, service: &str) -> LimitedServers {
+        let rates = self.of_service(service, &[]);
+        let rates = rates.filter_map(|known| known.limits.millirequests_per_s(now_ms));
+        rates.fold(LimitedServers::default(), |limited, rate| LimitedServers {
+            count: limited.count + 1,
+            least: Some(limited.least.map_or(rate, |least| least.min(rate))),
+        })
+    }
+
     /// Sets what the cold servers of services bear, and the part of a request with which an allowance
     /// begins, in thousandths.
     pub fn set_cold_bounds(&mut self, mut bounds: Vec<(Name, ColdBounds)>, part_permille: u64) {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -130,6 +130,7 @@
 ) -> Response<ReplyBody> {
     shared.state.borrow_mut().refund(plan);
     let now_ms = boot_ms();
+    let limited = shared.state.borrow().backends().limited_servers(now_ms, &plan.service);
     info!(
         target: "refuse",
         request = &*plan.request_id,
@@ -137,6 +138,8 @@
         reason = refusal.reason.name(),
         held_ms = now_ms.saturating_sub(plan.arrived_ms),
         waiting = shared.state.borrow().waiting_count(),
+        limited_servers = limited.count,
+        least_limit_per_s = limited.least_per_s(),
         retry_after_ms = refusal.retry_after_ms;
         "Request refused after admission; it did not run."
     );
--- a/src/gateway/rate_limit/mod.rs
+++ b/src/gateway/rate_limit/mod.rs
@@ -22,6 +22,22 @@
     pub stated_permille: u64,
 }
 
+/// The backend servers of a service that have a limit.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LimitedServers {
+    /// Their number.
+    pub count: usize,
+    /// The smallest limit, in thousandths of a request a second.
+    pub least: Option<u64>,
+}
+
+impl LimitedServers {
+    /// Returns the smallest limit, in requests a second.
+    pub fn least_per_s(&self) -> Option<f64> {
+        self.least.map(|rate| rate as f64 / 1_000.0)
+    }
+}
+
 /// The limits of one backend server, and what of them this instance may still use.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServerLimits {
