--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -130,6 +130,7 @@
 ) -> Response<ReplyBody> {
     shared.state.borrow_mut().refund(plan);
     let now_ms = boot_ms();
+    let limited = shared.state.borrow().backends().limited_servers(now_ms, &plan.service);
     info!(
         target: "refuse",
         request = &*plan.request_id,
@@ -141,6 +142,8 @@
         coordinator_waiting = refusal.queue.map(|queue| queue.waiting),
         coordinator_ahead = refusal.queue.map(|queue| queue.ahead),
         expected_wait_ms = refusal.queue.map(|queue| queue.wait_ms),
+        limited_servers = limited.count,
+        least_limit_per_s = limited.least_per_s(),
         retry_after_ms = refusal.retry_after_ms;
         "Request refused after admission; it did not run."
     );
