Understand hellos of versions without key seals, and search for keys without waiting

In the tests, the search for a key of a given home waited 200 ms for each try that missed, so that a_half-open link was sometimes found late by chance; it waits once now.

--- a/src/key_handover/mod.rs
+++ b/src/key_handover/mod.rs
@@ -161,6 +161,10 @@
     where
         F: Fn(&Name) -> bool,
     {
+        let is_sent = |peer: &HeardPeer| self.sent.contains(&(peer.name.clone(), peer.incarnation));
+        if self.heard.iter().all(is_sent) {
+            return Vec::new();
+        }
         let Some(former) = self.former.clone() else { return Vec::new() };
         let version = former.view.list_version();
         if self.settings.rules.sealed && retired_version < version {
--- a/tests/answer_support/mod.rs
+++ b/tests/answer_support/mod.rs
@@ -13,6 +13,7 @@
 use serde_json::Value;
 use standins::caller::{Answer, Call, CallError, Outcome, join};
 use standins::fleet::{Fleet, FleetBuilder, ServiceSpec, get_json, wait_until};
+use uuid::Uuid;
 
 use crate::support::{fresh_key, reason};
 
@@ -129,12 +130,12 @@
 
 /// Mints a key whose home is the given instance.
 pub fn key_with_home(fleet: &Fleet, instance: &str) -> String {
-    loop {
-        let key = fresh_key();
-        if home(fleet, &key) == instance {
-            return key;
-        }
+    let mut key = fresh_key();
+    // A key that is minted later is accepted as well, so that the search takes no further time.
+    while home(fleet, &key) != instance {
+        key = Uuid::now_v7().to_string();
     }
+    key
 }
 
 /// Returns the number of requests that a backend server runs, according to its load report.
--- a/tests/crashing_parts_fleet.rs
+++ b/tests/crashing_parts_fleet.rs
@@ -196,7 +196,8 @@
 #[test]
 fn a_restart_of_all_instances_amid_the_crashes_starts_few_anew() {
     let disturbance = Disturbance::RestartAll;
-    check_seeds(Case { disturbance, duration_ms: 30_000, ..SMALL }, 3);
+    // Long enough that the fifth crash may be that of the first trial after a quarantine.
+    check_seeds(Case { disturbance, duration_ms: 40_000, ..SMALL }, 3);
 }
 
 #[test]
--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -1,6 +1,8 @@
 //! Tests of the encoding of peer messages.
 
+use bergamotspan::key_handover::{KeySeal, StoppedHome};
 use bergamotspan::peer_codec::{PEER_FRAME_LIMIT_BYTES, decode, encode};
+use bergamotspan::peer_hello::Hello;
 use bergamotspan::peer_message::{
     Confirmation, Heartbeat, KeyClaim, KeyRecord, KeyRefusal, KeyVerdict, PEER_PROTOCOL_VERSION,
     PeerMessage, Suspect,
@@ -10,6 +12,7 @@
     Grant, GrantRequest, Progress, Refusal, RefusalReason, RunningRequest,
 };
 use proptest::prelude::*;
+use serde::{Deserialize, Serialize};
 
 fn names() -> impl Strategy<Value = std::sync::Arc<str>> {
     "[a-zåäöñ0-9-]{0,20}".prop_map(Into::into)
@@ -291,3 +294,47 @@
         }
     }
 }
+
+/// A hello as versions without seals of key homes know it.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+struct EarlierHello {
+    incarnation: u64,
+    link_sequence: u64,
+    name: String,
+}
+
+#[test]
+fn hellos_of_versions_with_and_without_seals_are_understood() {
+    let earlier = EarlierHello { incarnation: 3, link_sequence: 2, name: "entry-2".into() };
+    let hello: Hello = decode("entry-2", &encode("entry-1", &earlier).unwrap()).unwrap();
+
+    assert!(!hello.key_seals);
+    let current = Hello { key_seals: true, ..hello };
+    let read: EarlierHello = decode("entry-1", &encode("entry-2", &current).unwrap()).unwrap();
+    assert_eq!(read, earlier);
+}
+
+#[test]
+fn a_seal_is_read_as_it_was_written() {
+    let request = RequestId { instance: "entry-1".into(), incarnation: 1, sequence: 7 };
+    let record = KeyRecord { fingerprint: 5, granted_wall_clock_ms: 9, key: "key".into(), request };
+    let message = PeerMessage::KeySeal(KeySeal {
+        attempt: 1,
+        floor_ms: Some(2),
+        from_incarnation: 3,
+        list_version: 4,
+        members: vec!["entry-1".into(), "entry-2".into()],
+        part: 0,
+        parts: 1,
+        records: vec![record],
+        sole: true,
+        started_ms: 6,
+        stopped: vec![StoppedHome { floor_ms: None, incarnation: 8, name: "entry-2".into() }],
+        stopping: false,
+        to_incarnation: 9,
+    });
+
+    let read: PeerMessage = decode("entry-1", &encode("entry-2", &message).unwrap()).unwrap();
+
+    assert_eq!(read, message);
+}
--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -77,6 +77,7 @@
     }
     let since = Instant::now();
     assert_drafts_in_time(&fleet);
+    let drafts_ms = since.elapsed().as_millis() as u64;
     let mut sent = Vec::new();
     wait_until("a booking is done", SILENCE_LIMIT_MS + CONFIRMATION_WINDOW_MS, || {
         let key = key_with_home(&fleet, "entry-2");
@@ -86,6 +87,7 @@
     })
     .unwrap();
     let elapsed_ms = since.elapsed().as_millis() as u64;
+    println!("drafts were done after {drafts_ms} ms, a booking after {elapsed_ms} ms");
 
     assert!(elapsed_ms < SILENCE_LIMIT_MS + CONFIRMATION_WINDOW_MS, "{elapsed_ms} ms");
     for (key, outcome) in sent {
