--- a/src/gateway/fleet/succession.rs
+++ b/src/gateway/fleet/succession.rs
@@ -32,7 +32,7 @@
     /// It stops and grants places until another one is ready.
     Stopping,
     /// It knows what it needs to know, and lets another one lead.
-    StandingBy,
+    InReserve,
 }
 
 /// How the role of this instance changed.
@@ -153,7 +153,7 @@
             (false, _) => None,
             (true, true) => Some(Standing::Stopping),
             (true, false) if self.is_ready(now_ms) => Some(Standing::Ready),
-            (true, false) => Some(Standing::StandingBy),
+            (true, false) => Some(Standing::InReserve),
         }
     }
 
@@ -210,7 +210,7 @@
             Self { heard_ms, .. } if now_ms >= heard_ms + LIVE_MS => None,
             Self { is_ready: true, stopping: false, .. } => Some(Standing::Ready),
             Self { is_ready: true, stopping: true, .. } => Some(Standing::Stopping),
-            Self { stands_by: true, stopping: false, .. } => Some(Standing::StandingBy),
+            Self { stands_by: true, stopping: false, .. } => Some(Standing::InReserve),
             Self { .. } => None,
         }
     }
--- a/tests/gateway_support/fleet.rs
+++ b/tests/gateway_support/fleet.rs
@@ -50,6 +50,8 @@
     pub fetches: Vec<(usize, usize)>,
     /// Outcomes of requests that waited, with their instances.
     pub outcomes: Vec<(usize, WaitOutcome)>,
+    /// Cell reports that arrived: receiver, sender, and whether the sender is ready and does not stop.
+    pub cell_reports: Vec<(usize, usize, bool)>,
     /// Whether instances tick soon after a datagram that asks for it, as those with sockets do.
     pub ticks_soon: bool,
     /// Bounds of instances that start from now on.
@@ -75,6 +77,7 @@
             origins: Vec::new(),
             fetches: Vec::new(),
             outcomes: Vec::new(),
+            cell_reports: Vec::new(),
             ticks_soon: false,
             bounds: Bounds::default(),
             counts_bytes: false,
@@ -170,6 +173,10 @@
         let mut ticks_soon = vec![false; self.states.len()];
         for flight in due {
             if let Some(state) = &mut self.states[flight.to] {
+                if let Body::Cell(report) = &flight.message.body {
+                    let is_ready = report.is_ready && !flight.message.sender.stopping;
+                    self.cell_reports.push((flight.to, flight.from, is_ready));
+                }
                 let from = address(flight.from);
                 let received =
                     state.receive_message(now_ms, from, &flight.envelope, flight.message);
@@ -181,11 +188,11 @@
                 }
             }
         }
-        for index in 0..self.states.len() {
+        for (index, ticks_soon) in ticks_soon.into_iter().enumerate() {
             // Ticks of instances are spread.
             let ticks = (now_ms + index as u64 * STEP_MS).is_multiple_of(TICK_MS);
             if let Some(state) = &mut self.states[index] {
-                if ticks || self.ticks_soon && ticks_soon[index] {
+                if ticks || self.ticks_soon && ticks_soon {
                     state.tick(now_ms);
                 }
                 let outcomes = state.dispatch_waiting(now_ms);
--- a/tests/planned_stops_fleet.rs
+++ b/tests/planned_stops_fleet.rs
@@ -12,7 +12,9 @@
 use bergamotspan::gateway::admission::{Admission, RefusalReason};
 use bergamotspan::gateway::backend::SendOutcome;
 use bergamotspan::gateway::dispatching::{SendEnd, StartedSend};
+use bergamotspan::gateway::fleet::cells::cell_of;
 use bergamotspan::gateway::fleet::coordinators::Decider;
+use bergamotspan::gateway::fleet::roster::LIVE_MS;
 use bergamotspan::gateway::gateway_settings::Bounds;
 use bergamotspan::gateway::request_metadata::RequestMetadata;
 use bergamotspan::gateway::routing_document::{Customer, RoutingDocument};
@@ -20,6 +22,7 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway_support::{KEY, admit, backend, customer, document, draft, record};
 use crate::placer::{PlaceSearch, Placer};
@@ -41,6 +44,8 @@
 /// Time after its start for which an instance may not have heard a coordinator if datagrams are
 /// lost: that of two contacts of the seeds, in milliseconds.
 const NEW_MS: u64 = 1_000;
+/// Time of two reports of a coordinator, in milliseconds.
+const REPORTS_MS: u64 = 600;
 /// Time from a start until the store is listed, in milliseconds.
 const LISTING_MS: u64 = 50;
 
@@ -64,6 +69,8 @@
     /// Refusals of the customer that stays below its limit.
     refused: BTreeMap<String, usize>,
     served: usize,
+    /// Longest time for which a member of the build before would have asked another coordinator.
+    longest_apart_ms: u64,
     /// Requests of the greedy customer that were sent, by time.
     greedy_sent: VecDeque<u64>,
     most_in_window: u64,
@@ -81,6 +88,10 @@
     is_greedy: BTreeMap<u64, bool>,
     next_number: u64,
     deciders: BTreeMap<usize, Decider>,
+    /// When members last heard coordinators, and whether these were ready.
+    heard: BTreeMap<(usize, usize), (u64, bool)>,
+    /// Since when a member of the build before would ask another coordinator.
+    apart_since_ms: BTreeMap<usize, u64>,
     started_ms: Vec<u64>,
     stopping: Vec<Option<u64>>,
     seen: Seen,
@@ -113,6 +124,8 @@
             is_greedy: BTreeMap::new(),
             next_number: 0,
             deciders: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            apart_since_ms: BTreeMap::new(),
             started_ms: vec![0; rolling.instances],
             stopping: vec![None; rolling.instances],
             seen: Seen::default(),
@@ -146,6 +159,44 @@
             self.fleet.send_outbox(at);
         }
         self.note_deciders();
+        self.note_build_before();
+    }
+
+    /// Notes for how long members of the build before, which ask the first ready coordinator by
+    /// rank, would ask another one than those of this build.
+    fn note_build_before(&mut self) {
+        let now_ms = self.fleet.now_ms;
+        for (to, from, is_ready) in std::mem::take(&mut self.fleet.cell_reports) {
+            self.heard.insert((to, from), (now_ms, is_ready));
+        }
+        for (index, state) in self.fleet.live() {
+            let cells = state.fleet().layout().count();
+            let is_of_cell = |at: usize| {
+                cell_of(&simulated_fleet::name(at), cells) == state.fleet().layout().own
+            };
+            let heard = self.heard.range((index, 0)..(index + 1, 0));
+            let ready = heard.filter(|((_, from), (heard_ms, is_ready))| {
+                *is_ready && now_ms < heard_ms + LIVE_MS && is_of_cell(*from)
+            });
+            let known = ready.filter_map(|((_, from), _)| {
+                let known = state.fleet().roster().get(&simulated_fleet::name(*from))?;
+                (!known.stopping).then_some(known)
+            });
+            let first = known.min_by_key(|known| {
+                (u32::MAX - known.capacity, xxh3_64(known.name.as_bytes()), known.name.clone())
+            });
+            let is_apart = match (state.fleet().decider(now_ms), first) {
+                (Decider::Other(asked), Some(first)) => asked != first.address,
+                _ => false,
+            };
+            if !is_apart {
+                self.apart_since_ms.remove(&index);
+                continue;
+            }
+            let since_ms = *self.apart_since_ms.entry(index).or_insert(now_ms);
+            let seen = &mut self.seen;
+            seen.longest_apart_ms = seen.longest_apart_ms.max(now_ms - since_ms);
+        }
     }
 
     fn arrive(&mut self, key: &str) {
@@ -314,7 +365,7 @@
 fn assert_replaced(rolling: Rolling) {
     let seen = Replacement::new(rolling).replace();
     println!(
-        "{} instances, {} at once: {} changes for {} stops, {} served, refused {:?} and {} by new ones, {} of \
+        "{} instances, {} at once: {} changes for {} stops, {} served, refused {:?} and {} by new ones, builds apart for {} ms, {} of \
          {ALLOWED} units",
         rolling.instances,
         rolling.at_once,
@@ -323,6 +374,7 @@
         seen.served,
         seen.refused,
         seen.unheard,
+        seen.longest_apart_ms,
         seen.most_in_window,
     );
     assert!(seen.most_in_window <= ALLOWED, "{} of {ALLOWED}", seen.most_in_window);
@@ -330,6 +382,8 @@
     if !rolling.is_kill {
         let refused = |reason| seen.refused.get(reason).copied().unwrap_or_default();
         assert_eq!((refused("Joining"), refused("UsageLimit")), (0, 0), "{:?}", seen.refused);
+        let apart_ms = seen.longest_apart_ms;
+        assert!(apart_ms <= REPORTS_MS, "the build before asks another one for {apart_ms} ms");
     }
 }
 
