Move the limits that a choice sees into a file of their own

No change of behaviour; gateway_cold_servers (15), gateway_backends (15) and gateway_rate_limit (6) pass.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod answer_budget;
 mod answer_framing;
 pub mod backend;
+pub mod backend_limits;
 pub mod backend_record;
 mod backend_stream;
 pub mod backends;
