--- a/src/gateway/outliers/fleet.rs
+++ b/src/gateway/outliers/fleet.rs
@@ -1,10 +1,11 @@
 //! Judges the outcomes that this instance hears, and exchanges ejections with its cell.
 
-use crate::gateway::backend::SendOutcome;
+use crate::gateway::backend::{Backend, SendOutcome};
+use crate::gateway::backends::Backends;
 use crate::gateway::fleet::additions::ToldOutlier;
 use crate::gateway::fleet::coordinators::Decider;
 use crate::gateway::fleet::failed_paths::SendPath;
-use crate::gateway::outliers::judge::{Verdict, judge};
+use crate::gateway::outliers::judge::{Others, Verdict, judge};
 use crate::gateway::outliers::record::{Ejection, Standing};
 use crate::gateway::outliers::trials::TrialResult;
 use crate::gateway::state::GatewayState;
@@ -28,6 +29,23 @@
     pub ejected_for_ms: u64,
 }
 
+impl Backends {
+    /// Returns the ejected backend servers that are usable.
+    pub fn ejected(&self) -> impl Iterator<Item = (&Backend, &Ejection)> {
+        self.usable().filter_map(|backend| Some((backend, backend.outcomes.ejection()?)))
+    }
+
+    /// Returns how the other backend servers of a service that this cell uses fare.
+    fn others_of(&self, now_ms: u64, service: &str, id: &str) -> Others {
+        let others = self.of_cell(service);
+        let others = others.filter(|other| *other.id != *id && other.is_in_reach(now_ms));
+        others.fold(Others::default(), |mut sum, other| {
+            sum.add(&other.outcomes);
+            sum
+        })
+    }
+}
+
 impl GatewayState {
     /// Records how a request ended in the standing of its backend server.
     pub(crate) fn record_standing(&mut self, now_ms: u64, path: SendPath, outcome: SendOutcome) {
