Add nothing to the limits when a suspended instance resumes

An instance that was suspended alone became ready knowing no balance, as one of a fleet that starts as a whole, and could add a part of the window's excess each time it resumed. Found by reading; it now adds nothing after a suspension, since it may have spent before.

--- a/src/gateway/fleet/succession.rs
+++ b/src/gateway/fleet/succession.rs
@@ -59,6 +59,8 @@
     pub(crate) knows_balances: bool,
     /// Live instances when that was last known.
     last_live: usize,
+    /// Whether this instance was suspended, so that it may have spent before.
+    was_suspended: bool,
     /// Whether this instance decided at the last tick.
     was_deciding: bool,
     /// Whether this instance was ready at the last tick.
@@ -82,7 +84,7 @@
 
     /// Forgets what may have changed while this instance was suspended.
     pub(crate) fn resume(&mut self) {
-        *self = Self { last_live: self.last_live, ..Self::default() };
+        *self = Self { last_live: self.last_live, was_suspended: true, ..Self::default() };
     }
 
     /// Records the number of live instances, which an instance that begins to coordinate keeps
@@ -174,6 +176,7 @@
         let has_followed = follows && now_ms >= since_ms + FOLLOWED_MS;
         let has_begun = is_ready
             && knew_seeds
+            && !succession.was_suspended
             && !succession.has_elders
             && !succession.knows_balances
             && !follows;
