Let the rank decide who leads a cell of a fleet that starts as a whole

Cause as read: at the start of all instances the first to be ready kept the lead whatever its capacity, and members that got no answer in time asked the other.

An instance stands by only in a fleet in which a member has run for longer than itself.

--- a/src/gateway/fleet/succession.rs
+++ b/src/gateway/fleet/succession.rs
@@ -102,8 +102,12 @@
 impl Fleet {
     /// Returns whether this instance coordinates its cell, and is not to leave that to another one
     /// that leads it.
+    ///
+    /// Where no member has run for longer, the rank decides: the first to be ready may be a weak one.
     pub fn is_ready(&self, now_ms: u64) -> bool {
-        self.is_able(now_ms) && (self.succession.was_ready || !self.has_leader_below(now_ms))
+        let Succession { was_ready, has_elders, .. } = self.succession;
+        let may_lead = was_ready || !has_elders || !self.has_leader_below(now_ms);
+        self.is_able(now_ms) && may_lead
     }
 
     /// Returns whether this instance coordinates its cell and knows what its members run and what
