Keep no count of live instances for a part of the fleet that hears few

Cause: a coordinator that has not heard the other cells yet keeps the last count of live instances, also one that hears none of its own cell; limits and buckets were then shared as if it heard all. It keeps the part of the count that it hears of its own cell now.

--- a/src/gateway/fleet/coordinators.rs
+++ b/src/gateway/fleet/coordinators.rs
@@ -107,8 +107,11 @@
         let since_ms = self.coordinating_since_ms.unwrap_or_default();
         let others: Vec<_> = others.map(of_cell).collect();
         let keeps_count = others.contains(&None) && now_ms < since_ms + HEARING_MS;
-        let live = self.own_cell_live(now_ms) + others.into_iter().flatten().sum::<usize>();
-        if keeps_count { live.max(self.succession.last_live()) } else { live }
+        let own_live = self.own_cell_live(now_ms);
+        let live = own_live + others.into_iter().flatten().sum::<usize>();
+        // The part of the fleet that hears this instance is unlikely to be larger than that of its cell.
+        let kept = self.succession.last_live() * own_live / self.ranked.len().max(1);
+        if keeps_count { live.max(kept) } else { live }
     }
 
     /// Returns the number of instances that may be running, this one included.
