Log and count how far transfers of state come

A fetch from another instance or a call to the store that was given up left a line without a size or a time, so that a document too large for the link, a full link of the sender and a slow processor looked alike. The lines now say how many bytes had arrived and when; a counter says how many were used and how many thrown away, and the newest version that any instance has stands beside the one in force. No decision changes.

--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -8,6 +8,7 @@
 use crate::gateway::admission::RefusalReason;
 use crate::gateway::fleet::pending_origin::OriginSource;
 use crate::gateway::part_stage::PartStage;
+use crate::gateway::transfer::{Transfer, TransferSource};
 
 /// Upper bounds of the histograms, in milliseconds.
 const BUCKETS_MS: [u64; 12] = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000, 20_000];
@@ -37,6 +38,7 @@
     standing_changes: RefCell<Vec<(&'static str, u64)>>,
     store_calls: Cell<u64>,
     store_failures: Cell<u64>,
+    transfers: RefCell<Vec<((&'static str, &'static str), u64)>>,
 }
 
 /// Current values of an instance, rendered beside its counters.
@@ -52,6 +54,8 @@
     pub evacuated_data_centres: usize,
     /// Version of the document in force.
     pub document_version: u64,
+    /// Newest version of the document that any instance has reported.
+    pub newest_document_version: u64,
     /// Requests whose answer is not complete yet.
     pub in_progress: usize,
     /// Live instances, this one included.
@@ -157,6 +161,13 @@
         self.store_failures.set(self.store_failures.get() + u64::from(failed));
     }
 
+    /// Counts the bytes of a transfer of state, by whether they were used.
+    pub fn record_transfer(&self, source: TransferSource, transfer: &Transfer, is_used: bool) {
+        let outcome = if is_used { "used" } else { "discarded" };
+        let bytes = transfer.received_bytes() as u64;
+        add(&mut self.transfers.borrow_mut(), (source.name(), outcome), bytes);
+    }
+
     /// Renders all metrics in the Prometheus text format.
     pub fn render(&self, gauges: &Gauges) -> String {
         let mut text = String::new();
@@ -220,6 +231,15 @@
                 format_args!("bergamotspan_peer_largest_bytes{{kind=\"{kind}\"}} {bytes}"),
             );
         }
+        for ((source, outcome), number) in self.transfers.borrow().iter() {
+            write_line(
+                &mut text,
+                format_args!(
+                    "bergamotspan_state_bytes_total{{source=\"{source}\",outcome=\"{outcome}\"}} \
+                     {number}"
+                ),
+            );
+        }
         self.request.borrow().write("bergamotspan_request_ms", &mut text);
         self.first_event.borrow().write("bergamotspan_first_event_ms", &mut text);
         let proof_age_ms = gauges.proof_age_ms.map(|age_ms| age_ms as i64).unwrap_or(-1);
@@ -232,6 +252,7 @@
             ("evacuated_data_centres", gauges.evacuated_data_centres as i64),
             ("evacuated_places_total", self.held_back.get() as i64),
             ("document_version", gauges.document_version as i64),
+            ("newest_document_version", gauges.newest_document_version as i64),
             ("requests_in_progress", gauges.in_progress as i64),
             ("requests_waiting", gauges.waiting as i64),
             ("instances", gauges.instances as i64),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -75,6 +75,7 @@
 mod stream_log;
 pub mod stream_origins;
 mod stream_relay;
+pub mod transfer;
 mod unconfirmed_sends;
 pub mod usage_limits;
 pub mod wire;
--- a/src/gateway/peer_update.rs
+++ b/src/gateway/peer_update.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::Empty;
 use hyper::Request;
 use hyper::header::HOST;
 use log::{info, warn};
@@ -20,6 +20,7 @@
 use crate::gateway::store_item::StorePosition;
 use crate::gateway::store_log::StoreUpdate;
 use crate::gateway::store_watch::log_change;
+use crate::gateway::transfer::{Transfer, TransferSource, read_transfer};
 
 /// Path at which an instance serves store updates to the others.
 pub(crate) const UPDATE_PATH: &str = "/news";
@@ -61,20 +62,30 @@
         let address = SocketAddr::new(from, port);
         let path = update_path(&shared.state.borrow());
         let limit = Duration::from_millis(FETCH_TIMEOUT_MS);
-        match timeout(limit, fetch(address, &path)).await {
-            Ok(Ok(update)) => apply_update(&shared, address, update),
+        let mut transfer = Transfer::new(boot_ms());
+        let result = timeout(limit, fetch(address, &path, &mut transfer)).await;
+        let is_used = matches!(result, Ok(Ok(_)));
+        shared.counters.record_transfer(TransferSource::Peer, &transfer, is_used);
+        let (elapsed_ms, received_bytes) =
+            (transfer.elapsed_ms(boot_ms()), transfer.received_bytes());
+        match result {
+            Ok(Ok(update)) => apply_update(&shared, address, update, &transfer),
             Ok(Err(error)) => {
                 warn!(
                     target: "peers",
                     instance:% = address,
-                    error:%;
+                    elapsed_ms,
+                    error:%,
+                    received_bytes;
                     "Store update could not be fetched."
                 );
             }
             Err(_) => {
                 warn!(
                     target: "peers",
-                    instance:% = address;
+                    instance:% = address,
+                    elapsed_ms,
+                    received_bytes;
                     "Store update could not be fetched in time."
                 );
             }
@@ -93,7 +104,7 @@
     }
 }
 
-fn apply_update(shared: &Shared, address: SocketAddr, update: StoreUpdate) {
+fn apply_update(shared: &Shared, address: SocketAddr, update: StoreUpdate, transfer: &Transfer) {
     let (position, whole) = (update.position, update.whole);
     let state_changes = shared.state.borrow_mut().apply_store_update(boot_ms(), update);
     info!(
@@ -102,6 +113,8 @@
         revision = position.revision,
         era = position.era,
         whole,
+        elapsed_ms = transfer.elapsed_ms(boot_ms()),
+        received_bytes = transfer.received_bytes(),
         changes = state_changes.len();
         "Store update received."
     );
@@ -112,7 +125,11 @@
     shared.dispatch_waiting();
 }
 
-async fn fetch(address: SocketAddr, path: &str) -> Result<StoreUpdate, Error> {
+async fn fetch(
+    address: SocketAddr,
+    path: &str,
+    transfer: &mut Transfer,
+) -> Result<StoreUpdate, Error> {
     let unreadable = |detail: String| Error::AnswerUnreadable { address, detail };
     let (mut sender, task) = open_http(address)
         .await
@@ -123,8 +140,9 @@
         .map_err(|error| unreadable(error.to_string()))?;
     let response =
         sender.send_request(request).await.map_err(|error| unreadable(error.to_string()))?;
-    let body = Limited::new(response.into_body(), UPDATE_LIMIT_BYTES);
-    let body = body.collect().await.map_err(|error| unreadable(error.to_string()))?.to_bytes();
+    let body = read_transfer(response.into_body(), UPDATE_LIMIT_BYTES, transfer)
+        .await
+        .map_err(|error| unreadable(error.to_string()))?;
     task.abort();
     ciborium::from_reader(&body[..]).map_err(|error| unreadable(error.to_string()))
 }
--- a/src/gateway/store_read.rs
+++ b/src/gateway/store_read.rs
@@ -116,6 +116,11 @@
         self.behind_since_ms = self.is_behind().then_some(now_ms);
     }
 
+    /// Returns the newest version of the document that this instance or another one has.
+    pub fn newest_version(&self) -> u64 {
+        self.peer_version.max(self.table.version())
+    }
+
     /// Returns whether a peer has reported a newer document, or one of the own cell a newer
     /// position.
     pub fn is_behind(&self) -> bool {
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -14,8 +14,6 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
-use crate::gateway::answer_body::read_body;
-use crate::gateway::answer_budget::{AnswerBudget, AnswerBuffer};
 use crate::gateway::backends::RecordChange;
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::connections::{limit_interim_answers, open_http};
@@ -24,6 +22,7 @@
 use crate::gateway::store_item::{StoreChanges, StorePage, StorePosition};
 use crate::gateway::store_read::StoreRead;
 use crate::gateway::store_updates::StateChange;
+use crate::gateway::transfer::{Transfer, TransferSource, read_transfer};
 
 /// Longest answer of the store, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 8 * 1_048_576;
@@ -217,11 +216,17 @@
     async fn call(&mut self, path: &str, limit_ms: u64) -> Result<StoreAnswer, CallError> {
         let address = self.shared.state.borrow().settings().store_address;
         let limit = Duration::from_millis(limit_ms);
-        let result = match timeout(limit, self.exchange(address, path)).await {
+        let mut transfer = Transfer::new(boot_ms());
+        let result = match timeout(limit, self.exchange(address, path, &mut transfer)).await {
             Ok(result) => result,
-            Err(_) => Err(CallError::Failed("the call timed out".to_owned())),
+            Err(_) => Err(CallError::Failed(format!(
+                "the call timed out after {} ms; {} bytes had arrived",
+                transfer.elapsed_ms(boot_ms()),
+                transfer.received_bytes()
+            ))),
         };
         self.shared.counters.record_store_call(result.is_err());
+        self.shared.counters.record_transfer(TransferSource::Store, &transfer, result.is_ok());
         result
     }
 
@@ -244,6 +249,7 @@
         &mut self,
         address: SocketAddr,
         path: &str,
+        transfer: &mut Transfer,
     ) -> Result<StoreAnswer, CallError> {
         let mut connection = match self.connection.take() {
             Some(kept) if kept.address == address && !kept.sender.is_closed() => kept,
@@ -264,8 +270,7 @@
         let response = response.map_err(|error| CallError::Failed(error.to_string()))?;
         let status = response.status();
         let era = self.era(response.headers());
-        let buffer = AnswerBuffer::new(&AnswerBudget::new(ANSWER_LIMIT_BYTES), ANSWER_LIMIT_BYTES);
-        let body = read_body(response.into_body(), buffer)
+        let body = read_transfer(response.into_body(), ANSWER_LIMIT_BYTES, transfer)
             .await
             .map_err(|error| CallError::Failed(format!("the answer can't be read: {error}")))?;
         match status {
