Give up a transfer of state for its pace, not for its size

A store update had 400 ms in all, an answer of the store 500 ms beyond its wait. The document of 544,740 bytes takes 436 ms on an idle link of 10 Mbit/s, so it could never arrive there: each try threw away what had come, began at nothing and kept the link full; a test shows 69,608 bytes thrown away after 401 ms.

The time until an answer begins stays limited as before. An answer of the store that is too long for one read is followed by a listing, which comes in pages, where the same read was tried again.

--- a/src/gateway/peer_update.rs
+++ b/src/gateway/peer_update.rs
@@ -6,10 +6,11 @@
 
 use bytes::Bytes;
 use http_body_util::Empty;
-use hyper::Request;
+use hyper::body::Incoming;
 use hyper::header::HOST;
+use hyper::{Request, Response};
 use log::{info, warn};
-use tokio::task::spawn_local;
+use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 
 use crate::error::Error;
@@ -24,7 +25,7 @@
 
 /// Path at which an instance serves store updates to the others.
 pub(crate) const UPDATE_PATH: &str = "/news";
-/// Longest time to fetch a store update, in milliseconds.
+/// Longest time until a store update begins to arrive, in milliseconds.
 const FETCH_TIMEOUT_MS: u64 = 400;
 /// Longest store update, in bytes.
 const UPDATE_LIMIT_BYTES: usize = 8_388_608;
@@ -61,34 +62,21 @@
         let port = shared.state.borrow().settings().operator_address.port();
         let address = SocketAddr::new(from, port);
         let path = update_path(&shared.state.borrow());
-        let limit = Duration::from_millis(FETCH_TIMEOUT_MS);
-        let mut transfer = Transfer::new(boot_ms());
-        let result = timeout(limit, fetch(address, &path, &mut transfer)).await;
-        let is_used = matches!(result, Ok(Ok(_)));
-        shared.counters.record_transfer(TransferSource::Peer, &transfer, is_used);
-        let (elapsed_ms, received_bytes) =
-            (transfer.elapsed_ms(boot_ms()), transfer.received_bytes());
+        let mut transfer = Transfer::new(boot_ms(), FETCH_TIMEOUT_MS);
+        let result = fetch(address, &path, &mut transfer).await;
+        shared.counters.record_transfer(TransferSource::Peer, &transfer, result.is_ok());
         match result {
-            Ok(Ok(update)) => apply_update(&shared, address, update, &transfer),
-            Ok(Err(error)) => {
+            Ok(update) => apply_update(&shared, address, update, &transfer),
+            Err(error) => {
                 warn!(
                     target: "peers",
                     instance:% = address,
-                    elapsed_ms,
+                    elapsed_ms = transfer.elapsed_ms(boot_ms()),
                     error:%,
-                    received_bytes;
+                    received_bytes = transfer.received_bytes();
                     "Store update could not be fetched."
                 );
             }
-            Err(_) => {
-                warn!(
-                    target: "peers",
-                    instance:% = address,
-                    elapsed_ms,
-                    received_bytes;
-                    "Store update could not be fetched in time."
-                );
-            }
         }
         shared.fetching_update.set(false);
     });
@@ -130,6 +118,24 @@
     path: &str,
     transfer: &mut Transfer,
 ) -> Result<StoreUpdate, Error> {
+    let unreadable = |detail: String| Error::AnswerUnreadable { address, detail };
+    let limit = Duration::from_millis(transfer.time_left_ms(boot_ms()));
+    let Ok(response) = timeout(limit, request(address, path)).await else {
+        let detail = "it did not answer in time".to_owned();
+        return Err(Error::Unreachable { address, detail });
+    };
+    let (response, task) = response?;
+    let body = read_transfer(response.into_body(), UPDATE_LIMIT_BYTES, transfer).await;
+    task.abort();
+    let body = body.map_err(|error| unreadable(error.to_string()))?;
+    ciborium::from_reader(&body[..]).map_err(|error| unreadable(error.to_string()))
+}
+
+/// Sends a request and returns the head of its answer, and the task of its connection.
+async fn request(
+    address: SocketAddr,
+    path: &str,
+) -> Result<(Response<Incoming>, AbortHandle), Error> {
     let unreadable = |detail: String| Error::AnswerUnreadable { address, detail };
     let (mut sender, task) = open_http(address)
         .await
@@ -140,9 +146,5 @@
         .map_err(|error| unreadable(error.to_string()))?;
     let response =
         sender.send_request(request).await.map_err(|error| unreadable(error.to_string()))?;
-    let body = read_transfer(response.into_body(), UPDATE_LIMIT_BYTES, transfer)
-        .await
-        .map_err(|error| unreadable(error.to_string()))?;
-    task.abort();
-    ciborium::from_reader(&body[..]).map_err(|error| unreadable(error.to_string()))
+    Ok((response, task))
 }
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -6,14 +6,17 @@
 
 use bytes::Bytes;
 use http_body_util::Empty;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::HOST;
-use hyper::{HeaderMap, Request, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use log::{info, warn};
 use rand::random_range;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
+use crate::gateway::answer_body::BodyError;
+use crate::gateway::answer_budget::BufferFull;
 use crate::gateway::backends::RecordChange;
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::connections::{limit_interim_answers, open_http};
@@ -22,15 +25,15 @@
 use crate::gateway::store_item::{StoreChanges, StorePage, StorePosition};
 use crate::gateway::store_read::StoreRead;
 use crate::gateway::store_updates::StateChange;
-use crate::gateway::transfer::{Transfer, TransferSource, read_transfer};
+use crate::gateway::transfer::{Transfer, TransferError, TransferSource, read_transfer};
 
 /// Longest answer of the store, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 8 * 1_048_576;
-/// Time beyond its wait after which a watch times out, in milliseconds.
+/// Time beyond its wait after which the answer of a watch must begin, in milliseconds.
 const WATCH_SLACK_MS: u64 = 500;
 /// Shortest time between the starts of two reads of the store, in milliseconds.
 const READ_INTERVAL_MS: u64 = 250;
-/// Longest time for a page of a listing, in milliseconds.
+/// Longest time until a page of a listing begins, in milliseconds.
 const LIST_TIMEOUT_MS: u64 = 2_000;
 /// Shortest time before the retry of a failed call, in milliseconds.
 const MIN_BACK_OFF_MS: u64 = 100;
@@ -42,6 +45,9 @@
 /// Why a call to the store has no usable answer.
 #[derive(Debug, thiserror::Error)]
 enum CallError {
+    /// The answer exceeds the limit of its length.
+    #[error("the answer can't be read: {0}")]
+    AnswerTooLong(BufferFull),
     /// The store no longer has the changes after the revision.
     #[error("the store no longer has the changes after the revision")]
     HistoryGone,
@@ -135,13 +141,7 @@
 
     async fn read_changes(&mut self, after: StorePosition, wait_ms: u64) -> Result<(), CallError> {
         let requested_ms = boot_ms();
-        let path = self.shared.wire.watch_path(after.revision, wait_ms);
-        let answer = self.call(&path, wait_ms + WATCH_SLACK_MS).await?;
-        let changes =
-            self.shared.wire.store_changes(answer.era, &answer.body).map_err(CallError::Failed)?;
-        if changes.position.era > after.era {
-            return Err(CallError::HistoryGone);
-        }
+        let changes = self.changes_after(after, wait_ms).await?;
         let now_ms = boot_ms();
         // The store reports that nothing changed only after the full wait.
         let waited_fully = changes.items.is_empty() && now_ms >= requested_ms + wait_ms;
@@ -153,7 +153,19 @@
     }
 
     async fn read_missed(&mut self, after: StorePosition) -> Result<(), CallError> {
-        let wait_ms = 1;
+        let changes = self.changes_after(after, 1).await?;
+        let mut state = self.shared.state.borrow_mut();
+        let state_changes = state.apply_missed_changes(boot_ms(), after, &changes);
+        drop(state);
+        self.announce_changes(state_changes);
+        Ok(())
+    }
+
+    async fn changes_after(
+        &mut self,
+        after: StorePosition,
+        wait_ms: u64,
+    ) -> Result<StoreChanges, CallError> {
         let path = self.shared.wire.watch_path(after.revision, wait_ms);
         let answer = self.call(&path, wait_ms + WATCH_SLACK_MS).await?;
         let changes =
@@ -161,11 +173,7 @@
         if changes.position.era > after.era {
             return Err(CallError::HistoryGone);
         }
-        let mut state = self.shared.state.borrow_mut();
-        let state_changes = state.apply_missed_changes(boot_ms(), after, &changes);
-        drop(state);
-        self.announce_changes(state_changes);
-        Ok(())
+        Ok(changes)
     }
 
     /// Logs changes that the state has applied, triggers a report to peers and dispatches waiting
@@ -202,6 +210,10 @@
             state.set_history_lost();
             return;
         }
+        if matches!(error, CallError::AnswerTooLong(_)) {
+            // A listing comes in pages, and has the last of several changes alone.
+            self.shared.state.borrow_mut().set_history_lost();
+        }
         self.failures += 1;
         if self.failures >= UNREACHABLE_FAILURES {
             self.shared.state.borrow_mut().set_store_reachable(false);
@@ -215,21 +227,48 @@
 
     async fn call(&mut self, path: &str, limit_ms: u64) -> Result<StoreAnswer, CallError> {
         let address = self.shared.state.borrow().settings().store_address;
-        let limit = Duration::from_millis(limit_ms);
-        let mut transfer = Transfer::new(boot_ms());
-        let result = match timeout(limit, self.exchange(address, path, &mut transfer)).await {
-            Ok(result) => result,
-            Err(_) => Err(CallError::Failed(format!(
-                "the call timed out after {} ms; {} bytes had arrived",
-                transfer.elapsed_ms(boot_ms()),
-                transfer.received_bytes()
-            ))),
-        };
+        let mut transfer = Transfer::new(boot_ms(), limit_ms);
+        let result = self.exchange(address, path, &mut transfer).await;
         self.shared.counters.record_store_call(result.is_err());
         self.shared.counters.record_transfer(TransferSource::Store, &transfer, result.is_ok());
         result
     }
 
+    async fn exchange(
+        &mut self,
+        address: SocketAddr,
+        path: &str,
+        transfer: &mut Transfer,
+    ) -> Result<StoreAnswer, CallError> {
+        let limit = Duration::from_millis(transfer.time_left_ms(boot_ms()));
+        let Ok(response) = timeout(limit, self.request(address, path)).await else {
+            return Err(CallError::Failed("the call timed out".to_owned()));
+        };
+        let (response, connection) = response?;
+        let status = response.status();
+        let era = self.era(response.headers());
+        let body = match read_transfer(response.into_body(), ANSWER_LIMIT_BYTES, transfer).await {
+            Ok(body) => body,
+            Err(TransferError::Body(BodyError::Full(full))) => {
+                return Err(CallError::AnswerTooLong(full));
+            }
+            Err(error) => {
+                let bytes = transfer.received_bytes();
+                let elapsed_ms = transfer.elapsed_ms(boot_ms());
+                let text = format!("{error}; {bytes} bytes had arrived after {elapsed_ms} ms");
+                return Err(CallError::Failed(text));
+            }
+        };
+        match status {
+            StatusCode::OK => {
+                self.connection = Some(connection);
+                Ok(StoreAnswer { body, era })
+            }
+            StatusCode::GONE => Err(CallError::HistoryGone),
+            _ => Err(CallError::Failed(format!("the store answered with status {status}"))),
+        }
+    }
+
     /// Returns the era of an answer; without a readable one, that of the answers before.
     fn era(&mut self, headers: &HeaderMap) -> u64 {
         let known = self.shared.state.borrow().store_position().unwrap_or_default().era;
@@ -245,12 +284,12 @@
         }
     }
 
-    async fn exchange(
+    /// Sends a request and returns the head of its answer.
+    async fn request(
         &mut self,
         address: SocketAddr,
         path: &str,
-        transfer: &mut Transfer,
-    ) -> Result<StoreAnswer, CallError> {
+    ) -> Result<(Response<Incoming>, StoreConnection), CallError> {
         let mut connection = match self.connection.take() {
             Some(kept) if kept.address == address && !kept.sender.is_closed() => kept,
             _ => open(address).await?,
@@ -268,19 +307,7 @@
             }
         };
         let response = response.map_err(|error| CallError::Failed(error.to_string()))?;
-        let status = response.status();
-        let era = self.era(response.headers());
-        let body = read_transfer(response.into_body(), ANSWER_LIMIT_BYTES, transfer)
-            .await
-            .map_err(|error| CallError::Failed(format!("the answer can't be read: {error}")))?;
-        match status {
-            StatusCode::OK => {
-                self.connection = Some(connection);
-                Ok(StoreAnswer { body, era })
-            }
-            StatusCode::GONE => Err(CallError::HistoryGone),
-            _ => Err(CallError::Failed(format!("the store answered with status {status}"))),
-        }
+        Ok((response, connection))
     }
 }
 
