Send documents between instances packed, encoded once for a version

An instance asks for the packed form in its query; the build before passes over that and sends the document itself, which is read as before, and an instance that does not ask gets the document itself.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 pub mod gateway_settings;
 mod origin_finder;
 pub mod outliers;
+pub mod packed_document;
 mod part_gate;
 pub mod part_quarantine;
 pub mod part_stage;
--- a/src/gateway/peer_update.rs
+++ b/src/gateway/peer_update.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,12 +11,14 @@
 use hyper::header::HOST;
 use hyper::{Request, Response};
 use log::{info, warn};
+use serde_bytes::ByteBuf;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 
 use crate::error::Error;
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::connections::open_http;
+use crate::gateway::packed_document::unpack;
 use crate::gateway::shared::Shared;
 use crate::gateway::state::GatewayState;
 use crate::gateway::store_item::StorePosition;
@@ -36,14 +39,15 @@
 ///
 /// Returns [`Error::Io`] if the update can't be encoded.
 pub(crate) fn encode(state: &GatewayState, query: &str) -> Result<Option<Vec<u8>>, Error> {
-    let parse_field = |name: &str| {
-        let mut fields = query.split('&').filter_map(|field| field.split_once('='));
-        fields.find(|(field_name, _)| *field_name == name).and_then(|(_, value)| value.parse().ok())
-    };
-    let after = parse_field("after")
-        .map(|revision| StorePosition { era: parse_field("era").unwrap_or_default(), revision });
-    let version = parse_field("version").unwrap_or_default();
+    let after = number_field(query, "after").map(|revision| StorePosition {
+        era: number_field(query, "era").unwrap_or_default(),
+        revision,
+    });
+    let version = number_field(query, "version").unwrap_or_default();
     let Some(mut update) = state.store_update_since(after, version) else { return Ok(None) };
+    if number_field(query, "packed") == Some(1) && update.document.take().is_some() {
+        update.packed = Some(ByteBuf::from(state.document().packed()?));
+    }
     state.backends().update_cold_left(boot_ms(), &mut update.items);
     let mut bytes = Vec::new();
     ciborium::into_writer(&update, &mut bytes).map_err(|error| {
@@ -52,6 +56,11 @@
     Ok(Some(bytes))
 }
 
+fn number_field(query: &str, name: &str) -> Option<u64> {
+    let mut fields = query.split('&').filter_map(|field| field.split_once('='));
+    fields.find(|(field_name, _)| *field_name == name).and_then(|(_, value)| value.parse().ok())
+}
+
 /// Starts to fetch a store update from another instance, unless one is being fetched.
 pub(crate) fn start_fetch(shared: &Rc<Shared>, from: IpAddr) {
     if shared.fetching_update.replace(true) {
@@ -86,9 +95,9 @@
     let version = state.table().version();
     match state.store_position() {
         Some(StorePosition { era, revision }) => {
-            format!("{UPDATE_PATH}?version={version}&era={era}&after={revision}")
+            format!("{UPDATE_PATH}?version={version}&packed=1&era={era}&after={revision}")
         }
-        None => format!("{UPDATE_PATH}?version={version}"),
+        None => format!("{UPDATE_PATH}?version={version}&packed=1"),
     }
 }
 
@@ -128,7 +137,12 @@
     let body = read_transfer(response.into_body(), UPDATE_LIMIT_BYTES, transfer).await;
     task.abort();
     let body = body.map_err(|error| unreadable(error.to_string()))?;
-    ciborium::from_reader(&body[..]).map_err(|error| unreadable(error.to_string()))
+    let mut update: StoreUpdate =
+        ciborium::from_reader(&body[..]).map_err(|error| unreadable(error.to_string()))?;
+    if let Some(packed) = update.packed.take() {
+        update.document = Some(Arc::new(unpack(&packed)?));
+    }
+    Ok(update)
 }
 
 /// Sends a request and returns the head of its answer, and the task of its connection.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,11 +18,12 @@
 use crate::gateway::freshness::Freshness;
 use crate::gateway::gateway_settings::GatewaySettings;
 use crate::gateway::outliers::fleet::StandingChange;
+use crate::gateway::packed_document::KeptDocument;
 use crate::gateway::part_quarantine::PartQuarantine;
 use crate::gateway::planned_stop::PlannedStop;
 use crate::gateway::request_metadata::PromptShape;
 use crate::gateway::request_queue::RequestQueue;
-use crate::gateway::routing_document::{Customer, RouteKind, RoutingDocument};
+use crate::gateway::routing_document::{Customer, RouteKind};
 use crate::gateway::routing_table::{RoutingTable, weighted_service};
 use crate::gateway::service_retry_budget::ServiceRetryBudget;
 use crate::gateway::software_versions::SoftwareVersions;
@@ -60,7 +61,7 @@
     pub(crate) crash_notices: Vec<CrashNotice>,
     /// What is known of cold backend servers and is not logged yet.
     pub(crate) cold_notices: Vec<ColdNotice>,
-    pub(crate) document: Arc<RoutingDocument>,
+    pub(crate) document: KeptDocument,
     pub(crate) evacuated: EvacuatedSet,
     /// What is lacking of the evacuations, and since when, in milliseconds of the boot clock.
     pub(crate) evacuated_lack: Option<(Lack, u64)>,
@@ -113,7 +114,7 @@
             broken_sends: BrokenSends::default(),
             crash_notices: Vec::new(),
             cold_notices: Vec::new(),
-            document: Arc::default(),
+            document: KeptDocument::default(),
             evacuated: EvacuatedSet::default(),
             evacuated_lack: None,
             fleet: Fleet::new(&settings, now_ms, incarnation),
@@ -179,7 +180,7 @@
     }
 
     /// Returns the document in force.
-    pub fn document(&self) -> &Arc<RoutingDocument> {
+    pub fn document(&self) -> &KeptDocument {
         &self.document
     }
 
--- a/src/gateway/store_log.rs
+++ b/src/gateway/store_log.rs
@@ -1,8 +1,10 @@
 //! The log of recent changes of the store, from which other instances receive what they lack.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
 
 use crate::gateway::fleet::additions::ToldEvacuations;
 use crate::gateway::routing_document::RoutingDocument;
@@ -31,7 +33,10 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct StoreUpdate {
     /// The document in force, if the other instance has an older one.
-    pub document: Option<RoutingDocument>,
+    pub document: Option<Arc<RoutingDocument>>,
+    /// The same in packed form, in place of it for an instance that asks for that.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub packed: Option<ByteBuf>,
     /// Changes of backend servers, in order.
     #[serde(rename = "facts")]
     pub items: Vec<StoreItem>,
--- a/src/gateway/store_updates.rs
+++ b/src/gateway/store_updates.rs
@@ -6,6 +6,7 @@
 use crate::gateway::backends::RecordChange;
 use crate::gateway::evacuation::evacuated_set::SetChange;
 use crate::gateway::evacuation::following::{HeardFrom, fault_of};
+use crate::gateway::packed_document::KeptDocument;
 use crate::gateway::rate_limit::cold::ColdLeft;
 use crate::gateway::routing_document::RoutingDocument;
 use crate::gateway::routing_table::RoutingTable;
@@ -102,8 +103,9 @@
 
     /// Applies an update from a peer, which is no proof that the document is the newest.
     pub fn apply_store_update(&mut self, now_ms: u64, update: StoreUpdate) -> Vec<StateChange> {
-        let StoreUpdate { document, evacuations, items, position, whole } = update;
-        let document = document.map(|document| StoreItem::Document(Ok(Box::new(document))));
+        let StoreUpdate { document, evacuations, items, position, whole, .. } = update;
+        let document = document
+            .map(|document| StoreItem::Document(Ok(Box::new(Arc::unwrap_or_clone(document)))));
         let items = items.into_iter().chain(document).collect();
         let changes = StoreChanges { items, position };
         let mut state_changes = match evacuations {
@@ -129,9 +131,9 @@
         let whole = changed.is_none();
         let items = changed.unwrap_or_else(|| self.backends.items());
         let is_newer = self.table.version() > version;
-        let document = is_newer.then(|| (*self.document).clone());
+        let document = is_newer.then(|| self.document.document().clone());
         let evacuations = self.evacuations_for_update();
-        Some(StoreUpdate { document, evacuations, items, position, whole })
+        Some(StoreUpdate { document, evacuations, items, packed: None, position, whole })
     }
 
     /// Records that the store can no longer list the changes after the known revision, so that a
@@ -154,7 +156,7 @@
         self.origins.set_resumable_ms(table.longest_resumable_ms());
         self.table = table;
         self.update_cold_bounds();
-        self.document = Arc::new(document);
+        self.document = KeptDocument::new(document);
         self.limits.set_customers(now_ms, self.table.customers());
         Some(StateChange::Document { version: self.table.version(), before })
     }
