Read the store only if a fetch from another instance has failed

An instance that was behind fetched the update from a coordinator and, 250 ms later, the same from the store, so that each had half of a slow link. Now the store is read when the fetch has failed, or when the proof gets old, as before.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -78,5 +78,6 @@
 mod stream_relay;
 pub mod transfer;
 mod unconfirmed_sends;
+pub mod update_fetch;
 pub mod usage_limits;
 pub mod wire;
--- a/src/gateway/peer_update.rs
+++ b/src/gateway/peer_update.rs
@@ -63,7 +63,7 @@
 
 /// Starts to fetch a store update from another instance, unless one is being fetched.
 pub(crate) fn start_fetch(shared: &Rc<Shared>, from: IpAddr) {
-    if shared.fetching_update.replace(true) {
+    if !shared.state.borrow_mut().update_fetch_mut().begin() {
         return;
     }
     let shared = shared.clone();
@@ -74,6 +74,7 @@
         let mut transfer = Transfer::new(boot_ms(), FETCH_TIMEOUT_MS);
         let result = fetch(address, &path, &mut transfer).await;
         shared.counters.record_transfer(TransferSource::Peer, &transfer, result.is_ok());
+        shared.state.borrow_mut().update_fetch_mut().end(result.is_ok());
         match result {
             Ok(update) => apply_update(&shared, address, update, &transfer),
             Err(error) => {
@@ -87,7 +88,8 @@
                 );
             }
         }
-        shared.fetching_update.set(false);
+        // An instance that is still behind reads the store.
+        shared.read_now.notify_one();
     });
 }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -43,8 +43,6 @@
     askers: RefCell<Vec<(u64, Asker)>>,
     pub(crate) connections: Connections,
     pub(crate) counters: Counters,
-    /// Whether a store update is being fetched from another instance.
-    pub(crate) fetching_update: Cell<bool>,
     pub(crate) in_progress: Cell<usize>,
     origin_askers: RefCell<Vec<(u64, OriginAsker)>>,
     pub(crate) paths: RefCell<EnginePaths>,
@@ -76,7 +74,6 @@
             askers: RefCell::default(),
             connections: Connections::new(Box::new(FleetDialer::new(shared))),
             counters: Counters::default(),
-            fetching_update: Cell::new(false),
             in_progress: Cell::new(0),
             origin_askers: RefCell::default(),
             paths: RefCell::default(),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -30,6 +30,7 @@
 use crate::gateway::store_item::StorePosition;
 use crate::gateway::store_log::StoreLog;
 use crate::gateway::stream_origins::StreamOrigins;
+use crate::gateway::update_fetch::UpdateFetch;
 use crate::gateway::usage_limits::{Charge, Usage, UsageLimits};
 use crate::name::Name;
 use crate::now::Now;
@@ -99,6 +100,7 @@
     /// Position up to which changes of the store are applied.
     pub(crate) store_position: Option<StorePosition>,
     pub(crate) table: RoutingTable,
+    pub(crate) update_fetch: UpdateFetch,
     pub(crate) versions: SoftwareVersions,
 }
 
@@ -140,6 +142,7 @@
             store_log: StoreLog::default(),
             store_position: None,
             table: RoutingTable::default(),
+            update_fetch: UpdateFetch::default(),
             versions: SoftwareVersions::default(),
         }
     }
--- a/src/gateway/store_read.rs
+++ b/src/gateway/store_read.rs
@@ -8,6 +8,7 @@
 
 use crate::gateway::state::GatewayState;
 use crate::gateway::store_item::StorePosition;
+use crate::gateway::update_fetch::UpdateFetch;
 
 /// Time that a watch waits for a change, as a share of the shortest update bound.
 const WATCH_SHARE: f64 = 0.5;
@@ -67,6 +68,8 @@
         let proof_left_ms = read_ms.saturating_sub(self.proof_age_ms(now_ms).unwrap_or(read_ms));
         let behind_left_ms = self
             .behind_since_ms
+            // The store would send the same again, over the same link.
+            .filter(|_| !self.update_fetch.is_under_way())
             .map(|since_ms| (since_ms + BEHIND_LIMIT_MS).saturating_sub(now_ms))
             .unwrap_or(u64::MAX);
         match proof_left_ms.min(behind_left_ms) {
@@ -114,6 +117,12 @@
         // Its proof is worth passing on before others read the store as well.
         self.fleet.is_urgent |= !self.fleet.is_reader(now_ms, self.store_reachable);
         self.behind_since_ms = self.is_behind().then_some(now_ms);
+        self.update_fetch.record_store_read();
+    }
+
+    /// Returns the fetches of updates from other instances.
+    pub fn update_fetch_mut(&mut self) -> &mut UpdateFetch {
+        &mut self.update_fetch
     }
 
     /// Returns the newest version of the document that this instance or another one has.
--- a/tests/gateway_store_read.rs
+++ b/tests/gateway_store_read.rs
@@ -184,6 +184,21 @@
     assert!(matches!(state.next_store_read(START_MS + 100), StoreRead::Changes { .. }));
 }
 
+#[test]
+fn an_instance_that_fetches_what_it_lacks_does_not_load_its_link_with_the_same_from_the_store() {
+    let mut state = state();
+    let ahead = StoreStatus { position: position(9), ..status(&state) };
+    assert!(hear(&mut state, START_MS, ahead, "front-0").fetches_update);
+    assert!(state.update_fetch_mut().begin() && !state.update_fetch_mut().begin());
+    assert!(matches!(state.next_store_read(START_MS + 300), StoreRead::Nothing(_)));
+    // A proof that gets old is renewed all the same.
+    assert!(matches!(state.next_store_read(START_MS + 5_000), StoreRead::Changes { .. }));
+    // After a failure it does not count on the next fetch.
+    state.update_fetch_mut().end(false);
+    assert!(state.update_fetch_mut().begin());
+    assert!(matches!(state.next_store_read(START_MS + 300), StoreRead::Changes { wait_ms: 1, .. }));
+}
+
 #[test]
 fn an_instance_that_stays_behind_reads_the_store_itself() {
     let mut state = state();
