Let a document of the platform's service arrive as long as it needs, in the daemon as well

The limit of its pace is the same now, and stands in a module without a clock. A document of 400,000 bytes in 25 pieces, one each 100 ms, was given up before and is delivered; one that trickles is given up as before.

--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -8,7 +8,8 @@
 use crate::gateway::admission::RefusalReason;
 use crate::gateway::fleet::pending_origin::OriginSource;
 use crate::gateway::part_stage::PartStage;
-use crate::gateway::transfer::{Transfer, TransferSource};
+use crate::gateway::state_transfer::TransferSource;
+use crate::transfer::Transfer;
 
 /// Upper bounds of the histograms, in milliseconds.
 const BUCKETS_MS: [u64; 12] = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000, 20_000];
--- a/src/gateway/peer_update.rs
+++ b/src/gateway/peer_update.rs
@@ -21,10 +21,11 @@
 use crate::gateway::packed_document::unpack;
 use crate::gateway::shared::Shared;
 use crate::gateway::state::GatewayState;
+use crate::gateway::state_transfer::{TransferSource, read_transfer};
 use crate::gateway::store_item::StorePosition;
 use crate::gateway::store_log::StoreUpdate;
 use crate::gateway::store_watch::log_change;
-use crate::gateway::transfer::{Transfer, TransferSource, read_transfer};
+use crate::transfer::Transfer;
 
 /// Path at which an instance serves store updates to the others.
 pub(crate) const UPDATE_PATH: &str = "/news";
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -22,10 +22,11 @@
 use crate::gateway::connections::{limit_interim_answers, open_http};
 use crate::gateway::evacuation::event_log;
 use crate::gateway::shared::Shared;
+use crate::gateway::state_transfer::{TransferError, TransferSource, read_transfer};
 use crate::gateway::store_item::{StoreChanges, StorePage, StorePosition};
 use crate::gateway::store_read::StoreRead;
 use crate::gateway::store_updates::StateChange;
-use crate::gateway::transfer::{Transfer, TransferError, TransferSource, read_transfer};
+use crate::transfer::Transfer;
 
 /// Longest answer of the store, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 8 * 1_048_576;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -153,6 +153,7 @@
 pub mod telemetry;
 pub mod tier_queue;
 pub mod trace_context;
+pub mod transfer;
 pub mod usage_metrics;
 pub mod view;
 mod vote_count;
--- a/src/platform_client.rs
+++ b/src/platform_client.rs
@@ -1,10 +1,10 @@
 //! Reads the document and the list of instances from the platform's service, over HTTP.
 
-use std::io::Read;
+use std::io::{self, BufReader, Read};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use attohttpc::{ProxySettings, Session, StatusCode};
 use serde::Deserialize;
@@ -12,10 +12,13 @@
 
 use crate::config_event::ConfigDocument;
 use crate::platform_event::ListedInstance;
+use crate::transfer::{MIN_BYTES_PER_MS, Transfer};
 
 const ANSWER_LIMIT_BYTES: u64 = 4 * 1024 * 1024;
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
 const READ_TIMEOUT_MS: u64 = 1_000;
+/// Time that the longest answer takes at the slowest rate that is waited for, in milliseconds.
+const BODY_LIMIT_MS: u64 = ANSWER_LIMIT_BYTES / MIN_BYTES_PER_MS;
 
 /// Response to a read of the document.
 #[derive(Deserialize)]
@@ -92,19 +95,19 @@
         T: DeserializeOwned,
     {
         self.reads.fetch_add(1, Ordering::Relaxed);
-        let timeout = Duration::from_millis(wait_ms.saturating_add(READ_TIMEOUT_MS));
+        let answer_limit_ms = wait_ms.saturating_add(READ_TIMEOUT_MS);
         let request = self
             .session
             .get(format!("http://{}{path}", self.address))
-            .read_timeout(timeout)
-            .timeout(timeout);
+            .read_timeout(Duration::from_millis(answer_limit_ms))
+            .timeout(Duration::from_millis(answer_limit_ms.saturating_add(BODY_LIMIT_MS)));
         let (status, _, reader) = match request.send() {
             Err(error) => return PlatformAnswer::Failed(error.to_string()),
             Ok(response) => response.split(),
         };
         match status {
             StatusCode::NOT_MODIFIED => PlatformAnswer::Unchanged,
-            StatusCode::OK => parse(reader),
+            StatusCode::OK => parse(BufReader::new(PacedReader::new(reader))),
             _ => PlatformAnswer::Failed(format!("status {}", status.as_u16())),
         }
     }
@@ -120,3 +123,41 @@
         Ok(answer) => PlatformAnswer::Found(answer),
     }
 }
+
+/// A body that is read for as long as it keeps arriving.
+struct PacedReader<R> {
+    body: R,
+    began: Instant,
+    transfer: Transfer,
+}
+
+impl<R> PacedReader<R>
+where
+    R: Read,
+{
+    fn new(body: R) -> Self {
+        let mut transfer = Transfer::new(0, 0);
+        transfer.record_begin(0);
+        Self { body, began: Instant::now(), transfer }
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+impl<R> Read for PacedReader<R>
+where
+    R: Read,
+{
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let length = self.body.read(buffer)?;
+        let now_ms = self.now_ms();
+        let is_given_up = self.transfer.time_left_ms(now_ms) == 0;
+        self.transfer.record_bytes(now_ms, length);
+        if length > 0 && is_given_up {
+            return Err(io::Error::new(io::ErrorKind::TimedOut, "the answer arrives too slowly"));
+        }
+        Ok(length)
+    }
+}
--- a/tests/platform_watch.rs
+++ b/tests/platform_watch.rs
@@ -1,5 +1,7 @@
 //! Tests of the platform watch, against a small server in place of the platform.
 
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
@@ -167,3 +169,54 @@
     while events.recv_timeout(WAIT_LIMIT).is_ok() {}
     assert!(events.is_disconnected());
 }
+
+/// Starts a server that answers each request with this body, one piece after each pause.
+fn serve_slowly(body: String, piece_bytes: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let body = body.clone();
+            thread::spawn(move || answer_slowly(stream, &body, piece_bytes));
+        }
+    });
+    address
+}
+
+fn answer_slowly(mut stream: TcpStream, body: &str, piece_bytes: usize) -> Option<()> {
+    let head_lines = BufReader::new(stream.try_clone().ok()?).lines().map_while(Result::ok);
+    head_lines.take_while(|line| !line.is_empty()).for_each(drop);
+    let length = body.len();
+    write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n").ok()?;
+    for piece in body.as_bytes().chunks(piece_bytes) {
+        thread::sleep(Duration::from_millis(100));
+        stream.write_all(piece).ok()?;
+    }
+    Some(())
+}
+
+/// Returns whether the watch delivers a document from a server that sends pieces of this size.
+fn delivers(text: &str, piece_bytes: usize) -> bool {
+    let body = format!(r#"{{"version":7,"text":"{text}","instances":[]}}"#);
+    let address = serve_slowly(body, piece_bytes);
+    let (sender, events) = flume::unbounded();
+    let settings = PlatformSettings { address, watch_timeout_ms: WATCH_TIMEOUT_MS };
+    let _watch = PlatformWatch::start(&settings, Arc::new(ChannelSink(sender))).unwrap();
+    let document = ConfigDocument { text: text.into(), version: 7 };
+    let mut events = events.iter();
+    events.find_map(|event| match event {
+        PlatformEvent::Document(delivered) => Some(delivered == document),
+        PlatformEvent::Unreachable => Some(false),
+        _ => None,
+    }) == Some(true)
+}
+
+#[test]
+fn a_document_that_outlasts_the_time_for_an_answer_is_delivered() {
+    assert!(delivers(&"a".repeat(400_000), 16_000));
+}
+
+#[test]
+fn a_document_that_trickles_is_given_up() {
+    assert!(!delivers(&"a".repeat(2_000), 20));
+}
--- a/tests/transfer.rs
+++ b/tests/transfer.rs
@@ -1,6 +1,6 @@
 //! Tests how long a transfer of state may last.
 
-use bergamotspan::gateway::transfer::Transfer;
+use bergamotspan::transfer::Transfer;
 
 const START_MS: u64 = 1_000_000;
 const ANSWER_LIMIT_MS: u64 = 400;
