Refuse records that no backend server can have

An entry of another writer with u64::MAX slots ended each instance that served a stream of its service in a build with checks ("attempt to add with overflow" in the sum of slots), and counts a wrong capacity in one without. Such records are now unreadable entries, whether they come from the store or from another instance, so that one instance can't pass to another what it refuses itself.

--- a/src/gateway/backend_record.rs
+++ b/src/gateway/backend_record.rs
@@ -1,12 +1,17 @@
 //! The record that a backend server publishes about itself.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::rate_limit::cold::ColdLeft;
 use crate::name::Name;
 
+/// Most slots of a backend server; a record with more is not of one.
+const MAX_SLOTS: usize = 1_000_000;
+/// Longest name in a record, in bytes.
+const NAME_LIMIT_BYTES: usize = 200;
+
 /// Published record of a backend server.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct BackendRecord {
@@ -32,6 +37,28 @@
 }
 
 impl BackendRecord {
+    /// Returns why this can't be the record of a backend server with this id, if it can't.
+    pub fn fault(&self, id: &str) -> Option<&'static str> {
+        let names = [id, &self.data_centre, &self.service, &self.software_version];
+        let ip = self.address.ip();
+        let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+        match () {
+            // The id is sent as a header.
+            _ if id.is_empty() || !id.bytes().all(|byte| byte.is_ascii_graphic()) => {
+                Some("the id is no header value")
+            }
+            _ if names.iter().any(|name| name.len() > NAME_LIMIT_BYTES) => {
+                Some("a name is too long")
+            }
+            _ if self.address.port() == 0 || ip.is_unspecified() => {
+                Some("the address is incomplete")
+            }
+            _ if ip.is_multicast() || is_broadcast => Some("the address is not of one machine"),
+            _ if self.slots > MAX_SLOTS => Some("the number of slots is too large"),
+            _ => None,
+        }
+    }
+
     /// Returns whether `other` is a record of the same run of the backend server.
     pub fn is_same_run(&self, other: &BackendRecord) -> bool {
         self.born_ms == other.born_ms
--- a/src/gateway/store_updates.rs
+++ b/src/gateway/store_updates.rs
@@ -233,6 +233,10 @@
     fn apply_item(&mut self, now_ms: u64, item: StoreItem) -> Option<StateChange> {
         match item {
             StoreItem::Backend { id, record: Ok(record) } => {
+                if let Some(fault) = record.fault(&id) {
+                    self.backends.remove(now_ms, &id);
+                    return Some(StateChange::Unreadable { item: id, detail: fault.to_owned() });
+                }
                 let is_unreadable = record.cold_left == ColdLeft::Unreadable;
                 let change = self.backends.upsert(now_ms, &id, record);
                 if is_unreadable {
