Let instances of the simulated fleet stand still during a release

An operator reports streams of two versions (ORDER) where an instance was cut off or stood still while engines of a new version joined. Standing still was not simulated.

--- a/tests/gateway_support/disturbance_plan.rs
+++ b/tests/gateway_support/disturbance_plan.rs
@@ -29,6 +29,8 @@
     Mixed,
     None,
     Split,
+    /// Some instances stand still, right before the first replacement and again and again.
+    StandStill,
     StoreCut,
     StoreDown,
 }
@@ -40,9 +42,11 @@
     CutFromStore(Vec<bool>),
     DrainEngine(&'static str),
     EndEngine(usize),
+    GoOn(Vec<usize>),
     Kill(Vec<usize>),
     Restart(Vec<usize>),
     Sides(Vec<u8>),
+    StandStill(Vec<usize>),
 }
 
 /// What happens when; actions of the same time in the order in which they were added.
@@ -183,6 +187,13 @@
                 self.add(end_ms, Action::Sides(vec![0; instances]));
                 end_ms + self.random.random_range(1_000..5_000)
             }
+            Disturbance::StandStill => {
+                let still = self.some(instances, 0.3);
+                let end_ms = now_ms + self.random.random_range(500..5_000);
+                self.add(now_ms, Action::StandStill(still.clone()));
+                self.add(end_ms, Action::GoOn(still));
+                end_ms + self.random.random_range(500..3_000)
+            }
             Disturbance::StoreCut | Disturbance::StoreDown => {
                 let share = if disturbance == Disturbance::StoreDown { 1.0 } else { 0.3 };
                 let mut is_cut = vec![false; instances];
@@ -222,12 +233,16 @@
                     }
                 }
                 Action::EndEngine(engine) => versioned.end_engine(engine),
+                Action::GoOn(still) => still.into_iter().for_each(|at| versioned.go_on(at)),
                 Action::Kill(killed) => killed.into_iter().for_each(|at| versioned.kill(at)),
                 Action::Restart(restarted) => {
                     let down = |at: &usize| versioned.fleet.states[*at].is_none();
                     let restarted: Vec<usize> = restarted.into_iter().filter(down).collect();
                     restarted.into_iter().for_each(|at| versioned.restart(at));
                 }
+                Action::StandStill(still) => {
+                    still.into_iter().for_each(|at| versioned.stand_still(at));
+                }
                 Action::Sides(sides) => {
                     disturb(versioned, |at, versioned| sides[at] != versioned.fleet.sides[at]);
                     versioned.fleet.sides = sides;
@@ -236,7 +251,9 @@
         }
         // An instance is disturbed for as long as it is cut off.
         disturb(versioned, |at, versioned| {
-            versioned.fleet.sides[at] != 0 || versioned.store.is_cut[at]
+            versioned.fleet.sides[at] != 0
+                || versioned.store.is_cut[at]
+                || versioned.fleet.is_still[at]
         });
     }
 }
--- a/tests/gateway_support/fleet.rs
+++ b/tests/gateway_support/fleet.rs
@@ -41,6 +41,8 @@
     pub states: Vec<Option<GatewayState>>,
     /// Side of each instance; datagrams do not cross between sides.
     pub sides: Vec<u8>,
+    /// Whether an instance stands still: it reads, decides and sends nothing until it goes on.
+    pub is_still: Vec<bool>,
     /// Pairs of a sender and a receiver whose datagrams are lost.
     pub unheard: Vec<(usize, usize)>,
     /// Whether an instance is of a build that neither adds to its datagrams nor reads additions.
@@ -77,6 +79,7 @@
             largest_bytes: 0,
             states: (0..instances).map(|_| None).collect(),
             sides: vec![0; instances],
+            is_still: vec![false; instances],
             unheard: Vec::new(),
             is_earlier: vec![false; instances],
             loss: 0.0,
@@ -174,8 +177,9 @@
     pub fn step(&mut self) {
         self.now_ms += STEP_MS;
         let now_ms = self.now_ms;
+        let is_due = |flight: &Flight| flight.arrives_ms <= now_ms && !self.is_still[flight.to];
         let (due, later): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.flights).into_iter().partition(|f| f.arrives_ms <= now_ms);
+            std::mem::take(&mut self.flights).into_iter().partition(is_due);
         self.flights = later;
         let mut ticks_soon = vec![false; self.states.len()];
         for flight in due {
@@ -196,6 +200,9 @@
             }
         }
         for (index, ticks_soon) in ticks_soon.into_iter().enumerate() {
+            if self.is_still[index] {
+                continue;
+            }
             // Ticks of instances are spread.
             let ticks = (now_ms + index as u64 * STEP_MS).is_multiple_of(TICK_MS);
             if let Some(state) = &mut self.states[index] {
--- a/tests/gateway_support/simulated_store.rs
+++ b/tests/gateway_support/simulated_store.rs
@@ -63,6 +63,7 @@
             if self.is_cut[at] {
                 self.was_cut[at] = true;
             }
+            let reads = reads && !fleet.is_still[at];
             let Some(state) = fleet.states[at].as_mut().filter(|_| reads) else { continue };
             state.set_store_reachable(!self.is_cut[at]);
             if self.is_cut[at] {
--- a/tests/gateway_support/versioned_fleet.rs
+++ b/tests/gateway_support/versioned_fleet.rs
@@ -43,6 +43,8 @@
 const MAX_TRIES: u32 = 8;
 /// Time for which an instance is undisturbed before it counts as in touch, in milliseconds.
 const IN_TOUCH_MS: u64 = 3_000;
+/// Time for which most callers come to an instance that has just gone on, in milliseconds.
+const RUSH_MS: u64 = 100;
 /// Fewest engines of a version that serve it.
 const SERVING: usize = 2;
 
@@ -139,6 +141,8 @@
     slots: usize,
     streams: BTreeMap<u64, Stream>,
     timers: BTreeMap<(u64, u64), Timer>,
+    /// Instances that have just gone on after they stood still, and when.
+    went_on: Vec<(usize, u64)>,
 }
 
 impl VersionedFleet {
@@ -162,6 +166,7 @@
             slots: SLOTS.div_ceil(engines),
             streams: BTreeMap::new(),
             timers: BTreeMap::new(),
+            went_on: Vec::new(),
         };
         (0..engines).for_each(|_| versioned.add_engine("v1"));
         versioned
@@ -262,6 +267,33 @@
         }
     }
 
+    /// Makes an instance stand still; callers take up its streams at others.
+    pub fn stand_still(&mut self, at: usize) {
+        let of_instance = self.requests.iter().filter(|(_, request)| request.at == at);
+        let left: Vec<u64> = of_instance.map(|(number, _)| *number).collect();
+        left.into_iter().for_each(|number| self.drop_request(number));
+        self.fleet.is_still[at] = true;
+        self.disturb(at);
+    }
+
+    /// Returns, for most callers, an instance that has just gone on: those that waited for it come
+    /// first.
+    fn random_just_gone_on(&mut self, now_ms: u64) -> Option<usize> {
+        self.went_on.retain(|(_, went_on_ms)| now_ms < went_on_ms + RUSH_MS);
+        if self.went_on.is_empty() || self.random.random_bool(0.2) {
+            return None;
+        }
+        let (at, _) = self.went_on[self.random.random_range(0..self.went_on.len())];
+        (!self.fleet.is_still[at]).then_some(at)
+    }
+
+    /// Lets an instance go on.
+    pub fn go_on(&mut self, at: usize) {
+        self.fleet.is_still[at] = false;
+        self.disturb(at);
+        self.went_on.push((at, self.now_ms()));
+    }
+
     pub fn restart(&mut self, at: usize) {
         self.fleet.start_instance(at);
         self.disturb(at);
@@ -318,12 +350,16 @@
     fn try_stream(&mut self, number: u64) {
         let now_ms = self.now_ms();
         let any = self.random.random_bool(0.1);
-        let live = self.fleet.live().filter(|(_, state)| any || state.is_ready(now_ms));
+        let live = self
+            .fleet
+            .live()
+            .filter(|(at, state)| !self.fleet.is_still[*at] && (any || state.is_ready(now_ms)));
         let live: Vec<usize> = live.map(|(at, _)| at).collect();
         if live.is_empty() {
             return self.try_later(number);
         }
-        let at = live[self.random.random_range(0..live.len())];
+        let at = self.random_just_gone_on(now_ms);
+        let at = at.unwrap_or_else(|| live[self.random.random_range(0..live.len())]);
         let request_number = self.new_number();
         let request_id: Name = format!("r-{request_number}").into();
         let Some(stream) = self.streams.get_mut(&number) else { return };
--- a/tests/stream_versions_fleet.rs
+++ b/tests/stream_versions_fleet.rs
@@ -116,6 +116,11 @@
             }
             plan.replace_engines(begun_ms + 300, end_ms, case.engines);
         }
+        Disturbance::StandStill => {
+            next_ms = begun_ms;
+            let first_ms = begun_ms + plan.random.random_range(0..1_500);
+            plan.replace_engines(first_ms, end_ms, case.engines);
+        }
         _ => plan.replace_engines(begun_ms, end_ms, case.engines),
     }
     while next_ms < end_ms {
@@ -257,6 +262,11 @@
     check_seeds(Case { disturbance: Disturbance::JustStarted, duration_ms: 7_000, ..SMALL }, 3);
 }
 
+#[test]
+fn instances_that_stood_still_mix_no_versions() {
+    check_seeds(Case { disturbance: Disturbance::StandStill, ..SMALL }, 3);
+}
+
 #[test]
 fn a_version_that_came_and_went_unheard_is_mixed_with_no_other() {
     check_seeds(Case { disturbance: Disturbance::BriefVersion, duration_ms: 8_000, ..SMALL }, 3);
