--- a/src/gateway/backend_record.rs
+++ b/src/gateway/backend_record.rs
@@ -42,21 +42,16 @@
         let names = [id, &self.data_centre, &self.service, &self.software_version];
         let ip = self.address.ip();
         let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
-        match () {
-            // The id is sent as a header.
-            _ if id.is_empty() || !id.bytes().all(|byte| byte.is_ascii_graphic()) => {
-                Some("the id is no header value")
-            }
-            _ if names.iter().any(|name| name.len() > NAME_LIMIT_BYTES) => {
-                Some("a name is too long")
-            }
-            _ if self.address.port() == 0 || ip.is_unspecified() => {
-                Some("the address is incomplete")
-            }
-            _ if ip.is_multicast() || is_broadcast => Some("the address is not of one machine"),
-            _ if self.slots > MAX_SLOTS => Some("the number of slots is too large"),
-            _ => None,
-        }
+        // The id is sent as a header.
+        let is_header_value = !id.is_empty() && id.bytes().all(|byte| byte.is_ascii_graphic());
+        let faults = [
+            (!is_header_value, "the id is no header value"),
+            (names.iter().any(|name| name.len() > NAME_LIMIT_BYTES), "a name is too long"),
+            (self.address.port() == 0 || ip.is_unspecified(), "the address is incomplete"),
+            (ip.is_multicast() || is_broadcast, "the address is not of one machine"),
+            (self.slots > MAX_SLOTS, "the number of slots is too large"),
+        ];
+        faults.into_iter().find_map(|(is_fault, text)| is_fault.then_some(text))
     }
 
     /// Returns whether `other` is a record of the same run of the backend server.
