--- a/review/standin.rs
+++ b/review/standin.rs
@@ -23,12 +23,17 @@
 /// Processes that were started.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Sends a signal to a process that was started here.
+fn send_signal(name: &str, process: u32) {
+    let _ = Command::new("sh").arg("-c").arg(format!("kill -{name} {process}")).status();
+}
+
 /// Ends the started processes and the script if it takes too long.
 fn watch_time() {
     thread::spawn(|| {
         sleep(ms(WATCHDOG_MS));
         for process in STARTED.lock().unwrap().iter() {
-            let _ = Command::new("kill").arg("-KILL").arg(process.to_string()).status();
+            send_signal("KILL", *process);
         }
         println!("the script took too long");
         std::process::exit(2);
@@ -461,8 +466,7 @@
 
     fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let _ =
-                Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+            send_signal(name, child.id());
         }
     }
 
@@ -514,7 +518,7 @@
     let seeds: Vec<_> = ips.iter().take(3).map(|ip| format!("{ip}:{}", ports.control)).collect();
     let mut list = Vec::new();
     for (number, ip) in ips.iter().enumerate() {
-        let metrics = TcpListener::bind("0.0.0.0:0")?.local_addr()?.port();
+        let metrics = TcpListener::bind("127.0.0.1:0")?.local_addr()?.port();
         let name = format!("front-zone-a-{}", number + 1);
         let Ports { control, front, peers, ready, .. } = ports;
         let settings = format!(
