--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -388,10 +388,19 @@
             let key = (&record.service, &record.software_version);
             let found = versions
                 .binary_search_by(|known| (&known.service, &known.software_version).cmp(&key));
-            if let Err(index) = found {
-                let (service, software_version) =
-                    (record.service.clone(), record.software_version.clone());
-                versions.insert(index, PresentVersion { service, software_version });
+            match found {
+                Ok(index) => {
+                    let born_ms = versions[index].born_ms.into_iter().chain(record.born_ms).min();
+                    versions[index].born_ms = born_ms;
+                }
+                Err(index) => {
+                    let present = PresentVersion {
+                        service: record.service.clone(),
+                        software_version: record.software_version.clone(),
+                        born_ms: record.born_ms,
+                    };
+                    versions.insert(index, present);
+                }
             }
         }
         versions
--- a/src/gateway/fleet/origin_homes.rs
+++ b/src/gateway/fleet/origin_homes.rs
@@ -18,6 +18,7 @@
 use crate::gateway::fleet::pending_origin::{OriginSource, PendingOrigin};
 use crate::gateway::software_versions::PROOF_LIMIT_MS;
 use crate::gateway::state::GatewayState;
+use crate::gateway::store_updates::StateChange;
 use crate::gateway::stream_origins::{StreamOrigin, stream_number};
 use crate::name::Name;
 
@@ -91,9 +92,10 @@
         Ok(())
     }
 
-    /// Records the versions of the backend servers that are present; homes learn of the streams of
-    /// a service that has a new one, or may have had one while this instance heard of nothing.
-    pub(crate) fn record_software_versions(&mut self, now_ms: u64) {
+    /// Records the versions of the backend servers that are present, and returns those that are held;
+    /// homes learn of the streams of a service that has a new one, or may have had one while this
+    /// instance heard of nothing.
+    pub(crate) fn record_software_versions(&mut self, now_ms: u64) -> Vec<StateChange> {
         let present = self.backends.present_versions();
         let proof_age_ms = self.freshness.age_ms(now_ms).unwrap_or(now_ms);
         let proved_ms = now_ms.saturating_sub(proof_age_ms);
@@ -103,11 +105,17 @@
         }
         self.backends.hold_versions(&self.versions);
         if changed.is_empty() {
-            return;
+            return Vec::new();
         }
         let own = self.origins.own().filter(|(_, origin)| changed.contains(&origin.service));
         let own: Vec<_> = own.map(|(stream, origin)| (stream, origin.clone())).collect();
         self.tell_homes(&own);
+        let held = self.versions.held_since(now_ms);
+        held.map(|(service, software_version)| StateChange::VersionHeld {
+            service: service.clone(),
+            software_version: software_version.clone(),
+        })
+        .collect()
     }
 
     /// Returns whether a version could have begun streams and left since the last proof.
--- a/src/gateway/origin_finder.rs
+++ b/src/gateway/origin_finder.rs
@@ -41,7 +41,8 @@
         service = found.as_ref().map(|(origin, _)| &*origin.service),
         software_version = found.as_ref().map(|(origin, _)| &*origin.software_version),
         source = found.as_ref().map(|(_, source)| source.name()),
-        elapsed_ms = boot_ms().saturating_sub(plan.arrived_ms);
+        elapsed_ms = boot_ms().saturating_sub(plan.arrived_ms),
+        proof_age_ms = shared.state.borrow().proof_age_ms(boot_ms());
         "Caller takes up a stream."
     );
     shared.counters.record_resumption(found.as_ref().map(|(_, source)| *source));
--- a/src/gateway/software_versions.rs
+++ b/src/gateway/software_versions.rs
@@ -2,7 +2,9 @@
 //!
 //! A version that is new here takes no stream that may be resumed for a while. An instance whose
 //! knowledge of the store is at most [`PROOF_LIMIT_MS`] old and that knows of one version alone can
-//! therefore tell that no stream was begun at another one, without asking.
+//! therefore tell that no stream was begun at another one, without asking. Where a service becomes
+//! known with several versions, as it does to an instance that starts, all but the one with the
+//! eldest backend server count as new: others may not have heard of them yet.
 
 use crate::name::Name;
 
@@ -19,6 +21,8 @@
     pub service: Name,
     /// The version.
     pub software_version: Name,
+    /// Start of the eldest of its backend servers, in Unix milliseconds, as far as it is published.
+    pub born_ms: Option<u64>,
 }
 
 /// Versions that a service has, or had a while ago.
@@ -114,6 +118,16 @@
         known.map(|known| known.held_until_ms).unwrap_or_default()
     }
 
+    /// Returns the services and versions that take no streams that may be resumed since this time, in
+    /// milliseconds of the boot clock.
+    pub fn held_since(&self, held_ms: u64) -> impl Iterator<Item = (&Name, &Name)> {
+        self.services.iter().flat_map(move |of_service| {
+            let versions = of_service.versions.iter();
+            let held = versions.filter(move |known| known.held_until_ms == held_ms + HOLD_MS);
+            held.map(|known| (&of_service.service, &known.name))
+        })
+    }
+
     fn known(&self, service: &str, software_version: &str) -> Option<&KnownVersion> {
         let of_service = &self.services[self.find(service).ok()?];
         of_service.versions.iter().find(|known| *known.name == *software_version)
@@ -140,11 +154,10 @@
 impl ServiceVersions {
     /// Records the present versions, and returns whether one is new.
     fn record(&mut self, now_ms: u64, proved_ms: u64, present: &[PresentVersion]) -> bool {
-        // What is there when the service becomes known is not new.
-        let is_new = now_ms > self.known_ms;
-        let held_until_ms = if is_new { now_ms + HOLD_MS } else { 0 };
+        let was_known = now_ms > self.known_ms;
+        let eldest = if was_known { None } else { eldest(present) };
         // It was not there at the proof, and all instances hold it from when they hear of it.
-        let unused_until_ms = if is_new { proved_ms + PROOF_LIMIT_MS } else { 0 };
+        let unused_until_ms = if was_known { proved_ms + PROOF_LIMIT_MS } else { 0 };
         let mut has_new = false;
         for PresentVersion { software_version, .. } in present {
             let is_known = |known: &KnownVersion| known.name == *software_version;
@@ -155,8 +168,9 @@
             }
             self.versions.retain(|known| !is_known(known));
             has_new = true;
+            let is_eldest = eldest.is_some_and(|eldest| eldest == software_version);
             self.versions.push(KnownVersion {
-                held_until_ms,
+                held_until_ms: if is_eldest { 0 } else { now_ms + HOLD_MS },
                 is_present: true,
                 left_ms: now_ms,
                 name: software_version.clone(),
@@ -166,3 +180,12 @@
         has_new
     }
 }
+
+/// Returns the version with the eldest backend server; of several alike the first by name, so that all
+/// instances choose the same one.
+fn eldest(present: &[PresentVersion]) -> Option<&Name> {
+    let eldest = present
+        .iter()
+        .min_by_key(|version| (version.born_ms.unwrap_or(u64::MAX), &version.software_version));
+    eldest.map(|version| &version.software_version)
+}
--- a/src/gateway/store_updates.rs
+++ b/src/gateway/store_updates.rs
@@ -48,6 +48,13 @@
         /// Why it can't be read.
         detail: String,
     },
+    /// A software version takes no streams that may be resumed for a while.
+    VersionHeld {
+        /// Name of the service.
+        service: Name,
+        /// The version.
+        software_version: Name,
+    },
 }
 
 /// Time after which a store that came back from an older copy has the records of all backend
@@ -217,11 +224,11 @@
 
     fn apply_items(&mut self, now_ms: u64, items: Vec<StoreItem>) -> Vec<StateChange> {
         self.note_lacking_evacuations(now_ms);
-        let state_changes: Vec<_> =
+        let mut state_changes: Vec<_> =
             items.into_iter().filter_map(|item| self.apply_item(now_ms, item)).collect();
         let is_of_backend = |change: &StateChange| matches!(change, StateChange::Backend { .. });
         if self.may_lack_versions(now_ms) || state_changes.iter().any(is_of_backend) {
-            self.record_software_versions(now_ms);
+            state_changes.extend(self.record_software_versions(now_ms));
         }
         if !self.is_behind() {
             self.behind_since_ms = None;
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -22,6 +22,7 @@
 use crate::gateway::connections::{limit_interim_answers, open_http};
 use crate::gateway::evacuation::event_log;
 use crate::gateway::shared::Shared;
+use crate::gateway::software_versions::HOLD_MS;
 use crate::gateway::state_transfer::{TransferError, TransferSource, read_transfer};
 use crate::gateway::store_item::{StoreChanges, StorePage, StorePosition};
 use crate::gateway::store_read::StoreRead;
@@ -350,5 +351,14 @@
                 "An item of the store could not be read."
             );
         }
+        StateChange::VersionHeld { service, software_version } => {
+            info!(
+                target: "beliefs",
+                service = &**service,
+                software_version = &**software_version,
+                held_for_ms = HOLD_MS;
+                "Software version takes no resumable streams yet."
+            );
+        }
     }
 }
--- a/tests/gateway_support/versioned_fleet.rs
+++ b/tests/gateway_support/versioned_fleet.rs
@@ -213,6 +213,7 @@
         let number = self.engines.len();
         let id: Name = format!("m-{number:04}").into();
         let record = BackendRecord {
+            born_ms: Some(self.now_ms()),
             slots: self.slots,
             software_version: software_version.into(),
             ..record("model", number as u16 + 1)
--- a/tests/stream_versions_fleet.rs
+++ b/tests/stream_versions_fleet.rs
@@ -262,6 +262,15 @@
     check_seeds(Case { disturbance: Disturbance::JustStarted, duration_ms: 7_000, ..SMALL }, 3);
 }
 
+// Streams begun at a version that was new went on at the old one at an instance that was cut off.
+#[test]
+fn streams_begun_by_instances_that_just_started_go_on_at_no_other_version() {
+    let case = Case { disturbance: Disturbance::JustStarted, duration_ms: 7_000, ..SMALL };
+    let faults: Vec<String> =
+        [118, 120, 149].into_iter().flat_map(|seed| faults(case, seed)).collect();
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
+
 #[test]
 fn instances_that_stood_still_mix_no_versions() {
     check_seeds(Case { disturbance: Disturbance::StandStill, ..SMALL }, 3);
