--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -55,6 +55,8 @@
     pub evacuated_data_centres: usize,
     /// Version of the document in force.
     pub document_version: u64,
+    /// Software versions that take no streams that may be resumed yet.
+    pub held_versions: usize,
     /// Newest version of the document that any instance has reported.
     pub newest_document_version: u64,
     /// Requests whose answer is not complete yet.
@@ -253,6 +255,7 @@
             ("evacuated_data_centres", gauges.evacuated_data_centres as i64),
             ("evacuated_places_total", self.held_back.get() as i64),
             ("document_version", gauges.document_version as i64),
+            ("held_versions", gauges.held_versions as i64),
             ("newest_document_version", gauges.newest_document_version as i64),
             ("requests_in_progress", gauges.in_progress as i64),
             ("requests_waiting", gauges.waiting as i64),
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -134,6 +134,7 @@
         cut_off: shared.paths.borrow().is_cut_off(),
         evacuated_data_centres: state.evacuated().len(),
         document_version: state.table().version(),
+        held_versions: state.versions.held_count(now_ms),
         newest_document_version: state.newest_version(),
         in_progress: shared.in_progress.get(),
         instances: state.fleet().live_count(now_ms),
--- a/src/gateway/software_versions.rs
+++ b/src/gateway/software_versions.rs
@@ -128,6 +128,12 @@
         })
     }
 
+    /// Returns the number of present versions that take no streams that may be resumed.
+    pub fn held_count(&self, now_ms: u64) -> usize {
+        let versions = self.services.iter().flat_map(|of_service| &of_service.versions);
+        versions.filter(|known| known.is_present && now_ms < known.held_until_ms).count()
+    }
+
     fn known(&self, service: &str, software_version: &str) -> Option<&KnownVersion> {
         let of_service = &self.services[self.find(service).ok()?];
         of_service.versions.iter().find(|known| *known.name == *software_version)
