--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -65,6 +65,8 @@
     pub instances: usize,
     /// Age of the proof that the document is the newest, in milliseconds.
     pub proof_age_ms: Option<u64>,
+    /// Own requests that await a decision of this instance.
+    pub undecided: usize,
     /// Requests waiting for a backend server.
     pub waiting: usize,
 }
@@ -258,6 +260,7 @@
             ("held_versions", gauges.held_versions as i64),
             ("newest_document_version", gauges.newest_document_version as i64),
             ("requests_in_progress", gauges.in_progress as i64),
+            ("requests_undecided", gauges.undecided as i64),
             ("requests_waiting", gauges.waiting as i64),
             ("instances", gauges.instances as i64),
             ("proof_age_ms", proof_age_ms),
--- a/src/gateway/dispatching.rs
+++ b/src/gateway/dispatching.rs
@@ -297,6 +297,15 @@
     /// Decides on waiting requests and returns the outcomes of those of this instance; other
     /// instances are answered. Requests to be sent are counted as running.
     pub fn dispatch_waiting(&mut self, now_ms: u64) -> Vec<WaitOutcome> {
+        let mut outcomes =
+            if self.waiting_count() > 0 { self.decide_waiting(now_ms) } else { Vec::new() };
+        // Those that were handed over are in no queue any more.
+        let moved = self.fleet.handover.take_moved().into_iter();
+        outcomes.extend(moved.map(|number| WaitOutcome { number, result: WaitResult::Moved }));
+        outcomes
+    }
+
+    fn decide_waiting(&mut self, now_ms: u64) -> Vec<WaitOutcome> {
         let mut outcomes = Vec::new();
         let mut queues = std::mem::take(&mut self.queues);
         for (service, queue) in &mut queues {
@@ -313,8 +322,6 @@
             }
         }
         self.queues = queues;
-        let moved = self.fleet.handover.take_moved().into_iter();
-        outcomes.extend(moved.map(|number| WaitOutcome { number, result: WaitResult::Moved }));
         outcomes
     }
 
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -139,6 +139,7 @@
         in_progress: shared.in_progress.get(),
         instances: state.fleet().live_count(now_ms),
         proof_age_ms: state.proof_age_ms(now_ms),
+        undecided: shared.waiter_count(),
         waiting: state.waiting_count(),
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -100,6 +100,11 @@
         receiver
     }
 
+    /// Returns the number of requests that await a decision of this instance.
+    pub(crate) fn waiter_count(&self) -> usize {
+        self.waiters.borrow().len()
+    }
+
     /// Removes the channel of a request that no longer waits.
     pub(crate) fn remove_waiter(&self, number: u64) {
         self.waiters.borrow_mut().retain(|(known, _)| *known != number);
@@ -170,12 +175,11 @@
 
     /// Decides on waiting requests and sends them, and other instances, the outcomes.
     pub(crate) fn dispatch_waiting(&self) {
-        if self.state.borrow().waiting_count() > 0 {
-            let now_ms = boot_ms();
-            let outcomes = self.state.borrow_mut().dispatch_waiting(now_ms);
-            for wait_outcome in outcomes {
-                self.send_outcome(now_ms, wait_outcome);
-            }
+        let now_ms = boot_ms();
+        let outcomes = self.state.borrow_mut().dispatch_waiting(now_ms);
+        log_handover(&outcomes);
+        for wait_outcome in outcomes {
+            self.send_outcome(now_ms, wait_outcome);
         }
         self.flush();
         self.log_crashes();
@@ -273,6 +277,13 @@
     }
 }
 
+fn log_handover(outcomes: &[WaitOutcome]) {
+    let moved = outcomes.iter().filter(|outcome| outcome.result == WaitResult::Moved).count();
+    if moved > 0 {
+        info!(target: "peers", requests = moved; "Waiting requests ask another coordinator.");
+    }
+}
+
 /// Returns the id of a prompt part as callers write it.
 fn part_id(part: u64) -> String {
     format!("{part:x}")
