--- a/src/gateway/answer_budget.rs
+++ b/src/gateway/answer_budget.rs
@@ -1,25 +1,32 @@
 //! The budget of memory for answers that are buffered at the same time.
 
 use std::fmt;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 
 use bytes::Bytes;
 
+use crate::name::Name;
+
 /// Part of each answer that needs no budget, in bytes, so that short answers pass while long ones
 /// use it up.
 const UNCOUNTED_BYTES: usize = 16_384;
 
 /// Memory for the answers that are buffered at the same time.
+///
+/// The answers of one backend server may hold as much as they leave free for others, so several that
+/// take all they can get still leave a part of the same size.
 #[derive(Clone, Debug)]
 pub struct AnswerBudget {
     free_bytes: Arc<AtomicUsize>,
+    /// What the answers of each backend server hold, in bytes, sorted by server.
+    servers: Arc<Mutex<Vec<(Name, Weak<AtomicUsize>)>>>,
 }
 
 impl AnswerBudget {
     /// Creates a budget of this size.
     pub fn new(bytes: usize) -> Self {
-        Self { free_bytes: Arc::new(AtomicUsize::new(bytes)) }
+        Self { free_bytes: Arc::new(AtomicUsize::new(bytes)), servers: Arc::default() }
     }
 
     /// Returns the part that is not taken, in bytes.
@@ -29,7 +36,29 @@
 
     /// Returns the share of one answer, which is empty at first.
     pub fn share(&self) -> BudgetShare {
-        BudgetShare { budget: self.clone(), taken_bytes: 0 }
+        BudgetShare { budget: self.clone(), server_bytes: None, taken_bytes: 0 }
+    }
+
+    /// Returns the share of one answer of a backend server, which is empty at first.
+    pub fn share_of(&self, backend_server: &Name) -> BudgetShare {
+        let mut share = self.share();
+        share.server_bytes = Some(self.bytes_of(backend_server));
+        share
+    }
+
+    fn bytes_of(&self, backend_server: &Name) -> Arc<AtomicUsize> {
+        let mut servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = servers.binary_search_by(|(known, _)| known.cmp(backend_server));
+        if let Ok(index) = found
+            && let Some(bytes) = servers[index].1.upgrade()
+        {
+            return bytes;
+        }
+        servers.retain(|(_, bytes)| bytes.strong_count() > 0);
+        let index = servers.partition_point(|(known, _)| known < backend_server);
+        let bytes = Arc::default();
+        servers.insert(index, (backend_server.clone(), Arc::downgrade(&bytes)));
+        bytes
     }
 }
 
@@ -37,6 +66,8 @@
 #[derive(Debug)]
 pub struct BudgetShare {
     budget: AnswerBudget,
+    /// What all answers of the same backend server hold, in bytes.
+    server_bytes: Option<Arc<AtomicUsize>>,
     taken_bytes: usize,
 }
 
@@ -46,14 +77,39 @@
     #[must_use]
     pub fn resize(&mut self, capacity_bytes: usize) -> bool {
         let wanted_bytes = capacity_bytes.saturating_sub(UNCOUNTED_BYTES);
+        let least_free_bytes = self.least_free_bytes(wanted_bytes);
         let free_bytes = &self.budget.free_bytes;
         let resized = free_bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |free| {
-            (free + self.taken_bytes).checked_sub(wanted_bytes)
+            let left = (free + self.taken_bytes).checked_sub(wanted_bytes);
+            left.filter(|left| *left >= least_free_bytes)
         });
-        if resized.is_ok() {
-            self.taken_bytes = wanted_bytes;
+        if resized.is_err() {
+            return false;
         }
-        resized.is_ok()
+        if let Some(server_bytes) = &self.server_bytes {
+            server_bytes.fetch_add(wanted_bytes, Ordering::Relaxed);
+            server_bytes.fetch_sub(self.taken_bytes, Ordering::Relaxed);
+        }
+        self.taken_bytes = wanted_bytes;
+        true
+    }
+
+    /// Returns how much of the budget must stay free if this share takes `wanted_bytes`.
+    fn least_free_bytes(&self, wanted_bytes: usize) -> usize {
+        let grows = wanted_bytes > self.taken_bytes;
+        let server_bytes = self.server_bytes.as_ref().filter(|_| grows);
+        let held_bytes = server_bytes.map(|bytes| bytes.load(Ordering::Relaxed));
+        held_bytes.map(|held| held - self.taken_bytes + wanted_bytes).unwrap_or_default()
+    }
+
+    /// Takes the share out, and leaves an empty one of the same backend server.
+    pub fn take(&mut self) -> Self {
+        let empty = Self {
+            budget: self.budget.clone(),
+            server_bytes: self.server_bytes.clone(),
+            taken_bytes: 0,
+        };
+        std::mem::replace(self, empty)
     }
 
     /// Keeps the share until these bytes are dropped.
@@ -67,6 +123,9 @@
 
 impl Drop for BudgetShare {
     fn drop(&mut self) {
+        if let Some(server_bytes) = &self.server_bytes {
+            server_bytes.fetch_sub(self.taken_bytes, Ordering::Relaxed);
+        }
         self.budget.free_bytes.fetch_add(self.taken_bytes, Ordering::Relaxed);
     }
 }
@@ -85,7 +144,7 @@
 /// Why an answer can't be buffered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BufferFull {
-    /// Other answers have used up the budget.
+    /// Other answers, of its backend server or of all, have used up the budget.
     BudgetUsedUp,
     /// The answer is longer than this number of bytes.
     TooLong(usize),
@@ -95,7 +154,10 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::BudgetUsedUp => {
-                write!(formatter, "other answers have used up the memory for answers")
+                write!(
+                    formatter,
+                    "the answers of its backend server, or of all, have used up the memory for answers"
+                )
             }
             Self::TooLong(limit_bytes) => {
                 write!(formatter, "it is longer than {limit_bytes} bytes")
@@ -120,6 +182,11 @@
         Self { bytes: Vec::new(), limit_bytes, share: budget.share() }
     }
 
+    /// Creates a buffer for an answer of a backend server, of at most `limit_bytes`.
+    pub fn of_server(budget: &AnswerBudget, backend_server: &Name, limit_bytes: usize) -> Self {
+        Self { share: budget.share_of(backend_server), ..Self::new(budget, limit_bytes) }
+    }
+
     /// Checks the length that an answer announces.
     ///
     /// # Errors
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -47,6 +47,8 @@
 pub struct Gauges {
     /// Backend servers that accept requests.
     pub backend_servers: usize,
+    /// Memory that buffered answers of backend servers hold, in bytes.
+    pub buffered_bytes: usize,
     /// Backend servers that are cold.
     pub cold_servers: usize,
     /// Whether the instance counts as cut off from backend servers.
@@ -252,6 +254,7 @@
             ("store_calls_total", self.store_calls.get() as i64),
             ("store_failures_total", self.store_failures.get() as i64),
             ("backend_servers", gauges.backend_servers as i64),
+            ("buffered_answer_bytes", gauges.buffered_bytes as i64),
             ("cold_servers", gauges.cold_servers as i64),
             ("cut_off", i64::from(gauges.cut_off)),
             ("evacuated_data_centres", gauges.evacuated_data_centres as i64),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -169,11 +169,12 @@
 pub(crate) async fn read_answer(
     shared: &Shared,
     plan: &RequestPlan,
+    backend_server: &Name,
     connection: &Connection,
     body: Incoming,
 ) -> Result<Bytes, SendFailure> {
     let left_ms = plan.deadline_ms.saturating_sub(boot_ms());
-    let body = read_body(body, shared.answer_buffer());
+    let body = read_body(body, shared.answer_buffer(backend_server));
     match timeout(Duration::from_millis(left_ms), body).await {
         Ok(Ok(bytes)) if holds_answer(shared, &bytes, connection.surplus()) => {
             Err(SendFailure::WrongAnswer("another answer began inside its body".to_owned()))
--- a/src/gateway/plain_relay.rs
+++ b/src/gateway/plain_relay.rs
@@ -88,8 +88,9 @@
         }
         let Reply { connection, metadata, response, .. } = reply;
         let (mut head, body) = response.into_parts();
-        let body = match read_answer(&self.relay.shared, &self.relay.plan, &connection, body).await
-        {
+        let Relay { plan, shared, .. } = &self.relay;
+        let backend_server = &guard.started_send().backend_server;
+        let body = match read_answer(shared, plan, backend_server, &connection, body).await {
             Ok(body) => body,
             Err(failure) => return self.after_send_failure(guard, &failure),
         };
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -28,6 +28,7 @@
 use crate::gateway::place_finder::Asker;
 use crate::gateway::state::GatewayState;
 use crate::gateway::wire::Wire;
+use crate::name::Name;
 
 /// Time before the end of a stopping process at which idle connections are closed, in milliseconds.
 const IDLE_CLOSE_MS: u64 = 4_500;
@@ -89,8 +90,13 @@
     }
 
     /// Returns an empty buffer for an answer of a backend server.
-    pub(crate) fn answer_buffer(&self) -> AnswerBuffer {
-        AnswerBuffer::new(&self.answer_budget, ANSWER_LIMIT_BYTES)
+    pub(crate) fn answer_buffer(&self, backend_server: &Name) -> AnswerBuffer {
+        AnswerBuffer::of_server(&self.answer_budget, backend_server, ANSWER_LIMIT_BYTES)
+    }
+
+    /// Returns the memory that buffered answers hold, in bytes.
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        ANSWER_BUDGET_BYTES.saturating_sub(self.answer_budget.free_bytes())
     }
 
     /// Returns the channel that receives the decision on a waiting request.
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -1,6 +1,5 @@
 //! Relays requests that are answered by a stream of events, up to the first event of each send.
 
-use std::mem;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -239,6 +238,8 @@
         let ends_itself = framing != AnswerFraming::ConnectionEnd || body.is_end_stream();
         let may_be_empty = ends_itself && !self.lacks_event;
         let idle_timeout_ms = metadata.idle_timeout_ms;
+        let budget = &self.relay.shared.answer_budget;
+        let share = budget.share_of(&guard.started_send().backend_server);
         let mut backend_stream = BackendStream {
             body,
             connection,
@@ -246,7 +247,7 @@
             first_ms: 0,
             idle_timeout_ms,
             guard,
-            share: self.relay.shared.answer_budget.share(),
+            share,
             splitter: EventSplitter::after(self.last_event_id()),
         };
         loop {
@@ -300,8 +301,9 @@
         body: Incoming,
     ) -> OpenOutcome {
         self.relay.may_have_run = true;
-        let body = match read_answer(&self.relay.shared, &self.relay.plan, &connection, body).await
-        {
+        let Relay { plan, shared, .. } = &self.relay;
+        let backend_server = &guard.started_send().backend_server;
+        let body = match read_answer(shared, plan, backend_server, &connection, body).await {
             Ok(body) => body,
             Err(failure) => return self.after_send_failure(guard, &failure),
         };
@@ -401,8 +403,7 @@
         if events.last_id.is_some() {
             self.resume_after = events.last_id;
         }
-        let empty_share = self.relay.shared.answer_budget.share();
-        let share = mem::replace(&mut backend_stream.share, empty_share);
+        let share = backend_stream.share.take();
         share.attach_to(events.bytes)
     }
 
--- a/tests/gateway_answer_budget.rs
+++ b/tests/gateway_answer_budget.rs
@@ -75,6 +75,26 @@
     assert_eq!(budget.free_bytes(), 100 * KIB);
 }
 
+// One faulty server that held its answers back used up what all servers share.
+#[test]
+fn the_answers_of_one_server_leave_as_much_to_others_as_they_hold() {
+    let budget = AnswerBudget::new(200 * KIB);
+    let fill = |server: &str, bytes: usize| {
+        let mut buffer = AnswerBuffer::of_server(&budget, &server.into(), 100 * KIB);
+        buffer.push(&vec![b'a'; bytes])?;
+        Ok::<_, BufferFull>(buffer)
+    };
+    let greedy: Vec<_> = (0..8).map_while(|_| fill("m-1", 40 * KIB).ok()).collect();
+    assert_eq!(greedy.len(), 4);
+    let others: Vec<_> = (0..8).map_while(|_| fill("m-2", 40 * KIB).ok()).collect();
+    assert_eq!(others.len(), 2);
+    assert!(fill("m-3", 40 * KIB).is_ok());
+    drop(greedy);
+    drop(others);
+    assert_eq!(budget.free_bytes(), 200 * KIB);
+    assert!(fill("m-1", 100 * KIB).is_ok());
+}
+
 proptest! {
     /// What buffers hold beyond their uncounted part never exceeds the budget, and all comes back.
     #[test]
