--- a/src/gateway/backends.rs
+++ b/src/gateway/backends.rs
@@ -413,19 +413,21 @@
         }
     }
 
+    /// Returns the median time to a plain answer over the backend servers of a service, in
+    /// milliseconds.
+    pub fn typical_reply_ms(&self, service: &str) -> f64 {
+        median(self.of_service(service, &[]).map(Backend::expected_reply_ms).collect())
+    }
+
     /// Returns the median expected duration of a stream over the backend servers of a service, in
     /// milliseconds.
     pub fn typical_stream_ms(&self, service: &str, prompt: &PromptShape) -> f64 {
-        let mut durations_ms: Vec<f64> = self
-            .of_service(service, &[])
-            .map(|backend| {
-                let output_tokens = prompt.expected_output_tokens() as f64;
-                let first_event_ms = backend.expected_first_event_ms(prompt.prompt_tokens);
-                first_event_ms + output_tokens * backend.expected_token_ms()
-            })
-            .collect();
-        durations_ms.sort_by(f64::total_cmp);
-        durations_ms.get(durations_ms.len() / 2).copied().unwrap_or_default()
+        let durations_ms = self.of_service(service, &[]).map(|backend| {
+            let output_tokens = prompt.expected_output_tokens() as f64;
+            let first_event_ms = backend.expected_first_event_ms(prompt.prompt_tokens);
+            first_event_ms + output_tokens * backend.expected_token_ms()
+        });
+        median(durations_ms.collect())
     }
 
     fn present(&self) -> impl Iterator<Item = &Backend> {
@@ -517,3 +519,9 @@
         .min_by(|(left, _), (right, _)| left.total_cmp(right))
         .map(|(_, backend)| backend.id.clone())
 }
+
+/// Returns the median; 0 if there are no values.
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or_default()
+}
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -34,6 +34,9 @@
 const FILE_CHECK_INTERVAL_MS: u64 = 1_000;
 /// Time before SIGKILL at which the process exits by itself, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 300;
+/// Time before its exit at which a stopping process answers the requests whose answer has not begun, in
+/// milliseconds.
+const LAST_ANSWERS_MS: u64 = 200;
 /// Time after SIGTERM for which the balancer may still send new connections, in milliseconds.
 const BALANCER_NOTICE_MS: u64 = 4_000;
 
@@ -218,6 +221,9 @@
     let exit_at = started + Duration::from_millis(grace_ms.saturating_sub(EXIT_MARGIN_MS));
     sleep_until((started + Duration::from_millis(BALANCER_NOTICE_MS)).min(exit_at)).await;
     while shared.in_progress.get() > 0 && Instant::now() < exit_at {
+        if Instant::now() + Duration::from_millis(LAST_ANSWERS_MS) >= exit_at {
+            shared.end_requests();
+        }
         sleep(Duration::from_millis(TICK_MS)).await;
     }
     info!(target: "daemon", in_progress = shared.in_progress.get(); "Instance stopped.");
--- a/src/gateway/plain_relay.rs
+++ b/src/gateway/plain_relay.rs
@@ -23,9 +23,13 @@
     plan: RequestPlan,
     request: CallerRequest,
 ) -> Response<ReplyBody> {
-    let mut relay = PlainRelay { relay: Relay::new(shared, plan, request) };
+    let mut relay = PlainRelay { relay: Relay::new(shared.clone(), plan, request) };
     loop {
-        match relay.step().await {
+        let step = tokio::select! {
+            step = relay.step() => step,
+            () = shared.exit_soon() => return relay.relay.answer_exit(StreamSummary::default()),
+        };
+        match step {
             RelayStep::Answer(response) => return response,
             RelayStep::Fail(failure) => {
                 return relay.relay.answer_failure(&failure, StreamSummary::default());
@@ -86,6 +90,7 @@
         if let Some(failure) = reply.fault() {
             return self.after_send_failure(guard, &failure);
         }
+        self.relay.may_have_run = true;
         let Reply { connection, metadata, response, .. } = reply;
         let (mut head, body) = response.into_parts();
         let Relay { plan, shared, .. } = &self.relay;
@@ -106,7 +111,6 @@
             return self.finish(response);
         }
         guard.end(SendOutcome::Failed);
-        self.relay.may_have_run = true;
         if self.relay.plan.route.is_repeatable() && self.relay.may_retry() {
             self.relay.keep_error_answer(response.map(full_body));
             return RelayStep::TryAnother;
--- a/src/gateway/planned_stop.rs
+++ b/src/gateway/planned_stop.rs
@@ -35,8 +35,11 @@
         prompt: Option<&PromptShape>,
     ) -> bool {
         let Some(stop) = self.stop else { return false };
-        let answer_ms = prompt.map(|prompt| self.backends.typical_stream_ms(service, prompt));
-        let answer_ms = answer_ms.unwrap_or_default() * STOP_DURATION_FACTOR;
+        let answer_ms = match prompt {
+            Some(prompt) => self.backends.typical_stream_ms(service, prompt),
+            None => self.backends.typical_reply_ms(service),
+        };
+        let answer_ms = answer_ms * STOP_DURATION_FACTOR;
         now_ms >= stop.requested_ms + STOP_ADMISSION_MS || now_ms + answer_ms as u64 >= stop.ends_ms
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -22,7 +22,7 @@
 use crate::gateway::send_guard::SendGuard;
 use crate::gateway::send_progress::SendProgress;
 use crate::gateway::shared::Shared;
-use crate::gateway::state::RETRY_SOON_MS;
+use crate::gateway::state::{RETRY_ELSEWHERE_MS, RETRY_SOON_MS};
 use crate::gateway::wire::ReplyMetadata;
 use crate::name::Name;
 
@@ -343,6 +343,14 @@
         FinalFailure::Refused(refusal)
     }
 
+    /// Returns the answer to the caller of a request that the process can't wait for any more.
+    pub(crate) fn answer_exit(&mut self, summary: StreamSummary) -> Response<ReplyBody> {
+        self.may_have_run |= self.progress.is_written();
+        let refusal = Refusal::retryable(RefusalReason::Stopping, RETRY_ELSEWHERE_MS);
+        let failure = self.refuse(refusal);
+        self.answer_failure(&failure, summary)
+    }
+
     /// Keeps the error answer of a backend server in case no other one answers.
     pub(crate) fn keep_error_answer(&mut self, response: Response<ReplyBody>) {
         self.error_answer = Some(response);
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -90,7 +90,7 @@
             "The time was up before the answer came; the request may have run.",
         )
     } else {
-        error_response(502, "broken_off", "The backend server broke off; the request may have run.")
+        error_response(502, "broken_off", "The answer was broken off; the request may have run.")
     }
 }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -7,7 +7,7 @@
 use log::{info, warn};
 use rand::random;
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 
 use crate::gateway::answer_budget::{AnswerBudget, AnswerBuffer};
 use crate::gateway::boot_clock::boot_ms;
@@ -57,6 +57,8 @@
     pub(crate) state: RefCell<GatewayState>,
     /// When a stopping process must have exited, in milliseconds of the boot clock.
     pub(crate) stop_by_ms: Cell<Option<u64>>,
+    /// Whether a stopping process is about to exit.
+    exits_soon: watch::Sender<bool>,
     pub(crate) wire: Box<dyn Wire>,
     waiters: RefCell<Vec<(u64, oneshot::Sender<WaitResult>)>>,
 }
@@ -84,6 +86,7 @@
             socket,
             state: RefCell::new(state),
             stop_by_ms: Cell::new(None),
+            exits_soon: watch::Sender::new(false),
             wire,
             waiters: RefCell::new(Vec::new()),
         }
@@ -173,6 +176,17 @@
         peer_socket::send_outbox(self, &self.socket);
     }
 
+    /// Has requests whose answer has not begun answered, since the process is about to exit.
+    pub(crate) fn end_requests(&self) {
+        self.exits_soon.send_replace(true);
+    }
+
+    /// Waits until the process is about to exit.
+    pub(crate) async fn exit_soon(&self) {
+        // The sender lives as long as this.
+        drop(self.exits_soon.subscribe().wait_for(|exits_soon| *exits_soon).await);
+    }
+
     /// Returns whether idle connections of callers are closed, since the process is about to exit
     /// and the balancer has stopped sending to it.
     pub(crate) fn closes_idle_connections(&self, now_ms: u64) -> bool {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -41,7 +41,7 @@
 /// Time after which a caller may retry where no better estimate exists, in milliseconds.
 pub const RETRY_SOON_MS: u64 = 300;
 /// Time after which a caller may retry at another instance, in milliseconds.
-const RETRY_ELSEWHERE_MS: u64 = 20;
+pub(crate) const RETRY_ELSEWHERE_MS: u64 = 20;
 /// Time after which a quarantined request may be retried, in milliseconds.
 const RETRY_QUARANTINED_MS: u64 = 60_000;
 /// Time that a model request occupies a slot, before the first sample, in milliseconds.
--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -52,12 +52,16 @@
         caller_resumes_after,
         last_event_ms: 0,
         lacks_event: false,
-        relay: Relay::new(shared, plan, request),
+        relay: Relay::new(shared.clone(), plan, request),
         resume_after: None,
         summary: StreamSummary::default(),
     };
     loop {
-        match stream_relay.open().await {
+        let opened = tokio::select! {
+            opened = stream_relay.open() => opened,
+            () = shared.exit_soon() => return stream_relay.relay.answer_exit(stream_relay.summary),
+        };
+        match opened {
             OpenOutcome::Answer(response) => return response,
             OpenOutcome::Fail(failure) => return stream_relay.answer_failure(&failure),
             OpenOutcome::Stream(started) => return stream_relay.into_response(*started),
--- a/tests/gateway_stop.rs
+++ b/tests/gateway_stop.rs
@@ -33,3 +33,17 @@
     let refusal = refused(&mut state, START_MS + 100, "/draft/a", &draft("r-1", 1_000, 2_000));
     assert_eq!(refusal.reason, RefusalReason::Stopping);
 }
+
+// Plain requests counted as if they took no time, and were cut at the end of the grace.
+#[test]
+fn a_plain_request_that_would_outlast_the_process_is_refused_at_once() {
+    let mut state = state();
+    for server in ["d-1", "d-2"] {
+        let server = state.backends_mut().get_mut(server).expect("it is known");
+        (0..20).for_each(|_| server.record_reply_time(4_000.0));
+    }
+    state.stop(START_MS, START_MS + 7_700);
+    let refusal = refused(&mut state, START_MS + 100, "/booking/a", &metadata("r-1"));
+    assert_eq!(refusal.reason, RefusalReason::Stopping);
+    admitted(&mut state, START_MS + 100, "/draft/a", &draft("r-2", 1_000, 50));
+}
