Refuse a resume of another content type as a wrong answer (ORDER)

Cause: whatever was a success counted as the rest of the stream; it was never compared with the answer that began it.

Evidence: a_stream_is_not_completed_by_an_answer_of_another_content_type failed before.

Fix: the content type of the answer that began the stream is kept; a resume with another one is a failed send.

Result: the test passes, and a_stream_whose_last_event_had_arrived_is_completed_by_an_empty_stream holds the other side. Engines that name no content type are not told apart, as an older test asks (a_resumed_stream_without_events_is_the_end_only_where_its_framing_says_so).

--- a/src/gateway/stream_relay.rs
+++ b/src/gateway/stream_relay.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use hyper::body::{Body, Incoming};
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode, http};
 use log::info;
 use tokio::time::timeout;
@@ -50,6 +50,7 @@
     let caller_resumes_after = resumption.and_then(|resumption| resumption.last_event_id.clone());
     let mut stream_relay = StreamRelay {
         caller_resumes_after,
+        content_type: None,
         last_event_ms: 0,
         lacks_event: false,
         relay: Relay::new(shared.clone(), plan, request),
@@ -99,6 +100,8 @@
 pub(crate) struct StreamRelay {
     /// Id of the event after which the caller resumes the stream, if the route allows it.
     caller_resumes_after: Option<Name>,
+    /// Content type of the stream, once its first events have arrived.
+    content_type: Option<Option<HeaderValue>>,
     pub(crate) last_event_ms: u64,
     /// Whether the caller lacks an event of which a send that broke off had sent a part.
     lacks_event: bool,
@@ -237,6 +240,11 @@
         if !head.status.is_success() {
             return self.forward_error_response(guard, connection, head, body).await;
         }
+        let content_type = head.headers.get(CONTENT_TYPE).cloned();
+        if self.content_type.as_ref().is_some_and(|known| *known != content_type) {
+            let reason = "its content type is not that of the stream".to_owned();
+            return self.after_send_failure(guard, &SendFailure::WrongAnswer(reason));
+        }
         self.relay.may_have_run = true;
         self.relay.record_accepted();
         let ends_itself = framing != AnswerFraming::ConnectionEnd || body.is_end_stream();
@@ -258,6 +266,7 @@
             match self.read_next(&mut backend_stream).await {
                 StreamRead::Bytes(bytes) => match self.receive(&mut backend_stream, &bytes) {
                     Received::Forward(first_chunk) => {
+                        self.content_type = Some(content_type);
                         return OpenOutcome::Stream(Box::new(StartedStream {
                             first_chunk,
                             head,
