--- a/src/gateway/answer_budget.rs
+++ b/src/gateway/answer_budget.rs
@@ -12,6 +12,9 @@
 /// use it up.
 const UNCOUNTED_BYTES: usize = 16_384;
 
+/// A backend server, and what its answers hold, in bytes.
+type ServerBytes = (Name, Weak<AtomicUsize>);
+
 /// Memory for the answers that are buffered at the same time.
 ///
 /// The answers of one backend server may hold as much as they leave free for others, so several that
@@ -20,7 +23,7 @@
 pub struct AnswerBudget {
     free_bytes: Arc<AtomicUsize>,
     /// What the answers of each backend server hold, in bytes, sorted by server.
-    servers: Arc<Mutex<Vec<(Name, Weak<AtomicUsize>)>>>,
+    servers: Arc<Mutex<Vec<ServerBytes>>>,
 }
 
 impl AnswerBudget {
