Hold request bodies within a budget of memory

Callers saw nothing at first: crowds of callers that sent large bodies and stopped just short of the end ended the process, which took all requests of the instance with it.

Cause: each body was collected without a bound over all of them, as a list of frames, each of which keeps the buffer that it was read into, and was copied once more at its end. It was held from its first byte until its request ended, for 15 s if it never arrived.

Evidence: platform/tests/misbehaving_callers.rs starts an instance with the settings of the smallest machine, 110 MB, and sends from 64 callers at once. Six of ten tests failed. Announced bodies far over the limit, endless heads, chunks of one byte and a single slow body passed before as well.

The fix: a body is copied into one buffer as it arrives, whose capacity counts against a fifth of the machine's memory from the first byte until the request ends. When that is used up, the body that has held most for longest without moving gives way, so a crowd that stands still locks nobody out; where all of them move, the youngest does. Small bodies may take an eighth that large ones leave, and one that is alone passes whatever its size. The fixed 15 s for a whole body are gone: a body may take as long as its request has time, with at most 15 s between two parts.

Result: all ten pass, with those of tests/body_ledger.rs, and all others of the package platform.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -21,7 +21,7 @@
     pub arrived_ms: u64,
     /// Metadata from its headers.
     pub metadata: &'a RequestMetadata,
-    /// Hash of path, body and key.
+    /// Hash of path, body and key; 0 before the body has arrived.
     pub fingerprint: u64,
     /// Host from its head.
     pub host: &'a str,
@@ -111,6 +111,8 @@
     NoDocument,
     /// No backend server can take it.
     NoBackendServer,
+    /// The bodies of other requests have used up the memory for bodies.
+    NoMemory,
     /// The document is not known to be the newest.
     NotFresh,
     /// No route matches it.
@@ -173,6 +175,11 @@
         Self::retryable(reason, refusal.retry_after_ms)
     }
 
+    /// Returns whether the instance refuses because it still joins the fleet.
+    pub fn is_while_joining(&self) -> bool {
+        matches!(self.reason, RefusalReason::Joining | RefusalReason::NoDocument)
+    }
+
     /// Returns a refusal that permits a retry after `retry_after_ms`.
     pub fn retryable(reason: RefusalReason, retry_after_ms: u64) -> Self {
         Self { reason, retry_after_ms: Some(retry_after_ms), queue: None, shortage: None }
@@ -189,6 +196,7 @@
             Self::Joining => (503, "The usage of limits is not known yet."),
             Self::NoDocument => (503, "No routes are known yet."),
             Self::NoBackendServer => (503, "No backend server can take the request now."),
+            Self::NoMemory => (503, "There is no memory for the body now."),
             Self::NotFresh => (503, "The routes and keys are not known to be the newest."),
             Self::NoRoute => (404, "No route takes this host and path."),
             Self::NotInTime => (503, "The request would not be served in time."),
@@ -206,6 +214,11 @@
         }
     }
 
+    /// Returns whether a part of the body may not have been read.
+    pub fn leaves_body_unread(self) -> bool {
+        matches!(self, Self::BodyTooLong | Self::Incomplete | Self::NoMemory)
+    }
+
     /// Returns a short name for logs and counters.
     pub fn name(self) -> &'static str {
         match self {
@@ -215,6 +228,7 @@
             Self::Joining => "joining",
             Self::NoDocument => "no_document",
             Self::NoBackendServer => "no_backend_server",
+            Self::NoMemory => "no_memory",
             Self::NotFresh => "not_fresh",
             Self::NoRoute => "no_route",
             Self::NotInTime => "not_in_time",
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -47,6 +47,8 @@
 pub struct Gauges {
     /// Backend servers that accept requests.
     pub backend_servers: usize,
+    /// Memory that bodies of requests hold, in bytes.
+    pub body_bytes: usize,
     /// Memory that buffered answers of backend servers hold, in bytes.
     pub buffered_bytes: usize,
     /// Backend servers that are cold.
@@ -254,6 +256,7 @@
             ("store_calls_total", self.store_calls.get() as i64),
             ("store_failures_total", self.store_failures.get() as i64),
             ("backend_servers", gauges.backend_servers as i64),
+            ("request_body_bytes", gauges.body_bytes as i64),
             ("buffered_answer_bytes", gauges.buffered_bytes as i64),
             ("cold_servers", gauges.cold_servers as i64),
             ("cut_off", i64::from(gauges.cut_off)),
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -3,13 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HOST};
-use hyper::{Request, Response};
+use hyper::header::HOST;
+use hyper::{HeaderMap, Request, Response};
 use log::info;
 use rand::random;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::gateway::admission::{Admission, Arrival, Refusal, RefusalReason, RequestPlan};
@@ -20,25 +19,25 @@
 use crate::gateway::request_metadata::RequestMetadata;
 use crate::gateway::routing_document::RouteKind;
 use crate::gateway::shared::Shared;
+use crate::gateway::state::RETRY_SOON_MS;
 use crate::gateway::stream_relay::relay_stream;
+use crate::intake::body_reader::{BodyBounds, BodyFault, read_body};
 use crate::name::Name;
 
 /// Longest time for which a request is held while the instance joins the fleet, in milliseconds.
 const JOIN_WAIT_MS: u64 = 250;
 /// Time between two checks whether the instance has joined, in milliseconds.
 const JOIN_CHECK_MS: u64 = 25;
-/// Longest time for a body to arrive, in milliseconds.
-const BODY_TIMEOUT_MS: u64 = 15_000;
 
 /// Returns the answer to one request.
 pub(crate) async fn forward(shared: Rc<Shared>, request: Request<Incoming>) -> Response<ReplyBody> {
     let arrived_ms = boot_ms();
     let metadata = shared.wire.request_metadata(request.headers());
-    let request = match read_request(&shared, request).await {
+    let request = match read_request(&shared, &metadata, request, arrived_ms).await {
         Ok(request) => request,
         Err(refusal) => return refuse_arrival(&shared, &metadata, &refusal, arrived_ms),
     };
-    let host = host(&request);
+    let host = host(&request.headers);
     let arrival = Arrival {
         arrived_ms,
         metadata: &metadata,
@@ -110,11 +109,7 @@
     loop {
         let now_ms = boot_ms();
         let admission = shared.state.borrow_mut().admit(now_ms, arrival, random());
-        let joins = matches!(
-            &admission,
-            Admission::Refuse(refusal)
-                if matches!(refusal.reason, RefusalReason::Joining | RefusalReason::NoDocument)
-        );
+        let joins = matches!(&admission, Admission::Refuse(refusal) if refusal.is_while_joining());
         if !joins || now_ms >= arrival.arrived_ms + JOIN_WAIT_MS {
             return admission;
         }
@@ -158,6 +153,10 @@
     arrived_ms: u64,
 ) -> Response<ReplyBody> {
     let now_ms = boot_ms();
+    shared.counters.record_refusal(refusal.reason);
+    let Some(left_out) = shared.begin_refusal_line(now_ms, refusal.reason) else {
+        return refusal_response(refusal);
+    };
     let state = shared.state.borrow();
     info!(
         target: "refuse",
@@ -169,34 +168,25 @@
         left_units = refusal.shortage.map(|shortage| shortage.left_units),
         needed_units = refusal.shortage.map(|shortage| shortage.needed_units),
         units_per_s = refusal.shortage.map(|shortage| shortage.units_per_s),
+        body_bytes = shared.body_budget.held_bytes(),
+        left_out,
         retry_after_ms = refusal.retry_after_ms;
         "Request refused on arrival."
     );
-    shared.counters.record_refusal(refusal.reason);
     refusal_response(refusal)
 }
 
+/// Reads the body of a request.
 async fn read_request(
-    shared: &Rc<Shared>,
+    shared: &Shared,
+    metadata: &RequestMetadata,
     request: Request<Incoming>,
+    arrived_ms: u64,
 ) -> Result<CallerRequest, Refusal> {
-    let limit_bytes = shared.state.borrow().table().limits().body_bytes;
     let (head, body) = request.into_parts();
-    let content_length = head.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
-    if content_length
-        .and_then(|text| text.parse().ok())
-        .is_some_and(|bytes: usize| bytes > limit_bytes)
-    {
-        return Err(Refusal::permanent(RefusalReason::BodyTooLong));
-    }
-    let body = Limited::new(body, limit_bytes).collect();
-    let body = match timeout(Duration::from_millis(BODY_TIMEOUT_MS), body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(Refusal::permanent(RefusalReason::BodyTooLong));
-        }
-        Ok(Err(_)) | Err(_) => return Err(Refusal::permanent(RefusalReason::Incomplete)),
-    };
+    let bounds = body_bounds(shared, metadata, arrived_ms);
+    bounds.check_length(&body).map_err(body_refusal)?;
+    let body = read_body(body, &bounds, &shared.body_budget).await.map_err(body_refusal)?;
     Ok(CallerRequest {
         body,
         headers: head.headers,
@@ -205,14 +195,30 @@
     })
 }
 
+fn body_bounds(shared: &Shared, metadata: &RequestMetadata, arrived_ms: u64) -> BodyBounds {
+    let state = shared.state.borrow();
+    BodyBounds {
+        deadline_ms: arrived_ms.saturating_add(metadata.time_left_ms.unwrap_or(u64::MAX)),
+        limit_bytes: state.table().limits().body_bytes,
+        silence_ms: state.settings().intake.body_silence_ms,
+    }
+}
+
+fn body_refusal(fault: BodyFault) -> Refusal {
+    match fault {
+        BodyFault::Cut | BodyFault::Overdue => Refusal::permanent(RefusalReason::Incomplete),
+        BodyFault::NoMemory => Refusal::retryable(RefusalReason::NoMemory, RETRY_SOON_MS),
+        BodyFault::TooLong => Refusal::permanent(RefusalReason::BodyTooLong),
+    }
+}
+
 fn origin_form(uri: hyper::Uri) -> hyper::Uri {
     let path = uri.path_and_query().map(|path| path.as_str()).unwrap_or("/");
     path.parse().unwrap_or(uri)
 }
 
-fn host(request: &CallerRequest) -> String {
-    let header =
-        request.headers.get(HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
+fn host(headers: &HeaderMap) -> String {
+    let header = headers.get(HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
     let name = match header.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
         _ => header,
--- a/src/gateway/gateway_settings.rs
+++ b/src/gateway/gateway_settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::intake::intake_limits::IntakeLimits;
 use crate::name::Name;
 
 /// Share of what a cold backend server may get in one second that is planned for.
@@ -20,6 +21,8 @@
     pub data_centre: Name,
     /// Name of the instance.
     pub instance: Name,
+    /// Limits on what callers may hold of the instance.
+    pub intake: IntakeLimits,
     /// Address for operators' commands.
     pub operator_address: SocketAddr,
     /// Address for datagrams from other instances.
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -130,6 +130,7 @@
     let state = shared.state.borrow();
     Gauges {
         backend_servers: state.backends().usable().count(),
+        body_bytes: shared.body_budget.held_bytes(),
         buffered_bytes: shared.buffered_bytes(),
         cold_servers: state.backends().cold_count(now_ms),
         cut_off: shared.paths.borrow().is_cut_off(),
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -11,7 +11,7 @@
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 
-use crate::gateway::admission::{Refusal, RefusalReason};
+use crate::gateway::admission::Refusal;
 
 type ChunkStream = Pin<Box<dyn Stream<Item = io::Result<Bytes>>>>;
 
@@ -75,7 +75,7 @@
             response.headers_mut().insert(RETRY_AFTER, value);
         }
     }
-    if matches!(refusal.reason, RefusalReason::BodyTooLong | RefusalReason::Incomplete) {
+    if refusal.reason.leaves_body_unread() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,6 +9,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot, watch};
 
+use crate::gateway::admission::RefusalReason;
 use crate::gateway::answer_budget::{AnswerBudget, AnswerBuffer};
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::connections::Connections;
@@ -28,6 +29,8 @@
 use crate::gateway::place_finder::Asker;
 use crate::gateway::state::GatewayState;
 use crate::gateway::wire::Wire;
+use crate::intake::body_budget::BodyBudget;
+use crate::intake::log_limit::LogLimit;
 use crate::name::Name;
 
 /// Time before the end of a stopping process at which idle connections are closed, in milliseconds.
@@ -42,9 +45,11 @@
 pub(crate) struct Shared {
     pub(crate) answer_budget: AnswerBudget,
     askers: RefCell<Vec<(u64, Asker)>>,
+    pub(crate) body_budget: BodyBudget,
     pub(crate) connections: Connections,
     pub(crate) counters: Counters,
     pub(crate) in_progress: Cell<usize>,
+    pub(crate) log_limit: RefCell<LogLimit>,
     origin_askers: RefCell<Vec<(u64, OriginAsker)>>,
     pub(crate) paths: RefCell<EnginePaths>,
     /// Notified when the store should be read at once.
@@ -71,13 +76,16 @@
         settings: GatewaySettings,
         socket: Rc<UdpSocket>,
     ) -> Self {
+        let body_budget = BodyBudget::new(settings.intake.body_memory_bytes);
         let state = GatewayState::new(settings, boot_ms(), random());
         Self {
             answer_budget: AnswerBudget::new(ANSWER_BUDGET_BYTES),
             askers: RefCell::default(),
+            body_budget,
             connections: Connections::new(Box::new(FleetDialer::new(shared))),
             counters: Counters::default(),
             in_progress: Cell::new(0),
+            log_limit: RefCell::default(),
             origin_askers: RefCell::default(),
             paths: RefCell::default(),
             read_now: Notify::new(),
@@ -97,6 +105,15 @@
         AnswerBuffer::of_server(&self.answer_budget, backend_server, ANSWER_LIMIT_BYTES)
     }
 
+    /// Returns how many lines on refusals like this one were left out before it; `None` if its own is
+    /// left out too.
+    pub(crate) fn begin_refusal_line(&self, now_ms: u64, reason: RefusalReason) -> Option<u64> {
+        match reason.leaves_body_unread() {
+            true => self.log_limit.borrow_mut().begin_line(now_ms, reason.name()),
+            false => Some(0),
+        }
+    }
+
     /// Returns the memory that buffered answers hold, in bytes.
     pub(crate) fn buffered_bytes(&self) -> usize {
         ANSWER_BUDGET_BYTES.saturating_sub(self.answer_budget.free_bytes())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod http_client;
 pub mod ini_document;
 pub mod ini_value;
+pub mod intake;
 pub mod inventory;
 pub mod inventory_checks;
 pub mod inventory_sections;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod capacity;
 pub mod command;
+pub mod crowd;
 pub mod engine;
 pub mod experiment;
 pub mod fleet;
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -18,6 +18,7 @@
 use bergamotspan::gateway::state::GatewayState;
 use bergamotspan::gateway::store_item::{StoreChanges, StoreItem, StorePosition};
 use bergamotspan::gateway::store_updates::StateChange;
+use bergamotspan::intake::intake_limits::IntakeLimits;
 use bergamotspan::name::Name;
 
 /// Start of the tests, in milliseconds of the boot clock.
@@ -38,6 +39,7 @@
         caller_address: address("127.0.0.1:8221"),
         data_centre: "umea-a".into(),
         instance: "front-1".into(),
+        intake: IntakeLimits::default(),
         operator_address: address("127.0.0.1:8229"),
         peer_address: address("127.0.0.1:7600"),
         readiness_address: address("127.0.0.1:8224"),
