Refuse requests by their head before their body is kept

Callers without a valid key, or for a route that does not exist, took as much of the memory for bodies as others, and pushed these out of it.

Cause: a request was only decided once its whole body had arrived.

The fix: the head of a request whose body is chunked or longer than 16 KiB is checked first: route, key, usage limit, a stop in progress. What of the body of a refused one arrives is read and dropped, so that its caller gets the answer on its connection as before. The check charges nothing: a body that never ends costs its customer no units.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
+use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response};
 use log::info;
 use rand::random;
@@ -21,7 +22,8 @@
 use crate::gateway::shared::Shared;
 use crate::gateway::state::RETRY_SOON_MS;
 use crate::gateway::stream_relay::relay_stream;
-use crate::intake::body_reader::{BodyBounds, BodyFault, read_body};
+use crate::intake::body_ledger::SMALL_BODY_BYTES;
+use crate::intake::body_reader::{BodyBounds, BodyFault, discard_body, read_body};
 use crate::name::Name;
 
 /// Longest time for which a request is held while the instance joins the fleet, in milliseconds.
@@ -176,7 +178,7 @@
     refusal_response(refusal)
 }
 
-/// Reads the body of a request.
+/// Reads the body of a request, and refuses one that its head decides without keeping its body.
 async fn read_request(
     shared: &Shared,
     metadata: &RequestMetadata,
@@ -184,8 +186,18 @@
     arrived_ms: u64,
 ) -> Result<CallerRequest, Refusal> {
     let (head, body) = request.into_parts();
-    let bounds = body_bounds(shared, metadata, arrived_ms);
+    let mut bounds = body_bounds(shared, metadata, arrived_ms);
     bounds.check_length(&body).map_err(body_refusal)?;
+    if may_be_large(&body) {
+        match check_head(shared, metadata, &head, arrived_ms) {
+            Ok(deadline_ms) => bounds.deadline_ms = deadline_ms,
+            Err(refusal) => {
+                // What of the body is left unread closes the connection.
+                let _ = discard_body(body, &bounds).await;
+                return Err(refusal);
+            }
+        }
+    }
     let body = read_body(body, &bounds, &shared.body_budget).await.map_err(body_refusal)?;
     Ok(CallerRequest {
         body,
@@ -204,6 +216,26 @@
     }
 }
 
+fn may_be_large(body: &Incoming) -> bool {
+    body.size_hint().upper().is_none_or(|length| length > SMALL_BODY_BYTES as u64)
+}
+
+/// Checks a head; one that arrives while the instance joins the fleet is decided with its body.
+fn check_head(
+    shared: &Shared,
+    metadata: &RequestMetadata,
+    head: &Parts,
+    arrived_ms: u64,
+) -> Result<u64, Refusal> {
+    let host = host(&head.headers);
+    let arrival =
+        Arrival { arrived_ms, metadata, fingerprint: 0, host: &host, path: head.uri.path() };
+    match shared.state.borrow_mut().check_head(boot_ms(), &arrival) {
+        Err(refusal) if refusal.is_while_joining() => Ok(u64::MAX),
+        decided => decided,
+    }
+}
+
 fn body_refusal(fault: BodyFault) -> Refusal {
     match fault {
         BodyFault::Cut | BodyFault::Overdue => Refusal::permanent(RefusalReason::Incomplete),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 mod forward;
 pub mod freshness;
 pub mod gateway_settings;
+mod head_check;
 mod origin_finder;
 pub mod outliers;
 pub mod packed_document;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,7 +12,6 @@
 use crate::gateway::engine_query::VersionNeed;
 use crate::gateway::evacuation::evacuated_set::{EvacuatedSet, Lack};
 use crate::gateway::fleet::cold_servers::ColdNotice;
-use crate::gateway::fleet::coordinators::Decider;
 use crate::gateway::fleet::membership::Fleet;
 use crate::gateway::fleet::message::LeavingServer;
 use crate::gateway::freshness::Freshness;
@@ -238,13 +237,7 @@
         random: u64,
     ) -> Result<RequestPlan, Refusal> {
         let mut plan = self.plan_request(now_ms, arrival, random)?;
-        let cell = self.backends.coordinating_cell(&plan.service);
-        let charges = match self.fleet.decider_of(now_ms, cell) {
-            Decider::None => self.fleet.knows_usage(now_ms),
-            Decider::Other(_) => false,
-            Decider::Own => true,
-        };
-        if charges {
+        if self.charges(now_ms, &plan) {
             self.charge(now_ms, &mut plan)?;
         }
         let budget = entry_or_default(&mut self.retry_budgets, &plan.service);
@@ -252,7 +245,7 @@
         Ok(plan)
     }
 
-    fn plan_request(
+    pub(crate) fn plan_request(
         &mut self,
         now_ms: u64,
         arrival: &Arrival<'_>,
