Bound callers' connections below the descriptors

While a few hundred callers kept connections open, no other caller of the instance was answered: the descriptors were used up, and with them the connections to backend servers, other instances and the store.

Cause: each connection was accepted, whatever else was open.

The fix: callers may have half of the descriptors that are not kept for files, and no more connections than a quarter of the memory holds. Beyond that a new connection takes the place of the one that does least: idle, then the oldest unfinished head, then a body that stands still. A crowd can't lock others out by staying, and no request that is being answered is cut for a newcomer.

Not covered here: the other addresses of an instance, and callers that don't read a stream.

--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -28,6 +28,8 @@
 use crate::gateway::reply::ReplyBody;
 use crate::gateway::shared::Shared;
 use crate::gateway::shared_socket::{SharedSocket, SocketObserver};
+use crate::intake::connection_gate::ConnectionSlot;
+use crate::intake::connection_table::ConnectionStage;
 
 /// Smallest buffer for a request head that the HTTP library accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
@@ -44,19 +46,21 @@
     observer: SocketObserver,
     phase: Cell<CallerPhase>,
     shared: Rc<Shared>,
+    slot: ConnectionSlot,
 }
 
 impl ConnectionState {
-    fn new(shared: Rc<Shared>, observer: SocketObserver) -> Self {
+    fn new(shared: Rc<Shared>, observer: SocketObserver, slot: ConnectionSlot) -> Self {
         let phase = CallerPhase::idle(boot_ms(), shared.state.borrow().table().limits());
         let (close, is_flushing, phase) = (Notify::new(), Cell::new(false), Cell::new(phase));
-        Self { close, is_flushing, observer, phase, shared }
+        Self { close, is_flushing, observer, phase, shared, slot }
     }
 
-    fn record_bytes(&self) {
+    fn record_bytes(&self, bytes: usize) {
         if !matches!(self.phase.get(), CallerPhase::Idle { .. }) {
-            return;
+            return self.slot.record_bytes(bytes);
         }
+        self.slot.set_stage(ConnectionStage::Head);
         let state = self.shared.state.borrow();
         self.phase.set(self.phase.get().after_bytes(boot_ms(), state.table().limits()));
     }
@@ -68,6 +72,7 @@
         }
         self.is_flushing.set(false);
         self.phase.set(CallerPhase::Answering);
+        self.slot.set_stage(ConnectionStage::Body);
     }
 
     /// Ends an answer of which all bytes are written.
@@ -76,6 +81,7 @@
             self.end_answer();
             let state = self.shared.state.borrow();
             self.phase.set(CallerPhase::idle(boot_ms(), state.table().limits()));
+            self.slot.set_stage(ConnectionStage::Idle);
         }
     }
 
@@ -127,7 +133,9 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                spawn_local(serve_connection(shared.clone(), stream));
+                if let Some(slot) = shared.accept(&shared.caller_gate, "callers") {
+                    spawn_local(serve_connection(shared.clone(), stream, slot));
+                }
             }
             Err(error) => {
                 warn!(target: "callers", error:%; "A connection could not be accepted.");
@@ -137,12 +145,12 @@
     }
 }
 
-async fn serve_connection(shared: Rc<Shared>, stream: TcpStream) {
+async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, slot: ConnectionSlot) {
     if let Err(error) = stream.set_nodelay(true) {
         warn!(target: "callers", error:%; "TCP_NODELAY could not be set on a connection.");
     }
     let socket = SharedSocket::new(stream);
-    let connection = Rc::new(ConnectionState::new(shared.clone(), socket.observer()));
+    let connection = Rc::new(ConnectionState::new(shared.clone(), socket.observer(), slot));
     let io = TokioIo::new(TrackedStream { connection: connection.clone(), socket });
     let service = service_fn(|request| answer(shared.clone(), connection.clone(), request));
     let head_bytes = shared.state.borrow().table().limits().header_bytes.max(MIN_HEAD_BYTES);
@@ -150,6 +158,7 @@
         http1::Builder::new().max_buf_size(head_bytes).serve_connection(io, service);
     let mut http_connection = pin!(http_connection);
     let mut departure = pin!(connection.departure());
+    let mut replaced = pin!(connection.slot.replaced());
     loop {
         let timeout_check = sleep(Duration::from_millis(TIMEOUT_CHECK_INTERVAL_MS));
         tokio::select! {
@@ -157,6 +166,7 @@
             // Callers may disconnect at any time.
             _ = http_connection.as_mut() => return,
             () = &mut departure => return,
+            () = &mut replaced => return,
             () = connection.close.notified() => http_connection.as_mut().graceful_shutdown(),
             () = timeout_check => match connection.overdue() {
                 Overdue::No => {}
@@ -172,8 +182,8 @@
     connection: Rc<ConnectionState>,
     request: Request<Incoming>,
 ) -> Result<Response<GuardedBody>, Infallible> {
-    let guard = AnswerGuard::begin(connection);
-    let mut response = forward(shared.clone(), request).await;
+    let guard = AnswerGuard::begin(connection.clone());
+    let mut response = forward(shared.clone(), &connection.slot, request).await;
     if shared.stop_by_ms.get().is_some() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -239,8 +249,9 @@
         let this = self.get_mut();
         let before = buffer.filled().len();
         let poll = Pin::new(&mut this.socket).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            this.connection.record_bytes();
+        let read_bytes = buffer.filled().len() - before;
+        if read_bytes > 0 {
+            this.connection.record_bytes(read_bytes);
         }
         poll
     }
--- a/src/gateway/counters.rs
+++ b/src/gateway/counters.rs
@@ -9,6 +9,7 @@
 use crate::gateway::fleet::pending_origin::OriginSource;
 use crate::gateway::part_stage::PartStage;
 use crate::gateway::state_transfer::TransferSource;
+use crate::intake::closing_cause::ClosingCause;
 use crate::transfer::Transfer;
 
 /// Upper bounds of the histograms, in milliseconds.
@@ -26,6 +27,7 @@
 #[derive(Debug, Default)]
 pub struct Counters {
     answers: RefCell<Vec<(u16, u64)>>,
+    closings: RefCell<Vec<((&'static str, &'static str), u64)>>,
     cold_changes: RefCell<Vec<(&'static str, u64)>>,
     first_event: RefCell<Histogram>,
     held_back: Cell<u64>,
@@ -51,6 +53,8 @@
     pub body_bytes: usize,
     /// Memory that buffered answers of backend servers hold, in bytes.
     pub buffered_bytes: usize,
+    /// Connections of callers.
+    pub caller_connections: usize,
     /// Backend servers that are cold.
     pub cold_servers: usize,
     /// Whether the instance counts as cut off from backend servers.
@@ -110,6 +114,11 @@
         self.first_event.borrow_mut().record(elapsed_ms);
     }
 
+    /// Counts a connection at an address that the instance closes for its limits.
+    pub fn record_closing(&self, address: &'static str, cause: ClosingCause) {
+        increment(&mut self.closings.borrow_mut(), (address, cause.name()));
+    }
+
     /// Counts a backend server that turned cold or warm.
     pub fn record_cold_change(&self, is_cold: bool) {
         let state = if is_cold { "cold" } else { "warm" };
@@ -192,6 +201,15 @@
                 format_args!("bergamotspan_refusals_total{{reason=\"{reason}\"}} {number}"),
             );
         }
+        for ((address, cause), number) in self.closings.borrow().iter() {
+            write_line(
+                &mut text,
+                format_args!(
+                    "bergamotspan_closed_connections_total{{address=\"{address}\",cause=\"{cause}\"}} \
+                     {number}"
+                ),
+            );
+        }
         for (stage, number) in self.part_changes.borrow().iter() {
             write_line(
                 &mut text,
@@ -258,6 +276,7 @@
             ("backend_servers", gauges.backend_servers as i64),
             ("request_body_bytes", gauges.body_bytes as i64),
             ("buffered_answer_bytes", gauges.buffered_bytes as i64),
+            ("caller_connections", gauges.caller_connections as i64),
             ("cold_servers", gauges.cold_servers as i64),
             ("cut_off", i64::from(gauges.cut_off)),
             ("evacuated_data_centres", gauges.evacuated_data_centres as i64),
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -24,6 +24,8 @@
 use crate::gateway::stream_relay::relay_stream;
 use crate::intake::body_ledger::SMALL_BODY_BYTES;
 use crate::intake::body_reader::{BodyBounds, BodyFault, discard_body, read_body};
+use crate::intake::connection_gate::ConnectionSlot;
+use crate::intake::connection_table::ConnectionStage;
 use crate::name::Name;
 
 /// Longest time for which a request is held while the instance joins the fleet, in milliseconds.
@@ -32,10 +34,16 @@
 const JOIN_CHECK_MS: u64 = 25;
 
 /// Returns the answer to one request.
-pub(crate) async fn forward(shared: Rc<Shared>, request: Request<Incoming>) -> Response<ReplyBody> {
+pub(crate) async fn forward(
+    shared: Rc<Shared>,
+    slot: &ConnectionSlot,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
     let arrived_ms = boot_ms();
     let metadata = shared.wire.request_metadata(request.headers());
-    let request = match read_request(&shared, &metadata, request, arrived_ms).await {
+    let read = read_request(&shared, &metadata, request, arrived_ms).await;
+    slot.set_stage(ConnectionStage::Answering);
+    let request = match read {
         Ok(request) => request,
         Err(refusal) => return refuse_arrival(&shared, &metadata, &refusal, arrived_ms),
     };
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -132,6 +132,7 @@
         backend_servers: state.backends().usable().count(),
         body_bytes: shared.body_budget.held_bytes(),
         buffered_bytes: shared.buffered_bytes(),
+        caller_connections: shared.caller_gate.count(),
         cold_servers: state.backends().cold_count(now_ms),
         cut_off: shared.paths.borrow().is_cut_off(),
         evacuated_data_centres: state.evacuated().len(),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -30,6 +30,8 @@
 use crate::gateway::state::GatewayState;
 use crate::gateway::wire::Wire;
 use crate::intake::body_budget::BodyBudget;
+use crate::intake::closing_cause::ClosingCause;
+use crate::intake::connection_gate::{Accepted, ConnectionGate, ConnectionSlot};
 use crate::intake::log_limit::LogLimit;
 use crate::name::Name;
 
@@ -46,6 +48,7 @@
     pub(crate) answer_budget: AnswerBudget,
     askers: RefCell<Vec<(u64, Asker)>>,
     pub(crate) body_budget: BodyBudget,
+    pub(crate) caller_gate: ConnectionGate,
     pub(crate) connections: Connections,
     pub(crate) counters: Counters,
     pub(crate) in_progress: Cell<usize>,
@@ -77,11 +80,13 @@
         socket: Rc<UdpSocket>,
     ) -> Self {
         let body_budget = BodyBudget::new(settings.intake.body_memory_bytes);
+        let caller_gate = ConnectionGate::new(settings.intake.connections);
         let state = GatewayState::new(settings, boot_ms(), random());
         Self {
             answer_budget: AnswerBudget::new(ANSWER_BUDGET_BYTES),
             askers: RefCell::default(),
             body_budget,
+            caller_gate,
             connections: Connections::new(Box::new(FleetDialer::new(shared))),
             counters: Counters::default(),
             in_progress: Cell::new(0),
@@ -105,6 +110,41 @@
         AnswerBuffer::of_server(&self.answer_budget, backend_server, ANSWER_LIMIT_BYTES)
     }
 
+    /// Decides on a new connection at an address; `None` if it must be closed.
+    pub(crate) fn accept(
+        &self,
+        gate: &ConnectionGate,
+        address: &'static str,
+    ) -> Option<ConnectionSlot> {
+        match gate.accept() {
+            Accepted::Kept(slot) => Some(slot),
+            Accepted::Refused => {
+                self.record_closing(address, ClosingCause::NoRoom);
+                None
+            }
+            Accepted::Replacing(slot) => {
+                self.record_closing(address, ClosingCause::Replaced);
+                Some(slot)
+            }
+        }
+    }
+
+    /// Counts and logs a connection that the instance closes for its limits.
+    pub(crate) fn record_closing(&self, address: &'static str, cause: ClosingCause) {
+        self.counters.record_closing(address, cause);
+        let Some(left_out) = self.log_limit.borrow_mut().begin_line(boot_ms(), cause.name()) else {
+            return;
+        };
+        info!(
+            target: "callers",
+            address,
+            cause = cause.name(),
+            connections = self.caller_gate.count(),
+            left_out;
+            "Connection closed by a limit."
+        );
+    }
+
     /// Returns how many lines on refusals like this one were left out before it; `None` if its own is
     /// left out too.
     pub(crate) fn begin_refusal_line(&self, now_ms: u64, reason: RefusalReason) -> Option<u64> {
