Accept newcomers while the bodies of a crowd have just begun

Callers whose connection was opened within half a second of a crowd's were refused, when every place was held by a body that had just begun.

Cause: a body had to stand still for 0.5 s before its connection gave way, and until then each new connection was closed.

The fix: the connection whose body has stood still for longest gives way, for however short a time that is. An ordinary body arrives within its round trips and is the last of them. Connections that have been idle for less than 0.5 s, or whose head has just begun, count like these, so that newcomers don't push each other out.

--- a/src/intake/connection_table.rs
+++ b/src/intake/connection_table.rs
@@ -1,6 +1,6 @@
 //! Decides which connections of callers are kept when there are as many as there may be.
 
-/// Time for which a connection with a request must have stood still to be replaced, in milliseconds.
+/// Time without progress after which a connection counts as standing still, in milliseconds.
 const STALL_MS: u64 = 500;
 /// Number of bytes of a body that counts as progress.
 const PROGRESS_BYTES: usize = 4_096;
@@ -50,13 +50,19 @@
 }
 
 impl Connection {
-    /// Returns whether it may give way to a new one.
-    fn may_give_way(&self, now_ms: u64) -> bool {
+    /// Returns the stage as which it gives way to a new one, if it does: one that has just begun to
+    /// be idle, or a head, may be about to send, like one whose body arrives.
+    fn yielding_stage(&self, now_ms: u64) -> Option<ConnectionStage> {
         let has_stalled = now_ms.saturating_sub(self.since_ms) >= STALL_MS;
         match self.stage {
-            ConnectionStage::Idle | ConnectionStage::Head => true,
-            ConnectionStage::Blocked | ConnectionStage::Body => has_stalled,
-            ConnectionStage::Answering => false,
+            ConnectionStage::Idle | ConnectionStage::Head if !has_stalled => {
+                Some(ConnectionStage::Body)
+            }
+            ConnectionStage::Idle | ConnectionStage::Head | ConnectionStage::Body => {
+                Some(self.stage)
+            }
+            ConnectionStage::Blocked => has_stalled.then_some(self.stage),
+            ConnectionStage::Answering => None,
         }
     }
 }
@@ -132,8 +138,9 @@
     }
 
     fn victim(&self, now_ms: u64) -> Option<ConnectionId> {
-        let candidates = self.connections.iter().filter(|known| known.may_give_way(now_ms));
-        let first = candidates.min_by_key(|known| (known.stage, known.since_ms, known.id));
-        first.map(|known| known.id)
+        let candidates = self.connections.iter().filter_map(|known| {
+            known.yielding_stage(now_ms).map(|stage| (stage, known.since_ms, known.id))
+        });
+        candidates.min().map(|(.., id)| id)
     }
 }
