Close connections whose callers do not read their answers

A caller that did not read its answer held its connection, the request's place and what was buffered for as long as it liked, also past the deadline.

Cause: while a connection takes no bytes, its answer is not asked for more, so that neither the deadline nor the route's timeout was noticed; the connection's own check of timeouts passed over answers.

Evidence: streams_that_are_not_read_are_held_for_ever: four callers of a stream that they don't read were still in progress 20 s later, at a deadline of 5 s.

The close is logged and counted with the cause unread.

--- a/src/gateway/caller_phase.rs
+++ b/src/gateway/caller_phase.rs
@@ -38,6 +38,8 @@
     Idle,
     /// None.
     No,
+    /// That between two bytes of an answer that the caller takes.
+    Unread,
 }
 
 impl CallerPhase {
--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -28,6 +28,7 @@
 use crate::gateway::reply::ReplyBody;
 use crate::gateway::shared::Shared;
 use crate::gateway::shared_socket::{SharedSocket, SocketObserver};
+use crate::intake::closing_cause::ClosingCause;
 use crate::intake::connection_gate::ConnectionSlot;
 use crate::intake::connection_table::ConnectionStage;
 
@@ -109,6 +110,9 @@
     /// read yet, which may be a whole request.
     fn overdue(&self) -> Overdue {
         let now_ms = boot_ms();
+        if self.slot.blocked_ms() > self.shared.state.borrow().settings().intake.unread_ms {
+            return Overdue::Unread;
+        }
         self.phase.set(self.phase.get().under(self.shared.state.borrow().table().limits()));
         let overdue = match self.phase.get() {
             CallerPhase::Idle { .. } if self.shared.closes_idle_connections(now_ms) => {
@@ -174,6 +178,7 @@
                 Overdue::No => {}
                 Overdue::Idle => http_connection.as_mut().graceful_shutdown(),
                 Overdue::Head => return,
+                Overdue::Unread => return shared.record_closing("callers", ClosingCause::Unread),
             },
         }
     }
@@ -235,8 +240,8 @@
     }
 }
 
-/// A stream that records when the first byte of a request head arrives, and when all bytes of an
-/// answer are written: it is flushed once the connection's buffer is empty.
+/// A stream that records when the first byte of a request head arrives, whether the caller takes
+/// bytes, and when all bytes of an answer are written: it is flushed once the connection's buffer is empty.
 struct TrackedStream {
     connection: Rc<ConnectionState>,
     socket: SharedSocket,
@@ -265,7 +270,10 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().socket).poll_write(context, bytes)
+        let this = self.get_mut();
+        let poll = Pin::new(&mut this.socket).poll_write(context, bytes);
+        this.connection.slot.record_write(poll.is_pending());
+        poll
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -286,7 +294,10 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().socket).poll_write_vectored(context, slices)
+        let this = self.get_mut();
+        let poll = Pin::new(&mut this.socket).poll_write_vectored(context, slices);
+        this.connection.slot.record_write(poll.is_pending());
+        poll
     }
 
     fn is_write_vectored(&self) -> bool {
