Bound connections at the addresses for state and other instances

A few hundred connections to the address for readiness, metrics or other instances used up the descriptors of an instance, so that neither the balancer nor callers got an answer.

Cause: these addresses accepted any number of connections, and had no timeout.

--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -32,6 +32,8 @@
 use crate::intake::connection_gate::ConnectionSlot;
 use crate::intake::connection_table::ConnectionStage;
 
+/// Name of the callers' address in logs and metrics.
+const CALLERS: &str = "callers";
 /// Smallest buffer for a request head that the HTTP library accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
 /// Time between two checks of a connection's timeouts, in milliseconds.
@@ -137,7 +139,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if let Some(slot) = shared.accept(&shared.caller_gate, "callers") {
+                if let Some(slot) = shared.accept(&shared.caller_gate, CALLERS) {
                     spawn_local(serve_connection(shared.clone(), stream, slot));
                 }
                 // A connection that was replaced closes before the next one is accepted.
@@ -178,7 +180,7 @@
                 Overdue::No => {}
                 Overdue::Idle => http_connection.as_mut().graceful_shutdown(),
                 Overdue::Head => return,
-                Overdue::Unread => return shared.record_closing("callers", ClosingCause::Unread),
+                Overdue::Unread => return shared.record_closing(&shared.caller_gate, CALLERS, ClosingCause::Unread),
             },
         }
     }
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -12,8 +12,8 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use log::{info, warn};
-use tokio::net::TcpListener;
-use tokio::task::spawn_local;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, yield_now};
 
 use crate::gateway::boot_clock::boot_ms;
 use crate::gateway::counters::Gauges;
@@ -22,6 +22,9 @@
 use crate::gateway::relay_server;
 use crate::gateway::shared::Shared;
 use crate::gateway::sharing::share_metrics;
+use crate::intake::connection_gate::{ConnectionGate, ConnectionSlot};
+use crate::intake::connection_table::ConnectionStage;
+use crate::intake::intake_limits::IntakeLimits;
 
 /// Path at which metrics are served.
 const METRICS_PATH: &str = "/metrics";
@@ -37,8 +40,27 @@
     Fleet,
 }
 
+impl Audience {
+    /// Returns the name of the address in logs and metrics.
+    fn address(self) -> &'static str {
+        match self {
+            Self::Anyone => "state",
+            Self::Fleet => "fleet",
+        }
+    }
+
+    fn connections(self, limits: &IntakeLimits) -> usize {
+        match self {
+            Self::Anyone => limits.state_connections,
+            Self::Fleet => limits.fleet_connections,
+        }
+    }
+}
+
 /// Serves the state of the instance until the process ends.
 pub(crate) async fn serve(shared: Rc<Shared>, listener: TcpListener, audience: Audience) {
+    let limit = audience.connections(&shared.state.borrow().settings().intake);
+    let gate = ConnectionGate::new(limit);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -48,23 +70,39 @@
                 continue;
             }
         };
-        let shared = shared.clone();
-        spawn_local(async move {
-            let service = service_fn(|mut request| {
-                let shared = shared.clone();
-                async move {
-                    Ok::<_, Infallible>(match request.uri().path() {
-                        RELAY_PATH if audience == Audience::Fleet => {
-                            relay_server::answer(&shared, &mut request).await
-                        }
-                        _ => answer(&shared, &request, audience),
-                    })
+        if let Some(slot) = shared.accept(&gate, audience.address()) {
+            spawn_local(serve_connection(shared.clone(), stream, slot, audience));
+        }
+        // A connection that was replaced closes before the next one is accepted.
+        yield_now().await;
+    }
+}
+
+async fn serve_connection(
+    shared: Rc<Shared>,
+    stream: TcpStream,
+    slot: ConnectionSlot,
+    audience: Audience,
+) {
+    let service = service_fn(|mut request| {
+        let (shared, slot) = (shared.clone(), &slot);
+        async move {
+            slot.set_stage(ConnectionStage::Body);
+            let response = match request.uri().path() {
+                RELAY_PATH if audience == Audience::Fleet => {
+                    relay_server::answer(&shared, &mut request).await
                 }
-            });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            // Clients may disconnect at any time.
-            drop(connection.with_upgrades().await);
-        });
+                _ => answer(&shared, &request, audience),
+            };
+            slot.set_stage(ConnectionStage::Idle);
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        // Clients may disconnect at any time.
+        _ = connection.with_upgrades() => {}
+        () = slot.replaced() => {}
     }
 }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -119,18 +119,23 @@
         match gate.accept() {
             Accepted::Kept(slot) => Some(slot),
             Accepted::Refused => {
-                self.record_closing(address, ClosingCause::NoRoom);
+                self.record_closing(gate, address, ClosingCause::NoRoom);
                 None
             }
             Accepted::Replacing(slot) => {
-                self.record_closing(address, ClosingCause::Replaced);
+                self.record_closing(gate, address, ClosingCause::Replaced);
                 Some(slot)
             }
         }
     }
 
     /// Counts and logs a connection that the instance closes for its limits.
-    pub(crate) fn record_closing(&self, address: &'static str, cause: ClosingCause) {
+    pub(crate) fn record_closing(
+        &self,
+        gate: &ConnectionGate,
+        address: &'static str,
+        cause: ClosingCause,
+    ) {
         self.counters.record_closing(address, cause);
         let Some(left_out) = self.log_limit.borrow_mut().begin_line(boot_ms(), cause.name()) else {
             return;
@@ -139,7 +144,7 @@
             target: "callers",
             address,
             cause = cause.name(),
-            connections = self.caller_gate.count(),
+            connections = gate.count(),
             left_out;
             "Connection closed by a limit."
         );
