Serve the daemon's callers by a front with bounds

One request that announced a body of 90,000,000,000,000,000 bytes ended the process. Crowds of callers used up its memory or its descriptors, and after the latter it lived on without listening.

Cause: the library that served callers can't be bounded from outside. What an announced body has left is read into a buffer of that size when the request is dropped, also after 413; a head has no limit; a connection that can't be accepted ends the thread that accepts; no read has a timeout. Each body was held without a bound over all of them.

The fix: hyper, which the gateway uses, takes the library's place. One thread owns the connections; a request gets a thread once its body has arrived. Budget of bodies, bound of connections, order of eviction and unread answers are those of the gateway (src/intake). They follow from [machine] and can be set in [caller]. Writers of answers give a head, parts and an end to the connection; their test (event_round_trip) reads the parts, where it stripped HTTP chunks before, and checks the type of the head besides.

--- a/src/answer_writer.rs
+++ b/src/answer_writer.rs
@@ -1,17 +1,19 @@
 //! Writes an answer to a caller, as server-sent events or as one JSON body.
 
-use std::io::{self, Write};
+use std::io;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use serde_json::{Value, json};
 
 use crate::answer_log::{AnswerEnd, AnswerTotals};
+use crate::answer_output::{AnswerHead, AnswerOutput};
 use crate::final_answer::FinalAnswer;
 use crate::request_id::RequestId;
 use crate::server_sent_events::with_line_feeds;
 
 /// Response header with the id of the request, which operators can look up.
-pub const REQUEST_HEADER: &str = "Bergamotspan-Request";
+pub const REQUEST_HEADER: &str = "bergamotspan-request";
 
 /// Writes one answer in the form that its caller accepts.
 pub trait AnswerWriter: Send {
@@ -40,20 +42,20 @@
 /// Writes one JSON body at the end.
 pub struct JsonAnswerWriter {
     events: Vec<Arc<str>>,
-    output: Box<dyn Write + Send>,
+    output: Box<dyn AnswerOutput>,
     request: Option<RequestId>,
 }
 
-/// Writes server-sent events as they arrive, in HTTP chunks.
+/// Writes server-sent events as they arrive, in parts of the body.
 pub struct StreamAnswerWriter {
-    output: Box<dyn Write + Send>,
+    output: Box<dyn AnswerOutput>,
     request: Option<RequestId>,
     started: bool,
 }
 
 impl JsonAnswerWriter {
     /// Creates a writer to a connection; `request` is the id of the request, if it has one here.
-    pub fn new(output: Box<dyn Write + Send>, request: Option<RequestId>) -> Self {
+    pub fn new(output: Box<dyn AnswerOutput>, request: Option<RequestId>) -> Self {
         Self { events: Vec::new(), output, request }
     }
 }
@@ -65,10 +67,10 @@
                 let mut body = done_body(totals);
                 body["tokens"] = self.events.iter().map(|data| token_value(data)).collect();
                 let headers = request_header(self.request.as_ref());
-                write_body(&mut self.output, 200, &headers, &body)
+                write_body(&mut *self.output, 200, headers, &body)
             }
             AnswerEnd::Final(answer) => {
-                write_final(&mut self.output, self.request.as_ref(), answer)
+                write_final(&mut *self.output, self.request.as_ref(), answer)
             }
         }
     }
@@ -85,28 +87,24 @@
 
 impl StreamAnswerWriter {
     /// Creates a writer to a connection; `request` is the id of the request, if it has one here.
-    pub fn new(output: Box<dyn Write + Send>, request: Option<RequestId>) -> Self {
+    pub fn new(output: Box<dyn AnswerOutput>, request: Option<RequestId>) -> Self {
         Self { output, request, started: false }
     }
 
-    fn write_chunk(&mut self, text: &str) -> io::Result<()> {
-        let mut bytes = String::new();
+    fn write_text(&mut self, text: String) -> io::Result<()> {
         if !self.started {
-            bytes.push_str(&format!(
-                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
-                 Cache-Control: no-store\r\nTransfer-Encoding: chunked\r\n{}\r\n",
-                request_header(self.request.as_ref())
-            ));
+            let mut headers = request_header(self.request.as_ref());
+            headers.push(("cache-control", "no-store".to_owned()));
+            let content_type = "text/event-stream";
+            self.output.begin(AnswerHead {
+                content_type,
+                headers,
+                length_bytes: None,
+                status: 200,
+            })?;
             self.started = true;
         }
-        bytes.push_str(&format!("{:x}\r\n{text}\r\n", text.len()));
-        self.output.write_all(bytes.as_bytes())?;
-        self.output.flush()
-    }
-
-    fn write_last_chunk(&mut self) -> io::Result<()> {
-        self.output.write_all(b"0\r\n\r\n")?;
-        self.output.flush()
+        self.output.write(Bytes::from(text))
     }
 }
 
@@ -115,12 +113,12 @@
         let body = match end {
             AnswerEnd::Done(totals) => done_body(totals),
             AnswerEnd::Final(answer) if !self.started => {
-                return write_final(&mut self.output, self.request.as_ref(), answer);
+                return write_final(&mut *self.output, self.request.as_ref(), answer);
             }
             AnswerEnd::Final(answer) => final_body(answer),
         };
-        self.write_chunk(&format!("event: end\ndata: {body}\n\n"))?;
-        self.write_last_chunk()
+        self.write_text(format!("event: end\ndata: {body}\n\n"))?;
+        self.output.end()
     }
 
     fn events(&mut self, events: &[Arc<str>]) -> io::Result<()> {
@@ -132,11 +130,11 @@
             }
             text.push('\n');
         }
-        self.write_chunk(&text)
+        self.write_text(text)
     }
 
     fn keep_alive(&mut self) -> io::Result<()> {
-        self.write_chunk(": alive\n\n")
+        self.write_text(": alive\n\n".to_owned())
     }
 }
 
@@ -146,39 +144,34 @@
 /// # Errors
 ///
 /// Returns an error if the caller disconnected.
-pub fn write_final<W>(
-    output: &mut W,
+pub fn write_final(
+    output: &mut dyn AnswerOutput,
     request: Option<&RequestId>,
     answer: &FinalAnswer,
-) -> io::Result<()>
-where
-    W: Write + ?Sized,
-{
+) -> io::Result<()> {
     let mut headers = request_header(request);
     if let Some(retry_after_ms) = answer.retry_after_ms {
-        headers.push_str(&format!("Retry-After: {}\r\n", retry_after_ms.div_ceil(1_000)));
+        headers.push(("retry-after", retry_after_ms.div_ceil(1_000).to_string()));
     }
-    write_body(output, answer.status, &headers, &final_body(answer))
+    write_body(output, answer.status, headers, &final_body(answer))
 }
 
-/// Writes a complete HTTP response with a JSON body; each line of `headers` ends with CRLF.
+/// Writes a complete HTTP response with a JSON body.
 ///
 /// # Errors
 ///
 /// Returns an error if the caller disconnected.
-pub fn write_body<W>(output: &mut W, status: u16, headers: &str, body: &Value) -> io::Result<()>
-where
-    W: Write + ?Sized,
-{
+pub fn write_body(
+    output: &mut dyn AnswerOutput,
+    status: u16,
+    headers: Vec<(&'static str, String)>,
+    body: &Value,
+) -> io::Result<()> {
     let body = body.to_string();
-    let reason = reason_phrase(status);
-    let head = format!(
-        "HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n\
-         Content-Length: {}\r\n{headers}\r\n",
-        body.len()
-    );
-    output.write_all(format!("{head}{body}").as_bytes())?;
-    output.flush()
+    let content_type = "application/json";
+    output.begin(AnswerHead { content_type, headers, length_bytes: Some(body.len()), status })?;
+    output.write(Bytes::from(body))?;
+    output.end()
 }
 
 fn done_body(totals: &AnswerTotals) -> Value {
@@ -189,28 +182,8 @@
     serde_json::to_value(answer).unwrap_or_default()
 }
 
-fn reason_phrase(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        400 => "Bad Request",
-        404 => "Not Found",
-        409 => "Conflict",
-        413 => "Content Too Large",
-        422 => "Unprocessable Content",
-        428 => "Precondition Required",
-        499 => "Client Closed Request",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Answer",
-    }
-}
-
-fn request_header(request: Option<&RequestId>) -> String {
-    match request {
-        Some(request) => format!("{REQUEST_HEADER}: {request}\r\n"),
-        None => String::new(),
-    }
+fn request_header(request: Option<&RequestId>) -> Vec<(&'static str, String)> {
+    request.map(|request| (REQUEST_HEADER, request.to_string())).into_iter().collect()
 }
 
 fn token_value(data: &str) -> Value {
--- a/src/answers.rs
+++ b/src/answers.rs
@@ -157,6 +157,18 @@
     answer(400, Outcome::NotRun, "missing_prompt", message, None)
 }
 
+/// There is no memory for the body of a request.
+pub fn no_body_memory() -> FinalAnswer {
+    let message = "There is no memory for the body now. The request did not run.";
+    answer(503, Outcome::NotRun, "no_memory", message, Some(DEFAULT_RETRY_AFTER_MS))
+}
+
+/// No thread could be started for a request.
+pub fn no_thread() -> FinalAnswer {
+    let message = "The instance has no room for the request now. The request did not run.";
+    answer(503, Outcome::NotRun, "no_thread", message, Some(DEFAULT_RETRY_AFTER_MS))
+}
+
 /// No running or kept request has the key.
 pub fn no_such_key(outcome: Outcome) -> FinalAnswer {
     let message = "No request with this key runs or is kept here.";
--- a/src/caller_edge.rs
+++ b/src/caller_edge.rs
@@ -2,11 +2,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use hyper::http::request::Parts;
 use serde_json::{Value, json};
-use tiny_http::{Request, Server};
 
 use crate::answer_log::AnswerEnd;
 use crate::answer_writer::{
@@ -19,11 +18,13 @@
 use crate::error::Error;
 use crate::event::Event;
 use crate::final_answer::FinalAnswer;
+use crate::front::front_request::FrontRequest;
+use crate::front::{Front, FrontLimits, HeadStep, RequestHandler};
 use crate::join_answer::{JOIN_HEADER, JoinTarget, cancel_at_peer, join_local, join_peer};
 use crate::name::Name;
 use crate::peer_links::PeerLinks;
 use crate::platform_watch::PlatformWatch;
-use crate::read_request::{header, read_request, wants_json};
+use crate::read_request::{RequestHead, header, read_request, wants_json};
 use crate::request_id::RequestId;
 use crate::runners::RunnerCommand;
 use crate::serve_request::RequestRunner;
@@ -37,8 +38,8 @@
 
 /// The HTTP server of the interface.
 pub struct CallerEdge {
-    server: Arc<Server>,
-    stopped: Arc<AtomicBool>,
+    front: Front,
+    listen_address: Option<SocketAddr>,
 }
 
 /// Sources of the counts on the status page that the core does not hold.
@@ -50,6 +51,28 @@
     pub platform_watch: Arc<PlatformWatch>,
 }
 
+/// Answers the requests of callers.
+struct CallerRequests {
+    context: Arc<ServingContext>,
+    usage: UsageSources,
+}
+
+impl RequestHandler for CallerRequests {
+    fn check_head(&self, head: &Parts) -> HeadStep {
+        let Route::Request { .. } = route(&head.method, url(head)) else {
+            return HeadStep::Read { time_left_ms: u64::MAX };
+        };
+        match RequestHead::read(&head.headers) {
+            Ok(read) => HeadStep::Read { time_left_ms: read.time_left_ms() },
+            Err(answer) => HeadStep::Refuse(answer),
+        }
+    }
+
+    fn serve(&self, request: FrontRequest) {
+        serve(&self.context, &self.usage, request);
+    }
+}
+
 impl CallerEdge {
     /// Starts to listen, and serves each request on a thread of its own.
     ///
@@ -57,34 +80,41 @@
     ///
     /// Returns an error if the address can't be listened on.
     pub fn start(context: Arc<ServingContext>, usage: UsageSources) -> Result<Self, Error> {
-        let listener = listen(context.settings.caller.listen_address)?;
-        let server = Server::from_listener(listener, None).map_err(|error| {
-            Error::io("Listening for callers failed", std::io::Error::other(error))
-        })?;
-        let edge = Self { server: Arc::new(server), stopped: Arc::default() };
-        let (server, stopped) = (edge.server.clone(), edge.stopped.clone());
-        std::thread::spawn(move || {
-            while !stopped.load(Ordering::Acquire) {
-                let Ok(request) = server.recv() else { continue };
-                let (context, usage) = (context.clone(), usage.clone());
-                std::thread::spawn(move || serve(&context, &usage, request));
-            }
-        });
-        Ok(edge)
+        let settings = &context.settings.caller;
+        let listener = listen(settings.listen_address)?;
+        let listen_address = listener.local_addr().ok();
+        let limits = FrontLimits {
+            body_limit_bytes: usize::try_from(settings.body_limit_bytes).unwrap_or(usize::MAX),
+            head_timeout_ms: settings.head_timeout_ms,
+            intake: settings.intake.clone(),
+        };
+        let telemetry = context.telemetry.clone();
+        let requests = Arc::new(CallerRequests { context, usage });
+        let front = Front::start(listener, limits, requests, telemetry)?;
+        Ok(Self { front, listen_address })
+    }
+
+    /// Returns the number of requests whose answer is not written yet.
+    pub fn in_progress(&self) -> usize {
+        self.front.in_progress()
     }
 
     /// Returns the listen address.
     pub fn listen_address(&self) -> Option<SocketAddr> {
-        self.server.server_addr().to_ip()
+        self.listen_address
     }
 
-    /// Stops accepting requests.
+    /// Stops accepting connections.
     pub fn stop(&self) {
-        self.stopped.store(true, Ordering::Release);
-        self.server.unblock();
+        self.front.stop();
     }
 }
 
+/// Returns path and query of a request.
+fn url(head: &Parts) -> &str {
+    head.uri.path_and_query().map_or("/", |url| url.as_str())
+}
+
 fn query_control<T, F>(context: &ServingContext, input: F) -> Option<T>
 where
     F: FnOnce(flume::Sender<T>) -> ControlInput,
@@ -94,7 +124,7 @@
     answer.recv_timeout(Duration::from_millis(CONTROL_TIMEOUT_MS)).ok()
 }
 
-fn answer_json<T>(request: Request, body: Option<T>)
+fn answer_json<T>(request: FrontRequest, body: Option<T>)
 where
     T: serde::Serialize,
 {
@@ -105,7 +135,7 @@
     respond(request, status, &body);
 }
 
-fn answer_ready(context: &ServingContext, request: Request) {
+fn answer_ready(context: &ServingContext, request: FrontRequest) {
     let ready = query_control(context, ControlInput::Status).is_some_and(|status| status.ready);
     match ready {
         true => respond(request, 200, &json!({ "ready": true })),
@@ -113,7 +143,7 @@
     }
 }
 
-fn explain(context: &ServingContext, request: Request, id: String) {
+fn explain(context: &ServingContext, request: FrontRequest, id: String) {
     match query_control(context, |reply| ControlInput::Explain { id, reply }) {
         Some(Some(report)) => answer_json(request, Some(report)),
         Some(None) => {
@@ -124,8 +154,8 @@
     }
 }
 
-fn cancel(context: &ServingContext, request: Request, key: String) {
-    let holder = header(&request, JOIN_HEADER).map(Name::from);
+fn cancel(context: &ServingContext, request: FrontRequest, key: String) {
+    let holder = header(&request.head.headers, JOIN_HEADER).map(Name::from);
     let sequence = context.next_sequence();
     let commands = context.runners.add(sequence);
     context.send_event(Event::CancelRequested { holder, key: key.into(), sequence });
@@ -144,8 +174,8 @@
     context.runners.remove(sequence);
 }
 
-fn join(context: &Arc<ServingContext>, request: Request, key: String, offset: usize) {
-    let holder = header(&request, JOIN_HEADER).map(Name::from);
+fn join(context: &Arc<ServingContext>, request: FrontRequest, key: String, offset: usize) {
+    let holder = header(&request.head.headers, JOIN_HEADER).map(Name::from);
     let mut writer = writer_for(request, None);
     let sequence = context.next_sequence();
     let commands = context.runners.add(sequence);
@@ -173,17 +203,18 @@
     }
 }
 
-fn respond(request: Request, status: u16, body: &Value) {
+fn respond(mut request: FrontRequest, status: u16, body: &Value) {
     // The caller may have disconnected.
-    let _ = write_body(&mut request.into_writer(), status, "", body);
+    let _ = write_body(&mut request.output, status, Vec::new(), body);
 }
 
-fn respond_final(request: Request, answer: &FinalAnswer) {
-    let _ = write_final(&mut request.into_writer(), None, answer);
+fn respond_final(mut request: FrontRequest, answer: &FinalAnswer) {
+    // The caller may have disconnected.
+    let _ = write_final(&mut request.output, None, answer);
 }
 
-fn serve(context: &Arc<ServingContext>, usage: &UsageSources, request: Request) {
-    match route(request.method(), request.url()) {
+fn serve(context: &Arc<ServingContext>, usage: &UsageSources, request: FrontRequest) {
+    match route(&request.head.method, url(&request.head)) {
         Route::BadOffset => respond_final(request, &answers::bad_offset()),
         Route::Cancel(key) => cancel(context, request, key),
         Route::Drain => {
@@ -194,7 +225,7 @@
         Route::Join { key, offset } => join(context, request, key, offset),
         Route::Live => respond(request, 200, &json!({ "live": true })),
         Route::NotFound => {
-            let message = format!("Unknown path: {} {}.", request.method(), request.url());
+            let message = format!("Unknown path: {} {}.", request.head.method, url(&request.head));
             let answer = answers::bad_request(404, "no_such_path", message);
             respond_final(request, &answer);
         }
@@ -211,10 +242,10 @@
     }
 }
 
-fn serve_request(context: &Arc<ServingContext>, mut request: Request, service: &str, path: &str) {
+fn serve_request(context: &Arc<ServingContext>, request: FrontRequest, service: &str, path: &str) {
     let sequence = context.next_sequence();
-    let limit_bytes = context.settings.caller.body_limit_bytes;
-    match read_request(&mut request, service, path, sequence, limit_bytes) {
+    let read = read_request(&request.head.headers, request.body.clone(), service, path, sequence);
+    match read {
         Ok(read) => {
             let writer = writer_for(request, Some(context.request_id(sequence)));
             RequestRunner::new(context.clone(), read, writer).serve();
@@ -223,9 +254,9 @@
     }
 }
 
-fn writer_for(request: Request, id: Option<RequestId>) -> Box<dyn AnswerWriter> {
-    match wants_json(&request) {
-        true => Box::new(JsonAnswerWriter::new(request.into_writer(), id)),
-        false => Box::new(StreamAnswerWriter::new(request.into_writer(), id)),
+fn writer_for(request: FrontRequest, id: Option<RequestId>) -> Box<dyn AnswerWriter> {
+    match wants_json(&request.head.headers) {
+        true => Box::new(JsonAnswerWriter::new(Box::new(request.output), id)),
+        false => Box::new(StreamAnswerWriter::new(Box::new(request.output), id)),
     }
 }
--- a/src/caller_listener.rs
+++ b/src/caller_listener.rs
@@ -1,6 +1,6 @@
 //! The listening socket for callers.
 //!
-//! Accepted connections inherit its options; tiny_http can't set them on a connection.
+//! Accepted connections inherit its options.
 
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
@@ -12,9 +12,6 @@
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG_CONNECTIONS: i32 = 1_024;
 
-/// Timeout of one write to a caller, in milliseconds.
-const CALLER_WRITE_TIMEOUT_MS: u64 = 10_000;
-
 /// Time between two keep-alive probes of a silent connection, in seconds.
 const KEEPALIVE_INTERVAL_S: u64 = 1;
 
@@ -43,7 +40,6 @@
             .with_retries(KEEPALIVE_PROBES);
         socket.set_tcp_keepalive(&keepalive)?;
         socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_LIMIT_MS)))?;
-        socket.set_write_timeout(Some(Duration::from_millis(CALLER_WRITE_TIMEOUT_MS)))?;
         socket.bind(&address.into())?;
         socket.listen(BACKLOG_CONNECTIONS)?;
         Ok(TcpListener::from(socket))
--- a/src/caller_route.rs
+++ b/src/caller_route.rs
@@ -1,7 +1,7 @@
 //! Routes a caller's HTTP request by method and path.
 
+use hyper::Method;
 use percent_encoding::percent_decode_str;
-use tiny_http::Method;
 
 /// The operation that a caller requests.
 pub(crate) enum Route {
@@ -31,18 +31,18 @@
 pub(crate) fn route(method: &Method, url: &str) -> Route {
     let (path, query) = url.split_once('?').unwrap_or((url, ""));
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
-    match (method, parts.as_slice()) {
-        (Method::Delete, ["v1", "requests", key]) => Route::Cancel((*key).into()),
-        (Method::Get, ["explain", id]) => Route::Explain(decoded(id)),
-        (Method::Get, ["livez"]) => Route::Live,
-        (Method::Get, ["readyz"]) => Route::Ready,
-        (Method::Get, ["status"]) => Route::Status,
-        (Method::Get, ["v1", "requests", key]) => match read_offset(query) {
+    match (method.as_str(), parts.as_slice()) {
+        ("DELETE", ["v1", "requests", key]) => Route::Cancel((*key).into()),
+        ("GET", ["explain", id]) => Route::Explain(decoded(id)),
+        ("GET", ["livez"]) => Route::Live,
+        ("GET", ["readyz"]) => Route::Ready,
+        ("GET", ["status"]) => Route::Status,
+        ("GET", ["v1", "requests", key]) => match read_offset(query) {
             Some(offset) => Route::Join { key: (*key).into(), offset },
             None => Route::BadOffset,
         },
-        (Method::Post, ["drain"]) => Route::Drain,
-        (Method::Post, ["v1", "services", service, "requests", path @ ..]) => {
+        ("POST", ["drain"]) => Route::Drain,
+        ("POST", ["v1", "services", service, "requests", path @ ..]) => {
             Route::Request { path: path.join("/"), service: (*service).into() }
         }
         _ => Route::NotFound,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -73,6 +73,7 @@
     let mut kernel = build_kernel(&context, incarnation, inputs, stopped);
     kernel.start()?;
     print_addresses(kernel.directory())?;
+    let edge = kernel.directory().find::<CallerEdge>(CALLER_EDGE)?;
     std::thread::spawn(move || {
         for _ in signals.forever() {
             // The control thread only ends with the process.
@@ -81,7 +82,7 @@
     });
     // A disconnected channel means that the control thread ended, so the process stops as well.
     let _ = stop_done.recv();
-    wait_for_last_writes(&context);
+    wait_for_last_writes(&context, &edge);
     kernel.stop();
     log::info!(target: "stop", "Stopped.");
     Ok(())
@@ -114,9 +115,10 @@
     Ok(())
 }
 
-fn wait_for_last_writes(context: &ServingContext) {
+fn wait_for_last_writes(context: &ServingContext, edge: &CallerEdge) {
     let deadline_ms = context.clock.monotonic_ms() + LAST_WRITES_LIMIT_MS;
-    while context.runners.count() > 0 && context.clock.monotonic_ms() < deadline_ms {
+    let writes = || context.runners.count() > 0 || edge.in_progress() > 0;
+    while writes() && context.clock.monotonic_ms() < deadline_ms {
         std::thread::sleep(Duration::from_millis(LAST_WRITES_INTERVAL_MS));
     }
 }
--- a/src/intake/body_reader.rs
+++ b/src/intake/body_reader.rs
@@ -39,6 +39,18 @@
     TooLong,
 }
 
+impl BodyFault {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Cut => "body_cut",
+            Self::NoMemory => "no_memory",
+            Self::Overdue => "body_overdue",
+            Self::TooLong => "body_too_large",
+        }
+    }
+}
+
 impl BodyBounds {
     fn next_part_timeout(&self) -> Duration {
         let left_ms = self.deadline_ms.saturating_sub(boot_ms());
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -1,12 +1,24 @@
 //! The counts and measurements that an instance records as metrics, and the attributes of each.
 
 use crate::final_answer::Outcome;
+use crate::intake::body_reader::BodyFault;
+use crate::intake::closing_cause::ClosingCause;
 use crate::name::Name;
 use crate::scheduling::RefusalReason;
 
 /// A monotonic counter.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Counter {
+    /// Requests of which no whole body was read.
+    BodyFaults {
+        /// What was wrong.
+        fault: BodyFault,
+    },
+    /// Connections of callers that were closed for a limit.
+    ClosedConnections {
+        /// The limit.
+        cause: ClosingCause,
+    },
     /// Decisions by the control thread.
     ControlDecisions,
     /// Grants by coordinators.
--- a/src/otlp_metrics.rs
+++ b/src/otlp_metrics.rs
@@ -9,6 +9,8 @@
 
 /// One instrument for each metric.
 pub(crate) struct OtlpMetrics {
+    body_faults: OtelCounter<u64>,
+    closed_connections: OtelCounter<u64>,
     control_decision_us: Histogram<u64>,
     control_decisions: OtelCounter<u64>,
     first_token_ms: Histogram<u64>,
@@ -27,6 +29,8 @@
         let counter = |name: &'static str| meter.u64_counter(name).build();
         let histogram = |name: &'static str| meter.u64_histogram(name).build();
         Self {
+            body_faults: counter("bergamotspan.body_faults"),
+            closed_connections: counter("bergamotspan.closed_connections"),
             control_decision_us: histogram("bergamotspan.control_decision_us"),
             control_decisions: counter("bergamotspan.control_decisions"),
             first_token_ms: histogram("bergamotspan.first_token_ms"),
@@ -43,6 +47,12 @@
     /// Adds to a counter.
     pub(crate) fn count(&self, counter: Counter, amount: u64) {
         match counter {
+            Counter::BodyFaults { fault } => {
+                self.body_faults.add(amount, &[KeyValue::new("reason", fault.name())]);
+            }
+            Counter::ClosedConnections { cause } => {
+                self.closed_connections.add(amount, &[KeyValue::new("cause", cause.name())]);
+            }
             Counter::ControlDecisions => self.control_decisions.add(amount, &[]),
             Counter::Grants => self.grants.add(amount, &[]),
             Counter::PeerReceivedBytes => self.peer_received_bytes.add(amount, &[]),
--- a/src/parse_settings.rs
+++ b/src/parse_settings.rs
@@ -1,9 +1,15 @@
 //! Parses the settings of an instance from INI.
 
+use std::ops::RangeInclusive;
+
 use crate::error::Error;
 use crate::finding_list::FindingList;
 use crate::ini_document::{IniDocument, IniSection};
 use crate::ini_value::{address, choice, listen_address, name, number, time_ms};
+use crate::intake::intake_limits::{
+    BODY_MEMORY_RANGE_MB, CONNECTIONS_RANGE, DEFAULT_DESCRIPTORS, DEFAULT_MEMORY_MB, IntakeLimits,
+    STALL_RANGE_MS,
+};
 use crate::name::Name;
 use crate::section_reader::SectionReader;
 use crate::section_schema::{SectionSchema, check_schema};
@@ -12,6 +18,10 @@
     PeerSettings, PlatformSettings, Policy, Settings, ShutdownSettings, TelemetrySettings,
 };
 
+const BYTES_PER_MB: usize = 1_000_000;
+const DESCRIPTORS_RANGE: RangeInclusive<u64> = 256..=10_000_000;
+const MEMORY_RANGE_MB: RangeInclusive<u64> = 32..=10_000_000;
+const DEFAULT_HEAD_TIMEOUT_MS: u64 = 60_000;
 const DEFAULT_BODY_LIMIT_BYTES: u64 = 4 * 1024 * 1024;
 const DEFAULT_CLOCK_MARGIN_MS: u64 = 500;
 const DEFAULT_CONFIRMATION_WINDOW_MS: u64 = 3_000;
@@ -50,7 +60,18 @@
 
 /// Sections that the settings may have.
 pub const SETTINGS_SCHEMAS: &[SectionSchema] = &[
-    unnamed_section("caller", &["body_limit_bytes", "listen_address"]),
+    unnamed_section(
+        "caller",
+        &[
+            "body_limit_bytes",
+            "body_memory_mb",
+            "body_silence_ms",
+            "connections",
+            "head_timeout_ms",
+            "listen_address",
+            "unread_ms",
+        ],
+    ),
     unnamed_section(
         "dispatch",
         &["connect_timeout_ms", "idle_limit_ms", "load_interval_ms", "policy", "resume_limit"],
@@ -58,6 +79,7 @@
     unnamed_section("instance", &["data_centre", "name"]),
     unnamed_section("keys", &["capacity", "clock_margin_ms", "grant_limit_ms", "lifetime_ms"]),
     unnamed_section("log", &["format", "level"]),
+    unnamed_section("machine", &["descriptors", "memory_mb"]),
     unnamed_section("peer", &["confirmation_window_ms", "heartbeat_interval_ms", "listen_address"]),
     unnamed_section("platform", &["address", "watch_timeout_ms"]),
     unnamed_section("shutdown", &["drain_limit_ms", "notice_ms"]),
@@ -113,7 +135,8 @@
 }
 
 fn read_settings(reader: &mut SettingsReader<'_>) -> Option<Settings> {
-    let caller = reader.required("caller", read_caller);
+    let machine = reader.optional("machine", read_machine)?;
+    let caller = reader.required("caller", |section| read_caller(section, &machine));
     let dispatch = reader.optional("dispatch", read_dispatch);
     let instance = reader.required("instance", read_instance);
     let keys = reader.optional("keys", read_keys);
@@ -135,12 +158,41 @@
     })
 }
 
-fn read_caller(section: &mut SectionReader<'_>) -> Option<CallerSettings> {
+/// Reads the limits on callers that follow from the machine.
+fn read_machine(section: &mut SectionReader<'_>) -> Option<IntakeLimits> {
+    let descriptors =
+        section.or_default("descriptors", DEFAULT_DESCRIPTORS, number(DESCRIPTORS_RANGE));
+    let memory_mb = section.or_default("memory_mb", DEFAULT_MEMORY_MB, number(MEMORY_RANGE_MB));
+    Some(IntakeLimits::of_machine(memory_mb?, descriptors?))
+}
+
+fn read_caller(section: &mut SectionReader<'_>, machine: &IntakeLimits) -> Option<CallerSettings> {
     let body_limit = number(1..=MAX_BODY_LIMIT_BYTES);
     let body_limit_bytes =
         section.or_default("body_limit_bytes", DEFAULT_BODY_LIMIT_BYTES, body_limit);
+    let body_memory_mb = section.optional("body_memory_mb", number::<usize>(BODY_MEMORY_RANGE_MB));
+    let body_silence_ms =
+        section.or_default("body_silence_ms", machine.body_silence_ms, number(STALL_RANGE_MS));
+    let connections =
+        section.or_default("connections", machine.connections, number(CONNECTIONS_RANGE));
+    let head_timeout_ms =
+        section.or_default("head_timeout_ms", DEFAULT_HEAD_TIMEOUT_MS, number(STALL_RANGE_MS));
     let listen_address = section.required("listen_address", listen_address);
-    Some(CallerSettings { body_limit_bytes: body_limit_bytes?, listen_address: listen_address? })
+    let unread_ms = section.or_default("unread_ms", machine.unread_ms, number(STALL_RANGE_MS));
+    let body_memory_bytes = body_memory_mb?.map(|megabytes| megabytes * BYTES_PER_MB);
+    let intake = IntakeLimits {
+        body_memory_bytes: body_memory_bytes.unwrap_or(machine.body_memory_bytes),
+        body_silence_ms: body_silence_ms?,
+        connections: connections?,
+        unread_ms: unread_ms?,
+        ..machine.clone()
+    };
+    Some(CallerSettings {
+        body_limit_bytes: body_limit_bytes?,
+        head_timeout_ms: head_timeout_ms?,
+        intake,
+        listen_address: listen_address?,
+    })
 }
 
 fn read_dispatch(section: &mut SectionReader<'_>) -> Option<DispatchSettings> {
--- a/src/read_request.rs
+++ b/src/read_request.rs
@@ -1,9 +1,8 @@
-//! Reads and checks headers and body of a caller's request, before the decision core receives it.
-
-use std::io::Read;
+//! Checks headers and body of a caller's request, before the decision core receives it.
 
+use bytes::Bytes;
+use hyper::HeaderMap;
 use serde::Deserialize;
-use tiny_http::Request;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 use crate::answers;
@@ -29,7 +28,7 @@
     /// Event for the decision core.
     pub arrival: Arrival,
     /// The body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// The caller's trace context.
     pub traceparent: Option<String>,
     /// Whether the caller wants one JSON body in place of a stream.
@@ -42,51 +41,76 @@
     prompt: Option<String>,
 }
 
+/// What the head of a request says.
+#[derive(Clone, Debug, Default)]
+pub struct RequestHead {
+    customer: Name,
+    deadline_ms: Option<u64>,
+    key: Option<Name>,
+    tier: Option<Name>,
+}
+
+impl RequestHead {
+    /// Reads the head of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final answer that names the fault to the caller.
+    pub fn read(headers: &HeaderMap) -> Result<Self, FinalAnswer> {
+        let customer = header(headers, "Bergamotspan-Customer").ok_or_else(|| {
+            let message = "Header 'Bergamotspan-Customer' is missing.";
+            answers::bad_request(400, "missing_customer", message)
+        })?;
+        Ok(Self {
+            customer: customer.into(),
+            deadline_ms: read_deadline(headers)?,
+            key: read_key(headers)?,
+            tier: header(headers, "Bergamotspan-Tier").map(Name::from),
+        })
+    }
+
+    /// Returns for how long its caller waits, in milliseconds.
+    pub fn time_left_ms(&self) -> u64 {
+        self.deadline_ms.unwrap_or(DEADLINE_LIMIT_MS)
+    }
+}
+
 /// Reads a request for `service` and `path`.
 ///
 /// # Errors
 ///
 /// Returns the final answer that names the fault to the caller.
 pub fn read_request(
-    request: &mut Request,
+    headers: &HeaderMap,
+    body: Bytes,
     service: &str,
     path: &str,
     sequence: u64,
-    body_limit_bytes: u64,
 ) -> Result<ReadRequest, FinalAnswer> {
-    let customer = header(request, "Bergamotspan-Customer").ok_or_else(|| {
-        answers::bad_request(400, "missing_customer", "Header 'Bergamotspan-Customer' is missing.")
-    })?;
-    let deadline_ms = read_deadline(request)?;
-    let key = read_key(request)?;
-    let tier = header(request, "Bergamotspan-Tier").map(Name::from);
-    let body = read_body(request, body_limit_bytes)?;
+    let head = RequestHead::read(headers)?;
     let fields = read_fields(&body)?;
     let prompt = fields.prompt.unwrap_or_default();
     let arrival = Arrival {
-        customer: customer.into(),
-        deadline_ms,
+        customer: head.customer,
+        deadline_ms: head.deadline_ms,
         fingerprint: fingerprint(service, path, &body),
-        key,
+        key: head.key,
         max_output_tokens: fields.max_output_tokens.unwrap_or_default(),
         path: path.into(),
         prefix_hashes: prefix_hashes(prompt.as_bytes()),
         prompt_tokens: u32::try_from(prompt.len().div_ceil(TOKEN_BYTES)).unwrap_or(u32::MAX),
         sequence,
         service: service.into(),
-        tier,
+        tier: head.tier,
     };
-    let traceparent = header(request, "traceparent");
-    Ok(ReadRequest { arrival, body, traceparent, wants_json: wants_json(request) })
+    let traceparent = header(headers, "traceparent");
+    Ok(ReadRequest { arrival, body, traceparent, wants_json: wants_json(headers) })
 }
 
 /// Returns the trimmed value of a header; the case of its name doesn't matter.
-pub fn header(request: &Request, name: &str) -> Option<String> {
-    request
-        .headers()
-        .iter()
-        .find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name))
-        .map(|header| header.value.as_str().trim().to_string())
+pub fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = String::from_utf8_lossy(headers.get(name)?.as_bytes());
+    Some(value.trim().to_owned())
 }
 
 /// Returns the hashes of a prompt's prefixes, each of them one block longer than the last.
@@ -101,8 +125,8 @@
 }
 
 /// Returns whether the caller wants one JSON body in place of a stream.
-pub fn wants_json(request: &Request) -> bool {
-    header(request, "Accept").is_some_and(|accept| accept.contains("application/json"))
+pub fn wants_json(headers: &HeaderMap) -> bool {
+    header(headers, "Accept").is_some_and(|accept| accept.contains("application/json"))
 }
 
 fn fingerprint(service: &str, path: &str, body: &[u8]) -> u64 {
@@ -113,29 +137,8 @@
     hasher.digest()
 }
 
-fn read_body(request: &mut Request, limit_bytes: u64) -> Result<Vec<u8>, FinalAnswer> {
-    let too_large = || {
-        let message = format!("The body is larger than {limit_bytes} bytes.");
-        answers::bad_request(413, "body_too_large", message)
-    };
-    let truncated = || answers::bad_request(400, "body_cut", "The body ended early.");
-    let length = request.body_length();
-    if length.is_some_and(|length| length as u64 > limit_bytes) {
-        return Err(too_large());
-    }
-    let mut body = Vec::new();
-    request.as_reader().take(limit_bytes + 1).read_to_end(&mut body).map_err(|_| truncated())?;
-    if body.len() as u64 > limit_bytes {
-        return Err(too_large());
-    }
-    if length.is_some_and(|length| length != body.len()) {
-        return Err(truncated());
-    }
-    Ok(body)
-}
-
-fn read_deadline(request: &Request) -> Result<Option<u64>, FinalAnswer> {
-    let Some(text) = header(request, "Bergamotspan-Deadline-Ms") else { return Ok(None) };
+fn read_deadline(headers: &HeaderMap) -> Result<Option<u64>, FinalAnswer> {
+    let Some(text) = header(headers, "Bergamotspan-Deadline-Ms") else { return Ok(None) };
     match text.parse() {
         Ok(deadline_ms) if (1..=DEADLINE_LIMIT_MS).contains(&deadline_ms) => Ok(Some(deadline_ms)),
         _ => {
@@ -157,8 +160,8 @@
     })
 }
 
-fn read_key(request: &Request) -> Result<Option<Name>, FinalAnswer> {
-    let Some(key) = header(request, "Idempotency-Key") else { return Ok(None) };
+fn read_key(headers: &HeaderMap) -> Result<Option<Name>, FinalAnswer> {
+    let Some(key) = header(headers, "Idempotency-Key") else { return Ok(None) };
     let is_allowed = |byte: u8| byte.is_ascii_graphic() && byte != b'/' && byte != b'?';
     if !key.is_empty() && key.len() <= KEY_LIMIT_BYTES && key.bytes().all(is_allowed) {
         return Ok(Some(key.into()));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::intake::intake_limits::IntakeLimits;
 use crate::name::Name;
 
 /// Settings of one instance, one field per section of the settings file.
@@ -32,6 +33,10 @@
 pub struct CallerSettings {
     /// Largest accepted request body, in bytes.
     pub body_limit_bytes: u64,
+    /// Longest time until the next request head of a connection has arrived, in milliseconds.
+    pub head_timeout_ms: u64,
+    /// What callers may hold of the instance.
+    pub intake: IntakeLimits,
     /// Address to listen on; port 0 selects any free port.
     pub listen_address: SocketAddr,
 }
--- a/tests/check_settings.rs
+++ b/tests/check_settings.rs
@@ -2,6 +2,7 @@
 
 mod document_text;
 
+use bergamotspan::intake::intake_limits::IntakeLimits;
 use bergamotspan::parse_settings::parse_settings;
 use bergamotspan::settings::{
     CallerSettings, DispatchSettings, InstanceSettings, KeySettings, LogFormat, LogSettings,
@@ -325,6 +326,8 @@
     let expected = Settings {
         caller: CallerSettings {
             body_limit_bytes: 4_194_304,
+            head_timeout_ms: 60_000,
+            intake: IntakeLimits::of_machine(110, 4_100),
             listen_address: "127.0.0.1:8080".parse().unwrap(),
         },
         dispatch: DispatchSettings {
--- a/tests/event_round_trip.rs
+++ b/tests/event_round_trip.rs
@@ -1,24 +1,31 @@
 //! Tests that an event is read from a stream as it was written to it.
 
-use std::io::{self, BufReader, Write};
+use std::io::{self, BufReader};
 use std::sync::{Arc, Mutex};
 
 use bergamotspan::answer_log::totals;
+use bergamotspan::answer_output::{AnswerHead, AnswerOutput};
 use bergamotspan::answer_writer::{AnswerWriter, StreamAnswerWriter};
 use bergamotspan::server_sent_events::{ServerSentEvent, read_event};
+use bytes::Bytes;
 use proptest::prelude::{prop_assert_eq, proptest};
 
 /// Keeps what is written.
 #[derive(Clone, Default)]
 struct Output(Arc<Mutex<Vec<u8>>>);
 
-impl Write for Output {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().unwrap().extend_from_slice(bytes);
-        Ok(bytes.len())
+impl AnswerOutput for Output {
+    fn begin(&mut self, head: AnswerHead) -> io::Result<()> {
+        assert_eq!(head.content_type, "text/event-stream");
+        Ok(())
+    }
+
+    fn write(&mut self, bytes: Bytes) -> io::Result<()> {
+        self.0.lock().unwrap().extend_from_slice(&bytes);
+        Ok(())
     }
 
-    fn flush(&mut self) -> io::Result<()> {
+    fn end(&mut self) -> io::Result<()> {
         Ok(())
     }
 }
@@ -30,9 +37,7 @@
     writer.events(&[Arc::from(data)]).unwrap();
     let bytes = output.0.lock().unwrap().clone();
     let text = String::from_utf8(bytes).unwrap();
-    let (_, chunk) = text.split_once("\r\n\r\n").unwrap();
-    let (_, event) = chunk.split_once("\r\n").unwrap();
-    match read_event(&mut event.as_bytes()).unwrap() {
+    match read_event(&mut text.as_bytes()).unwrap() {
         ServerSentEvent::Event { data, .. } => data,
         other => panic!("{other:?}"),
     }
