Give up answers of engines that do not end

Cause: each event was kept for joins without a limit, and nothing compared their number with max_output_tokens.

The fix: an answer ends as failed, and its stream is cancelled, when it has more tokens than were asked for, when it is longer than answer_limit_bytes, 8 MiB, or when the answers of its engine, or of all, have used up a sixth of the memory. Each is logged and counted.

Answers of plain servers are still read without a limit (read in the code, not shown).

--- a/src/intake/intake_limits.rs
+++ b/src/intake/intake_limits.rs
@@ -20,6 +20,10 @@
 const BYTES_PER_MB: u64 = 1_000_000;
 /// Descriptors that are kept for files.
 const FILE_DESCRIPTORS: u64 = 200;
+/// Longest answer that is kept while it arrives, in bytes.
+pub const DEFAULT_ANSWER_LIMIT_BYTES: usize = 8_388_608;
+/// Part of the memory that answers may hold while they arrive.
+const ANSWER_MEMORY_SHARE: u64 = 6;
 /// Part of the memory that request bodies may hold.
 const BODY_MEMORY_SHARE: u64 = 5;
 /// Part of the memory that the buffers of connections may hold.
@@ -30,6 +34,8 @@
 /// Limits on what callers may hold.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct IntakeLimits {
+    /// Memory for the answers that the daemon keeps while they arrive, in bytes.
+    pub answer_memory_bytes: usize,
     /// Memory for request bodies, in bytes.
     pub body_memory_bytes: usize,
     /// Longest time between two parts of a body, in milliseconds.
@@ -55,6 +61,7 @@
         let by_memory = memory_bytes / CONNECTION_MEMORY_SHARE / CONNECTION_BYTES;
         let connections = (sockets / 2).min(by_memory).max(*CONNECTIONS_RANGE.start());
         Self {
+            answer_memory_bytes: to_usize(memory_bytes / ANSWER_MEMORY_SHARE),
             body_memory_bytes: to_usize(memory_bytes / BODY_MEMORY_SHARE),
             body_silence_ms: DEFAULT_BODY_SILENCE_MS,
             connections: to_usize(connections),
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -21,6 +21,8 @@
     },
     /// Decisions by the control thread.
     ControlDecisions,
+    /// Answers that were given up for their length.
+    EndlessAnswers,
     /// Grants by coordinators.
     Grants,
     /// Bytes received from other instances.
--- a/src/otlp_metrics.rs
+++ b/src/otlp_metrics.rs
@@ -13,6 +13,7 @@
     closed_connections: OtelCounter<u64>,
     control_decision_us: Histogram<u64>,
     control_decisions: OtelCounter<u64>,
+    endless_answers: OtelCounter<u64>,
     first_token_ms: Histogram<u64>,
     grants: OtelCounter<u64>,
     peer_received_bytes: OtelCounter<u64>,
@@ -33,6 +34,7 @@
             closed_connections: counter("bergamotspan.closed_connections"),
             control_decision_us: histogram("bergamotspan.control_decision_us"),
             control_decisions: counter("bergamotspan.control_decisions"),
+            endless_answers: counter("bergamotspan.endless_answers"),
             first_token_ms: histogram("bergamotspan.first_token_ms"),
             grants: counter("bergamotspan.grants"),
             peer_received_bytes: counter("bergamotspan.peer_received_bytes"),
@@ -54,6 +56,7 @@
                 self.closed_connections.add(amount, &[KeyValue::new("cause", cause.name())]);
             }
             Counter::ControlDecisions => self.control_decisions.add(amount, &[]),
+            Counter::EndlessAnswers => self.endless_answers.add(amount, &[]),
             Counter::Grants => self.grants.add(amount, &[]),
             Counter::PeerReceivedBytes => self.peer_received_bytes.add(amount, &[]),
             Counter::PeerSentBytes => self.peer_sent_bytes.add(amount, &[]),
--- a/src/parse_settings.rs
+++ b/src/parse_settings.rs
@@ -7,8 +7,8 @@
 use crate::ini_document::{IniDocument, IniSection};
 use crate::ini_value::{address, choice, listen_address, name, number, time_ms};
 use crate::intake::intake_limits::{
-    BODY_MEMORY_RANGE_MB, CONNECTIONS_RANGE, DEFAULT_DESCRIPTORS, DEFAULT_MEMORY_MB, IntakeLimits,
-    STALL_RANGE_MS,
+    BODY_MEMORY_RANGE_MB, CONNECTIONS_RANGE, DEFAULT_ANSWER_LIMIT_BYTES, DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_MB, IntakeLimits, STALL_RANGE_MS,
 };
 use crate::name::Name;
 use crate::section_reader::SectionReader;
@@ -63,6 +63,8 @@
     unnamed_section(
         "caller",
         &[
+            "answer_limit_bytes",
+            "answer_memory_mb",
             "body_limit_bytes",
             "body_memory_mb",
             "body_silence_ms",
@@ -167,6 +169,13 @@
 }
 
 fn read_caller(section: &mut SectionReader<'_>, machine: &IntakeLimits) -> Option<CallerSettings> {
+    let answer_limit_bytes = section.or_default(
+        "answer_limit_bytes",
+        DEFAULT_ANSWER_LIMIT_BYTES,
+        number(1..=MAX_BODY_LIMIT_BYTES),
+    );
+    let answer_memory_mb =
+        section.optional("answer_memory_mb", number::<usize>(BODY_MEMORY_RANGE_MB));
     let body_limit = number(1..=MAX_BODY_LIMIT_BYTES);
     let body_limit_bytes =
         section.or_default("body_limit_bytes", DEFAULT_BODY_LIMIT_BYTES, body_limit);
@@ -180,7 +189,9 @@
     let listen_address = section.required("listen_address", listen_address);
     let unread_ms = section.or_default("unread_ms", machine.unread_ms, number(STALL_RANGE_MS));
     let body_memory_bytes = body_memory_mb?.map(|megabytes| megabytes * BYTES_PER_MB);
+    let answer_memory_bytes = answer_memory_mb?.map(|megabytes| megabytes * BYTES_PER_MB);
     let intake = IntakeLimits {
+        answer_memory_bytes: answer_memory_bytes.unwrap_or(machine.answer_memory_bytes),
         body_memory_bytes: body_memory_bytes.unwrap_or(machine.body_memory_bytes),
         body_silence_ms: body_silence_ms?,
         connections: connections?,
@@ -188,6 +199,7 @@
         ..machine.clone()
     };
     Some(CallerSettings {
+        answer_limit_bytes: answer_limit_bytes?,
         body_limit_bytes: body_limit_bytes?,
         head_timeout_ms: head_timeout_ms?,
         intake,
--- a/src/run_model.rs
+++ b/src/run_model.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant};
 
+use log::warn;
 use serde::Deserialize;
 
 use crate::answer_log::{AnswerEnd, AnswerTotals};
@@ -11,6 +12,7 @@
     BackendRequest, CallFailure, EventStream, cancel_stream, resume_stream, start_stream,
 };
 use crate::effect::Dispatch;
+use crate::metric::Counter;
 use crate::runners::RunnerCommand;
 use crate::scheduling::Progress;
 use crate::serve_request::{RequestRunner, RunEnd};
@@ -58,6 +60,7 @@
 /// Runs the request of `runner` at a model engine.
 pub fn run_model(runner: &mut RequestRunner, dispatch: &Dispatch) -> RunEnd {
     let started = Instant::now();
+    runner.begin_answer(&dispatch.backend_server);
     let settings = runner.context.settings.clone();
     let traceparent = runner.trace.dispatch_header();
     let request = BackendRequest {
@@ -203,10 +206,39 @@
         if index > self.tokens {
             return RunStep::Resume;
         }
-        if index == self.tokens {
-            self.emit_token(data);
+        if index < self.tokens {
+            return RunStep::Read;
         }
-        RunStep::Read
+        match self.check_room(&data) {
+            Some(fault) => self.give_up(&fault),
+            None => {
+                self.emit_token(data);
+                RunStep::Read
+            }
+        }
+    }
+
+    /// Returns why a further token can't be taken, if it can't.
+    fn check_room(&mut self, data: &str) -> Option<String> {
+        let most = self.runner.request.arrival.max_output_tokens as usize;
+        if most > 0 && self.tokens >= most {
+            return Some(format!("it sent more than {most} tokens"));
+        }
+        self.runner.reserve_event(data).err().map(|full| full.to_string())
+    }
+
+    fn give_up(&self, fault: &str) -> RunStep {
+        cancel_stream(self.dispatch);
+        self.runner.context.telemetry.count(Counter::EndlessAnswers, 1);
+        warn!(
+            target: "run",
+            backend_server = &*self.dispatch.backend_server,
+            request = &*self.dispatch.request,
+            tokens = self.tokens,
+            fault;
+            "An answer was given up."
+        );
+        RunStep::End(failed_run(fault))
     }
 
     fn emit_token(&mut self, data: String) {
--- a/src/serve_request.rs
+++ b/src/serve_request.rs
@@ -10,7 +10,9 @@
 use crate::effect::Dispatch;
 use crate::event::Event;
 use crate::final_answer::FinalAnswer;
+use crate::gateway::answer_budget::{BudgetShare, BufferFull};
 use crate::join_answer::{JoinTarget, RecordingWriter, join_local, join_peer};
+use crate::name::Name;
 use crate::read_request::ReadRequest;
 use crate::request_trace::RequestTrace;
 use crate::run_model::run_model;
@@ -23,8 +25,13 @@
 /// Time between two keep-alives to a waiting caller, in milliseconds.
 const KEEP_ALIVE_INTERVAL_MS: u64 = 1_000;
 
+/// Memory that an event takes besides its data, in bytes.
+const EVENT_OVERHEAD_BYTES: usize = 64;
+
 /// Serves one request.
 pub struct RequestRunner {
+    answer_bytes: usize,
+    answer_share: BudgetShare,
     /// Commands of the decision core.
     pub commands: flume::Receiver<RunnerCommand>,
     /// The request.
@@ -68,6 +75,8 @@
         let log = context.answer_logs.open(sequence);
         let trace = RequestTrace::start(&context, request.traceparent.as_deref());
         Self {
+            answer_bytes: 0,
+            answer_share: context.answer_budget.share(),
             caller_gone: false,
             cancelled: false,
             commands,
@@ -80,6 +89,29 @@
         }
     }
 
+    /// Takes memory for a further event of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BufferFull`] if the answer is too long, or other answers have used up the memory.
+    pub fn reserve_event(&mut self, data: &str) -> Result<(), BufferFull> {
+        let limit_bytes = self.context.settings.caller.answer_limit_bytes;
+        self.answer_bytes += data.len() + EVENT_OVERHEAD_BYTES;
+        if self.answer_bytes > limit_bytes {
+            return Err(BufferFull::TooLong(limit_bytes));
+        }
+        match self.answer_share.resize(self.answer_bytes) {
+            true => Ok(()),
+            false => Err(BufferFull::BudgetUsedUp),
+        }
+    }
+
+    /// Takes a share of the memory for answers, as one of a backend server's answers.
+    pub fn begin_answer(&mut self, backend_server: &Name) {
+        self.answer_share = self.context.answer_budget.share_of(backend_server);
+        self.answer_bytes = 0;
+    }
+
     /// Adds an event to the answer, and writes it to the caller unless the caller disconnected.
     pub fn emit(&mut self, data: Arc<str>) {
         self.log.push(data.clone());
--- a/src/serving_context.rs
+++ b/src/serving_context.rs
@@ -7,6 +7,7 @@
 use crate::clock::Clock;
 use crate::control::ControlInput;
 use crate::event::Event;
+use crate::gateway::answer_budget::AnswerBudget;
 use crate::request_id::RequestId;
 use crate::runners::Runners;
 use crate::settings::Settings;
@@ -14,6 +15,8 @@
 
 /// Context shared by all threads that serve requests.
 pub struct ServingContext {
+    /// Memory for answers while they arrive.
+    pub answer_budget: AnswerBudget,
     /// Answers that other requests may join.
     pub answer_logs: AnswerLogs,
     /// The clock.
@@ -40,6 +43,7 @@
         telemetry: Arc<dyn Telemetry>,
     ) -> Self {
         Self {
+            answer_budget: AnswerBudget::new(settings.caller.intake.answer_memory_bytes),
             answer_logs: AnswerLogs::default(),
             clock,
             control,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -31,6 +31,8 @@
 /// Section `[caller]`.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CallerSettings {
+    /// Longest answer that is kept while it arrives, in bytes.
+    pub answer_limit_bytes: usize,
     /// Largest accepted request body, in bytes.
     pub body_limit_bytes: u64,
     /// Longest time until the next request head of a connection has arrived, in milliseconds.
--- a/tests/check_settings.rs
+++ b/tests/check_settings.rs
@@ -325,6 +325,7 @@
 
     let expected = Settings {
         caller: CallerSettings {
+            answer_limit_bytes: 8_388_608,
             body_limit_bytes: 4_194_304,
             head_timeout_ms: 60_000,
             intake: IntakeLimits::of_machine(110, 4_100),
