Let the soak bring crowds of callers

Callers that send bodies badly were not among what the soak brings about.

A crowd excuses no lost answer. Trials of silences have none.

--- a/soak/src/injection.rs
+++ b/soak/src/injection.rs
@@ -12,6 +12,7 @@
 use crate::Name;
 use crate::caller::elapsed_ms;
 use crate::checker::EVACUATE_MS;
+use crate::crowd;
 use crate::fleet::{Backend, Fleet, LIMITED_KEYS, POLL_INTERVAL_MS, data_centre};
 use crate::instance::Instance;
 use crate::proxy::Proxy;
@@ -50,6 +51,12 @@
             fleet.store.compact();
             fleet.write_document();
         }
+        // It excuses no lost answer.
+        Fault::Crowd(number) => {
+            let address = fleet.instances[number].borrow().caller_address();
+            crowd::hold(address, timed_fault.at_ms, duration).await;
+            return Ok(());
+        }
         Fault::Document => revoke_key(&fleet, duration).await,
         // Neither of these excuses a lost answer.
         Fault::DocumentLimits => {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod caller;
 pub mod checker;
 pub mod command;
+mod crowd;
 pub mod engine;
 mod fleet;
 mod injection;
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -10,6 +10,11 @@
 /// Shortest and longest duration of a fault, in milliseconds; the end of the trial cuts it short.
 const DURATION_RANGE_MS: (u64, u64) = (300, 4_000);
 
+/// Crowds of callers in a trial.
+const CROWDS: usize = 3;
+/// Sets the draws of crowds apart from those of the other faults of a seed.
+const CROWD_SEED: u64 = 0x6372_6f77;
+
 /// Shortest and longest time for which a backend server falls silent, in milliseconds.
 const SILENCE_RANGE_MS: (u64, u64) = (800, 1_500);
 /// Longest time between the beginnings of two events of a trial with silences, in milliseconds.
@@ -22,6 +27,8 @@
     BrokenStreams,
     /// The history of the store is dropped between two changes.
     Compact,
+    /// Many callers of an instance send bodies that stop short of their end, and stay.
+    Crowd(usize),
     /// A new document revokes a key; a later one restores it.
     Document,
     /// A new document has other limits and timeouts.
@@ -97,6 +104,21 @@
     faults
 }
 
+/// Returns the crowds of a seed, which come beside its other faults.
+pub fn crowd_schedule(seed: u64, instances: usize, length_ms: u64) -> Vec<TimedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ CROWD_SEED);
+    let crowd = |_| {
+        let at_ms = random.random_range(FIRST_FAULT_MS..length_ms.max(FIRST_FAULT_MS + 1));
+        let (shortest_ms, longest_ms) = DURATION_RANGE_MS;
+        let duration_ms = random.random_range(shortest_ms..longest_ms);
+        let fault = Fault::Crowd(random.random_range(0..instances));
+        TimedFault { at_ms, fault, duration_ms: duration_ms.min(length_ms.saturating_sub(at_ms)) }
+    };
+    let mut crowds: Vec<_> = (0..CROWDS).map(crowd).collect();
+    crowds.sort_by_key(|crowd| crowd.at_ms);
+    crowds
+}
+
 /// Returns silences of backend servers beside changes of the document, which excuse no lost answer.
 pub fn silence_schedule(seed: u64, engines: usize, length_ms: u64) -> Vec<TimedFault> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/soak/src/trial.rs
+++ b/soak/src/trial.rs
@@ -14,7 +14,7 @@
 use crate::caller::{self, CallerContext, elapsed_ms};
 use crate::fleet::{Fleet, LIMITED_KEYS, UNLIMITED_KEY, poll_readiness};
 use crate::injection::inject_fault;
-use crate::schedule::{random_schedule, silence_schedule};
+use crate::schedule::{crowd_schedule, random_schedule, silence_schedule};
 use crate::streams::StreamCounts;
 
 /// Time without faults at the end of a trial, in milliseconds; all changes are in force well before
@@ -125,11 +125,14 @@
     let running: Vec<_> = (0..setup.callers)
         .map(|number| spawn_local(caller::run(context.clone(), setup.seed, number)))
         .collect();
-    let faults = if setup.silences {
+    let mut faults = if setup.silences {
         silence_schedule(setup.seed, setup.engines, setup.length_ms)
     } else {
         random_schedule(setup.seed, setup.instances, setup.engines, setup.length_ms)
     };
+    if !setup.silences {
+        faults.extend(crowd_schedule(setup.seed, setup.instances, setup.length_ms));
+    }
     let faults_start_ms = elapsed_ms(fleet.started);
     let injections: Vec<_> = faults
         .iter()
--- a/soak/tests/schedule.rs
+++ b/soak/tests/schedule.rs
@@ -1,6 +1,6 @@
 //! A seed determines its schedule of faults.
 
-use soak::schedule::{Fault, TimedFault, random_schedule, silence_schedule};
+use soak::schedule::{Fault, TimedFault, crowd_schedule, random_schedule, silence_schedule};
 
 #[test]
 fn a_seed_always_gives_the_same_faults_and_another_seed_gives_others() {
@@ -8,6 +8,14 @@
     assert_ne!(random_schedule(7, 5, 4, 20_000), random_schedule(8, 5, 4, 20_000));
 }
 
+#[test]
+fn crowds_of_a_seed_are_the_same_and_end_within_the_trial() {
+    let crowds = crowd_schedule(7, 5, 20_000);
+    assert_eq!(crowds, crowd_schedule(7, 5, 20_000));
+    assert!(crowds.iter().all(|crowd| matches!(crowd.fault, Fault::Crowd(0..5))));
+    assert!(crowds.iter().all(|crowd| crowd.at_ms + crowd.duration_ms <= 20_000));
+}
+
 #[test]
 fn faults_overlap_and_all_end_within_the_trial() {
     let faults = random_schedule(3, 5, 4, 20_000);
--- a/tests/check_settings.rs
+++ b/tests/check_settings.rs
@@ -408,3 +408,23 @@
 fn a_window_of_three_heartbeats_is_valid() {
     assert!(parse_settings("test.ini", VALID_SETTINGS).is_ok());
 }
+
+#[test]
+fn limits_on_callers_follow_from_the_machine_unless_they_are_set() {
+    let machine = format!("{REQUIRED_SETTINGS}[machine]\nmemory_mb = 260\ndescriptors = 1000\n");
+    let settings = parse_settings("test.ini", &machine).unwrap();
+    assert_eq!(settings.caller.intake, IntakeLimits::of_machine(260, 1_000));
+
+    let set = machine.replace("[caller]\n", "[caller]\nconnections = 40\nbody_memory_mb = 7\n");
+    let intake = parse_settings("test.ini", &set).unwrap().caller.intake;
+    assert_eq!((intake.connections, intake.body_memory_bytes), (40, 7_000_000));
+}
+
+#[test]
+fn limits_on_callers_out_of_range_are_findings() {
+    for (key, value) in [("connections", "3"), ("unread_ms", "1"), ("body_silence_ms", "never")] {
+        let text = REQUIRED_SETTINGS.replace("[caller]\n", &format!("[caller]\n{key} = {value}\n"));
+        let error = parse_settings("test.ini", &text).unwrap_err().to_string();
+        assert!(error.contains(&format!("'{key}' must be")), "{error}");
+    }
+}
