--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -243,7 +243,8 @@
 }
 
 /// A stream that records when the first byte of a request head arrives, whether the caller takes
-/// bytes, and when all bytes of an answer are written: it is flushed once the connection's buffer is empty.
+/// bytes, and when all bytes of an answer are written: it is flushed once the connection's buffer
+/// is empty.
 struct TrackedStream {
     connection: Rc<ConnectionState>,
     socket: SharedSocket,
