--- a/soak/src/crowd.rs
+++ b/soak/src/crowd.rs
@@ -28,8 +28,8 @@
     sleep(duration).await;
 }
 
-/// Returns a request that lacks the end of its body: announced or in chunks, of a proper caller or of
-/// an unknown one.
+/// Returns a request that lacks the end of its body, announced or in chunks, of a proper caller or
+/// of an unknown one.
 fn unfinished(draw: u64) -> Vec<u8> {
     let sent_bytes = draw % MOST_BYTES;
     let key = if draw.is_multiple_of(3) { "unknown" } else { LIMITED_KEYS[0] };
