Notice at once that the daemon's caller has reset its connection

Cause: the new front notices a departure by a failed write. The thread that makes the answer wrote the first keep-alive to the connection's queue, the connection failed at it, and only the next one, 400 ms later, failed for the thread; before, it wrote to the socket itself.

The fix: a connection whose request is being answered looks every 100 ms whether its socket was reset, and closes. One that only sends no more, as callers may, is not reset.

--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -27,6 +27,7 @@
 use crate::front::front_request::FrontRequest;
 use crate::front::server::{HeadStep, Shared};
 use crate::gateway::boot_clock::boot_ms;
+use crate::gateway::shared_socket::SharedSocket;
 use crate::intake::body_reader::{BodyBounds, BodyFault, discard_body, read_body};
 use crate::intake::closing_cause::ClosingCause;
 use crate::intake::connection_gate::ConnectionSlot;
@@ -34,8 +35,10 @@
 
 /// Longest head, in bytes.
 const HEAD_LIMIT_BYTES: usize = 16_384;
-/// Time between two checks whether the caller reads its answer, in milliseconds.
-const UNREAD_CHECK_INTERVAL_MS: u64 = 500;
+/// Time between two checks of a connection whose request is being answered, in milliseconds.
+const ANSWER_CHECK_INTERVAL_MS: u64 = 100;
+/// Time between two checks of another connection, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 500;
 /// Part of a refused body that is read so that its caller reads the answer, in bytes.
 const DISCARDED_BYTES: usize = 65_536;
 /// Longest pause in a refused body, in milliseconds.
@@ -44,6 +47,8 @@
 /// Serves a connection until it closes, must give way to another one or is not read.
 pub(super) async fn serve_connection(shared: Rc<Shared>, stream: TcpStream, slot: ConnectionSlot) {
     let state = Rc::new(ConnectionState::new(slot, shared.in_progress.clone()));
+    let stream = SharedSocket::new(stream);
+    let observer = stream.observer();
     let io = TokioIo::new(CountedStream { state: state.clone(), stream });
     let service = service_fn(|request| answer(shared.clone(), state.clone(), request));
     let connection = http1::Builder::new()
@@ -59,7 +64,10 @@
             // Callers may disconnect at any time.
             _ = connection.as_mut() => return,
             () = &mut replaced => return,
-            () = sleep(Duration::from_millis(UNREAD_CHECK_INTERVAL_MS)) => {
+            () = sleep(check_interval(&state)) => {
+                if observer.is_reset() {
+                    return;
+                }
                 if state.slot.blocked_ms() > shared.limits.intake.unread_ms {
                     return shared.record_closing(ClosingCause::Unread);
                 }
@@ -68,6 +76,13 @@
     }
 }
 
+fn check_interval(state: &ConnectionState) -> Duration {
+    Duration::from_millis(match state.is_answering() {
+        true => ANSWER_CHECK_INTERVAL_MS,
+        false => CHECK_INTERVAL_MS,
+    })
+}
+
 async fn answer(
     shared: Rc<Shared>,
     state: Rc<ConnectionState>,
--- a/src/front/connection_state.rs
+++ b/src/front/connection_state.rs
@@ -9,8 +9,8 @@
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
+use crate::gateway::shared_socket::SharedSocket;
 use crate::intake::connection_gate::ConnectionSlot;
 use crate::intake::connection_table::ConnectionStage;
 
@@ -44,6 +44,10 @@
         self.slot.set_stage(ConnectionStage::Body);
     }
 
+    pub(super) fn is_answering(&self) -> bool {
+        self.is_answering.get()
+    }
+
     /// Records that the connection has the end of the answer in its buffer.
     pub(super) fn begin_flush(&self) {
         self.is_flushing.set(true);
@@ -80,7 +84,7 @@
 /// A socket whose reads and writes its connection's state records.
 pub(super) struct CountedStream {
     pub(super) state: Rc<ConnectionState>,
-    pub(super) stream: TcpStream,
+    pub(super) stream: SharedSocket,
 }
 
 impl AsyncRead for CountedStream {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -63,7 +63,7 @@
 mod send_progress;
 pub mod service_retry_budget;
 mod shared;
-mod shared_socket;
+pub(crate) mod shared_socket;
 pub mod sharing;
 mod silent_race;
 pub mod software_versions;
--- a/src/gateway/shared_socket.rs
+++ b/src/gateway/shared_socket.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Returns whether the other end has reset the socket; one that only sends no more has not.
+    pub(crate) fn is_reset(&self) -> bool {
+        let Some(stream) = self.0.upgrade() else { return true };
+        let stream = stream.borrow();
+        let ready = stream.ready(Interest::WRITABLE).now_or_never();
+        ready.is_some_and(|ready| ready.map_or(true, |ready| ready.is_write_closed()))
+    }
+
     /// Returns whether the other end has closed the socket, also while bytes before its end are unread.
     pub(crate) fn is_closed(&self) -> bool {
         let Some(stream) = self.0.upgrade() else { return true };
