review: show that members spend a limit each while no coordinator is left

Cause: when both coordinators are killed together, the members decide alone for 1.25 s, each on a copy of the balance that refills at the whole rate.

--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -1,7 +1,8 @@
 //! Stand-ins for the second review: the platform's store, engines, requesters and the machines on
 //! which the gateways run. Uses the standard library alone.
 //!
-//! Usage: `standin-2 CASE FOLDER`, where CASE is `seeds` or `tenant`. Writes FOLDER/record.txt and
+//! Usage: `standin-2 CASE FOLDER`, where CASE is `seeds`,
+//! `coordinators` or `tenant`. Writes FOLDER/record.txt and
 //! exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run. With TROUBLE=0
 //! in the environment it does the same without the disruption.
 
@@ -610,6 +611,16 @@
 
 // ---- The cases ----
 
+/// Has one tenant send many times its usual: 40 requests a second to each gateway.
+fn start_hot_tenant(world: &Arc<World>, deployment: &Deployment) {
+    world.note("one tenant sends many times its usual");
+    for (index, machine) in deployment.machines.iter().enumerate() {
+        for _ in 0..4 {
+            start_requester(world, (index + 1, machine.front), "/cufi504/fi50/2f", KEY, 100);
+        }
+    }
+}
+
 /// All gateways are killed at the same moment; the machines named as seeds are dark for 5 s, the
 /// others start again at once.
 fn seeds_dark(folder: &Path, trouble: bool) -> Result<bool, Failure> {
@@ -617,13 +628,7 @@
     let world = deployment.world.clone();
     let begin_ms = world.now_ms() + 4_000;
     world.sleep_until(begin_ms);
-    world.note("one tenant sends many times its usual");
-    for (index, machine) in deployment.machines.iter().enumerate() {
-        for _ in 0..4 {
-            // Each requester sends 10 requests a second, so 40 reach each gateway.
-            start_requester(&world, (index + 1, machine.front), "/cufi504/fi50/2f", KEY, 100);
-        }
-    }
+    start_hot_tenant(&world, &deployment);
     world.sleep_until(begin_ms + 1_500);
     if trouble {
         for machine in &mut deployment.machines {
@@ -640,6 +645,11 @@
     }
     world.sleep_until(begin_ms + 12_000);
     let world = deployment.end(folder)?;
+    conclude_quota(folder, &world)
+}
+
+/// Compares what ran of the tenant, by the rule on usage caps, with its limit.
+fn conclude_quota(folder: &Path, world: &World) -> Result<bool, Failure> {
     let runs = world.runs.lock().unwrap().clone();
     let sent = world.sent.lock().unwrap().clone();
     let sent_ms: BTreeMap<&str, u64> =
@@ -663,6 +673,30 @@
     conclude(folder, &verdict, tokens as f64 > limit)
 }
 
+/// The processes of the two gateways that coordinate the others, by the rank of their names, are
+/// killed at the same moment and start again 2 s later.
+fn coordinators_killed(folder: &Path, trouble: bool) -> Result<bool, Failure> {
+    const COORDINATORS: [usize; 2] = [0, 5];
+    let mut deployment = Deployment::start(7, 3)?;
+    let world = deployment.world.clone();
+    let begin_ms = world.now_ms() + 4_000;
+    world.sleep_until(begin_ms);
+    start_hot_tenant(&world, &deployment);
+    world.sleep_until(begin_ms + 6_300);
+    if trouble {
+        for index in COORDINATORS {
+            deployment.machines[index].kill(&world);
+        }
+        world.sleep_until(begin_ms + 8_300);
+        for index in COORDINATORS {
+            deployment.machines[index].start(&world)?;
+        }
+    }
+    world.sleep_until(begin_ms + 12_000);
+    let world = deployment.end(folder)?;
+    conclude_quota(folder, &world)
+}
+
 /// The store is silent for 4.5 s, while a requester sends its key on a route that needs none.
 fn tenant_lost(folder: &Path, trouble: bool) -> Result<bool, Failure> {
     let deployment = Deployment::start(3, 3)?;
@@ -707,6 +741,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
         ["seeds", folder] => seeds_dark(Path::new(folder), trouble),
+        ["coordinators", folder] => coordinators_killed(Path::new(folder), trouble),
         ["tenant", folder] => tenant_lost(Path::new(folder), trouble),
         _ => Err("usage: standin-2 CASE FOLDER".into()),
     };
