--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -1,10 +1,9 @@
 //! Stand-ins for the second review: the platform's store, engines, requesters and the machines on
 //! which the gateways run. Uses the standard library alone.
 //!
-//! Usage: `standin-2 CASE FOLDER`, where CASE is `seeds`,
-//! `coordinators` or `tenant`. Writes FOLDER/record.txt and
-//! exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run. With TROUBLE=0
-//! in the environment it does the same without the disruption.
+//! Usage: `standin-2 CASE FOLDER`, where CASE is `coordinators` or `tenant`. Writes FOLDER/record.txt
+//! and exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run. With
+//! TROUBLE=0 in the environment it does the same without the disruption.
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -621,33 +620,6 @@
     }
 }
 
-/// All gateways are killed at the same moment; the machines named as seeds are dark for 5 s, the
-/// others start again at once.
-fn seeds_dark(folder: &Path, trouble: bool) -> Result<bool, Failure> {
-    let mut deployment = Deployment::start(7, 3)?;
-    let world = deployment.world.clone();
-    let begin_ms = world.now_ms() + 4_000;
-    world.sleep_until(begin_ms);
-    start_hot_tenant(&world, &deployment);
-    world.sleep_until(begin_ms + 1_500);
-    if trouble {
-        for machine in &mut deployment.machines {
-            machine.kill(&world);
-        }
-        world.sleep_until(begin_ms + 2_000);
-        for machine in &mut deployment.machines[3..] {
-            machine.start(&world)?;
-        }
-        world.sleep_until(begin_ms + 6_500);
-        for machine in &mut deployment.machines[..3] {
-            machine.start(&world)?;
-        }
-    }
-    world.sleep_until(begin_ms + 12_000);
-    let world = deployment.end(folder)?;
-    conclude_quota(folder, &world)
-}
-
 /// Compares what ran of the tenant, by the rule on usage caps, with its limit.
 fn conclude_quota(folder: &Path, world: &World) -> Result<bool, Failure> {
     let runs = world.runs.lock().unwrap().clone();
@@ -740,7 +712,6 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
-        ["seeds", folder] => seeds_dark(Path::new(folder), trouble),
         ["coordinators", folder] => coordinators_killed(Path::new(folder), trouble),
         ["tenant", folder] => tenant_lost(Path::new(folder), trouble),
         _ => Err("usage: standin-2 CASE FOLDER".into()),
