--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -9,7 +9,7 @@
 use std::fmt::Write as _;
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio, exit};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -436,17 +436,19 @@
     }
 }
 
-/// Returns ports that are free on all loopback addresses, for TCP and UDP.
+/// Returns ports that are free for TCP and UDP on the loopback addresses that a case uses.
 fn free_ports(count: usize) -> Result<Vec<u16>, Failure> {
-    let any = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), port);
     let mut held = Vec::new();
     let mut ports = Vec::new();
     while ports.len() < count {
-        let listener = TcpListener::bind(any(0))?;
-        let port = listener.local_addr()?.port();
-        if let Ok(socket) = UdpSocket::bind(any(port)) {
+        let first = TcpListener::bind("127.0.0.1:0")?;
+        let port = first.local_addr()?.port();
+        let addresses = (2..=20).map(|last| SocketAddr::from(([127, 0, 0, last], port)));
+        let listeners: Result<Vec<_>, _> = addresses.clone().map(TcpListener::bind).collect();
+        let sockets: Result<Vec<_>, _> = addresses.map(UdpSocket::bind).collect();
+        if let (Ok(listeners), Ok(sockets)) = (listeners, sockets) {
             ports.push(port);
-            held.push((listener, socket));
+            held.push((first, listeners, sockets));
         }
     }
     Ok(ports)
